Add the design page, the build, and the base, link and transport libraries

Cause: the modules need shared types, messages and checks before they can be built separately. Conclusion: modules can now be built against these interfaces.

--- /dev/null
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -0,0 +1,59 @@
+#include "oleanderledge/base/LogEvent.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+
+namespace oleanderledge {
+
+namespace {
+
+using enum LogLevel;
+
+constexpr std::array kLogEvents = {
+  LogEventInfo{ LogEvent::SettingsRejected, "settings_rejected", Error },
+  LogEventInfo{ LogEvent::LinkConnected, "link_connected", Info },
+  LogEventInfo{ LogEvent::LinkClosed, "link_closed", Info },
+  LogEventInfo{ LogEvent::LinkRejected, "link_rejected", Warning },
+  LogEventInfo{ LogEvent::DaemonStarted, "daemon_started", Info },
+  LogEventInfo{ LogEvent::DaemonStopping, "daemon_stopping", Info },
+  LogEventInfo{ LogEvent::DaemonStopped, "daemon_stopped", Info },
+  LogEventInfo{ LogEvent::ListenFailed, "listen_failed", Error },
+};
+
+spdlog::level::level_enum ToLibraryLevel(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Info:
+      return spdlog::level::info;
+    case LogLevel::Warning:
+      return spdlog::level::warn;
+    case LogLevel::Error:
+      break;
+  }
+  return spdlog::level::err;
+}
+
+} // namespace
+
+std::span<const LogEventInfo> AllLogEvents()
+{
+  return kLogEvents;
+}
+
+void WriteLog(LogEvent aEvent, std::string_view aDetail)
+{
+  const auto* found = std::lower_bound(
+    kLogEvents.begin(), kLogEvents.end(), aEvent, [](const LogEventInfo& aEntry, LogEvent aWanted) {
+      return aEntry.event < aWanted;
+    });
+  if (found == kLogEvents.end() || found->event != aEvent) {
+    spdlog::error("E{} unregistered log event: {}", static_cast<unsigned>(aEvent), aDetail);
+    return;
+  }
+  spdlog::log(
+    ToLibraryLevel(found->level), "E{} {} {}", static_cast<unsigned>(aEvent), found->name, aDetail);
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace oleanderledge {
+
+enum class LogLevel : std::uint8_t
+{
+  Info,
+  Warning,
+  Error,
+};
+
+/// Numbered log events. docs/log-events.md has a row for each. Each module has its own range.
+enum class LogEvent : std::uint16_t
+{
+  // 1100: settings and command line.
+  SettingsRejected = 1101,
+  // 1200: links.
+  LinkConnected = 1201,
+  LinkClosed = 1202,
+  LinkRejected = 1203,
+  // 1300: consensus.
+  // 1400: storage.
+  // 1500: control.
+  // 1600: owner.
+  // 1700: entry.
+  // 1800: daemons.
+  DaemonStarted = 1801,
+  DaemonStopping = 1802,
+  DaemonStopped = 1803,
+  ListenFailed = 1804,
+};
+
+/// Fixed properties of a log event.
+struct LogEventInfo
+{
+  LogEvent event;
+  std::string_view name;
+  LogLevel level;
+};
+
+/// All log events in ascending order.
+std::span<const LogEventInfo> AllLogEvents();
+
+/// Writes one line "E<number> <name> <detail>" at the level of the event.
+void WriteLog(LogEvent aEvent, std::string_view aDetail);
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/owner.hpp
@@ -0,0 +1,4 @@
+/// Public header of the owner library: the owner role of a proxy.
+#pragma once
+
+#include "oleanderledge/owner/OwnerService.hpp"
--- /dev/null
+++ b/src/oleanderledge/transport/LinkConnection.cpp
@@ -0,0 +1,210 @@
+#include "oleanderledge/transport/LinkConnection.hpp"
+
+#include <QHostAddress>
+
+#include <charconv>
+
+namespace oleanderledge {
+
+namespace {
+
+/// A peer that connects but sends no Hello is dropped after this time.
+constexpr int kHelloTimeoutMs = 3000;
+
+} // namespace
+
+std::pair<std::string, std::uint16_t> SplitAddress(std::string_view aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  if (colon == std::string_view::npos) {
+    return { std::string(aAddress), 0 };
+  }
+  const std::string_view digits = aAddress.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (parsed.ec != std::errc{} || parsed.ptr != digits.data() + digits.size()) {
+    port = 0;
+  }
+  return { std::string(aAddress.substr(0, colon)), port };
+}
+
+LinkConnection::LinkConnection(const InstanceInfo& aSelf,
+                               const std::string& aAddress,
+                               const EmulatedLatency& aLatency,
+                               QObject* aParent)
+  : QObject(aParent)
+  , selfInfo(aSelf)
+  , latency(aLatency)
+  , socket(new QTcpSocket(this))
+{
+  this->ConnectSocket();
+  const auto [host, port] = SplitAddress(aAddress);
+  QObject::connect(this->socket, &QTcpSocket::connected, this, [this] {
+    this->WriteFrame(EncodeFrame(Hello{ kLinkProtocolVersion, this->selfInfo }));
+  });
+  this->socket->connectToHost(QHostAddress(QString::fromStdString(host)), port);
+}
+
+LinkConnection::LinkConnection(const InstanceInfo& aSelf,
+                               QTcpSocket* aAccepted,
+                               const EmulatedLatency& aLatency,
+                               QObject* aParent)
+  : QObject(aParent)
+  , selfInfo(aSelf)
+  , latency(aLatency)
+  , socket(aAccepted)
+{
+  this->socket->setParent(this);
+  this->ConnectSocket();
+  this->WriteFrame(EncodeFrame(Hello{ kLinkProtocolVersion, this->selfInfo }));
+}
+
+void LinkConnection::ConnectSocket()
+{
+  this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  QObject::connect(this->socket, &QTcpSocket::readyRead, this, &LinkConnection::ReadAvailable);
+  QObject::connect(this->socket, &QTcpSocket::disconnected, this, &LinkConnection::Finish);
+  QObject::connect(this->socket, &QTcpSocket::errorOccurred, this, &LinkConnection::Finish);
+  this->delayTimer.setSingleShot(true);
+  this->delayTimer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->delayTimer, &QTimer::timeout, this, &LinkConnection::FlushDelayed);
+  QTimer::singleShot(kHelloTimeoutMs, this, [this] {
+    if (!this->helloReceived) {
+      this->Close();
+    }
+  });
+}
+
+void LinkConnection::Send(const Message& aMessage)
+{
+  if (this->hasClosed) {
+    return;
+  }
+  const Duration delay = this->helloReceived
+                           ? this->latency.Between(this->selfInfo.zone, this->peerInfo.zone)
+                           : Duration{ 0 };
+  std::string frame = EncodeFrame(aMessage);
+  if (this->helloReceived && delay == Duration{ 0 } && this->delayed.empty()) {
+    this->WriteFrame(std::move(frame));
+    return;
+  }
+  this->delayedBytes += static_cast<std::int64_t>(frame.size());
+  this->delayed.push_back({ MonotonicNow() + delay, std::move(frame) });
+  this->FlushDelayed();
+}
+
+void LinkConnection::FlushDelayed()
+{
+  // Messages queued before the peer's Hello wait for it: only then is the peer's zone known.
+  if (!this->helloReceived || this->hasClosed) {
+    return;
+  }
+  while (!this->delayed.empty() && this->delayed.front().due <= MonotonicNow()) {
+    this->delayedBytes -= static_cast<std::int64_t>(this->delayed.front().frame.size());
+    std::string frame = std::move(this->delayed.front().frame);
+    this->delayed.pop_front();
+    this->WriteFrame(std::move(frame));
+  }
+  if (!this->delayed.empty() && !this->delayTimer.isActive()) {
+    const Duration wait = this->delayed.front().due - MonotonicNow();
+    this->delayTimer.start(
+      std::max(std::chrono::milliseconds(0), std::chrono::ceil<std::chrono::milliseconds>(wait)));
+  }
+}
+
+void LinkConnection::WriteFrame(std::string aFrame)
+{
+  this->socket->write(aFrame.data(), static_cast<qint64>(aFrame.size()));
+}
+
+void LinkConnection::Close()
+{
+  if (this->hasClosed) {
+    return;
+  }
+  // Deferred, so that a caller inside a `received` handler does not see `closed` re-entrantly.
+  QMetaObject::invokeMethod(this, &LinkConnection::Finish, Qt::QueuedConnection);
+}
+
+std::int64_t LinkConnection::QueuedBytes() const
+{
+  return this->delayedBytes + this->socket->bytesToWrite();
+}
+
+void LinkConnection::ReadAvailable()
+{
+  const QByteArray bytes = this->socket->readAll();
+  this->reader.Feed({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
+  while (!this->hasClosed) {
+    auto body = this->reader.Next();
+    if (!body) {
+      this->Reject(body.error().code, body.error().message);
+      return;
+    }
+    if (!body.value()) {
+      return;
+    }
+    this->HandleBody(*body.value());
+  }
+}
+
+void LinkConnection::HandleBody(const std::string& aBody)
+{
+  auto message = DecodeFrameBody(aBody);
+  if (!message) {
+    this->Reject(message.error().code, message.error().message);
+    return;
+  }
+  if (const auto* hello = std::get_if<Hello>(&message.value())) {
+    this->HandleHello(*hello);
+    return;
+  }
+  if (!this->helloReceived) {
+    this->Reject(ResultCode::MalformedFrame, "message before Hello");
+    return;
+  }
+  Q_EMIT this->Received(message.value());
+}
+
+void LinkConnection::HandleHello(const Hello& aHello)
+{
+  if (aHello.protocolVersion != kLinkProtocolVersion) {
+    this->Reject(ResultCode::IncompatibleProtocol,
+                 "peer speaks version " + std::to_string(aHello.protocolVersion));
+    return;
+  }
+  if (this->helloReceived) {
+    this->Reject(ResultCode::MalformedFrame, "second Hello");
+    return;
+  }
+  this->peerInfo = aHello.instance;
+  this->helloReceived = true;
+  WriteLog(LogEvent::LinkConnected, "peer=" + this->peerInfo.id);
+  Q_EMIT this->Ready();
+  this->FlushDelayed();
+}
+
+void LinkConnection::Reject(ResultCode aCode, const std::string& aReason)
+{
+  WriteLog(LogEvent::LinkRejected,
+           "code=" + std::to_string(static_cast<unsigned>(aCode)) + " peer=" + this->peerInfo.id +
+             " reason=" + aReason);
+  this->Finish();
+}
+
+void LinkConnection::Finish()
+{
+  if (this->hasClosed) {
+    return;
+  }
+  this->hasClosed = true;
+  this->delayTimer.stop();
+  this->delayed.clear();
+  this->socket->abort();
+  if (this->helloReceived) {
+    WriteLog(LogEvent::LinkClosed, "peer=" + this->peerInfo.id);
+  }
+  Q_EMIT this->Closed();
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/tests/link/CodecTests.cpp
@@ -0,0 +1,78 @@
+#include "oleanderledge/link/link.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace oleanderledge;
+
+namespace {
+
+StatementRequest ExampleRequest()
+{
+  StatementRequest request;
+  request.channel = 7;
+  request.database = "orders-1";
+  request.acceptedAgeMs = -1;
+  request.settings = { { "TimeZone", "UTC" } };
+  request.prepared = { { "s1", std::string("P\0\0\0\4", 5) } };
+  request.payload = std::string("Q\0\0\0\5\0", 6);
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("A message survives encoding and decoding")
+{
+  const std::string frame = EncodeFrame(ExampleRequest());
+  const auto decoded = DecodeFrameBody(std::string_view(frame).substr(4));
+  REQUIRE(decoded);
+  const auto& request = std::get<StatementRequest>(decoded.value());
+  CHECK(request.channel == 7);
+  CHECK(request.acceptedAgeMs == -1);
+  CHECK(request.settings.at(0).name == "TimeZone");
+  CHECK(request.prepared.at(0).parseMessage.size() == 5);
+  CHECK(request.payload == ExampleRequest().payload);
+}
+
+// Guards against crashes and unbounded allocation on hostile or damaged input.
+TEST_CASE("Damaged frames are rejected without a crash")
+{
+  rc::prop("one changed byte gives an error or a message", [] {
+    std::string frame = EncodeFrame(ExampleRequest()).substr(4);
+    const auto at = *rc::gen::inRange<std::size_t>(0, frame.size());
+    frame[at] = *rc::gen::arbitrary<char>();
+    const auto decoded = DecodeFrameBody(frame);
+    RC_ASSERT(decoded.has_value() || decoded.error().code == ResultCode::MalformedFrame);
+  });
+  rc::prop("random bytes give an error or a message", [](const std::string& aBytes) {
+    const auto decoded = DecodeFrameBody(aBytes);
+    RC_ASSERT(decoded.has_value() || decoded.error().code == ResultCode::MalformedFrame);
+  });
+}
+
+// Guards against a peer that announces a huge frame to exhaust memory.
+TEST_CASE("A frame over the size limit is refused before its body arrives")
+{
+  FrameReader reader;
+  reader.Feed(std::string("\x7F\xFF\xFF\xFF", 4));
+  const auto next = reader.Next();
+  REQUIRE(!next);
+  CHECK(next.error().code == ResultCode::FrameTooLarge);
+}
+
+TEST_CASE("Frames split at any byte are put together again")
+{
+  rc::prop("two frames fed in two parts", [] {
+    const std::string stream = EncodeFrame(LinkPing{ 5 }) + EncodeFrame(CloseChannel{ 9 });
+    const auto cut = *rc::gen::inRange<std::size_t>(0, stream.size() + 1);
+    FrameReader reader;
+    int frames = 0;
+    for (const std::string& part : { stream.substr(0, cut), stream.substr(cut) }) {
+      reader.Feed(part);
+      while (reader.Next().value()) {
+        ++frames;
+      }
+    }
+    RC_ASSERT(frames == 2);
+  });
+}
