Add the wire library

Cause: the stand-in, the entry and the owner all frame PostgreSQL messages. Change: message and start-up readers with size limits, field readers, message builders. Conclusion: one framing implementation serves all three.

--- /dev/null
+++ b/src/oleanderledge/wire/wire.hpp
@@ -0,0 +1,9 @@
+/// Public header of the wire library: framing of the PostgreSQL protocol, version 3.0.
+///
+/// Source: the chapter "Frontend/Backend Protocol" of the PostgreSQL 15 documentation.
+#pragma once
+
+#include "oleanderledge/wire/Builders.hpp"
+#include "oleanderledge/wire/MessageReader.hpp"
+#include "oleanderledge/wire/MessageView.hpp"
+#include "oleanderledge/wire/StartupPacket.hpp"
