Add checked YAML settings

Cause: daemons need settings that fail at start with a line and an expectation. Change: CheckedNode reads keys by name and reports unknown, doubled, missing and impossible ones. Conclusion: a misspelled key cannot leave a default in force.

--- /dev/null
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -0,0 +1,120 @@
+#include "oleanderledge/settings/Settings.hpp"
+
+#include "oleanderledge/settings/internal/CheckedNode.hpp"
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr std::uint32_t kMaxDelayUs = 1'000'000;
+constexpr std::size_t kMaxInitialMembers = 5;
+
+void ReadListen(CheckedNode& aRoot, Settings& aSettings, DaemonKind aKind)
+{
+  CheckedNode listen = aRoot.ReadMapping("listen", true);
+  listen.ReadAddress("link", aSettings.linkAddress, true);
+  listen.ReadAddress("http", aSettings.httpAddress, true);
+  if (aKind == DaemonKind::Proxy) {
+    listen.ReadAddress("callers", aSettings.callersAddress, true);
+  }
+  listen.ReportUnknownKeys();
+}
+
+void ReadLimits(CheckedNode& aRoot, ProxyLimits& aLimits)
+{
+  CheckedNode limits = aRoot.ReadMapping("limits", false);
+  limits.ReadNumber("max_callers", aLimits.maxCallers, 1, 1'000'000);
+  limits.ReadNumber("message_bytes", aLimits.messageBytes, 1024, 64U << 20U);
+  limits.ReadNumber("queued_units_per_class", aLimits.queuedUnitsPerClass, 1, 1'000'000);
+  limits.ReportUnknownKeys();
+}
+
+void ReadLatency(CheckedNode& aRoot, LatencySettings& aLatency)
+{
+  CheckedNode latency = aRoot.ReadMapping("emulated_latency_us", false);
+  latency.ReadNumber("between_zones", aLatency.betweenZones, 0, kMaxDelayUs);
+  latency.ReadNumber("between_regions", aLatency.betweenRegions, 0, kMaxDelayUs);
+  latency.ReadNumber("to_clients", aLatency.toClients, 0, kMaxDelayUs);
+  latency.ReportUnknownKeys();
+}
+
+void ReadInitialMembers(CheckedNode& aRoot,
+                        Settings& aSettings,
+                        const YAML::Mark& aMark,
+                        ProblemList& aProblems)
+{
+  std::set<std::string> instances;
+  for (CheckedNode& element : aRoot.ReadMappings("initial_members", true)) {
+    InitialMember member;
+    element.ReadText("instance", member.instance, true);
+    element.ReadAddress("link", member.linkAddress, true);
+    element.ReportUnknownKeys();
+    if (!instances.insert(member.instance).second) {
+      aProblems.Add(aMark, "initial_members", "instance '" + member.instance + "' is listed twice");
+    }
+    aSettings.initialMembers.push_back(std::move(member));
+  }
+  const std::size_t count = aSettings.initialMembers.size();
+  if (count % 2 == 0 || count > kMaxInitialMembers) {
+    aProblems.Add(
+      aMark, "initial_members", "has " + std::to_string(count) + " members, expected 1, 3 or 5");
+  }
+}
+
+} // namespace
+
+Result<Settings> ParseSettings(std::string_view aText, const std::string& aPath, DaemonKind aKind)
+{
+  YAML::Node document;
+  // yaml-cpp reports syntax errors by exceptions; they end here.
+  try {
+    document = YAML::Load(std::string(aText));
+  } catch (const YAML::ParserException& failure) {
+    return Fail(ResultCode::SettingsInvalid,
+                aPath + ":" + std::to_string(failure.mark.line + 1) + ": " + failure.msg);
+  }
+  if (!document.IsMap()) {
+    return Fail(ResultCode::SettingsInvalid, aPath + ":1: expected a mapping of settings");
+  }
+  ProblemList problems{ aPath, {} };
+  Settings settings;
+  CheckedNode root(document, "", problems);
+  root.ReadText("instance", settings.instance, true);
+  root.ReadZone("zone", settings.zone);
+  ReadListen(root, settings, aKind);
+  root.ReadAddresses("control_addresses", settings.controlAddresses, true);
+  ReadLatency(root, settings.emulatedLatency);
+  if (aKind == DaemonKind::Control) {
+    root.ReadText("data_folder", settings.dataFolder, true);
+    ReadInitialMembers(root, settings, document.Mark(), problems);
+    root.ReadNumber("election_timeout_ms", settings.electionTimeoutMs, 100, 10'000);
+  } else {
+    ReadLimits(root, settings.limits);
+  }
+  root.ReportUnknownKeys();
+  if (problems.lines.empty()) {
+    return settings;
+  }
+  std::string message;
+  for (const std::string& line : problems.lines) {
+    message += (message.empty() ? "" : "\n") + line;
+  }
+  return Fail(ResultCode::SettingsInvalid, message);
+}
+
+Result<Settings> LoadSettings(const std::string& aPath, DaemonKind aKind)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return Fail(ResultCode::SettingsInvalid, aPath + ": cannot be opened, expected a YAML file");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseSettings(text.str(), aPath, aKind);
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/tests/settings/SettingsTests.cpp
@@ -0,0 +1,83 @@
+#include "oleanderledge/settings/settings.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace oleanderledge;
+
+namespace {
+
+const std::string kProxySettings = R"(instance: mora-entry-1
+zone: dalarna/mora-1
+listen:
+  link: 127.0.0.1:7101
+  http: 127.0.0.1:7201
+  callers: 127.0.0.1:7301
+control_addresses: [127.0.0.1:7001]
+)";
+
+std::string ProblemsOf(const std::string& aText, DaemonKind aKind = DaemonKind::Proxy)
+{
+  const auto parsed = ParseSettings(aText, "test.yaml", aKind);
+  return parsed ? "" : parsed.error().message;
+}
+
+} // namespace
+
+TEST_CASE("Settings of a proxy are read")
+{
+  const auto settings = ParseSettings(kProxySettings, "test.yaml", DaemonKind::Proxy);
+  REQUIRE(settings);
+  CHECK(settings.value().callersAddress == "127.0.0.1:7301");
+  CHECK(settings.value().controlAddresses == std::vector<std::string>{ "127.0.0.1:7001" });
+}
+
+// Guards against a misspelled key that silently leaves a default in force.
+TEST_CASE("An unknown key is refused with its line and the known keys")
+{
+  const std::string problems = ProblemsOf(kProxySettings + "limts: {}\n");
+  CHECK(problems.find("test.yaml:8: limts: unknown key, expected one of") == 0);
+  CHECK(problems.find("limits") != std::string::npos);
+}
+
+// Guards the rule that nobody lists backend servers or weights.
+TEST_CASE("A list of backend servers is refused")
+{
+  CHECK_FALSE(ProblemsOf(kProxySettings + "backends: [127.0.0.1:5432]\n").empty());
+  CHECK_FALSE(ProblemsOf(kProxySettings + "limits: {weights: 3}\n").empty());
+}
+
+TEST_CASE("Impossible values are refused with what was expected")
+{
+  const std::string outOfRange = ProblemsOf(kProxySettings + "limits: {max_callers: 0}\n");
+  CHECK(outOfRange == "test.yaml:8: limits.max_callers: expected a whole number from 1 to 1000000");
+  std::string hostName = kProxySettings;
+  hostName.replace(hostName.find("127.0.0.1:7301"), 14, "localhost:7301");
+  CHECK(ProblemsOf(hostName).find("test.yaml:6: listen.callers: 'localhost:7301'") == 0);
+  CHECK(ProblemsOf(kProxySettings + "zone: skane/malmo-1\n").find("given twice") !=
+        std::string::npos);
+}
+
+TEST_CASE("A control group of two members is refused")
+{
+  const std::string text = R"(instance: control-1
+zone: dalarna/mora-1
+listen: {link: "127.0.0.1:7001", http: "127.0.0.1:7002"}
+control_addresses: [127.0.0.1:7001]
+data_folder: data
+initial_members:
+  - {instance: control-1, link: "127.0.0.1:7001"}
+  - {instance: control-2, link: "127.0.0.1:7011"}
+)";
+  CHECK(ProblemsOf(text, DaemonKind::Control).find("expected 1, 3 or 5") != std::string::npos);
+}
+
+// Guards against crashes at start on a damaged file.
+TEST_CASE("Damaged settings are read or refused without a crash")
+{
+  rc::prop("one changed byte", [] {
+    std::string text = kProxySettings;
+    text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+    ProblemsOf(text);
+  });
+}
