--- /dev/null
+++ b/src/oleanderledge/report/HtmlReport.cpp
@@ -0,0 +1,157 @@
+#include "oleanderledge/report/HtmlReport.hpp"
+
+#include "oleanderledge/report/TextReport.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <string_view>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr double kPlotWidth = 720.0;
+constexpr double kPlotHeight = 120.0;
+/// Burn at the top of a plot unless the history is higher.
+constexpr double kMinPlotBurn = 2.0;
+
+constexpr std::string_view kPageHead = R"(<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>oleanderledge service levels</title><style>
+body{font:15px/1.45 sans-serif;margin:2rem auto;max-width:60rem;padding:0 1rem;color:#1c2733}
+table{border-collapse:collapse;margin:1rem 0}th,td{padding:.3rem .8rem;text-align:right;border-bottom:1px solid #d6dde4}
+th:first-child,td:first-child{text-align:left}.high{color:#a11;font-weight:600}
+svg{background:#f6f8fa;border:1px solid #d6dde4}h2{margin-top:2rem}small{color:#566}
+</style></head><body>
+)";
+
+std::string Number(double aValue)
+{
+  char text[32];
+  std::snprintf(text, sizeof text, "%.2f", aValue);
+  return text;
+}
+
+std::string Escape(std::string_view aText)
+{
+  std::string escaped;
+  for (const char character : aText) {
+    switch (character) {
+      case '<':
+        escaped += "&lt;";
+        break;
+      case '>':
+        escaped += "&gt;";
+        break;
+      case '&':
+        escaped += "&amp;";
+        break;
+      case '"':
+        escaped += "&quot;";
+        break;
+      default:
+        escaped.push_back(character);
+    }
+  }
+  return escaped;
+}
+
+std::string Cell(const std::string& aText, bool aHigh = false)
+{
+  return (aHigh ? "<td class=\"high\">" : "<td>") + aText + "</td>";
+}
+
+std::string ClassTable(const BurnSummary& aSummary)
+{
+  std::string html = "<table><tr><th>Class</th><th>Target</th><th>In target (3d)</th>"
+                     "<th>Budget left (3d)</th>";
+  for (const BurnWindow& window : kBurnWindows) {
+    html += std::string("<th>Burn ") + window.name + "</th>";
+  }
+  html += "</tr>\n";
+  for (const auto& [name, burn] : aSummary.classes) {
+    const WindowCounts& longest = burn.windows.back();
+    html += "<tr>" + Cell(Escape(name)) + Cell(FormatMilliseconds(burn.targetMs)) +
+            Cell(FormatShare(longest.ShareInTarget())) +
+            Cell(FormatShare(std::max(0.0, 1.0 - longest.Burn())));
+    for (const WindowCounts& window : burn.windows) {
+      html += Cell(Number(window.Burn()), window.Burn() > 1.0);
+    }
+    html += "</tr>\n";
+  }
+  return html + "</table>\n";
+}
+
+std::string Plot(const ClassBurn& aBurn)
+{
+  double top = kMinPlotBurn;
+  for (const BurnPoint& point : aBurn.history) {
+    top = std::max(top, point.burn);
+  }
+  const double step =
+    kPlotWidth / std::max<double>(1.0, static_cast<double>(aBurn.history.size()) - 1.0);
+  std::string points;
+  double left = 0.0;
+  for (const BurnPoint& point : aBurn.history) {
+    points += Number(left) + "," + Number(kPlotHeight * (1.0 - point.burn / top)) + " ";
+    left += step;
+  }
+  const std::string limit = Number(kPlotHeight * (1.0 - 1.0 / top));
+  const std::string width = Number(kPlotWidth);
+  return "<svg role=\"img\" aria-label=\"Burn over 3 days\" viewBox=\"-4 -4 800 " +
+         Number(kPlotHeight + 24.0) + "\" width=\"800\"><line x1=\"0\" x2=\"" + width + "\" y1=\"" +
+         limit + "\" y2=\"" + limit +
+         "\" stroke=\"#a11\" stroke-dasharray=\"4 3\"/><polyline fill=\"none\" stroke=\"#0b5fa5\" "
+         "stroke-width=\"2\" points=\"" +
+         points + "\"/><text x=\"" + Number(kPlotWidth + 6.0) + "\" y=\"" + limit +
+         "\" font-size=\"12\">burn 1</text><text x=\"0\" y=\"" + Number(kPlotHeight + 16.0) +
+         "\" font-size=\"12\">3 days ago</text><text x=\"" + width + "\" y=\"" +
+         Number(kPlotHeight + 16.0) + "\" font-size=\"12\" text-anchor=\"end\">now</text></svg>\n";
+}
+
+std::string RefusalTable(const BurnSummary& aSummary)
+{
+  std::string html = "<h2>Refusals</h2><table><tr><th>Code</th><th>Name</th><th>Count</th></tr>\n";
+  for (const auto& [code, count] : aSummary.refusals) {
+    html += "<tr>" + Cell(std::to_string(code)) +
+            Cell(Escape(InfoOf(static_cast<ResultCode>(code)).name)) + Cell(std::to_string(count)) +
+            "</tr>\n";
+  }
+  return html + "</table>\n";
+}
+
+std::string FailoverTable(const BurnSummary& aSummary)
+{
+  std::string html = "<h2>Failovers</h2><table><tr><th>Database</th><th>Gap</th><th>Detection</th>"
+                     "<th>Lease</th><th>Promotion</th><th>Publication</th></tr>\n";
+  for (const FailoverRecord& record : aSummary.failovers) {
+    html += "<tr>" + Cell(Escape(record.database)) + Cell(FormatMilliseconds(record.GapMs())) +
+            Cell(FormatMilliseconds(record.detectMs)) + Cell(FormatMilliseconds(record.leaseMs)) +
+            Cell(FormatMilliseconds(record.promoteMs)) +
+            Cell(FormatMilliseconds(record.publishMs)) + "</tr>\n";
+  }
+  return html + "</table>\n";
+}
+
+} // namespace
+
+std::string FormatHtmlReport(const BurnSummary& aSummary)
+{
+  const std::uint64_t reads = aSummary.replicaReads + aSummary.primaryReads;
+  const double share =
+    reads == 0 ? 0.0 : static_cast<double>(aSummary.replicaReads) / static_cast<double>(reads);
+  std::string html(kPageHead);
+  html += "<h1>Service levels</h1><p>" + std::to_string(aSummary.instances) +
+          " instances. Objective: " + FormatShare(kServiceObjective) +
+          " of requests within the target of their class; refusals count as missed. A burn of 1 "
+          "spends exactly the error budget of the window.</p>\n";
+  html += ClassTable(aSummary);
+  for (const auto& [name, burn] : aSummary.classes) {
+    html += "<h2>" + Escape(name) + "</h2><small>burn over the hour before each point</small><br>" +
+            Plot(burn);
+  }
+  html += "<h2>Reads</h2><p>" + FormatShare(share) + " of " + std::to_string(reads) +
+          " reads were served by replicas.</p>\n";
+  return html + RefusalTable(aSummary) + FailoverTable(aSummary) + "</body></html>\n";
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/report/report.hpp
@@ -0,0 +1,7 @@
+/// Public header of the report library: service-level burn of a fleet.
+#pragma once
+
+#include "oleanderledge/report/BurnCalculator.hpp"
+#include "oleanderledge/report/HtmlReport.hpp"
+#include "oleanderledge/report/MetricsSample.hpp"
+#include "oleanderledge/report/TextReport.hpp"
