--- /dev/null
+++ b/src/oleanderledge/daemon/daemon.hpp
@@ -0,0 +1,4 @@
+/// Public header of the daemon library: the proxy process.
+#pragma once
+
+#include "oleanderledge/daemon/ControlContact.hpp"
--- a/src/oleanderledge/report/BurnCalculator.hpp
+++ b/src/oleanderledge/report/BurnCalculator.hpp
@@ -23,9 +23,9 @@
 
 /// The usual windows of multi-window burn alerts.
 constexpr std::array kBurnWindows = { BurnWindow{ "1h", 3600 },
-                                      BurnWindow{ "6h", 6 * 3600 },
-                                      BurnWindow{ "1d", 24 * 3600 },
-                                      BurnWindow{ "3d", 72 * 3600 } };
+                                      BurnWindow{ "6h", std::int64_t{ 6 } * 3600 },
+                                      BurnWindow{ "1d", std::int64_t{ 24 } * 3600 },
+                                      BurnWindow{ "3d", std::int64_t{ 72 } * 3600 } };
 
 /// Requests of one class within a window.
 struct WindowCounts
--- a/src/oleanderledge/report/MetricsSample.cpp
+++ b/src/oleanderledge/report/MetricsSample.cpp
@@ -102,7 +102,7 @@
   }
   sample.replicaReads = ToUnsigned(object["replica_reads"]);
   sample.primaryReads = ToUnsigned(object["primary_reads"]);
-  for (const QJsonValue& record : object["failovers"].toArray()) {
+  for (const auto& record : object["failovers"].toArray()) {
     sample.failovers.push_back(ToFailover(record.toObject()));
   }
   return sample;
