Add the subcommands ctl, report and check-settings

Cause: operators state classes and targets and look at the fleet from the command line. Conclusion: to be run against control instances next.

--- a/src/oleanderledge/cli/Main.cpp
+++ b/src/oleanderledge/cli/Main.cpp
@@ -1,9 +1,74 @@
-#include "oleanderledge/base/base.hpp"
+#include "oleanderledge/cli/cli.hpp"
+
+#include <QCoreApplication>
+
+#include <gflags/gflags.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
 
 #include <cstdio>
+#include <string>
+#include <vector>
+
+DECLARE_string(log_level);
+
+using namespace oleanderledge;
+
+namespace {
+
+constexpr char kVersion[] = "0.1.0";
+
+/// Logs go to standard error, so that the output of subcommands can be piped.
+void SetUpLogging()
+{
+  spdlog::set_default_logger(spdlog::stderr_logger_mt("oleanderledge"));
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
+  spdlog::set_level(spdlog::level::from_str(FLAGS_log_level));
+  spdlog::flush_on(spdlog::level::info);
+}
+
+bool AsksForHelp(const std::vector<std::string>& aArguments)
+{
+  for (const std::string& argument : aArguments) {
+    if (argument == "--help" || argument == "-h") {
+      return true;
+    }
+  }
+  return false;
+}
+
+ExitCode RunSubcommand(const std::string& aName, Arguments aArguments)
+{
+  if (aName == "ctl") {
+    return RunCtl(aArguments);
+  }
+  if (aName == "report") {
+    return RunReport(aArguments);
+  }
+  if (aName == "check-settings") {
+    return RunCheckSettings(aArguments);
+  }
+  std::fputs(HelpOf("").data(), stderr);
+  return ExitCode::Usage;
+}
+
+} // namespace
 
-int main(int /*argc*/, char** /*argv*/)
+int main(int aCount, char** aValues)
 {
-  std::fputs("usage: oleanderledge proxy|control|ctl|replay|report|check-settings\n", stderr);
-  return 2;
+  const std::vector<std::string> words(aValues + 1, aValues + aCount);
+  if (AsksForHelp(words)) {
+    std::fputs(HelpOf(words.front()).data(), stdout);
+    return 0;
+  }
+  gflags::SetVersionString(kVersion);
+  gflags::ParseCommandLineFlags(&aCount, &aValues, true);
+  const std::vector<std::string> arguments(aValues + 1, aValues + aCount);
+  if (arguments.empty()) {
+    std::fputs(HelpOf("").data(), stderr);
+    return static_cast<int>(ExitCode::Usage);
+  }
+  SetUpLogging();
+  const QCoreApplication application(aCount, aValues);
+  return static_cast<int>(RunSubcommand(arguments.front(), Arguments(arguments).subspan(1)));
 }
