Add the control state, its decisions and their commands

Cause: nothing decides owners, leases and promotions yet. Change: typed commands, the replicated control state, monitors of processes and slots, the lease table, owner assignment and the failover coordinator. The msgpack struct codec moves to an internal header so that libraries other than link can encode their own structs.

--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -25,6 +25,23 @@
   // 1300: consensus.
   // 1400: storage.
   // 1500: control.
+  ControlLeading = 1501,
+  ControlNotLeading = 1502,
+  ControlCommandUnknown = 1503,
+  HeartbeatIrregular = 1504,
+  AnnouncementIrregular = 1505,
+  AnnouncementOldTerm = 1506,
+  OwnerAssigned = 1507,
+  DatabaseFencing = 1508,
+  PromotionDecided = 1509,
+  DatabaseWaiting = 1510,
+  FailoverCompleted = 1511,
+  PlannedChangeStarted = 1512,
+  PlannedChangeAbandoned = 1513,
+  InSyncChanged = 1514,
+  BackendCallFailed = 1515,
+  OperatorChange = 1516,
+  AnnouncementRejected = 1517,
   // 1600: owner.
   // 1700: entry.
   // 1800: daemons.
--- /dev/null
+++ b/src/oleanderledge/control/ClassTable.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "oleanderledge/control/ControlCommand.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oleanderledge {
+
+/// Answer to one operator request, kept for repeats of the request.
+struct OperatorAnswer
+{
+  ResultCode code = ResultCode::Ok;
+  std::uint64_t version = 0; ///< Configuration version after the request.
+  /// The class after the change or, in a conflict, the present classes.
+  std::vector<ClassRow> classes;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->code, this->version, this->classes);
+  }
+};
+
+/// One accepted change of the configuration.
+struct ConfigChange
+{
+  std::uint64_t version = 0;
+  ClassAction action = ClassAction::Create;
+  std::string name;
+  std::int64_t targetMs = 0;
+  std::string requestId;
+  std::int64_t atUnixMs = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->version,
+             this->action,
+             this->name,
+             this->targetMs,
+             this->requestId,
+             this->atUnixMs);
+  }
+};
+
+/// Classes of work, their history, and the answers to operator requests.
+///
+/// The configuration version is the log index of the last accepted change, 0 before the first.
+class ClassTable
+{
+public:
+  /// Judges and applies a change. A repeated request id changes nothing.
+  void Apply(std::uint64_t aIndex, const ChangeClass& aChange);
+
+  /// Answer to a request that was applied earlier. Fails with RequestIdReused if the id belongs to
+  /// another request. Null: the id is unknown.
+  const OperatorAnswer* FindAnswer(const ChangeClass& aChange) const;
+
+  std::uint64_t Version() const { return this->version; }
+  /// Includes tombstones.
+  const std::map<std::string, ClassRow, std::less<>>& Rows() const { return this->rows; }
+  /// Classes that exist, by name.
+  std::vector<ClassRow> Present() const;
+  const std::deque<ConfigChange>& History() const { return this->history; }
+
+  std::string Serialize() const;
+  Result<void> Restore(std::string_view aBytes);
+
+private:
+  struct KnownRequest
+  {
+    std::string requestId;
+    std::string content; ///< The request without its id, to detect reuse.
+    OperatorAnswer answer;
+
+    template<class Visitor>
+    void Visit(Visitor& aVisitor)
+    {
+      aVisitor(this->requestId, this->content, this->answer);
+    }
+  };
+
+  struct Snapshot
+  {
+    std::uint64_t version = 0;
+    std::vector<ClassRow> rows;
+    std::vector<ConfigChange> history;
+    std::vector<KnownRequest> requests;
+
+    template<class Visitor>
+    void Visit(Visitor& aVisitor)
+    {
+      aVisitor(this->version, this->rows, this->history, this->requests);
+    }
+  };
+
+  OperatorAnswer Judge(std::uint64_t aIndex, const ChangeClass& aChange);
+  void Remember(const ChangeClass& aChange, OperatorAnswer aAnswer);
+
+  std::uint64_t version = 0;
+  std::map<std::string, ClassRow, std::less<>> rows;
+  std::deque<ConfigChange> history;
+  std::map<std::string, KnownRequest, std::less<>> requests;
+  std::deque<std::string> requestOrder; ///< Oldest first.
+  OperatorAnswer reusedAnswer{ ResultCode::RequestIdReused, 0, {} };
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/ControlAction.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "oleanderledge/control/ControlCommand.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace oleanderledge {
+
+/// Replicate a command. `key` is passed back to ControlLeader::OnProposalDone().
+struct ProposeAction
+{
+  std::string key;
+  ControlCommand command;
+};
+
+/// Call `platform_promote(term)` on a backend server.
+struct PromoteAction
+{
+  std::string database;
+  std::string slot;
+  std::string address;
+  std::uint64_t term = 0;
+};
+
+/// Call `platform_status()` on a backend server.
+struct QueryAction
+{
+  std::string database;
+  std::string slot;
+  std::string address;
+};
+
+/// Send a process a reply that it did not ask for, to order a release before its next heartbeat.
+struct PushReplyAction
+{
+  HeartbeatReply reply;
+};
+
+/// Write a log line.
+struct LogAction
+{
+  LogEvent event;
+  std::string detail;
+};
+
+using ControlAction =
+  std::variant<ProposeAction, PromoteAction, QueryAction, PushReplyAction, LogAction>;
+using ControlActions = std::vector<ControlAction>;
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/ControlCommand.hpp
@@ -0,0 +1,272 @@
+#pragma once
+
+#include "oleanderledge/base/base.hpp"
+#include "oleanderledge/link/Messages.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace oleanderledge {
+
+// Commands of the replicated log. Each struct lists its fields once, in `Visit`, in wire order.
+// New fields go at the end. A database command names the row version that it was decided on, so a
+// command that was decided twice, or by two leaders, has an effect once.
+
+enum class ClassAction : std::uint8_t
+{
+  Create = 0,
+  Set = 1,
+  Delete = 2,
+};
+
+/// An operator's change of one class.
+struct ChangeClass
+{
+  std::string requestId;
+  ClassAction action = ClassAction::Create;
+  std::string name;
+  std::int64_t targetMs = 0;
+  std::uint64_t baseVersion = 0; ///< Configuration version that the change builds on.
+  std::int64_t atUnixMs = 0;     ///< Time of the request at the leader, for the history only.
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->requestId,
+             this->action,
+             this->name,
+             this->targetMs,
+             this->baseVersion,
+             this->atUnixMs);
+  }
+};
+
+/// Records a process, or its new incarnation or addresses.
+struct RegisterInstance
+{
+  InstanceInfo instance;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->instance);
+  }
+};
+
+/// Removes a process that has been dead for long, unless it was registered again since.
+struct ForgetInstance
+{
+  std::string id;
+  std::uint64_t incarnation = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->id, this->incarnation);
+  }
+};
+
+/// Creates or updates a slot from its announcement; creates the database if it is unknown.
+struct UpdateSlot
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0; ///< 0: the database is unknown.
+  std::string service;
+  std::uint32_t connectionLimit = 0;
+  SlotRow slot;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(
+      this->database, this->expectedVersion, this->service, this->connectionLimit, this->slot);
+  }
+};
+
+/// Removes a departed slot that is neither primary nor in sync.
+struct RemoveSlot
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  std::string slot;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database, this->expectedVersion, this->slot);
+  }
+};
+
+/// Accepts the announced primary of a database that never had one.
+struct AdoptPrimary
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  std::string slot;
+  std::uint64_t term = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database, this->expectedVersion, this->slot, this->term);
+  }
+};
+
+/// Assigns the owner under a new epoch. Ends the phase `fencing` if ownership was to move.
+struct AssignOwner
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  std::string owner; ///< Empty: the database has no owner until a proxy is available.
+  std::uint64_t incarnation = 0;
+  std::string address;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database, this->expectedVersion, this->owner, this->incarnation, this->address);
+  }
+};
+
+/// Why a database is fenced.
+enum class FencingReason : std::uint8_t
+{
+  PrimaryLost = 0,      ///< A replica is promoted next.
+  OwnerCutOff = 1,      ///< Only the owner cannot reach the primary: ownership moves next.
+  OwnerLeaving = 2,     ///< The owner stops: ownership moves next.
+  PromotionFailed = 3,  ///< The decided slot did not confirm: another is chosen next.
+};
+
+/// Enters the phase `fencing`.
+struct BeginFencing
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  FencingReason reason = FencingReason::PrimaryLost;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database, this->expectedVersion, this->reason);
+  }
+};
+
+/// Enters the phase `waiting`: no slot of the in-sync set is reachable. The owner gets a new epoch,
+/// because it released the previous one, and continues to serve reads with an accepted age.
+struct BeginWaiting
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  std::string owner;
+  std::uint64_t ownerIncarnation = 0;
+  std::string ownerAddress;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database,
+             this->expectedVersion,
+             this->owner,
+             this->ownerIncarnation,
+             this->ownerAddress);
+  }
+};
+
+/// Enters (`begin`) or abandons the phase `draining` of a planned change.
+struct ChangeDraining
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  bool begin = true;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database, this->expectedVersion, this->begin);
+  }
+};
+
+/// Decides the next primary and its term; enters the phase `promoting`.
+struct DecidePromotion
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  std::string slot;
+  std::uint64_t term = 0;
+  /// Owner under a new epoch, decided in the same step. Empty: the owner and epoch stay, as in a
+  /// planned change.
+  std::string owner;
+  std::uint64_t ownerIncarnation = 0;
+  std::string ownerAddress;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database,
+             this->expectedVersion,
+             this->slot,
+             this->term,
+             this->owner,
+             this->ownerIncarnation,
+             this->ownerAddress);
+  }
+};
+
+/// The decided slot confirmed its term: the phase is `steady` again.
+struct CompletePromotion
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  std::uint64_t term = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database, this->expectedVersion, this->term);
+  }
+};
+
+/// Replaces the in-sync set as its owner proposed.
+struct ChangeInSync
+{
+  std::string database;
+  std::uint64_t expectedVersion = 0;
+  std::uint64_t epoch = 0;
+  std::uint64_t term = 0;
+  std::vector<std::string> members;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->database, this->expectedVersion, this->epoch, this->term, this->members);
+  }
+};
+
+/// Every command. The index is the type number in the log, so new types go at the end.
+using ControlCommand = std::variant<ChangeClass,
+                                    RegisterInstance,
+                                    ForgetInstance,
+                                    UpdateSlot,
+                                    RemoveSlot,
+                                    AdoptPrimary,
+                                    AssignOwner,
+                                    BeginFencing,
+                                    BeginWaiting,
+                                    ChangeDraining,
+                                    DecidePromotion,
+                                    CompletePromotion,
+                                    ChangeInSync>;
+
+/// Encodes a command for the log.
+std::string EncodeCommand(const ControlCommand& aCommand);
+
+/// Decodes a command. Fails with MalformedFrame.
+Result<ControlCommand> DecodeCommand(std::string_view aBytes);
+
+/// Name of the database that a command changes, or empty.
+std::string DatabaseOf(const ControlCommand& aCommand);
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/ControlLeader.cpp
@@ -0,0 +1,342 @@
+#include "oleanderledge/control/ControlLeader.hpp"
+
+#include "oleanderledge/control/SlotUpkeep.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr std::string_view kSlotKeyPrefix = "slot:";
+constexpr std::string_view kInstanceKeyPrefix = "instance:";
+/// The same rejected sender is logged once in this time.
+constexpr Duration kVerdictLogPause = std::chrono::seconds(10);
+
+std::string_view NameOf(IncarnationVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case IncarnationVerdict::First:
+      return "first";
+    case IncarnationVerdict::Current:
+      return "current";
+    case IncarnationVerdict::Restarted:
+      return "restarted";
+    case IncarnationVerdict::Duplicate:
+      return "duplicate";
+    case IncarnationVerdict::OldSequence:
+      return "old_sequence";
+    case IncarnationVerdict::OldIncarnation:
+      return "old_incarnation";
+    case IncarnationVerdict::Clone:
+      break;
+  }
+  return "clone";
+}
+
+bool IsSame(const InstanceInfo& aLeft, const InstanceInfo& aRight)
+{
+  return aLeft.incarnation == aRight.incarnation && aLeft.role == aRight.role &&
+         aLeft.zone == aRight.zone && aLeft.linkAddress == aRight.linkAddress &&
+         aLeft.httpAddress == aRight.httpAddress && aLeft.leaving == aRight.leaving;
+}
+
+std::string InstanceKey(std::string_view aId)
+{
+  return std::string(kInstanceKeyPrefix) + std::string(aId);
+}
+
+} // namespace
+
+ControlLeader::ControlLeader(const ControlState& aState, const ControlTimings& aTimings)
+  : state(aState)
+  , timings(aTimings)
+  , fleet(aTimings)
+  , leases(aTimings)
+  , coordinator(this->state,
+                this->fleet,
+                this->slots,
+                this->ownership,
+                this->leases,
+                this->timings)
+{
+}
+
+void ControlLeader::OnLeadershipGained(Instant aNow, ControlActions& aActions)
+{
+  this->isLeading = true;
+  this->pendingKeys.clear();
+  this->fleet.Reset(aNow);
+  this->slots.SetSince(aNow);
+  this->leases.Reset(aNow);
+  this->coordinator.Reset(aNow);
+  aActions.emplace_back(
+    LogAction{ LogEvent::ControlLeading,
+               "directory_version=" + std::to_string(this->state.DirectoryVersion()) });
+}
+
+void ControlLeader::OnLeadershipLost()
+{
+  this->isLeading = false;
+  this->pendingKeys.clear();
+}
+
+HeartbeatReply ControlLeader::OnHeartbeat(const Heartbeat& aHeartbeat,
+                                          bool aHasLeaderLease,
+                                          Instant aNow,
+                                          ControlActions& aActions)
+{
+  HeartbeatReply reply;
+  reply.instance = aHeartbeat.instance.id;
+  reply.incarnation = aHeartbeat.instance.incarnation;
+  reply.sequence = aHeartbeat.sequence;
+  reply.sentUs = aHeartbeat.sentUs;
+  reply.committedVersion = this->state.DirectoryVersion();
+  if (!this->isLeading || !aHasLeaderLease || aHeartbeat.instance.id.empty()) {
+    return reply;
+  }
+  const IncarnationVerdict verdict = this->fleet.Observe(aHeartbeat, aNow);
+  this->LogVerdict(
+    LogEvent::HeartbeatIrregular, "instance=" + reply.instance, verdict, aNow, aActions);
+  if (verdict == IncarnationVerdict::OldIncarnation || verdict == IncarnationVerdict::Clone) {
+    return reply;
+  }
+  reply.accepted = true;
+  this->ownership.Refresh(this->state.Databases(), this->state.DirectoryVersion());
+  if (IsAccepted(verdict)) {
+    this->UseReports(aHeartbeat, aNow);
+    this->StepInstance(*this->fleet.Find(reply.instance), aActions);
+    const std::set<std::string> owned = this->ownership.DatabasesOf(reply.instance);
+    for (const std::string& name : owned) {
+      this->StepDatabase(name, aNow, aActions);
+    }
+  }
+  this->GrantLeases(aHeartbeat, aNow, reply);
+  return reply;
+}
+
+void ControlLeader::UseReports(const Heartbeat& aHeartbeat, Instant aNow)
+{
+  for (const OwnerReport& report : aHeartbeat.owned) {
+    const DatabaseRecord* record = this->state.Databases().Find(report.database);
+    if (record == nullptr || record->row.owner != aHeartbeat.instance.id ||
+        record->row.ownerIncarnation != aHeartbeat.instance.incarnation ||
+        record->row.ownerEpoch != report.epoch) {
+      continue;
+    }
+    if (report.released) {
+      this->leases.Release(report.database, report.epoch, aNow);
+    }
+    for (const SlotObservation& observation : report.slots) {
+      this->slots.NoteObservation(report.database, observation, aNow);
+    }
+  }
+}
+
+void ControlLeader::GrantLeases(const Heartbeat& aHeartbeat,
+                                Instant aNow,
+                                HeartbeatReply& aReply)
+{
+  for (const std::string& name : this->ownership.DatabasesOf(aReply.instance)) {
+    const DatabaseRecord* record = this->state.Databases().Find(name);
+    if (record == nullptr ||
+        record->row.ownerIncarnation != aHeartbeat.instance.incarnation ||
+        this->leases.IsReleased(name, record->row.ownerEpoch)) {
+      continue;
+    }
+    const DatabaseRow& row = record->row;
+    if (row.phase == FailoverPhase::Fencing) {
+      aReply.leases.push_back({ name, row.ownerEpoch, row.term, 0 });
+      continue;
+    }
+    if (!this->coordinator.MayGrant(*record)) {
+      continue;
+    }
+    if (auto grant = this->leases.Grant(name, row.ownerEpoch, row.term, aNow)) {
+      aReply.leases.push_back(std::move(*grant));
+    }
+  }
+}
+
+IncarnationVerdict ControlLeader::OnAnnouncement(const Announcement& aAnnouncement,
+                                                 Instant aNow,
+                                                 ControlActions& aActions)
+{
+  const IncarnationVerdict verdict = this->slots.Observe(aAnnouncement, aNow);
+  const std::string name = "database=" + aAnnouncement.database + " slot=" + aAnnouncement.slot;
+  this->LogVerdict(LogEvent::AnnouncementIrregular, name, verdict, aNow, aActions);
+  if (!IsAccepted(verdict)) {
+    return verdict;
+  }
+  const DatabaseRecord* record = this->state.Databases().Find(aAnnouncement.database);
+  if (record != nullptr && aAnnouncement.isPrimary && aAnnouncement.term < record->row.term) {
+    LoggedVerdict& logged = this->loggedVerdicts["old term " + name];
+    if (logged.loggedAt == Instant{} || aNow - logged.loggedAt >= kVerdictLogPause) {
+      logged.loggedAt = aNow;
+      aActions.emplace_back(
+        LogAction{ LogEvent::AnnouncementOldTerm,
+                   name + " term=" + std::to_string(aAnnouncement.term) +
+                     " present_term=" + std::to_string(record->row.term) });
+    }
+  }
+  if (this->isLeading) {
+    // Most announcements bring nothing new; the tick finds silence.
+    const SlotRow* slot =
+      record == nullptr ? nullptr : FindSlot(record->row, aAnnouncement.slot);
+    const bool isNews = slot == nullptr || slot->silent ||
+                        slot->departing != aAnnouncement.departing ||
+                        slot->address != aAnnouncement.address ||
+                        record->row.phase != FailoverPhase::Steady;
+    if (isNews) {
+      this->StepDatabase(aAnnouncement.database, aNow, aActions);
+    }
+  }
+  return verdict;
+}
+
+void ControlLeader::OnTick(Instant aNow, ControlActions& aActions)
+{
+  if (!this->isLeading) {
+    for (const auto& [name, record] : this->state.Databases().Records()) {
+      this->coordinator.Follow(record, aNow);
+    }
+    return;
+  }
+  this->ownership.Refresh(this->state.Databases(), this->state.DirectoryVersion());
+  std::set<std::string> names;
+  for (const auto& [name, record] : this->state.Databases().Records()) {
+    names.insert(name);
+  }
+  for (const auto& [name, views] : this->slots.Databases()) {
+    names.insert(name);
+  }
+  for (const std::string& name : names) {
+    this->StepDatabase(name, aNow, aActions);
+  }
+  this->ForgetDeadInstances(aNow, aActions);
+}
+
+void ControlLeader::StepDatabase(std::string_view aName, Instant aNow, ControlActions& aActions)
+{
+  const DatabaseRecord* record = this->state.Databases().Find(aName);
+  if (record != nullptr) {
+    this->coordinator.Step(*record, aNow, aActions);
+    if (this->coordinator.IsProposalPending(aName)) {
+      return;
+    }
+  }
+  const std::string key = std::string(kSlotKeyPrefix) + std::string(aName);
+  if (this->pendingKeys.contains(key)) {
+    return;
+  }
+  if (auto change =
+        SlotUpkeep::NextChange(aName, record, this->slots, this->timings, aNow)) {
+    this->pendingKeys.insert(key);
+    aActions.emplace_back(ProposeAction{ key, std::move(*change) });
+  }
+}
+
+void ControlLeader::StepInstance(const InstanceView& aView, ControlActions& aActions)
+{
+  const InstanceInfo& instance = aView.last.instance;
+  const auto found = this->state.Instances().find(instance.id);
+  const std::string key = InstanceKey(instance.id);
+  if ((found != this->state.Instances().end() && IsSame(found->second, instance)) ||
+      this->pendingKeys.contains(key)) {
+    return;
+  }
+  this->pendingKeys.insert(key);
+  aActions.emplace_back(ProposeAction{ key, RegisterInstance{ instance } });
+}
+
+void ControlLeader::ForgetDeadInstances(Instant aNow, ControlActions& aActions)
+{
+  for (const auto& [id, instance] : this->state.Instances()) {
+    const InstanceView* view = this->fleet.Find(id);
+    const Instant heardAt =
+      std::max(this->fleet.Since(), view == nullptr ? Instant{} : view->heardAt);
+    const std::string key = InstanceKey(id);
+    if (aNow - heardAt < this->timings.instanceForgottenAfter ||
+        this->pendingKeys.contains(key) || !this->ownership.DatabasesOf(id).empty()) {
+      continue;
+    }
+    this->fleet.Forget(id);
+    this->pendingKeys.insert(key);
+    aActions.emplace_back(ProposeAction{ key, ForgetInstance{ id, instance.incarnation } });
+  }
+}
+
+void ControlLeader::OnProposalDone(const std::string& aKey,
+                                   bool aIsDefinite,
+                                   Instant aNow,
+                                   ControlActions& aActions)
+{
+  this->pendingKeys.erase(aKey);
+  std::string_view name = aKey;
+  if (name.starts_with(kSlotKeyPrefix)) {
+    name.remove_prefix(kSlotKeyPrefix.size());
+  } else if (name.starts_with(kInstanceKeyPrefix)) {
+    return;
+  } else {
+    this->coordinator.OnProposalDone(name, aIsDefinite);
+  }
+  if (this->isLeading) {
+    this->ownership.Refresh(this->state.Databases(), this->state.DirectoryVersion());
+    this->StepDatabase(name, aNow, aActions);
+  }
+}
+
+void ControlLeader::OnBackendAnswer(const std::string& aDatabase,
+                                    const std::string& aSlot,
+                                    const Result<SlotStatus>& aAnswer,
+                                    Instant aNow,
+                                    ControlActions& aActions)
+{
+  this->coordinator.OnCallDone(aDatabase, aSlot);
+  if (!aAnswer) {
+    return;
+  }
+  this->slots.NoteStatus(aDatabase, aSlot, aAnswer.value(), aNow);
+  if (aAnswer.value().isPrimary) {
+    this->coordinator.OnPromoted(aDatabase, aSlot, aAnswer.value().term);
+  }
+  if (this->isLeading) {
+    this->StepDatabase(aDatabase, aNow, aActions);
+  }
+}
+
+std::vector<std::string> ControlLeader::ProxiesBehind(std::uint64_t aVersion, Instant aNow) const
+{
+  std::vector<std::string> behind;
+  for (const auto& [id, instance] : this->state.Instances()) {
+    if (instance.role != InstanceRole::Proxy ||
+        this->fleet.HealthOf(id, instance.incarnation, aNow) == InstanceHealth::Dead) {
+      continue;
+    }
+    const InstanceView* view = this->fleet.Find(id);
+    if (view == nullptr || view->last.directoryVersion < aVersion) {
+      behind.push_back(id);
+    }
+  }
+  return behind;
+}
+
+void ControlLeader::LogVerdict(LogEvent aEvent,
+                               const std::string& aName,
+                               IncarnationVerdict aVerdict,
+                               Instant aNow,
+                               ControlActions& aActions)
+{
+  if (aVerdict == IncarnationVerdict::First || aVerdict == IncarnationVerdict::Current) {
+    return;
+  }
+  LoggedVerdict& logged = this->loggedVerdicts[aName];
+  if (logged.loggedAt != Instant{} && logged.verdict == aVerdict &&
+      aNow - logged.loggedAt < kVerdictLogPause) {
+    return;
+  }
+  logged = { aVerdict, aNow };
+  aActions.emplace_back(LogAction{ aEvent, aName + " verdict=" + std::string(NameOf(aVerdict)) });
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/ControlSettings.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "oleanderledge/consensus/ReplicatedLog.hpp"
+#include "oleanderledge/control/ControlTimings.hpp"
+#include "oleanderledge/link/Messages.hpp"
+
+#include <string>
+#include <vector>
+
+namespace oleanderledge {
+
+/// Settings of a control process.
+struct ControlSettings
+{
+  /// Identity, zone and addresses of this process. The role is `Control`.
+  InstanceInfo instance;
+  /// Link addresses ("ip:port") of the other control processes.
+  std::vector<std::string> peers;
+  /// Voting members that found the group. Used only if the data folder is empty.
+  std::vector<ControlMember> initialMembers;
+  std::string dataFolder;
+
+  ControlTimings timings;
+  /// Interval of the heartbeats between control members.
+  Duration memberHeartbeat = std::chrono::milliseconds(50);
+  /// Election time-outs are drawn from this range.
+  Duration electionTimeoutMin = std::chrono::milliseconds(300);
+  Duration electionTimeoutMax = std::chrono::milliseconds(600);
+  /// Limit of one promotion or status call to a backend server, with its connection set-up.
+  Duration backendTimeout = std::chrono::milliseconds(500);
+  /// User name for connections to backend servers.
+  std::string backendUser = "oleanderledge";
+
+  /// One-way delays added to links, and to backend calls by zone. Zero in production.
+  Duration latencyBetweenZones{ 0 };
+  Duration latencyBetweenRegions{ 0 };
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/ControlState.cpp
@@ -0,0 +1,120 @@
+#include "oleanderledge/control/ControlState.hpp"
+
+#include "oleanderledge/link/internal/StructCodec.hpp"
+
+namespace oleanderledge {
+
+namespace {
+
+struct StateSnapshot
+{
+  std::uint64_t directoryVersion = 0;
+  std::string classes;
+  std::string databases;
+  std::vector<InstanceInfo> instances;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->directoryVersion, this->classes, this->databases, this->instances);
+  }
+};
+
+} // namespace
+
+void ControlState::Apply(std::uint64_t aIndex, std::string_view aCommand)
+{
+  if (aCommand.empty()) {
+    return;
+  }
+  auto decoded = DecodeCommand(aCommand);
+  if (!decoded) {
+    // Every member skips it alike. It can only come from a newer program version.
+    WriteLog(LogEvent::ControlCommandUnknown,
+             "index=" + std::to_string(aIndex) + " reason=" + decoded.error().message);
+    return;
+  }
+  std::visit(
+    [this, aIndex](const auto& aValue) {
+      using Command = std::decay_t<decltype(aValue)>;
+      if constexpr (std::is_same_v<Command, ChangeClass>) {
+        this->classes.Apply(aIndex, aValue);
+        if (this->classes.Version() == aIndex) {
+          this->directoryVersion = aIndex;
+        }
+      } else if constexpr (std::is_same_v<Command, RegisterInstance> ||
+                           std::is_same_v<Command, ForgetInstance>) {
+        this->ApplyToInstances(aValue);
+      } else if (this->databases.Apply(aIndex, aValue)) {
+        this->directoryVersion = aIndex;
+      }
+    },
+    decoded.value());
+}
+
+void ControlState::ApplyToInstances(const RegisterInstance& aCommand)
+{
+  this->instances[aCommand.instance.id] = aCommand.instance;
+}
+
+void ControlState::ApplyToInstances(const ForgetInstance& aCommand)
+{
+  const auto found = this->instances.find(aCommand.id);
+  if (found != this->instances.end() && found->second.incarnation == aCommand.incarnation) {
+    this->instances.erase(found);
+  }
+}
+
+DirectoryUpdate ControlState::ChangesSince(std::uint64_t aFromVersion) const
+{
+  DirectoryUpdate update{ aFromVersion, this->directoryVersion, {}, {} };
+  for (const auto& [name, row] : this->classes.Rows()) {
+    if (row.version > aFromVersion) {
+      update.classes.push_back(row);
+    }
+  }
+  for (const auto& [name, record] : this->databases.Records()) {
+    if (record.row.version > aFromVersion) {
+      update.databases.push_back(record.row);
+    }
+  }
+  return update;
+}
+
+std::string ControlState::Serialize() const
+{
+  StateSnapshot snapshot{
+    this->directoryVersion, this->classes.Serialize(), this->databases.Serialize(), {}
+  };
+  for (const auto& [id, instance] : this->instances) {
+    snapshot.instances.push_back(instance);
+  }
+  return EncodeStruct(snapshot);
+}
+
+Result<void> ControlState::Restore(std::uint64_t /*aIndex*/, std::string_view aSnapshot)
+{
+  auto decoded = DecodeStruct<StateSnapshot>(aSnapshot);
+  if (!decoded) {
+    return Fail(decoded.error().code, decoded.error().message);
+  }
+  const StateSnapshot& snapshot = decoded.value();
+  ControlState restored;
+  for (const auto& part : { restored.classes.Restore(snapshot.classes),
+                            restored.databases.Restore(snapshot.databases) }) {
+    if (!part) {
+      return Fail(part.error().code, part.error().message);
+    }
+  }
+  for (const InstanceInfo& instance : snapshot.instances) {
+    restored.instances[instance.id] = instance;
+  }
+  restored.directoryVersion = snapshot.directoryVersion;
+  this->classes = std::move(restored.classes);
+  this->databases = std::move(restored.databases);
+  this->instances = std::move(restored.instances);
+  this->directoryVersion = restored.directoryVersion;
+  return boost::outcome_v2::success();
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/FailoverCoordinator.hpp
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "oleanderledge/control/ControlAction.hpp"
+#include "oleanderledge/control/ControlState.hpp"
+#include "oleanderledge/control/ControlTimings.hpp"
+#include "oleanderledge/control/FailoverTimeline.hpp"
+#include "oleanderledge/control/FleetMonitor.hpp"
+#include "oleanderledge/control/LeaseTable.hpp"
+#include "oleanderledge/control/OwnerAssignment.hpp"
+#include "oleanderledge/control/OwnershipIndex.hpp"
+#include "oleanderledge/control/PacingBudget.hpp"
+#include "oleanderledge/control/SlotMonitor.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace oleanderledge {
+
+/// Decides the next step of a database: ownership, failover and planned change of the primary.
+///
+/// Each step depends only on committed state and on observations, so a new leader continues where
+/// the previous one stopped. At most one command per database is under way.
+class FailoverCoordinator
+{
+public:
+  FailoverCoordinator(const ControlState& aState,
+                      const FleetMonitor& aFleet,
+                      const SlotMonitor& aSlots,
+                      const OwnershipIndex& aOwnership,
+                      LeaseTable& aLeases,
+                      const ControlTimings& aTimings);
+
+  /// A new leader takes over.
+  void Reset(Instant aNow);
+
+  /// Follows committed changes of phase and term. Also called on followers, which may lead later.
+  void Follow(const DatabaseRecord& aRecord, Instant aNow);
+
+  /// Takes the next step, if one is due.
+  void Step(const DatabaseRecord& aRecord, Instant aNow, ControlActions& aActions);
+
+  /// The proposal for a database ended. `aIsDefinite` is false if it may still be committed.
+  void OnProposalDone(std::string_view aDatabase, bool aIsDefinite);
+
+  /// A call to a backend server ended.
+  void OnCallDone(std::string_view aDatabase, std::string_view aSlot);
+  /// A slot confirmed that it is primary of a term.
+  void OnPromoted(std::string_view aDatabase, std::string_view aSlot, std::uint64_t aTerm);
+
+  /// True if the owner may get a lease for the row's epoch and term.
+  bool MayGrant(const DatabaseRecord& aRecord) const;
+
+  /// Drops what is known about a database that no longer exists.
+  bool IsProposalPending(std::string_view aDatabase) const;
+
+private:
+  enum class PrimaryView
+  {
+    NoReport,
+    Reaches,
+    Silent,
+  };
+
+  /// Volatile progress of one database.
+  struct Progress
+  {
+    bool known = false;
+    std::uint64_t term = 0;
+    Instant termSince{};
+    std::uint64_t phaseVersion = 0;
+    Instant phaseSince{};
+    Instant firstSeen{};
+    FailoverPhase phase = FailoverPhase::Steady;
+    bool revoked = false;
+    std::uint64_t reachedEpoch = 0; ///< Last epoch whose owner reached the primary.
+    std::uint64_t confirmedTerm = 0;
+    std::string failedSlot; ///< Slot whose promotion timed out.
+    bool proposalPending = false;
+    /// Row version on which a change of epoch or term was proposed. The lease of that row is not
+    /// renewed, because a later leader may find the change committed.
+    std::uint64_t grantsEndedAt = 0;
+    std::string pendingOwner;
+    std::map<std::string, Instant, std::less<>> calledAt;
+    std::set<std::string, std::less<>> callsPending;
+    std::optional<FailoverTimeline> timeline;
+  };
+
+  // Each returns true if it took a step.
+  bool AdoptAnnouncedPrimary(const DatabaseRecord& aRecord,
+                             Progress& aProgress,
+                             Instant aNow,
+                             ControlActions& aActions);
+  bool StartFailover(const DatabaseRecord& aRecord,
+                     Progress& aProgress,
+                     Instant aNow,
+                     ControlActions& aActions);
+  bool KeepOwner(const DatabaseRecord& aRecord,
+                 Progress& aProgress,
+                 Instant aNow,
+                 ControlActions& aActions);
+  bool AcceptInSyncProposal(const DatabaseRecord& aRecord,
+                            Progress& aProgress,
+                            ControlActions& aActions);
+  bool StartDraining(const DatabaseRecord& aRecord,
+                     Progress& aProgress,
+                     Instant aNow,
+                     ControlActions& aActions);
+  void ContinueDraining(const DatabaseRecord& aRecord,
+                        Progress& aProgress,
+                        Instant aNow,
+                        ControlActions& aActions);
+  void ContinueFencing(const DatabaseRecord& aRecord,
+                       Progress& aProgress,
+                       Instant aNow,
+                       ControlActions& aActions);
+  void MoveFencedOwner(const DatabaseRecord& aRecord,
+                       Progress& aProgress,
+                       Instant aNow,
+                       ControlActions& aActions);
+  void PromoteSuccessor(const DatabaseRecord& aRecord,
+                        Progress& aProgress,
+                        Instant aNow,
+                        ControlActions& aActions);
+  void ContinuePromotion(const DatabaseRecord& aRecord,
+                         Progress& aProgress,
+                         Instant aNow,
+                         ControlActions& aActions);
+  void ContinueWaiting(const DatabaseRecord& aRecord,
+                       Progress& aProgress,
+                       Instant aNow,
+                       ControlActions& aActions);
+  void ReportTimeline(const DatabaseRecord& aRecord,
+                      Progress& aProgress,
+                      Instant aNow,
+                      ControlActions& aActions);
+
+  void Revoke(const DatabaseRecord& aRecord, Progress& aProgress, ControlActions& aActions);
+  void QuerySlots(const DatabaseRecord& aRecord,
+                  Progress& aProgress,
+                  Duration aPause,
+                  Instant aNow,
+                  ControlActions& aActions);
+  static void Propose(const DatabaseRecord& aRecord,
+                      Progress& aProgress,
+                      ControlCommand aCommand,
+                      ControlActions& aActions);
+  static void Fence(const DatabaseRecord& aRecord,
+                    Progress& aProgress,
+                    FencingReason aReason,
+                    ControlActions& aActions);
+
+  PrimaryView OwnersViewOfPrimary(const DatabaseRecord& aRecord) const;
+  bool PrimaryStepsDown(const DatabaseRecord& aRecord, Instant aNow) const;
+  bool IsOwnerAlive(const DatabaseRecord& aRecord, Instant aNow) const;
+  bool IsDrained(const DatabaseRecord& aRecord) const;
+  bool IsReachable(const DatabaseRecord& aRecord, std::string_view aSlot, Instant aNow) const;
+  /// The best reachable slot of the in-sync set, or null. The present primary is the last choice.
+  const SlotRow* ChooseSuccessor(const DatabaseRecord& aRecord,
+                                 const Progress& aProgress,
+                                 Instant aNow) const;
+  /// A reachable slot of the in-sync set that can follow a departing primary.
+  bool HasPlannedSuccessor(const DatabaseRecord& aRecord, Instant aNow) const;
+  std::vector<OwnerCandidate> Candidates(Instant aNow) const;
+  std::optional<OwnerCandidate> ChooseOwner(const DatabaseRecord& aRecord,
+                                            std::string_view aPrimary,
+                                            std::string_view aPresent,
+                                            std::string_view aExcluded,
+                                            Instant aNow) const;
+
+  const ControlState& state;
+  const FleetMonitor& fleet;
+  const SlotMonitor& slots;
+  const OwnershipIndex& ownership;
+  LeaseTable& leases;
+  ControlTimings timings;
+  PacingBudget budget;
+  std::map<std::string, Progress, std::less<>> progresses;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/FailoverTimeline.cpp
@@ -0,0 +1,30 @@
+#include "oleanderledge/control/FailoverTimeline.hpp"
+
+namespace oleanderledge {
+
+namespace {
+
+std::string Part(const char* aName,
+                 const std::optional<Instant>& aStart,
+                 const std::optional<Instant>& aEnd)
+{
+  std::int64_t milliseconds = -1;
+  if (aStart && aEnd) {
+    milliseconds = std::chrono::round<std::chrono::milliseconds>(*aEnd - *aStart).count();
+  }
+  return std::string(" ") + aName + "_ms=" + std::to_string(milliseconds);
+}
+
+} // namespace
+
+std::string FailoverTimeline::Describe(Instant aPublished) const
+{
+  const std::optional<Instant> published(aPublished);
+  return std::string("kind=") + (this->planned ? "planned" : "unplanned") +
+         Part("detection", this->lost, this->detected) +
+         Part("lease", this->detected, this->fenced) +
+         Part("promotion", this->fenced, this->confirmed) +
+         Part("publication", this->confirmed, published) + Part("total", this->lost, published);
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/OwnerAssignment.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "oleanderledge/link/Messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oleanderledge {
+
+/// A proxy that may own databases.
+struct OwnerCandidate
+{
+  InstanceInfo instance;
+  std::size_t owned = 0; ///< Databases that it owns.
+};
+
+/// Chooses owners: nearest to the primary first, then least loaded, then by rendezvous hash, so
+/// that the choice depends on nothing but the arguments.
+class OwnerAssignment
+{
+public:
+  /// The proxy to own a database, or null if there is none. `aPresent` wins among proxies of the
+  /// same distance, as it keeps its connections. `aExcluded` is never chosen.
+  static const OwnerCandidate* Choose(std::span<const OwnerCandidate> aCandidates,
+                                      std::string_view aDatabase,
+                                      std::string_view aPrimaryZone,
+                                      std::string_view aPresent,
+                                      std::string_view aExcluded);
+
+  /// FNV-1a hash of the pair, the same in every process.
+  static std::uint64_t RendezvousHash(std::string_view aDatabase, std::string_view aInstance);
+};
+
+} // namespace oleanderledge
--- a/src/oleanderledge/link/Codec.cpp
+++ b/src/oleanderledge/link/Codec.cpp
@@ -1,219 +1,18 @@
 #include "oleanderledge/link/Codec.hpp"
 
-#include <msgpack.hpp>
-
-#include <type_traits>
+#include "oleanderledge/link/internal/StructCodec.hpp"
 
 namespace oleanderledge {
 
 namespace {
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
-
-/// Nesting of decoded arrays is limited so that hostile frames cannot exhaust the stack.
-constexpr std::size_t kMaxDepth = 16;
-
-template<class T>
-struct IsVector : std::false_type
-{
-};
-template<class T>
-struct IsVector<std::vector<T>> : std::true_type
-{
-};
-
-template<class T>
-void PackValue(Packer& aPacker, const T& aValue);
-
-class PackVisitor
-{
-public:
-  explicit PackVisitor(Packer& aTarget)
-    : packer(aTarget)
-  {
-  }
-
-  template<class... Fields>
-  void operator()(const Fields&... aFields)
-  {
-    this->packer.pack_array(sizeof...(aFields));
-    (PackValue(this->packer, aFields), ...);
-  }
-
-private:
-  Packer& packer;
-};
-
-template<class T>
-void PackValue(Packer& aPacker, const T& aValue)
-{
-  if constexpr (std::is_same_v<T, std::string>) {
-    aPacker.pack_bin(static_cast<std::uint32_t>(aValue.size()));
-    aPacker.pack_bin_body(aValue.data(), static_cast<std::uint32_t>(aValue.size()));
-  } else if constexpr (std::is_enum_v<T>) {
-    aPacker.pack(static_cast<std::uint64_t>(aValue));
-  } else if constexpr (std::is_arithmetic_v<T>) {
-    aPacker.pack(aValue);
-  } else if constexpr (IsVector<T>::value) {
-    aPacker.pack_array(static_cast<std::uint32_t>(aValue.size()));
-    for (const auto& element : aValue) {
-      PackValue(aPacker, element);
-    }
-  } else {
-    PackVisitor visitor(aPacker);
-    // Visit() is not const because decoding uses it too; PackVisitor only reads.
-    const_cast<T&>(aValue).Visit(visitor);
-  }
-}
-
-template<class T>
-bool UnpackValue(const msgpack::object& aObject, T& aValue);
-
-class UnpackVisitor
-{
-public:
-  explicit UnpackVisitor(std::span<const msgpack::object> aSource)
-    : fields(aSource)
-  {
-  }
-
-  template<class... Fields>
-  void operator()(Fields&... aTargets)
-  {
-    (this->UnpackNext(aTargets), ...);
-  }
-
-  bool IsValid() const { return this->valid; }
-
-private:
-  template<class T>
-  void UnpackNext(T& aTarget)
-  {
-    if (!this->valid || this->next >= this->fields.size()) {
-      return;
-    }
-    this->valid = UnpackValue(this->fields[this->next], aTarget);
-    ++this->next;
-  }
-
-  std::span<const msgpack::object> fields;
-  std::size_t next = 0;
-  bool valid = true;
-};
-
-bool IsArray(const msgpack::object& aObject)
-{
-  return aObject.type == msgpack::type::ARRAY;
-}
-
-std::span<const msgpack::object> Elements(const msgpack::object& aObject)
-{
-  return { aObject.via.array.ptr, aObject.via.array.size };
-}
-
-bool UnpackString(const msgpack::object& aObject, std::string& aValue)
-{
-  if (aObject.type == msgpack::type::BIN) {
-    aValue.assign(aObject.via.bin.ptr, aObject.via.bin.size);
-    return true;
-  }
-  if (aObject.type == msgpack::type::STR) {
-    aValue.assign(aObject.via.str.ptr, aObject.via.str.size);
-    return true;
-  }
-  return false;
-}
-
-template<class T>
-bool UnpackNumber(const msgpack::object& aObject, T& aValue)
-{
-  if constexpr (std::is_same_v<T, bool>) {
-    if (aObject.type != msgpack::type::BOOLEAN) {
-      return false;
-    }
-    aValue = aObject.via.boolean;
-    return true;
-  } else {
-    if (aObject.type == msgpack::type::POSITIVE_INTEGER) {
-      if (!std::in_range<T>(aObject.via.u64)) {
-        return false;
-      }
-      aValue = static_cast<T>(aObject.via.u64);
-      return true;
-    }
-    if (aObject.type == msgpack::type::NEGATIVE_INTEGER) {
-      if (!std::in_range<T>(aObject.via.i64)) {
-        return false;
-      }
-      aValue = static_cast<T>(aObject.via.i64);
-      return true;
-    }
-    return false;
-  }
-}
-
-template<class T>
-bool UnpackValue(const msgpack::object& aObject, T& aValue)
-{
-  if constexpr (std::is_same_v<T, std::string>) {
-    return UnpackString(aObject, aValue);
-  } else if constexpr (std::is_enum_v<T>) {
-    std::underlying_type_t<T> number{};
-    if (!UnpackNumber(aObject, number)) {
-      return false;
-    }
-    aValue = static_cast<T>(number);
-    return true;
-  } else if constexpr (std::is_same_v<T, char>) {
-    signed char number = 0;
-    if (!UnpackNumber(aObject, number)) {
-      return false;
-    }
-    aValue = static_cast<char>(number);
-    return true;
-  } else if constexpr (std::is_arithmetic_v<T>) {
-    return UnpackNumber(aObject, aValue);
-  } else if constexpr (IsVector<T>::value) {
-    if (!IsArray(aObject)) {
-      return false;
-    }
-    aValue.clear();
-    aValue.reserve(aObject.via.array.size);
-    for (const auto& element : Elements(aObject)) {
-      if (!UnpackValue(element, aValue.emplace_back())) {
-        return false;
-      }
-    }
-    return true;
-  } else {
-    if (!IsArray(aObject)) {
-      return false;
-    }
-    UnpackVisitor visitor(Elements(aObject));
-    aValue.Visit(visitor);
-    return visitor.IsValid();
-  }
-}
-
-/// Parses msgpack bytes within limits. The handle owns the decoded objects.
-Result<msgpack::object_handle> Parse(std::string_view aBytes)
-{
-  // Every element takes at least one byte, so no count may exceed the length. Without this bound a
-  // short frame could make the library allocate gigabytes for an announced array.
-  const std::size_t length = aBytes.size();
-  const msgpack::unpack_limit limit(length, 0, length, length, 0, kMaxDepth);
-  // The library reports malformed input by exceptions; they end here.
-  try {
-    return msgpack::unpack(
-      aBytes.data(),
-      aBytes.size(),
-      [](msgpack::type::object_type, std::size_t, void*) { return true; },
-      nullptr,
-      limit);
-  } catch (const std::exception& failure) {
-    return Fail(ResultCode::MalformedFrame, failure.what());
-  }
-}
+using codec::Elements;
+using codec::IsArray;
+using codec::Packer;
+using codec::PackValue;
+using codec::Parse;
+using codec::UnpackNumber;
+using codec::UnpackValue;
 
 template<std::size_t kIndex = 0>
 Result<Message> DecodeAlternative(std::size_t aType, const msgpack::object& aObject)
@@ -272,29 +71,6 @@
   return DecodeAlternative(type, Elements(object)[1]);
 }
 
-template<class T>
-std::string EncodeStruct(const T& aValue)
-{
-  msgpack::sbuffer buffer;
-  Packer packer(buffer);
-  PackValue(packer, aValue);
-  return { buffer.data(), buffer.size() };
-}
-
-template<class T>
-Result<T> DecodeStruct(std::string_view aBytes)
-{
-  auto handle = Parse(aBytes);
-  if (!handle) {
-    return Fail(handle.error().code, handle.error().message);
-  }
-  T value;
-  if (!UnpackValue(handle.value().get(), value)) {
-    return Fail(ResultCode::MalformedFrame, "a field has the wrong type");
-  }
-  return value;
-}
-
 // Instantiations for records that are stored or embedded.
 template std::string EncodeStruct(const LogEntry&);
 template Result<LogEntry> DecodeStruct(std::string_view);
