--- a/src/oleanderledge/control/ClassTable.cpp
+++ b/src/oleanderledge/control/ClassTable.cpp
@@ -68,12 +68,8 @@
   }
   this->rows[aChange.name] = row;
   this->version = aIndex;
-  this->history.push_back({ aIndex,
-                            aChange.action,
-                            aChange.name,
-                            row.targetMs,
-                            aChange.requestId,
-                            aChange.atUnixMs });
+  this->history.push_back(
+    { aIndex, aChange.action, aChange.name, row.targetMs, aChange.requestId, aChange.atUnixMs });
   if (this->history.size() > kMaxHistory) {
     this->history.pop_front();
   }
--- a/src/oleanderledge/control/ClassTable.hpp
+++ b/src/oleanderledge/control/ClassTable.hpp
@@ -39,12 +39,8 @@
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->version,
-             this->action,
-             this->name,
-             this->targetMs,
-             this->requestId,
-             this->atUnixMs);
+    aVisitor(
+      this->version, this->action, this->name, this->targetMs, this->requestId, this->atUnixMs);
   }
 };
 
--- a/src/oleanderledge/control/ControlCommand.cpp
+++ b/src/oleanderledge/control/ControlCommand.cpp
@@ -39,9 +39,9 @@
 
 std::string EncodeCommand(const ControlCommand& aCommand)
 {
-  return EncodeStruct(CommandRecord{
-    static_cast<std::uint32_t>(aCommand.index()),
-    std::visit([](const auto& aValue) { return EncodeStruct(aValue); }, aCommand) });
+  return EncodeStruct(
+    CommandRecord{ static_cast<std::uint32_t>(aCommand.index()),
+                   std::visit([](const auto& aValue) { return EncodeStruct(aValue); }, aCommand) });
 }
 
 Result<ControlCommand> DecodeCommand(std::string_view aBytes)
--- a/src/oleanderledge/control/ControlCommand.hpp
+++ b/src/oleanderledge/control/ControlCommand.hpp
@@ -35,12 +35,8 @@
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->requestId,
-             this->action,
-             this->name,
-             this->targetMs,
-             this->baseVersion,
-             this->atUnixMs);
+    aVisitor(
+      this->requestId, this->action, this->name, this->targetMs, this->baseVersion, this->atUnixMs);
   }
 };
 
@@ -134,10 +130,10 @@
 /// Why a database is fenced.
 enum class FencingReason : std::uint8_t
 {
-  PrimaryLost = 0,      ///< A replica is promoted next.
-  OwnerCutOff = 1,      ///< Only the owner cannot reach the primary: ownership moves next.
-  OwnerLeaving = 2,     ///< The owner stops: ownership moves next.
-  PromotionFailed = 3,  ///< The decided slot did not confirm: another is chosen next.
+  PrimaryLost = 0,     ///< A replica is promoted next.
+  OwnerCutOff = 1,     ///< Only the owner cannot reach the primary: ownership moves next.
+  OwnerLeaving = 2,    ///< The owner stops: ownership moves next.
+  PromotionFailed = 3, ///< The decided slot did not confirm: another is chosen next.
 };
 
 /// Enters the phase `fencing`.
--- a/src/oleanderledge/control/ControlLeader.cpp
+++ b/src/oleanderledge/control/ControlLeader.cpp
@@ -53,12 +53,7 @@
   , timings(aTimings)
   , fleet(aTimings)
   , leases(aTimings)
-  , coordinator(this->state,
-                this->fleet,
-                this->slots,
-                this->ownership,
-                this->leases,
-                this->timings)
+  , coordinator(this->state, this->fleet, this->slots, this->ownership, this->leases, this->timings)
 {
 }
 
@@ -133,14 +128,11 @@
   }
 }
 
-void ControlLeader::GrantLeases(const Heartbeat& aHeartbeat,
-                                Instant aNow,
-                                HeartbeatReply& aReply)
+void ControlLeader::GrantLeases(const Heartbeat& aHeartbeat, Instant aNow, HeartbeatReply& aReply)
 {
   for (const std::string& name : this->ownership.DatabasesOf(aReply.instance)) {
     const DatabaseRecord* record = this->state.Databases().Find(name);
-    if (record == nullptr ||
-        record->row.ownerIncarnation != aHeartbeat.instance.incarnation ||
+    if (record == nullptr || record->row.ownerIncarnation != aHeartbeat.instance.incarnation ||
         this->leases.IsReleased(name, record->row.ownerEpoch)) {
       continue;
     }
@@ -173,20 +165,17 @@
     LoggedVerdict& logged = this->loggedVerdicts["old term " + name];
     if (logged.loggedAt == Instant{} || aNow - logged.loggedAt >= kVerdictLogPause) {
       logged.loggedAt = aNow;
-      aActions.emplace_back(
-        LogAction{ LogEvent::AnnouncementOldTerm,
-                   name + " term=" + std::to_string(aAnnouncement.term) +
-                     " present_term=" + std::to_string(record->row.term) });
+      aActions.emplace_back(LogAction{ LogEvent::AnnouncementOldTerm,
+                                       name + " term=" + std::to_string(aAnnouncement.term) +
+                                         " present_term=" + std::to_string(record->row.term) });
     }
   }
   if (this->isLeading) {
     // Most announcements bring nothing new; the tick finds silence.
-    const SlotRow* slot =
-      record == nullptr ? nullptr : FindSlot(record->row, aAnnouncement.slot);
-    const bool isNews = slot == nullptr || slot->silent ||
-                        slot->departing != aAnnouncement.departing ||
-                        slot->address != aAnnouncement.address ||
-                        record->row.phase != FailoverPhase::Steady;
+    const SlotRow* slot = record == nullptr ? nullptr : FindSlot(record->row, aAnnouncement.slot);
+    const bool isNews =
+      slot == nullptr || slot->silent || slot->departing != aAnnouncement.departing ||
+      slot->address != aAnnouncement.address || record->row.phase != FailoverPhase::Steady;
     if (isNews) {
       this->StepDatabase(aAnnouncement.database, aNow, aActions);
     }
@@ -229,8 +218,7 @@
   if (this->pendingKeys.contains(key)) {
     return;
   }
-  if (auto change =
-        SlotUpkeep::NextChange(aName, record, this->slots, this->timings, aNow)) {
+  if (auto change = SlotUpkeep::NextChange(aName, record, this->slots, this->timings, aNow)) {
     this->pendingKeys.insert(key);
     aActions.emplace_back(ProposeAction{ key, std::move(*change) });
   }
@@ -256,8 +244,8 @@
     const Instant heardAt =
       std::max(this->fleet.Since(), view == nullptr ? Instant{} : view->heardAt);
     const std::string key = InstanceKey(id);
-    if (aNow - heardAt < this->timings.instanceForgottenAfter ||
-        this->pendingKeys.contains(key) || !this->ownership.DatabasesOf(id).empty()) {
+    if (aNow - heardAt < this->timings.instanceForgottenAfter || this->pendingKeys.contains(key) ||
+        !this->ownership.DatabasesOf(id).empty()) {
       continue;
     }
     this->fleet.Forget(id);
--- a/src/oleanderledge/control/DatabaseTable.cpp
+++ b/src/oleanderledge/control/DatabaseTable.cpp
@@ -112,8 +112,7 @@
     return false;
   }
   if (record->row.phase == FailoverPhase::Fencing &&
-      (record->fencingReason == aCommand.reason ||
-       aCommand.reason != FencingReason::PrimaryLost)) {
+      (record->fencingReason == aCommand.reason || aCommand.reason != FencingReason::PrimaryLost)) {
     return false;
   }
   if (wasPromoting) {
@@ -147,8 +146,7 @@
   if (record == nullptr || record->row.phase != from) {
     return false;
   }
-  SetPhase(
-    *record, aCommand.begin ? FailoverPhase::Draining : FailoverPhase::Steady, aIndex);
+  SetPhase(*record, aCommand.begin ? FailoverPhase::Draining : FailoverPhase::Steady, aIndex);
   record->row.version = aIndex;
   return true;
 }
@@ -157,8 +155,7 @@
 {
   DatabaseRecord* record = this->FindExpected(aCommand.database, aCommand.expectedVersion);
   if (record == nullptr || aCommand.term <= record->row.term ||
-      !IsInSync(record->row, aCommand.slot) ||
-      FindSlot(record->row, aCommand.slot) == nullptr) {
+      !IsInSync(record->row, aCommand.slot) || FindSlot(record->row, aCommand.slot) == nullptr) {
     return false;
   }
   const FailoverPhase phase = record->row.phase;
@@ -225,7 +222,7 @@
 {
   const auto found = this->records.find(aName);
   return found != this->records.end() && found->second.row.version == aVersion ? &found->second
-                                                                              : nullptr;
+                                                                               : nullptr;
 }
 
 void DatabaseTable::SetPhase(DatabaseRecord& aRecord, FailoverPhase aPhase, std::uint64_t aIndex)
--- a/src/oleanderledge/control/FailoverCoordinator.cpp
+++ b/src/oleanderledge/control/FailoverCoordinator.cpp
@@ -66,8 +66,11 @@
     progress.phaseSince = aNow;
   }
   if (progress.term != row.term) {
+    // The hold-off follows a failover, not the adoption of the first primary.
+    if (progress.term != 0) {
+      progress.termSince = aNow;
+    }
     progress.term = row.term;
-    progress.termSince = aNow;
   }
   if (progress.phaseVersion == aRecord.phaseVersion) {
     return;
@@ -91,8 +94,7 @@
       break;
     case FailoverPhase::Fencing:
       if (aRecord.fencingReason == FencingReason::PrimaryLost) {
-        const Duration silence =
-          this->slots.PrimarySilence(row.name, row.primary, row.term, aNow);
+        const Duration silence = this->slots.PrimarySilence(row.name, row.primary, row.term, aNow);
         progress.timeline = FailoverTimeline{ false, aNow - silence, aNow, {}, {}, 0 };
       }
       break;
@@ -172,8 +174,7 @@
   }
   Propose(aRecord,
           aProgress,
-          AdoptPrimary{
-            aRecord.row.name, aRecord.row.version, best->last.slot, best->last.term },
+          AdoptPrimary{ aRecord.row.name, aRecord.row.version, best->last.slot, best->last.term },
           aActions);
   return true;
 }
@@ -210,8 +211,8 @@
 bool FailoverCoordinator::IsOwnerAlive(const DatabaseRecord& aRecord, Instant aNow) const
 {
   const DatabaseRow& row = aRecord.row;
-  return !row.owner.empty() && this->fleet.HealthOf(row.owner, row.ownerIncarnation, aNow) !=
-                                 InstanceHealth::Dead;
+  return !row.owner.empty() &&
+         this->fleet.HealthOf(row.owner, row.ownerIncarnation, aNow) != InstanceHealth::Dead;
 }
 
 bool FailoverCoordinator::StartFailover(const DatabaseRecord& aRecord,
@@ -224,8 +225,7 @@
     this->slots.PrimarySilence(row.name, row.primary, row.term, aNow);
   const bool isHeldOff = aNow - aProgress.termSince < this->timings.failoverHoldOff;
   if (!this->IsOwnerAlive(aRecord, aNow)) {
-    if (announcedSilence < this->timings.proxyDeadAfter || isHeldOff ||
-        !this->budget.Take(aNow)) {
+    if (announcedSilence < this->timings.proxyDeadAfter || isHeldOff || !this->budget.Take(aNow)) {
       return false;
     }
     Fence(aRecord, aProgress, FencingReason::PrimaryLost, aActions);
@@ -272,14 +272,13 @@
                                     ControlActions& aActions)
 {
   const DatabaseRow& row = aRecord.row;
-  const InstanceHealth health =
-    row.owner.empty() ? InstanceHealth::Dead
-                      : this->fleet.HealthOf(row.owner, row.ownerIncarnation, aNow);
+  const InstanceHealth health = row.owner.empty()
+                                  ? InstanceHealth::Dead
+                                  : this->fleet.HealthOf(row.owner, row.ownerIncarnation, aNow);
   const bool isReleased = this->leases.IsReleased(row.name, row.ownerEpoch);
   if (health != InstanceHealth::Dead && !isReleased) {
     if (health != InstanceHealth::Leaving || row.phase != FailoverPhase::Steady ||
-        !this->ChooseOwner(aRecord, row.primary, {}, row.owner, aNow) ||
-        !this->budget.Take(aNow)) {
+        !this->ChooseOwner(aRecord, row.primary, {}, row.owner, aNow) || !this->budget.Take(aNow)) {
       return false;
     }
     Fence(aRecord, aProgress, FencingReason::OwnerLeaving, aActions);
@@ -329,12 +328,11 @@
   if (proposed == present || !proposed.contains(row.primary) || !isKnown) {
     return false;
   }
-  Propose(
-    aRecord,
-    aProgress,
-    ChangeInSync{
-      row.name, row.version, row.ownerEpoch, row.term, { proposed.begin(), proposed.end() } },
-    aActions);
+  Propose(aRecord,
+          aProgress,
+          ChangeInSync{
+            row.name, row.version, row.ownerEpoch, row.term, { proposed.begin(), proposed.end() } },
+          aActions);
   std::string members;
   for (const std::string& member : proposed) {
     members += (members.empty() ? "" : ",") + member;
@@ -416,8 +414,7 @@
   for (const std::string& name : row.inSync) {
     const SlotRow* slot = FindSlot(row, name);
     if (slot == nullptr || name == row.primary || slot->departing ||
-        !this->IsReachable(aRecord, name, aNow) ||
-        this->slots.Received(row.name, name) < needed) {
+        !this->IsReachable(aRecord, name, aNow) || this->slots.Received(row.name, name) < needed) {
       continue;
     }
     if (best == nullptr || rank(*slot) < rank(*best)) {
@@ -513,12 +510,11 @@
   aProgress.grantsEndedAt = row.version;
   aProgress.pendingOwner = ownerInfo.id;
   if (successor == nullptr) {
-    Propose(
-      aRecord,
-      aProgress,
-      BeginWaiting{
-        row.name, row.version, ownerInfo.id, ownerInfo.incarnation, ownerInfo.linkAddress },
-      aActions);
+    Propose(aRecord,
+            aProgress,
+            BeginWaiting{
+              row.name, row.version, ownerInfo.id, ownerInfo.incarnation, ownerInfo.linkAddress },
+            aActions);
     aActions.emplace_back(LogAction{ LogEvent::DatabaseWaiting, Detail(aRecord) });
     return;
   }
@@ -548,8 +544,7 @@
     if (aProgress.timeline && !aProgress.timeline->confirmed) {
       aProgress.timeline->confirmed = aNow;
     }
-    Propose(
-      aRecord, aProgress, CompletePromotion{ row.name, row.version, row.term }, aActions);
+    Propose(aRecord, aProgress, CompletePromotion{ row.name, row.version, row.term }, aActions);
     return;
   }
   if (aNow - aProgress.phaseSince >= this->timings.promotionTimeout) {
@@ -599,8 +594,7 @@
     return;
   }
   const InstanceView* owner = this->fleet.Find(aRecord.row.owner);
-  if (owner == nullptr ||
-      owner->last.directoryVersion < aProgress.timeline->steadyVersion) {
+  if (owner == nullptr || owner->last.directoryVersion < aProgress.timeline->steadyVersion) {
     return;
   }
   aActions.emplace_back(LogAction{ LogEvent::FailoverCompleted,
@@ -665,22 +659,19 @@
                                 FencingReason aReason,
                                 ControlActions& aActions)
 {
-  Propose(aRecord,
-          aProgress,
-          BeginFencing{ aRecord.row.name, aRecord.row.version, aReason },
-          aActions);
+  Propose(
+    aRecord, aProgress, BeginFencing{ aRecord.row.name, aRecord.row.version, aReason }, aActions);
   aActions.emplace_back(LogAction{ LogEvent::DatabaseFencing,
                                    Detail(aRecord) + " primary=" + aRecord.row.primary +
-                                     " owner=" + aRecord.row.owner + " reason=" +
-                                     std::to_string(static_cast<unsigned>(aReason)) });
+                                     " owner=" + aRecord.row.owner +
+                                     " reason=" + std::to_string(static_cast<unsigned>(aReason)) });
 }
 
 bool FailoverCoordinator::IsReachable(const DatabaseRecord& aRecord,
                                       std::string_view aSlot,
                                       Instant aNow) const
 {
-  return this->slots.IsReachable(
-    aRecord.row.name, aSlot, this->timings.primarySilentAfter, aNow);
+  return this->slots.IsReachable(aRecord.row.name, aSlot, this->timings.primarySilentAfter, aNow);
 }
 
 const SlotRow* FailoverCoordinator::ChooseSuccessor(const DatabaseRecord& aRecord,
@@ -725,9 +716,9 @@
       continue;
     }
     const auto found = pending.find(id);
-    candidates.push_back({ instance,
-                           this->ownership.DatabasesOf(id).size() +
-                             (found == pending.end() ? 0 : found->second) });
+    candidates.push_back(
+      { instance,
+        this->ownership.DatabasesOf(id).size() + (found == pending.end() ? 0 : found->second) });
   }
   return candidates;
 }
--- a/src/oleanderledge/control/IncarnationTracker.cpp
+++ b/src/oleanderledge/control/IncarnationTracker.cpp
@@ -54,10 +54,8 @@
 {
   this->retired[this->current] = { this->sequence, 0, ++this->retirements };
   if (this->retired.size() > kMaxRetired) {
-    this->retired.erase(
-      std::ranges::min_element(this->retired, {}, [](const auto& aEntry) {
-        return aEntry.second.order;
-      }));
+    this->retired.erase(std::ranges::min_element(
+      this->retired, {}, [](const auto& aEntry) { return aEntry.second.order; }));
   }
 }
 
--- a/src/oleanderledge/control/SlotMonitor.cpp
+++ b/src/oleanderledge/control/SlotMonitor.cpp
@@ -46,8 +46,7 @@
   SlotView& view = this->databases[std::string(aDatabase)][aObservation.slot];
   view.reachedAt =
     std::max(view.reachedAt, aNow - std::chrono::milliseconds(aObservation.silentMs));
-  view.received =
-    std::max(view.received, LogPosition{ aObservation.term, aObservation.received });
+  view.received = std::max(view.received, LogPosition{ aObservation.term, aObservation.received });
 }
 
 void SlotMonitor::Forget(std::string_view aDatabase, std::string_view aSlot)
--- a/src/oleanderledge/control/SlotUpkeep.cpp
+++ b/src/oleanderledge/control/SlotUpkeep.cpp
@@ -43,8 +43,7 @@
   const auto* views = aSlots.FindDatabase(aDatabase);
   if (views != nullptr) {
     for (const auto& [name, view] : *views) {
-      if (view.announcedAt == Instant{} ||
-          aNow - view.announcedAt >= aTimings.slotSilentAfter) {
+      if (view.announcedAt == Instant{} || aNow - view.announcedAt >= aTimings.slotSilentAfter) {
         continue;
       }
       const Announcement& last = view.last;
--- /dev/null
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -0,0 +1,413 @@
+#include "oleanderledge/control/internal/ControlDaemon.hpp"
+
+#include "oleanderledge/control/internal/ControlJson.hpp"
+#include "oleanderledge/control/internal/HeartbeatRelay.hpp"
+#include "oleanderledge/control/internal/LibpqBackendAdmin.hpp"
+#include "oleanderledge/control/internal/LocalLog.hpp"
+#include "oleanderledge/control/internal/ProxyLinks.hpp"
+
+#include <QJsonArray>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Half of this delays each step of a failover on average.
+constexpr std::chrono::milliseconds kTickInterval(20);
+/// Same as that of proxies (section 2.2).
+constexpr Duration kOwnHeartbeatInterval = std::chrono::milliseconds(200);
+constexpr int kHttpUnavailable = 503;
+
+ControlDaemon::LogFactory LocalLogFactory(const ControlSettings& aSettings)
+{
+  return [aSettings](ReplicatedState& aState,
+                     LeadershipListener& aListener) -> Result<std::unique_ptr<ReplicatedLog>> {
+    const ControlMember self{
+      aSettings.instance.id, aSettings.instance.id, aSettings.instance.linkAddress, true
+    };
+    auto log = std::make_unique<LocalLog>(self, aState, aListener);
+    log->Start();
+    return std::unique_ptr<ReplicatedLog>(std::move(log));
+  };
+}
+
+std::chrono::milliseconds ToTimer(Duration aDuration)
+{
+  return std::chrono::ceil<std::chrono::milliseconds>(aDuration);
+}
+
+} // namespace
+
+ControlDaemon::ControlDaemon(const ControlSettings& aSettings, QObject* aParent)
+  : ControlDaemon(
+      aSettings,
+      LocalLogFactory(aSettings),
+      std::make_unique<LibpqBackendAdmin>(aSettings.backendUser, aSettings.backendTimeout, nullptr),
+      aParent)
+{
+}
+
+ControlDaemon::ControlDaemon(const ControlSettings& aSettings,
+                             LogFactory aLogFactory,
+                             std::unique_ptr<BackendAdmin> aBackends,
+                             QObject* aParent)
+  : QObject(aParent)
+  , settings(aSettings)
+  , latency{ aSettings.latencyBetweenZones, aSettings.latencyBetweenRegions, Duration{ 0 } }
+  , observedState(this->state, [this] { this->proxies->SchedulePublish(); })
+  , leader(this->state, aSettings.timings)
+  , logFactory(std::move(aLogFactory))
+  , backends(std::move(aBackends))
+  , linkServer(aSettings.instance, this->latency, nullptr)
+  , proxies(new ProxyLinks(this->state, this))
+  , relay(new HeartbeatRelay(aSettings.instance, this->latency, this))
+  , http(*this, nullptr)
+{
+  QObject::connect(&this->linkServer, &LinkServer::Accepted, this, &ControlDaemon::AcceptLink);
+  QObject::connect(
+    this->relay, &HeartbeatRelay::RepliesReceived, this, [this](const RelayedReplies& aReplies) {
+      for (const HeartbeatReply& reply : aReplies.replies) {
+        this->proxies->SendTo(reply.instance, reply);
+      }
+    });
+  this->tickTimer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->tickTimer, &QTimer::timeout, this, &ControlDaemon::Tick);
+}
+
+ControlDaemon::~ControlDaemon() = default;
+
+Result<void> ControlDaemon::Start()
+{
+  auto linked = this->linkServer.Listen(this->settings.instance.linkAddress);
+  if (!linked) {
+    return linked;
+  }
+  auto listening = this->http.Listen(this->settings.instance.httpAddress);
+  if (!listening) {
+    return listening;
+  }
+  auto created = this->logFactory(this->observedState, *this);
+  if (!created) {
+    return Fail(created.error().code, created.error().message);
+  }
+  this->log = std::move(created.value());
+  this->tickTimer.start(kTickInterval);
+  return boost::outcome_v2::success();
+}
+
+void ControlDaemon::BeginStop()
+{
+  if (this->isStopping) {
+    return;
+  }
+  this->isStopping = true;
+  this->linkServer.Stop();
+  this->tickTimer.stop();
+  // Operator requests under way are answered before the event loop ends.
+  QMetaObject::invokeMethod(
+    this, [this] { Q_EMIT this->Stopped(); }, Qt::QueuedConnection);
+}
+
+void ControlDaemon::OnLeadershipGained(std::uint64_t /*aTerm*/)
+{
+  ControlActions actions;
+  this->leader.OnLeadershipGained(MonotonicNow(), actions);
+  this->Execute(std::move(actions));
+}
+
+void ControlDaemon::OnLeadershipLost()
+{
+  this->leader.OnLeadershipLost();
+  WriteLog(LogEvent::ControlNotLeading, "instance=" + this->settings.instance.id);
+}
+
+void ControlDaemon::HandleAnnouncement(const Announcement& aAnnouncement)
+{
+  ++this->announcementCount;
+  const auto handle = [this, aAnnouncement] {
+    ControlActions actions;
+    this->leader.OnAnnouncement(aAnnouncement, MonotonicNow(), actions);
+    this->Execute(std::move(actions));
+  };
+  const Duration delay = this->latency.Between(aAnnouncement.zone, this->settings.instance.zone);
+  if (delay == Duration{ 0 }) {
+    handle();
+  } else {
+    QTimer::singleShot(ToTimer(delay), this, handle);
+  }
+}
+
+bool ControlDaemon::IsCurrentLeader() const
+{
+  return this->log != nullptr && this->leader.IsLeading() &&
+         this->log->HasLeaderLease(MonotonicNow());
+}
+
+std::string ControlDaemon::LeaderHttpAddress() const
+{
+  if (this->log == nullptr || !this->log->HasCurrentLeader(MonotonicNow())) {
+    return {};
+  }
+  const auto found = this->state.Instances().find(this->log->Leader().instance);
+  return found == this->state.Instances().end() ? std::string{} : found->second.httpAddress;
+}
+
+void ControlDaemon::ChangeClassNow(const ChangeClass& aChange, OperatorCallback aCallback)
+{
+  const auto answer = [this, aChange, aCallback]() {
+    const OperatorAnswer* found = this->state.Classes().FindAnswer(aChange);
+    if (found == nullptr) {
+      return false;
+    }
+    WriteLog(LogEvent::OperatorChange,
+             "class=" + aChange.name + " request_id=" + aChange.requestId +
+               " code=" + std::to_string(static_cast<unsigned>(found->code)) +
+               " version=" + std::to_string(found->version));
+    aCallback(HttpStatusOf(found->code), AnswerToJson(*found));
+    return true;
+  };
+  if (answer()) {
+    return;
+  }
+  this->log->Propose(
+    EncodeCommand(aChange), [answer, aCallback](const Result<std::uint64_t>& aIndex) {
+      if (!aIndex) {
+        aCallback(kHttpUnavailable, ErrorToJson(aIndex.error().code, aIndex.error().message));
+        return;
+      }
+      if (!answer()) {
+        // Requests without a valid id are judged but not remembered.
+        aCallback(HttpStatusOf(ResultCode::InvalidClass),
+                  ErrorToJson(ResultCode::InvalidClass, {}));
+      }
+    });
+}
+
+QJsonObject ControlDaemon::Classes() const
+{
+  return ClassesToJson(this->state.Classes());
+}
+
+QJsonObject ControlDaemon::History() const
+{
+  return HistoryToJson(this->state.Classes());
+}
+
+QJsonObject ControlDaemon::Status(std::uint64_t aVersion) const
+{
+  const std::uint64_t version = aVersion == 0 ? this->state.Classes().Version() : aVersion;
+  QJsonObject status = StatusToJson(this->state, this->leader, version, MonotonicNow());
+  status.insert("leader", QString::fromStdString(this->log->Leader().instance));
+  QJsonArray members;
+  for (const ControlMember& member : this->log->Members()) {
+    members.append(QJsonObject{ { "id", QString::fromStdString(member.id) },
+                                { "instance", QString::fromStdString(member.instance) },
+                                { "link", QString::fromStdString(member.linkAddress) },
+                                { "voter", member.voter } });
+  }
+  status.insert("members", members);
+  return status;
+}
+
+bool ControlDaemon::IsReady() const
+{
+  return !this->isStopping && this->log != nullptr &&
+         (this->IsCurrentLeader() || this->log->HasCurrentLeader(MonotonicNow()));
+}
+
+QByteArray ControlDaemon::Metrics() const
+{
+  const auto line = [](const char* aName, const char* aType, std::uint64_t aValue) {
+    return QByteArray("# TYPE oleanderledge_control_") + aName + " " + aType +
+           "\noleanderledge_control_" + aName + " " + QByteArray::number(qulonglong(aValue)) + "\n";
+  };
+  std::uint64_t waiting = 0;
+  std::uint64_t unsteady = 0;
+  for (const auto& [name, record] : this->state.Databases().Records()) {
+    waiting += record.row.phase == FailoverPhase::Waiting ? 1 : 0;
+    unsteady += record.row.phase != FailoverPhase::Steady ? 1 : 0;
+  }
+  return line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
+         line("term", "gauge", this->log == nullptr ? 0 : this->log->Term()) +
+         line("applied_index", "gauge", this->log == nullptr ? 0 : this->log->AppliedIndex()) +
+         line("directory_version", "gauge", this->state.DirectoryVersion()) +
+         line("connected_proxies", "gauge", this->proxies->Count()) +
+         line("databases", "gauge", this->state.Databases().Records().size()) +
+         line("databases_unsteady", "gauge", unsteady) +
+         line("databases_waiting", "gauge", waiting) +
+         line("announcements_total", "counter", this->announcementCount) +
+         line("heartbeats_total", "counter", this->heartbeatCount);
+}
+
+void ControlDaemon::AcceptLink(LinkConnection* aLink)
+{
+  QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
+    this->HandleMessage(aLink, aMessage);
+  });
+}
+
+void ControlDaemon::HandleMessage(LinkConnection* aLink, const Message& aMessage)
+{
+  if (this->isStopping) {
+    return;
+  }
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage)) {
+    this->HandleHeartbeat(aLink, *heartbeat);
+  } else if (const auto* relayed = std::get_if<RelayedHeartbeats>(&aMessage)) {
+    this->HandleRelayedHeartbeats(aLink, *relayed);
+  }
+}
+
+void ControlDaemon::HandleHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat)
+{
+  ++this->heartbeatCount;
+  this->proxies->OnHeartbeat(aLink, aHeartbeat);
+  const Instant now = MonotonicNow();
+  if (!this->leader.IsLeading() && this->log->HasCurrentLeader(now)) {
+    this->relay->Add(aHeartbeat);
+    return;
+  }
+  ControlActions actions;
+  this->relayOf.erase(aHeartbeat.instance.id);
+  aLink->Send(this->leader.OnHeartbeat(aHeartbeat, this->log->HasLeaderLease(now), now, actions));
+  this->Execute(std::move(actions));
+}
+
+void ControlDaemon::HandleRelayedHeartbeats(LinkConnection* aLink,
+                                            const RelayedHeartbeats& aRelayed)
+{
+  const Instant now = MonotonicNow();
+  const bool hasLease = this->log->HasLeaderLease(now);
+  RelayedReplies replies;
+  ControlActions actions;
+  for (const Heartbeat& heartbeat : aRelayed.heartbeats) {
+    ++this->heartbeatCount;
+    this->relayOf[heartbeat.instance.id] = aLink;
+    replies.replies.push_back(this->leader.OnHeartbeat(heartbeat, hasLease, now, actions));
+  }
+  aLink->Send(replies);
+  this->Execute(std::move(actions));
+}
+
+Heartbeat ControlDaemon::OwnHeartbeat()
+{
+  Heartbeat heartbeat;
+  heartbeat.instance = this->settings.instance;
+  heartbeat.instance.role = InstanceRole::Control;
+  heartbeat.sequence = ++this->ownHeartbeatSequence;
+  heartbeat.sentUs = ToMicroseconds(MonotonicNow());
+  heartbeat.directoryVersion = this->state.DirectoryVersion();
+  return heartbeat;
+}
+
+void ControlDaemon::Tick()
+{
+  const Instant now = MonotonicNow();
+  const bool isLeading = this->leader.IsLeading();
+  const bool hasLeader = this->log->HasCurrentLeader(now);
+  this->relay->SetLeader(!isLeading && hasLeader ? this->log->Leader().linkAddress : std::string{});
+  ControlActions actions;
+  if (now - this->ownHeartbeatAt >= kOwnHeartbeatInterval) {
+    this->ownHeartbeatAt = now;
+    if (isLeading) {
+      this->leader.OnHeartbeat(this->OwnHeartbeat(), this->log->HasLeaderLease(now), now, actions);
+    } else {
+      this->relay->Add(this->OwnHeartbeat());
+    }
+  }
+  // Without the leader lease another member may lead already; its decisions count.
+  if (!isLeading || this->log->HasLeaderLease(now)) {
+    this->leader.OnTick(now, actions);
+  }
+  this->Execute(std::move(actions));
+}
+
+void ControlDaemon::Execute(ControlActions aActions)
+{
+  for (const ControlAction& action : aActions) {
+    std::visit([this](const auto& aAction) { this->Execute(aAction); }, action);
+  }
+}
+
+void ControlDaemon::Execute(const ProposeAction& aAction)
+{
+  this->log->Propose(
+    EncodeCommand(aAction.command), [this, key = aAction.key](const Result<std::uint64_t>& aIndex) {
+      const bool isDefinite = aIndex || aIndex.error().code != ResultCode::OutcomeUnknown;
+      // Deferred, because the log may call back from inside Propose().
+      QMetaObject::invokeMethod(
+        this,
+        [this, key, isDefinite] {
+          ControlActions actions;
+          this->leader.OnProposalDone(key, isDefinite, MonotonicNow(), actions);
+          this->Execute(std::move(actions));
+        },
+        Qt::QueuedConnection);
+    });
+}
+
+void ControlDaemon::Execute(const PromoteAction& aAction)
+{
+  const Duration roundTrip = this->BackendRoundTrip(aAction.database, aAction.slot);
+  QTimer::singleShot(ToTimer(roundTrip), this, [this, aAction] {
+    this->backends->Promote(
+      aAction.database,
+      aAction.address,
+      aAction.term,
+      this->BackendCallback(aAction.database, aAction.slot, "platform_promote"));
+  });
+}
+
+void ControlDaemon::Execute(const QueryAction& aAction)
+{
+  const Duration roundTrip = this->BackendRoundTrip(aAction.database, aAction.slot);
+  QTimer::singleShot(ToTimer(roundTrip), this, [this, aAction] {
+    this->backends->QueryStatus(
+      aAction.database,
+      aAction.address,
+      this->BackendCallback(aAction.database, aAction.slot, "platform_status"));
+  });
+}
+
+void ControlDaemon::Execute(const PushReplyAction& aAction)
+{
+  const std::string& instance = aAction.reply.instance;
+  const auto found = this->relayOf.find(instance);
+  if (found != this->relayOf.end() && found->second != nullptr) {
+    found->second->Send(RelayedReplies{ { aAction.reply } });
+    return;
+  }
+  this->proxies->SendTo(instance, aAction.reply);
+}
+
+void ControlDaemon::Execute(const LogAction& aAction)
+{
+  WriteLog(aAction.event, aAction.detail);
+}
+
+BackendAdmin::Callback ControlDaemon::BackendCallback(const std::string& aDatabase,
+                                                      const std::string& aSlot,
+                                                      const std::string& aCall)
+{
+  return [this, aDatabase, aSlot, aCall](const Result<SlotStatus>& aAnswer) {
+    if (!aAnswer) {
+      WriteLog(LogEvent::BackendCallFailed,
+               "database=" + aDatabase + " slot=" + aSlot + " call=" + aCall +
+                 " reason=" + aAnswer.error().message);
+    }
+    ControlActions actions;
+    this->leader.OnBackendAnswer(aDatabase, aSlot, aAnswer, MonotonicNow(), actions);
+    this->Execute(std::move(actions));
+  };
+}
+
+Duration ControlDaemon::BackendRoundTrip(const std::string& aDatabase,
+                                         const std::string& aSlot) const
+{
+  const DatabaseRecord* record = this->state.Databases().Find(aDatabase);
+  const SlotRow* slot = record == nullptr ? nullptr : FindSlot(record->row, aSlot);
+  return slot == nullptr ? Duration{ 0 }
+                         : this->latency.Between(this->settings.instance.zone, slot->zone) * 2;
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "oleanderledge/consensus/ReplicatedLog.hpp"
+#include "oleanderledge/control/ControlLeader.hpp"
+#include "oleanderledge/control/ControlSettings.hpp"
+#include "oleanderledge/control/ControlState.hpp"
+#include "oleanderledge/control/internal/BackendAdmin.hpp"
+#include "oleanderledge/control/internal/ControlHttp.hpp"
+#include "oleanderledge/control/internal/ObservedState.hpp"
+#include "oleanderledge/transport/transport.hpp"
+
+#include <QObject>
+#include <QPointer>
+#include <QTimer>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace oleanderledge {
+
+class HeartbeatRelay;
+class ProxyLinks;
+
+/// A control process: connects the decisions of ControlLeader to links, HTTP, the replicated log
+/// and backend servers. Lives in one thread.
+class ControlDaemon
+  : public QObject
+  , private LeadershipListener
+  , private ControlHttpHandler
+{
+  Q_OBJECT
+
+public:
+  /// Creates the replicated log of this member and starts it.
+  using LogFactory =
+    std::function<Result<std::unique_ptr<ReplicatedLog>>(ReplicatedState&, LeadershipListener&)>;
+
+  ControlDaemon(const ControlSettings& aSettings, QObject* aParent);
+  /// For tests: with another log and other backend calls.
+  ControlDaemon(const ControlSettings& aSettings,
+                LogFactory aLogFactory,
+                std::unique_ptr<BackendAdmin> aBackends,
+                QObject* aParent);
+  ~ControlDaemon() override;
+
+  /// Opens the ports and starts the log. Fails with ListenFailed or a code of the storage.
+  Result<void> Start();
+
+  /// Starts a graceful stop; `Stopped` follows.
+  void BeginStop();
+
+Q_SIGNALS:
+  void Stopped();
+
+private:
+  void OnLeadershipGained(std::uint64_t aTerm) override;
+  void OnLeadershipLost() override;
+
+  void HandleAnnouncement(const Announcement& aAnnouncement) override;
+  bool IsCurrentLeader() const override;
+  std::string LeaderHttpAddress() const override;
+  void ChangeClassNow(const ChangeClass& aChange, OperatorCallback aCallback) override;
+  QJsonObject Classes() const override;
+  QJsonObject History() const override;
+  QJsonObject Status(std::uint64_t aVersion) const override;
+  bool IsReady() const override;
+  QByteArray Metrics() const override;
+
+  void AcceptLink(LinkConnection* aLink);
+  void HandleMessage(LinkConnection* aLink, const Message& aMessage);
+  void HandleHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat);
+  void HandleRelayedHeartbeats(LinkConnection* aLink, const RelayedHeartbeats& aRelayed);
+  void Tick();
+  Heartbeat OwnHeartbeat();
+
+  /// Executes actions. Those that follow from them are queued behind.
+  void Execute(ControlActions aActions);
+  void Execute(const ProposeAction& aAction);
+  void Execute(const PromoteAction& aAction);
+  void Execute(const QueryAction& aAction);
+  void Execute(const PushReplyAction& aAction);
+  static void Execute(const LogAction& aAction);
+  BackendAdmin::Callback BackendCallback(const std::string& aDatabase,
+                                         const std::string& aSlot,
+                                         const std::string& aCall);
+  /// Round trip of a backend call with emulated latency.
+  Duration BackendRoundTrip(const std::string& aDatabase, const std::string& aSlot) const;
+
+  ControlSettings settings;
+  EmulatedLatency latency;
+  ControlState state;
+  ObservedState observedState;
+  ControlLeader leader;
+  LogFactory logFactory;
+  std::unique_ptr<ReplicatedLog> log;
+  std::unique_ptr<BackendAdmin> backends;
+  LinkServer linkServer;
+  ProxyLinks* proxies;
+  HeartbeatRelay* relay;
+  ControlHttp http;
+  QTimer tickTimer;
+  Instant ownHeartbeatAt{};
+  std::uint64_t ownHeartbeatSequence = 0;
+  std::uint64_t announcementCount = 0;
+  std::uint64_t heartbeatCount = 0;
+  bool isStopping = false;
+  /// Follower link through which an instance's heartbeats arrive.
+  std::map<std::string, QPointer<LinkConnection>> relayOf;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/internal/ControlJson.cpp
@@ -0,0 +1,337 @@
+#include "oleanderledge/control/internal/ControlJson.hpp"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+#include <chrono>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpUnprocessable = 422;
+constexpr int kHttpUnavailable = 503;
+
+QJsonValue FromNumber(std::uint64_t aNumber)
+{
+  return static_cast<qint64>(aNumber);
+}
+
+QString FromText(std::string_view aText)
+{
+  return QString::fromUtf8(aText.data(), static_cast<qsizetype>(aText.size()));
+}
+
+std::string TextOf(const QJsonObject& aObject, const char* aKey)
+{
+  return aObject.value(QLatin1String(aKey)).toString().toStdString();
+}
+
+/// Reads a number that may be written as a string, because JSON numbers lose digits above 2^53 in
+/// some writers. Missing keys read as zero.
+bool ReadNumber(const QJsonObject& aObject, const char* aKey, std::uint64_t& aNumber)
+{
+  const QJsonValue value = aObject.value(QLatin1String(aKey));
+  bool isValid = true;
+  if (value.isString()) {
+    aNumber = value.toString().toULongLong(&isValid);
+    return isValid;
+  }
+  if (!value.isDouble()) {
+    aNumber = 0;
+    return value.isUndefined() || value.isNull();
+  }
+  const qint64 number = value.toInteger(-1);
+  aNumber = number < 0 ? 0 : static_cast<std::uint64_t>(number);
+  return number >= 0;
+}
+
+Result<Announcement> ParseAnnouncement(const QJsonObject& aObject)
+{
+  Announcement announcement;
+  announcement.service = TextOf(aObject, "service");
+  announcement.database = TextOf(aObject, "database");
+  announcement.slot = TextOf(aObject, "slot");
+  announcement.zone = TextOf(aObject, "zone");
+  announcement.address = TextOf(aObject, "address");
+  const std::string role = TextOf(aObject, "role");
+  announcement.isPrimary = role == "primary";
+  announcement.departing = aObject.value(QLatin1String("departing")).toBool();
+  std::uint64_t limit = 0;
+  if (announcement.database.empty() || announcement.slot.empty() || announcement.address.empty() ||
+      (role != "primary" && role != "replica")) {
+    return Fail(ResultCode::UsageError, "database, slot, address or role is missing");
+  }
+  if (!ReadNumber(aObject, "term", announcement.term) ||
+      !ReadNumber(aObject, "received", announcement.received) ||
+      !ReadNumber(aObject, "applied", announcement.applied) ||
+      !ReadNumber(aObject, "connection_limit", limit) ||
+      !ReadNumber(aObject, "incarnation", announcement.incarnation) ||
+      !ReadNumber(aObject, "sequence", announcement.sequence) ||
+      !std::in_range<std::uint32_t>(limit)) {
+    return Fail(ResultCode::UsageError, "a number is malformed");
+  }
+  announcement.connectionLimit = static_cast<std::uint32_t>(limit);
+  return announcement;
+}
+
+QJsonArray ClassRowsToJson(const std::vector<ClassRow>& aRows)
+{
+  QJsonArray rows;
+  for (const ClassRow& row : aRows) {
+    QJsonObject object{ { "name", FromText(row.name) },
+                        { "target_ms", static_cast<qint64>(row.targetMs) },
+                        { "version", FromNumber(row.version) } };
+    if (row.deleted) {
+      object.insert("deleted", true);
+    }
+    rows.append(object);
+  }
+  return rows;
+}
+
+const char* NameOf(ClassAction aAction)
+{
+  switch (aAction) {
+    case ClassAction::Create:
+      return "create";
+    case ClassAction::Set:
+      return "set";
+    case ClassAction::Delete:
+      break;
+  }
+  return "delete";
+}
+
+const char* NameOf(FailoverPhase aPhase)
+{
+  switch (aPhase) {
+    case FailoverPhase::Steady:
+      return "steady";
+    case FailoverPhase::Fencing:
+      return "fencing";
+    case FailoverPhase::Promoting:
+      return "promoting";
+    case FailoverPhase::Waiting:
+      return "waiting";
+    case FailoverPhase::Draining:
+      break;
+  }
+  return "draining";
+}
+
+const char* NameOf(InstanceHealth aHealth)
+{
+  switch (aHealth) {
+    case InstanceHealth::Unknown:
+      return "unknown";
+    case InstanceHealth::Alive:
+      return "alive";
+    case InstanceHealth::Leaving:
+      return "leaving";
+    case InstanceHealth::Dead:
+      break;
+  }
+  return "dead";
+}
+
+QJsonObject DatabaseToJson(const DatabaseRow& aRow, const SlotMonitor& aSlots)
+{
+  QJsonArray slotArray;
+  for (const SlotRow& slot : aRow.slots) {
+    const LogPosition received = aSlots.Received(aRow.name, slot.name);
+    slotArray.append(QJsonObject{ { "name", FromText(slot.name) },
+                                  { "zone", FromText(slot.zone) },
+                                  { "address", FromText(slot.address) },
+                                  { "departing", slot.departing },
+                                  { "silent", slot.silent },
+                                  { "term", FromNumber(received.term) },
+                                  { "received", FromNumber(received.offset) } });
+  }
+  QJsonArray inSync;
+  for (const std::string& slot : aRow.inSync) {
+    inSync.append(FromText(slot));
+  }
+  return { { "name", FromText(aRow.name) },
+           { "service", FromText(aRow.service) },
+           { "connection_limit", static_cast<qint64>(aRow.connectionLimit) },
+           { "term", FromNumber(aRow.term) },
+           { "primary", FromText(aRow.primary) },
+           { "in_sync", inSync },
+           { "owner", FromText(aRow.owner) },
+           { "owner_epoch", FromNumber(aRow.ownerEpoch) },
+           { "phase", NameOf(aRow.phase) },
+           { "version", FromNumber(aRow.version) },
+           { "slots", slotArray } };
+}
+
+QJsonArray ServiceToJson(const std::vector<ClassService>& aService)
+{
+  QJsonArray rows;
+  for (const ClassService& service : aService) {
+    rows.append(QJsonObject{ { "class", FromText(service.workClass) },
+                             { "served", FromNumber(service.served) },
+                             { "served_in_target", FromNumber(service.servedInTarget) },
+                             { "refused", FromNumber(service.refused) } });
+  }
+  return rows;
+}
+
+} // namespace
+
+Result<std::vector<Announcement>> ParseAnnouncements(const QByteArray& aBody)
+{
+  const QJsonDocument document = QJsonDocument::fromJson(aBody);
+  QJsonArray objects = document.array();
+  if (document.isObject()) {
+    objects.append(document.object());
+  }
+  std::vector<Announcement> announcements;
+  for (const QJsonValue& value : objects) {
+    auto announcement = ParseAnnouncement(value.toObject());
+    if (!announcement) {
+      return Fail(announcement.error().code, announcement.error().message);
+    }
+    announcements.push_back(std::move(announcement.value()));
+  }
+  if (announcements.empty()) {
+    return Fail(ResultCode::UsageError, "the body is not an announcement");
+  }
+  return announcements;
+}
+
+Result<ChangeClass> ParseClassChange(const QByteArray& aBody)
+{
+  const QJsonDocument document = QJsonDocument::fromJson(aBody);
+  if (!document.isObject()) {
+    return Fail(ResultCode::UsageError, "the body is not a JSON object");
+  }
+  const QJsonObject object = document.object();
+  ChangeClass change;
+  const std::string action = TextOf(object, "action");
+  if (action == "create") {
+    change.action = ClassAction::Create;
+  } else if (action == "set") {
+    change.action = ClassAction::Set;
+  } else if (action == "delete") {
+    change.action = ClassAction::Delete;
+  } else {
+    return Fail(ResultCode::UsageError, "action is create, set or delete");
+  }
+  change.name = TextOf(object, "name");
+  change.requestId = TextOf(object, "request_id");
+  std::uint64_t target = 0;
+  if (!object.contains("version") || !ReadNumber(object, "version", change.baseVersion) ||
+      !ReadNumber(object, "target_ms", target) || !std::in_range<std::int64_t>(target)) {
+    return Fail(ResultCode::UsageError, "version or target_ms is missing or malformed");
+  }
+  if (change.requestId.empty()) {
+    return Fail(ResultCode::UsageError, "request_id is missing");
+  }
+  change.targetMs = static_cast<std::int64_t>(target);
+  change.atUnixMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count();
+  return change;
+}
+
+QJsonObject ErrorToJson(ResultCode aCode, const std::string& aMessage)
+{
+  const ResultCodeInfo& info = InfoOf(aCode);
+  return { { "code", static_cast<int>(aCode) },
+           { "name", FromText(info.name) },
+           { "message", FromText(aMessage.empty() ? std::string(info.text) : aMessage) } };
+}
+
+QJsonObject AnswerToJson(const OperatorAnswer& aAnswer)
+{
+  QJsonObject object = ErrorToJson(aAnswer.code, {});
+  object.insert("version", FromNumber(aAnswer.version));
+  object.insert("classes", ClassRowsToJson(aAnswer.classes));
+  return object;
+}
+
+QJsonObject ClassesToJson(const ClassTable& aClasses)
+{
+  return { { "version", FromNumber(aClasses.Version()) },
+           { "classes", ClassRowsToJson(aClasses.Present()) } };
+}
+
+QJsonObject HistoryToJson(const ClassTable& aClasses)
+{
+  QJsonArray history;
+  for (const ConfigChange& change : aClasses.History()) {
+    history.append(QJsonObject{ { "version", FromNumber(change.version) },
+                                { "action", NameOf(change.action) },
+                                { "name", FromText(change.name) },
+                                { "target_ms", static_cast<qint64>(change.targetMs) },
+                                { "request_id", FromText(change.requestId) },
+                                { "at_unix_ms", static_cast<qint64>(change.atUnixMs) } });
+  }
+  return { { "version", FromNumber(aClasses.Version()) }, { "history", history } };
+}
+
+QJsonObject StatusToJson(const ControlState& aState,
+                         const ControlLeader& aLeader,
+                         std::uint64_t aVersion,
+                         Instant aNow)
+{
+  QJsonArray instances;
+  for (const auto& [id, instance] : aState.Instances()) {
+    const InstanceView* view = aLeader.Fleet().Find(id);
+    QJsonObject object{ { "id", FromText(id) },
+                        { "role", instance.role == InstanceRole::Proxy ? "proxy" : "control" },
+                        { "zone", FromText(instance.zone) },
+                        { "link", FromText(instance.linkAddress) },
+                        { "http", FromText(instance.httpAddress) },
+                        { "health",
+                          NameOf(aLeader.Fleet().HealthOf(id, instance.incarnation, aNow)) } };
+    if (view != nullptr) {
+      object.insert("directory_version", FromNumber(view->last.directoryVersion));
+      object.insert("service", ServiceToJson(view->last.service));
+    }
+    instances.append(object);
+  }
+  QJsonArray databases;
+  for (const auto& [name, record] : aState.Databases().Records()) {
+    databases.append(DatabaseToJson(record.row, aLeader.Slots()));
+  }
+  QJsonArray behind;
+  for (const std::string& id : aLeader.ProxiesBehind(aVersion, aNow)) {
+    behind.append(FromText(id));
+  }
+  return { { "directory_version", FromNumber(aState.DirectoryVersion()) },
+           { "config_version", FromNumber(aState.Classes().Version()) },
+           { "in_force",
+             QJsonObject{ { "version", FromNumber(aVersion) },
+                          { "everywhere", behind.isEmpty() },
+                          { "behind", behind } } },
+           { "instances", instances },
+           { "databases", databases } };
+}
+
+int HttpStatusOf(ResultCode aCode)
+{
+  switch (aCode) {
+    case ResultCode::Ok:
+      return kHttpOk;
+    case ResultCode::VersionConflict:
+    case ResultCode::ClassExists:
+      return kHttpConflict;
+    case ResultCode::ClassNotFound:
+      return kHttpNotFound;
+    case ResultCode::RequestIdReused:
+      return kHttpUnprocessable;
+    case ResultCode::InvalidClass:
+    case ResultCode::UsageError:
+      return kHttpBadRequest;
+    default:
+      return kHttpUnavailable;
+  }
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/internal/ControlJson.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "oleanderledge/control/Announcement.hpp"
+#include "oleanderledge/control/ClassTable.hpp"
+#include "oleanderledge/control/ControlLeader.hpp"
+
+#include <QByteArray>
+#include <QJsonObject>
+
+#include <vector>
+
+namespace oleanderledge {
+
+/// Reads one announcement object or an array of them. Fails with UsageError.
+Result<std::vector<Announcement>> ParseAnnouncements(const QByteArray& aBody);
+
+/// Reads `{"action":"create|set|delete","name":..,"target_ms":..,"version":..,"request_id":..}`.
+/// Fails with UsageError.
+Result<ChangeClass> ParseClassChange(const QByteArray& aBody);
+
+/// `{"code":..,"name":..,"message":..}`.
+QJsonObject ErrorToJson(ResultCode aCode, const std::string& aMessage);
+
+/// `{"code":..,"name":..,"message":..,"version":..,"classes":[..]}`.
+QJsonObject AnswerToJson(const OperatorAnswer& aAnswer);
+
+/// `{"version":..,"classes":[{"name":..,"target_ms":..,"version":..}]}`.
+QJsonObject ClassesToJson(const ClassTable& aClasses);
+
+/// `{"version":..,"history":[{"version":..,"action":..,"name":..,"target_ms":..,...}]}`.
+QJsonObject HistoryToJson(const ClassTable& aClasses);
+
+/// Proxies, databases, and which proxies are behind `aVersion`.
+QJsonObject StatusToJson(const ControlState& aState,
+                         const ControlLeader& aLeader,
+                         std::uint64_t aVersion,
+                         Instant aNow);
+
+/// HTTP status of the answer to an operator request.
+int HttpStatusOf(ResultCode aCode);
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/control/internal/ProxyLinks.cpp
@@ -0,0 +1,70 @@
+#include "oleanderledge/control/internal/ProxyLinks.hpp"
+
+namespace oleanderledge {
+
+ProxyLinks::ProxyLinks(const ControlState& aState, QObject* aParent)
+  : QObject(aParent)
+  , state(aState)
+{
+}
+
+void ProxyLinks::OnHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat)
+{
+  const std::string& id = aHeartbeat.instance.id;
+  Proxy& proxy = this->proxies[id];
+  if (proxy.link != aLink) {
+    proxy.link = aLink;
+    proxy.sentVersion = aHeartbeat.directoryVersion;
+    QObject::connect(aLink, &LinkConnection::Closed, this, [this, id, aLink] {
+      const auto found = this->proxies.find(id);
+      if (found != this->proxies.end() && found->second.link == aLink) {
+        this->proxies.erase(found);
+      }
+    });
+  }
+  this->PublishTo(proxy);
+}
+
+bool ProxyLinks::SendTo(const std::string& aInstance, const Message& aMessage)
+{
+  const auto found = this->proxies.find(aInstance);
+  if (found == this->proxies.end()) {
+    return false;
+  }
+  found->second.link->Send(aMessage);
+  return true;
+}
+
+void ProxyLinks::SchedulePublish()
+{
+  if (this->isScheduled) {
+    return;
+  }
+  this->isScheduled = true;
+  QMetaObject::invokeMethod(
+    this,
+    [this] {
+      this->isScheduled = false;
+      this->Publish();
+    },
+    Qt::QueuedConnection);
+}
+
+void ProxyLinks::Publish()
+{
+  for (auto& [id, proxy] : this->proxies) {
+    this->PublishTo(proxy);
+  }
+}
+
+void ProxyLinks::PublishTo(Proxy& aProxy)
+{
+  if (aProxy.sentVersion >= this->state.DirectoryVersion()) {
+    return;
+  }
+  DirectoryUpdate update = this->state.ChangesSince(aProxy.sentVersion);
+  aProxy.sentVersion = update.version;
+  aProxy.link->Send(std::move(update));
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/tests/control/ControlDaemonTests.cpp
@@ -0,0 +1,248 @@
+#include "oleanderledge/control/internal/ControlDaemon.hpp"
+#include "oleanderledge/control/internal/LocalLog.hpp"
+
+#include "tests/control/FakeBackends.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QTcpServer>
+
+using namespace oleanderledge;
+
+namespace {
+
+void EnsureApplication()
+{
+  static int argumentCount = 1;
+  static char name[] = "test";
+  static char* arguments[] = { name, nullptr };
+  static QCoreApplication application(argumentCount, arguments);
+}
+
+/// Runs the event loop until a condition holds. Returns false after 5 s.
+bool WaitUntil(const std::function<bool()>& aCondition)
+{
+  QElapsedTimer timer;
+  timer.start();
+  while (!aCondition()) {
+    if (timer.elapsed() > 5000) {
+      return false;
+    }
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+  return true;
+}
+
+std::string FreeAddress()
+{
+  QTcpServer server;
+  server.listen(QHostAddress::LocalHost);
+  return "127.0.0.1:" + std::to_string(server.serverPort());
+}
+
+struct HttpAnswer
+{
+  int status = 0;
+  QJsonObject body;
+};
+
+/// A control daemon with one member, one proxy link and HTTP access.
+class DaemonFixture
+{
+public:
+  DaemonFixture()
+  {
+    EnsureApplication();
+    this->settings.instance = {
+      "control-1", 1, InstanceRole::Control, "dalarna/mora-1", FreeAddress(), FreeAddress(), false
+    };
+    auto backendsOwned = std::make_unique<FakeBackends>();
+    this->backends = backendsOwned.get();
+    const ControlMember self{ "m1", "control-1", this->settings.instance.linkAddress, true };
+    this->daemon = std::make_unique<ControlDaemon>(
+      this->settings,
+      [self](ReplicatedState& aState,
+             LeadershipListener& aListener) -> Result<std::unique_ptr<ReplicatedLog>> {
+        auto log = std::make_unique<LocalLog>(self, aState, aListener);
+        log->Start();
+        return std::unique_ptr<ReplicatedLog>(std::move(log));
+      },
+      std::move(backendsOwned),
+      nullptr);
+    REQUIRE(this->daemon->Start());
+  }
+
+  HttpAnswer Request(const std::string& aPath, const QByteArray& aBody = {})
+  {
+    QNetworkRequest request(
+      QUrl(QString::fromStdString("http://" + this->settings.instance.httpAddress + aPath)));
+    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    QNetworkReply* reply =
+      aBody.isEmpty() ? this->network.get(request) : this->network.post(request, aBody);
+    WaitUntil([reply] { return reply->isFinished(); });
+    HttpAnswer answer;
+    answer.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    answer.body = QJsonDocument::fromJson(reply->readAll()).object();
+    reply->deleteLater();
+    return answer;
+  }
+
+  /// Announces one slot with the next sequence number.
+  void Announce(const char* aSlot, const char* aRole, int aTerm, const std::string& aAddress)
+  {
+    const QJsonObject body{ { "service", "ledger" },
+                            { "database", "orders" },
+                            { "slot", aSlot },
+                            { "zone", "dalarna/mora-1" },
+                            { "address", QString::fromStdString(aAddress) },
+                            { "role", aRole },
+                            { "term", aTerm },
+                            { "received", 10 },
+                            { "applied", 10 },
+                            { "connection_limit", 25 },
+                            { "departing", false },
+                            { "incarnation", 5 },
+                            { "sequence", ++this->sequence } };
+    REQUIRE(this->Request("/v1/announcements", QJsonDocument(body).toJson(QJsonDocument::Compact))
+              .status == 200);
+  }
+
+  /// Opens the link of a proxy and sends heartbeats with what it knows.
+  void ConnectProxy()
+  {
+    this->proxyInfo = { "proxy-1",     7,    InstanceRole::Proxy, "dalarna/mora-1", "127.0.0.1:1",
+                        "127.0.0.1:2", false };
+    this->link = std::make_unique<LinkConnection>(
+      this->proxyInfo, this->settings.instance.linkAddress, EmulatedLatency{}, nullptr);
+    QObject::connect(this->link.get(),
+                     &LinkConnection::Received,
+                     this->link.get(),
+                     [this](const Message& aMessage) {
+                       if (const auto* update = std::get_if<DirectoryUpdate>(&aMessage)) {
+                         this->directory.Apply(*update);
+                       } else if (const auto* reply = std::get_if<HeartbeatReply>(&aMessage)) {
+                         this->lastReply = *reply;
+                       }
+                     });
+    QObject::connect(
+      &this->heartbeatTimer, &QTimer::timeout, this->link.get(), [this] { this->Beat(); });
+    this->heartbeatTimer.start(50);
+  }
+
+  void Beat()
+  {
+    Heartbeat heartbeat;
+    heartbeat.instance = this->proxyInfo;
+    heartbeat.sequence = ++this->sequence;
+    heartbeat.sentUs = ToMicroseconds(MonotonicNow());
+    heartbeat.directoryVersion = this->directory.Version();
+    heartbeat.owned = this->reports;
+    this->link->Send(heartbeat);
+  }
+
+  ControlSettings settings;
+  FakeBackends* backends = nullptr;
+  std::unique_ptr<ControlDaemon> daemon;
+  QNetworkAccessManager network;
+  int sequence = 0;
+  InstanceInfo proxyInfo;
+  std::unique_ptr<LinkConnection> link;
+  QTimer heartbeatTimer;
+  Directory directory;
+  HeartbeatReply lastReply;
+  std::vector<OwnerReport> reports;
+};
+
+} // namespace
+
+// Guards the path that proxies depend on: announcements become rows, an owner is assigned, rows are
+// pushed without being asked for, and the owner gets a lease.
+TEST_CASE("A daemon with one member assigns an owner and grants its lease")
+{
+  DaemonFixture fixture;
+  fixture.ConnectProxy();
+  const bool leased = WaitUntil([&fixture] {
+    fixture.Announce("a", "primary", 3, "127.0.0.1:101");
+    fixture.Announce("b", "replica", 3, "127.0.0.1:102");
+    return !fixture.lastReply.leases.empty();
+  });
+  REQUIRE(leased);
+  CHECK(fixture.lastReply.leases[0].database == "orders");
+  CHECK(fixture.lastReply.leases[0].term == 3);
+  const DatabaseRow* row = fixture.directory.FindDatabase("orders");
+  REQUIRE(row != nullptr);
+  CHECK(row->owner == "proxy-1");
+  CHECK(row->primary == "a");
+  CHECK(row->connectionLimit == 25);
+  CHECK(row->slots.size() == 2);
+}
+
+// Guards operator requests over HTTP: acceptance, conflict with content, repeat, and push.
+TEST_CASE("A class change over HTTP reaches a connected proxy and is answered alike again")
+{
+  DaemonFixture fixture;
+  fixture.ConnectProxy();
+  const QByteArray create =
+    R"({"action":"create","name":"bookings","target_ms":50,"version":0,"request_id":"r1"})";
+  const HttpAnswer first = fixture.Request("/v1/classes", create);
+  CHECK(first.status == 200);
+  CHECK(fixture.Request("/v1/classes", create).body == first.body);
+  const HttpAnswer conflict = fixture.Request(
+    "/v1/classes",
+    R"({"action":"create","name":"reprints","target_ms":900,"version":0,"request_id":"r2"})");
+  CHECK(conflict.status == 409);
+  CHECK(conflict.body["version"] == first.body["version"]);
+  CHECK(conflict.body["classes"].toArray().size() == 1);
+  REQUIRE(WaitUntil([&fixture] { return fixture.directory.FindClass("bookings") != nullptr; }));
+  CHECK(WaitUntil([&fixture] {
+    return fixture.Request("/v1/status").body["in_force"].toObject()["everywhere"].toBool();
+  }));
+  CHECK(fixture.Request("/v1/config/history").body["history"].toArray().size() == 1);
+  CHECK(fixture.Request("/readyz").status == 200);
+}
+
+// Guards the whole path of an unplanned failover through the adapters.
+TEST_CASE("A silent primary is replaced by its in-sync replica")
+{
+  DaemonFixture fixture;
+  fixture.backends->slots["127.0.0.1:102"] = { false, 3, 10, 10 };
+  fixture.ConnectProxy();
+  REQUIRE(WaitUntil([&fixture] {
+    fixture.Announce("a", "primary", 3, "127.0.0.1:101");
+    fixture.Announce("b", "replica", 3, "127.0.0.1:102");
+    return !fixture.lastReply.leases.empty();
+  }));
+  OwnerReport report;
+  report.database = "orders";
+  report.epoch = fixture.lastReply.leases[0].epoch;
+  report.term = 3;
+  report.proposedInSync = { "a", "b" };
+  report.slots = { { "a", true, true, 3, 10, 10, 0 }, { "b", true, false, 3, 10, 10, 0 } };
+  fixture.reports = { report };
+  REQUIRE(WaitUntil([&fixture] {
+    fixture.Announce("a", "primary", 3, "127.0.0.1:101");
+    return fixture.directory.FindDatabase("orders")->inSync.size() == 2;
+  }));
+  fixture.reports[0].proposedInSync.clear();
+  fixture.reports[0].slots[0].reachable = false;
+  fixture.reports[0].slots[0].silentMs = 700;
+  REQUIRE(WaitUntil([&fixture] {
+    fixture.Announce("b", "replica", 3, "127.0.0.1:102");
+    const DatabaseRow* row = fixture.directory.FindDatabase("orders");
+    fixture.reports[0].released = row->phase == FailoverPhase::Fencing;
+    return row->primary == "b" && row->phase == FailoverPhase::Steady;
+  }));
+  const DatabaseRow* row = fixture.directory.FindDatabase("orders");
+  CHECK(row->term == 4);
+  CHECK(row->inSync == std::vector<std::string>{ "b" });
+  CHECK(WaitUntil([&fixture] {
+    return !fixture.lastReply.leases.empty() && fixture.lastReply.leases[0].term == 4;
+  }));
+}
--- /dev/null
+++ b/tests/control/FakeBackends.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "oleanderledge/control/internal/BackendAdmin.hpp"
+
+#include <QObject>
+
+#include <map>
+#include <string>
+
+namespace oleanderledge {
+
+/// Backend servers by address; answers from the event loop. Unknown addresses fail.
+class FakeBackends
+  : public QObject
+  , public BackendAdmin
+{
+public:
+  void Promote(const std::string& /*aDatabase*/,
+               const std::string& aAddress,
+               std::uint64_t aTerm,
+               Callback aCallback) override
+  {
+    const auto found = this->slots.find(aAddress);
+    if (found != this->slots.end()) {
+      found->second.isPrimary = true;
+      found->second.term = aTerm;
+    }
+    this->Answer(aAddress, std::move(aCallback));
+  }
+
+  void QueryStatus(const std::string& /*aDatabase*/,
+                   const std::string& aAddress,
+                   Callback aCallback) override
+  {
+    this->Answer(aAddress, std::move(aCallback));
+  }
+
+  std::map<std::string, SlotStatus> slots;
+
+private:
+  void Answer(const std::string& aAddress, Callback aCallback)
+  {
+    QMetaObject::invokeMethod(
+      this,
+      [this, aAddress, callback = std::move(aCallback)] {
+        const auto found = this->slots.find(aAddress);
+        if (found == this->slots.end()) {
+          callback(Fail(ResultCode::BackendConnectionLost, "no server at " + aAddress));
+          return;
+        }
+        callback(found->second);
+      },
+      Qt::QueuedConnection);
+  }
+};
+
+} // namespace oleanderledge
