--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -26,6 +26,11 @@
   // 1400: storage.
   // 1500: control.
   // 1600: owner.
+  OwnershipChanged = 1601,
+  OwnershipReleased = 1602,
+  OwnerLeaseExpired = 1603,
+  BackendConnectionLost = 1604,
+  BackendRefusedConnection = 1605,
   // 1700: entry.
   // 1800: daemons.
   DaemonStarted = 1801,
--- /dev/null
+++ b/src/oleanderledge/owner/internal/BackendSocket.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "oleanderledge/owner/internal/DelayLine.hpp"
+#include "oleanderledge/wire/wire.hpp"
+
+#include <QObject>
+#include <QTcpSocket>
+
+#include <cstdint>
+#include <string>
+
+namespace oleanderledge {
+
+/// Where and how to open a connection to a backend server.
+struct BackendEndpoint
+{
+  std::string address; ///< "ip:port".
+  std::string user;
+  std::string database;
+  Duration latency{ 0 }; ///< Emulated one-way delay.
+};
+
+/// One PostgreSQL connection to a backend server: start-up and framing. Any number of bytes may be
+/// sent once it is ready.
+class BackendSocket : public QObject
+{
+  Q_OBJECT
+
+public:
+  BackendSocket(BackendEndpoint aEndpoint, QObject* aParent);
+
+  void Send(std::string aBytes);
+  /// While paused no message is delivered and the server is slowed down by flow control.
+  void SetPaused(bool aPaused);
+  bool IsReady() const { return this->ready; }
+
+  /// Opens a second connection that cancels the statement in progress. `CancelFinished` follows
+  /// once the server has processed the request or cannot be reached.
+  void RequestCancel();
+
+Q_SIGNALS:
+  void Ready();
+  /// A whole message after start-up.
+  void Received(const std::string& aMessage);
+  /// Emitted once; the object does nothing afterwards.
+  void Closed(const std::string& aReason);
+  void CancelFinished();
+
+private:
+  void ReadAvailable();
+  void DeliverMessages();
+  void HandleStartupMessage(const MessageView& aMessage);
+  void Finish(const std::string& aReason);
+
+  BackendEndpoint endpoint;
+  QTcpSocket socket;
+  DelayLine outgoing;
+  DelayLine incoming;
+  MessageReader reader;
+  std::uint32_t processId = 0;
+  std::uint32_t secret = 0;
+  bool ready = false;
+  bool closed = false;
+  bool paused = false;
+  bool delivering = false;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/internal/ConnectionPool.cpp
@@ -0,0 +1,193 @@
+#include "oleanderledge/owner/internal/ConnectionPool.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Openings in progress per database. Each takes about 12 ms; more at once would load a server that
+/// has just been promoted.
+constexpr std::size_t kMaxOpenings = 4;
+
+/// Idle connections kept per slot, so that the first units after a pause need not wait.
+constexpr std::size_t kWarmConnections = 2;
+
+constexpr Duration kFirstBackOff{ 50'000 };
+constexpr int kMaxBackOffDoublings = 4;
+
+/// An idle connection beyond the warm ones is closed after this time.
+constexpr Duration kIdleLimit{ 60'000'000 };
+
+} // namespace
+
+PooledConnection& ConnectionPool::Open(const std::string& aSlot, Instant aNow)
+{
+  const ConnectionId id = ++this->lastId;
+  PooledConnection& connection = this->connections[id];
+  connection.id = id;
+  connection.slot = aSlot;
+  connection.lastUsed = aNow;
+  return connection;
+}
+
+void ConnectionPool::Erase(ConnectionId aId)
+{
+  this->connections.erase(aId);
+}
+
+PooledConnection* ConnectionPool::Find(ConnectionId aId)
+{
+  const auto found = this->connections.find(aId);
+  return found != this->connections.end() ? &found->second : nullptr;
+}
+
+PooledConnection* ConnectionPool::FindIdle(std::string_view aSlot, const StatementRequest& aRequest)
+{
+  PooledConnection* best = nullptr;
+  std::size_t bestDifference = 0;
+  for (auto& [id, connection] : this->connections) {
+    if (connection.phase != ConnectionPhase::Idle || connection.slot != aSlot) {
+      continue;
+    }
+    const std::size_t difference =
+      connection.session.SettingsDifference(aRequest.settings, aRequest.readOnly);
+    // The most recently used one, so that surplus connections become idle for long.
+    if (best == nullptr || difference < bestDifference ||
+        (difference == bestDifference && connection.lastUsed > best->lastUsed)) {
+      best = &connection;
+      bestDifference = difference;
+    }
+  }
+  return best;
+}
+
+bool ConnectionPool::HasIdle(std::string_view aSlot) const
+{
+  return this->CountIn(aSlot, ConnectionPhase::Idle) > 0;
+}
+
+std::size_t ConnectionPool::CountOn(std::string_view aSlot) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->connections.begin(), this->connections.end(), [&](const auto& aEntry) {
+      return aEntry.second.slot == aSlot;
+    }));
+}
+
+std::size_t ConnectionPool::CountIn(std::string_view aSlot, ConnectionPhase aPhase) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->connections.begin(), this->connections.end(), [&](const auto& aEntry) {
+      return aEntry.second.slot == aSlot && aEntry.second.phase == aPhase;
+    }));
+}
+
+std::size_t ConnectionPool::BusyOn(std::string_view aSlot) const
+{
+  return this->CountIn(aSlot, ConnectionPhase::Running) +
+         this->CountIn(aSlot, ConnectionPhase::InTransaction);
+}
+
+std::vector<ConnectionId> ConnectionPool::Select(
+  const std::function<bool(const PooledConnection&)>& aMatches) const
+{
+  std::vector<ConnectionId> selected;
+  for (const auto& [id, connection] : this->connections) {
+    if (aMatches(connection)) {
+      selected.push_back(id);
+    }
+  }
+  return selected;
+}
+
+void ConnectionPool::NoteOpenFailed(const std::string& aSlot, Instant aNow)
+{
+  OpenBackOff& backOff = this->backOffs[aSlot];
+  backOff.next = aNow + kFirstBackOff * (1 << backOff.failures);
+  backOff.failures = std::min(backOff.failures + 1, kMaxBackOffDoublings);
+}
+
+void ConnectionPool::NoteOpened(const std::string& aSlot)
+{
+  this->backOffs.erase(aSlot);
+}
+
+bool ConnectionPool::MayOpen(const std::string& aSlot, Instant aNow) const
+{
+  const auto found = this->backOffs.find(aSlot);
+  return found == this->backOffs.end() || aNow >= found->second.next;
+}
+
+std::optional<ConnectionId> ConnectionPool::FindSurplus(
+  const std::map<std::string, std::size_t>& aWanted,
+  const std::set<ConnectionId>& aTaken) const
+{
+  const PooledConnection* oldest = nullptr;
+  for (const auto& [id, connection] : this->connections) {
+    if (connection.phase != ConnectionPhase::Idle || aWanted.contains(connection.slot) ||
+        aTaken.contains(id)) {
+      continue;
+    }
+    if (oldest == nullptr || connection.lastUsed < oldest->lastUsed) {
+      oldest = &connection;
+    }
+  }
+  return oldest != nullptr ? std::optional(oldest->id) : std::nullopt;
+}
+
+ConnectionPool::Plan ConnectionPool::MakePlan(const std::map<std::string, std::size_t>& aWanted,
+                                              const std::set<std::string>& aUsable,
+                                              Instant aNow) const
+{
+  Plan plan;
+  std::size_t openings = this
+                           ->Select([](const PooledConnection& aConnection) {
+                             return aConnection.phase == ConnectionPhase::Opening;
+                           })
+                           .size();
+  std::size_t total = this->connections.size();
+  std::set<ConnectionId> closing;
+  const auto openFor = [&](const std::string& aSlot, std::size_t aCount, bool aMayReplace) {
+    for (std::size_t opened = 0; opened < aCount && openings < kMaxOpenings; ++opened) {
+      if (!this->MayOpen(aSlot, aNow)) {
+        return;
+      }
+      if (total >= this->limit) {
+        const auto surplus = aMayReplace ? this->FindSurplus(aWanted, closing) : std::nullopt;
+        if (!surplus) {
+          return;
+        }
+        closing.insert(*surplus);
+        plan.close.push_back(*surplus);
+        --total;
+      }
+      plan.open.push_back(aSlot);
+      ++openings;
+      ++total;
+    }
+  };
+  for (const auto& [slot, count] : aWanted) {
+    const std::size_t pending = this->CountIn(slot, ConnectionPhase::Opening);
+    if (aUsable.contains(slot) && count > pending) {
+      openFor(slot, count - pending, true);
+    }
+  }
+  for (const std::string& slot : aUsable) {
+    const std::size_t present = this->CountOn(slot);
+    if (!aWanted.contains(slot) && present < kWarmConnections) {
+      // A slot without any connection may displace a surplus one elsewhere.
+      openFor(slot, present == 0 ? 1 : kWarmConnections - present, present == 0);
+    }
+  }
+  for (const auto& [id, connection] : this->connections) {
+    if (connection.phase == ConnectionPhase::Idle && aNow - connection.lastUsed > kIdleLimit &&
+        this->CountOn(connection.slot) > kWarmConnections && !closing.contains(id)) {
+      plan.close.push_back(id);
+      break;
+    }
+  }
+  return plan;
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/internal/DatabaseOwner.cpp
@@ -0,0 +1,1118 @@
+#include "oleanderledge/owner/internal/DatabaseOwner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace oleanderledge {
+
+namespace {
+
+/// A unit whose connections are lost repeatedly before it was sent is given up.
+constexpr int kMaxLossesBeforeSend = 3;
+
+/// A read prefers a busy eligible replica over an idle primary for this part of its target.
+constexpr int kReplicaPreferenceDivisor = 4;
+
+/// Longest wait of a finished write for the in-sync set. Removal of a stalled member takes about
+/// one second; a longer wait means that control cannot commit it.
+constexpr Duration kHoldLimit{ 10'000'000 };
+
+/// A transaction that waits longer for its caller is rolled back, because connections are scarce.
+constexpr Duration kIdleTransactionLimit{ 60'000'000 };
+
+/// The same while the primary is drained or the process stops (planned changes are bounded).
+constexpr Duration kDrainTransactionLimit{ 3'000'000 };
+
+/// Time that running work has after control ordered the release.
+constexpr Duration kReleaseGrace{ 500'000 };
+
+/// Pieces of replies stay far below the frame limit.
+constexpr std::size_t kReplyPieceBytes = std::size_t{ 1024 } * 1024;
+
+/// A departing primary still gets work until control has planned the change, but never longer than
+/// the 3 s that invariant I7 allows.
+constexpr Duration kDepartingPrimaryLimit{ 2'500'000 };
+
+constexpr Duration kNoPrimaryRetryAfter{ 500'000 };
+
+} // namespace
+
+DatabaseOwner::DatabaseOwner(std::string aZone,
+                             std::unique_ptr<Scheduler> aScheduler,
+                             ServiceCounters& aCounters)
+  : zone(std::move(aZone))
+  , scheduler(std::move(aScheduler))
+  , counters(aCounters)
+  , router(this->slots, this->sessions)
+{
+}
+
+void DatabaseOwner::Log(LogEvent aEvent, std::string_view aDetail)
+{
+  std::string detail = "database=" + this->row.name;
+  if (!aDetail.empty()) {
+    detail += ' ';
+    detail += aDetail;
+  }
+  this->Do(WriteOwnerLog{ aEvent, std::move(detail) });
+}
+
+// --- Control
+// ---------------------------------------------------------------------------------------
+
+void DatabaseOwner::ApplyClasses(std::span<const ClassTarget> aClasses)
+{
+  this->targets.clear();
+  this->defaultClass.clear();
+  for (const ClassTarget& row : aClasses) {
+    this->targets[row.name] = row.target;
+    const auto longest = this->targets.find(this->defaultClass);
+    if (longest == this->targets.end() || longest->second <= row.target) {
+      this->defaultClass = row.name;
+    }
+  }
+  this->scheduler->Configure(aClasses);
+}
+
+const std::string& DatabaseOwner::ClassOf(const std::string& aStated) const
+{
+  return this->targets.contains(aStated) ? aStated : this->defaultClass;
+}
+
+void DatabaseOwner::ApplyRow(const DatabaseRow& aRow, Instant aNow)
+{
+  const DatabaseRow previous = std::exchange(this->row, aRow);
+  const bool epochChanged = previous.ownerEpoch != aRow.ownerEpoch;
+  const bool termChanged = previous.term != aRow.term;
+  if (epochChanged && previous.ownerEpoch + 1 != aRow.ownerEpoch) {
+    // Another owner may have acknowledged writes in between.
+    this->sessions.Clear();
+    this->slots.ForgetAcknowledged();
+  }
+  if (epochChanged) {
+    this->releaseOrdered = false;
+    this->released = false;
+  }
+  if (epochChanged || termChanged) {
+    this->FailHeld(ResultCode::OutcomeUnknown, aNow);
+    this->Log(LogEvent::OwnershipChanged,
+              "epoch=" + std::to_string(aRow.ownerEpoch) + " term=" + std::to_string(aRow.term) +
+                " primary=" + aRow.primary);
+  }
+  if (termChanged) {
+    this->termSince = aNow;
+    this->requestsTableKnown = false;
+  }
+  if (previous.phase != FailoverPhase::Draining && aRow.phase == FailoverPhase::Draining) {
+    this->drainingSince = aNow;
+    this->quiescentSince = aNow;
+  }
+  this->slots.ApplyRow(aRow, aNow);
+  this->gate.ApplyRow(aRow);
+  // One connection per slot is used for monitoring.
+  const auto monitors = static_cast<std::uint32_t>(aRow.slots.size());
+  const std::uint32_t limit =
+    aRow.connectionLimit > monitors + 1 ? aRow.connectionLimit - monitors : 1;
+  this->pool.SetLimit(limit);
+  this->scheduler->SetCapacity(limit);
+  this->EndOldPrimary(previous, aNow);
+  this->ReviewRelease(aNow);
+  this->Pump(aNow);
+}
+
+void DatabaseOwner::EndOldPrimary(const DatabaseRow& aPrevious, Instant aNow)
+{
+  if (!aPrevious.primary.empty() && aPrevious.primary != this->row.primary) {
+    this->CloseWhere(
+      [&](const PooledConnection& aConnection) { return aConnection.slot == aPrevious.primary; },
+      "the primary was replaced",
+      aNow);
+  }
+  for (const SlotRow& slot : aPrevious.slots) {
+    const SlotState* state = this->slots.Find(slot.name);
+    if (state == nullptr || state->row.address != slot.address) {
+      this->CloseWhere(
+        [&](const PooledConnection& aConnection) { return aConnection.slot == slot.name; },
+        "the slot has moved",
+        aNow);
+    }
+  }
+}
+
+void DatabaseOwner::ApplyLease(const LeaseGrant& aGrant, Instant aHeartbeatSent, Instant aNow)
+{
+  if (aGrant.epoch < this->row.ownerEpoch || this->released) {
+    return;
+  }
+  if (aGrant.lengthUs > 0) {
+    if (!this->releaseOrdered) {
+      this->lease.Extend(aGrant, aHeartbeatSent, aNow);
+    }
+  } else if (aGrant.epoch == this->row.ownerEpoch && !this->releaseOrdered) {
+    this->releaseOrdered = true;
+    this->releaseOrderedAt = aNow;
+    this->ReviewRelease(aNow);
+  }
+  this->Pump(aNow);
+}
+
+void DatabaseOwner::BeginRelease(Instant aNow)
+{
+  this->stopping = true;
+  this->drainingSince = aNow;
+  this->quiescentSince = aNow;
+}
+
+bool DatabaseOwner::HasPrimaryWork() const
+{
+  return !this->held.IsEmpty() || this->pool.BusyOn(this->row.primary) > 0;
+}
+
+bool DatabaseOwner::HasOpenWork() const
+{
+  const auto busy = this->pool.Select([](const PooledConnection& aConnection) {
+    return aConnection.phase == ConnectionPhase::Running ||
+           aConnection.phase == ConnectionPhase::InTransaction;
+  });
+  return !this->held.IsEmpty() || !busy.empty();
+}
+
+void DatabaseOwner::ReviewRelease(Instant aNow)
+{
+  if (!this->releaseOrdered || this->released) {
+    return;
+  }
+  // A failover must not wait for work on a primary that is gone.
+  const bool immediate = !HasPrimary(this->row) || !this->slots.IsAlive(this->row.primary, aNow) ||
+                         !this->lease.CoversEpoch(this->row.ownerEpoch, aNow) ||
+                         aNow - this->releaseOrderedAt >= kReleaseGrace;
+  if (immediate || !this->HasOpenWork()) {
+    this->FinishRelease(aNow);
+  }
+}
+
+void DatabaseOwner::FinishRelease(Instant aNow)
+{
+  this->lease.Drop();
+  this->released = true;
+  this->FailHeld(ResultCode::LeaseExpired, aNow);
+  this->FailQueued(ResultCode::NotOwner, aNow);
+  this->CloseWhere([](const PooledConnection&) { return true; }, "ownership was released", aNow);
+  this->Log(LogEvent::OwnershipReleased, "epoch=" + std::to_string(this->row.ownerEpoch));
+}
+
+void DatabaseOwner::Abandon(Instant aNow)
+{
+  if (!this->released) {
+    this->FinishRelease(aNow);
+  }
+}
+
+// --- Admission
+// -------------------------------------------------------------------------------------
+
+std::string DatabaseOwner::SessionOf(const Unit& aUnit) const
+{
+  if (!aUnit.request.session.empty()) {
+    return aUnit.request.session;
+  }
+  // The prefix keeps channel names apart from session names that callers choose.
+  return std::string(1, '\0') + std::to_string(aUnit.link) + ":" +
+         std::to_string(aUnit.request.channel);
+}
+
+void DatabaseOwner::Submit(LinkId aLink, StatementRequest&& aRequest, Instant aNow)
+{
+  Unit unit;
+  unit.id = ++this->lastUnit;
+  unit.link = aLink;
+  unit.arrival = aNow - Duration{ std::max<std::int64_t>(aRequest.waitedUs, 0) };
+  unit.request = std::move(aRequest);
+  const ChannelKey channel = unit.Channel();
+  if (this->channelUnits.contains(channel) || this->held.Holds(channel)) {
+    this->ReplyFailure(unit,
+                       ResultCode::ProtocolViolation,
+                       RunState::NotRun,
+                       "the channel has a unit in progress",
+                       'I',
+                       Duration{ 0 },
+                       aNow);
+    return;
+  }
+  const auto open = this->transactions.find(channel);
+  if (unit.request.inTransaction) {
+    if (open == this->transactions.end()) {
+      this->ReplyFailure(unit,
+                         ResultCode::BackendConnectionLost,
+                         RunState::NotRun,
+                         "the transaction was lost and rolled back",
+                         'E',
+                         Duration{ 0 },
+                         aNow);
+      return;
+    }
+    this->ContinueTransaction(std::move(unit), *this->pool.Find(open->second), aNow);
+    return;
+  }
+  if (open != this->transactions.end()) {
+    // The entry regards the transaction as ended, for example after an answer that it dropped.
+    this->Recycle(*this->pool.Find(open->second), aNow);
+  }
+  if (this->released) {
+    this->ReplyFailure(unit, ResultCode::NotOwner, RunState::NotRun, "", 'I', Duration{ 0 }, aNow);
+    return;
+  }
+  this->Enqueue(std::move(unit), aNow);
+  this->Pump(aNow);
+}
+
+void DatabaseOwner::Enqueue(Unit&& aUnit, Instant aNow)
+{
+  const ScheduledUnit scheduled{ aUnit.id,
+                                 aUnit.request.workClass,
+                                 aUnit.request.caller,
+                                 aUnit.request.readOnly ? WorkLane::AnySlot : WorkLane::Primary,
+                                 aUnit.arrival,
+                                 aUnit.request.payload.size() };
+  if (const auto refusal = this->scheduler->Admit(scheduled, aNow)) {
+    this->counters.NoteRefused(this->ClassOf(aUnit.request.workClass));
+    this->ReplyFailure(aUnit, refusal->code, RunState::NotRun, "", 'I', refusal->retryAfter, aNow);
+    return;
+  }
+  aUnit.connection = 0;
+  const std::uint64_t id = aUnit.id;
+  this->channelUnits[aUnit.Channel()] = id;
+  this->units.insert_or_assign(id, std::move(aUnit));
+}
+
+void DatabaseOwner::RefuseQueued(std::uint64_t aId, const Refusal& aRefusal, Instant aNow)
+{
+  const auto found = this->units.find(aId);
+  if (found == this->units.end()) {
+    return;
+  }
+  const Unit unit = std::move(found->second);
+  this->units.erase(found);
+  this->channelUnits.erase(unit.Channel());
+  this->counters.NoteRefused(this->ClassOf(unit.request.workClass));
+  this->ReplyFailure(unit, aRefusal.code, RunState::NotRun, "", 'I', aRefusal.retryAfter, aNow);
+}
+
+void DatabaseOwner::FailQueued(ResultCode aCode, Instant aNow)
+{
+  std::vector<std::uint64_t> queued;
+  for (const auto& [id, unit] : this->units) {
+    if (unit.connection == 0) {
+      queued.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : queued) {
+    this->scheduler->Remove(id);
+    this->RefuseQueued(id, { id, aCode, Duration{ 0 } }, aNow);
+  }
+}
+
+void DatabaseOwner::ExpireQueued(Instant aNow)
+{
+  for (Refusal refusal : this->scheduler->TakeExpired(aNow)) {
+    const auto found = this->units.find(refusal.id);
+    if (found == this->units.end()) {
+      continue;
+    }
+    // The cause matters to people: a missing primary is not an overload.
+    if (!this->lease.CoversEpoch(this->row.ownerEpoch, aNow)) {
+      refusal.code = ResultCode::NoOwner;
+    } else if (!this->PrimaryIsUsable(aNow)) {
+      refusal.code = found->second.request.acceptedAgeMs >= 0 ? ResultCode::NoEligibleReplica
+                                                              : ResultCode::NoPrimary;
+      refusal.retryAfter = kNoPrimaryRetryAfter;
+    }
+    this->RefuseQueued(refusal.id, refusal, aNow);
+  }
+}
+
+// --- Dispatch
+// --------------------------------------------------------------------------------------
+
+bool DatabaseOwner::MayDispatch(Instant aNow) const
+{
+  return !this->stopping && !this->releaseOrdered &&
+         this->lease.CoversEpoch(this->row.ownerEpoch, aNow);
+}
+
+bool DatabaseOwner::CoversWrites(Instant aNow) const
+{
+  return !this->released && this->lease.Covers(this->row.ownerEpoch, this->row.term, aNow);
+}
+
+bool DatabaseOwner::PrimaryIsUsable(Instant aNow) const
+{
+  const SlotState* state = this->slots.Find(this->row.primary);
+  return state != nullptr && this->row.phase == FailoverPhase::Steady && state->isPrimary &&
+         state->received.term == this->row.term && this->SlotIsUsable(*state, aNow) &&
+         this->lease.Covers(this->row.ownerEpoch, this->row.term, aNow);
+}
+
+bool DatabaseOwner::SlotIsUsable(const SlotState& aState, Instant aNow) const
+{
+  const bool announced = !aState.row.silent || aState.row.name == this->row.primary;
+  return announced && !this->HasDeparted(aState, aNow) &&
+         this->slots.IsAlive(aState.row.name, aNow);
+}
+
+bool DatabaseOwner::HasDeparted(const SlotState& aState, Instant aNow) const
+{
+  if (!aState.row.departing) {
+    return false;
+  }
+  return aState.row.name != this->row.primary ||
+         aNow - aState.departingSince > kDepartingPrimaryLimit;
+}
+
+std::string DatabaseOwner::ChooseReadSlot(const Unit& aUnit, Instant aNow)
+{
+  const auto eligible = this->router.EligibleReplicas(
+    this->row, this->SessionOf(aUnit), aUnit.request.acceptedAgeMs, this->zone, aNow);
+  for (const std::string& slot : eligible) {
+    if (this->pool.HasIdle(slot)) {
+      return slot;
+    }
+  }
+  const auto target = this->targets.find(this->ClassOf(aUnit.request.workClass));
+  const Duration patience =
+    (target != this->targets.end() ? target->second : kDefaultTarget) / kReplicaPreferenceDivisor;
+  if (this->PrimaryIsUsable(aNow) && (eligible.empty() || aNow - aUnit.arrival > patience)) {
+    if (this->pool.HasIdle(this->row.primary)) {
+      return this->row.primary;
+    }
+    ++this->wanted[this->row.primary];
+  }
+  if (!eligible.empty()) {
+    ++this->wanted[eligible.front()];
+  }
+  return {};
+}
+
+std::string DatabaseOwner::ChooseSlot(const Unit& aUnit, Instant aNow)
+{
+  if (aUnit.request.readOnly) {
+    return this->ChooseReadSlot(aUnit, aNow);
+  }
+  if (!this->PrimaryIsUsable(aNow)) {
+    return {};
+  }
+  if (this->pool.HasIdle(this->row.primary)) {
+    return this->row.primary;
+  }
+  ++this->wanted[this->row.primary];
+  return {};
+}
+
+void DatabaseOwner::Pump(Instant aNow)
+{
+  this->ExpireQueued(aNow);
+  this->wanted.clear();
+  if (this->MayDispatch(aNow)) {
+    this->DispatchQueued(aNow);
+    this->ManageConnections(aNow);
+  }
+}
+
+void DatabaseOwner::DispatchQueued(Instant aNow)
+{
+  while (this->scheduler->QueuedCount() > 0) {
+    std::map<std::uint64_t, std::string> choices;
+    this->wanted.clear();
+    const auto next = this->scheduler->TakeNext(aNow, [&](std::uint64_t aId) {
+      std::string slot = this->ChooseSlot(this->units.at(aId), aNow);
+      const bool runnable = !slot.empty();
+      if (runnable) {
+        choices.insert_or_assign(aId, std::move(slot));
+      }
+      return runnable;
+    });
+    if (!next) {
+      return;
+    }
+    Unit& unit = this->units.at(*next);
+    PooledConnection* connection = this->pool.FindIdle(choices.at(*next), unit.request);
+    connection->heldSince = aNow;
+    connection->workClass = unit.request.workClass;
+    connection->caller = unit.request.caller;
+    unit.fromReplica = connection->slot != this->row.primary;
+    this->StartUnit(unit, *connection, aNow);
+  }
+}
+
+void DatabaseOwner::StartUnit(Unit& aUnit, PooledConnection& aConnection, Instant aNow)
+{
+  aUnit.connection = aConnection.id;
+  aUnit.epoch = this->row.ownerEpoch;
+  aUnit.term = this->row.term;
+  aConnection.unit = aUnit.id;
+  aConnection.channel = aUnit.Channel();
+  aConnection.phase = ConnectionPhase::Running;
+  aConnection.lastUsed = aNow;
+  aConnection.execution = std::make_unique<UnitExecution>(aUnit.request, this->requestsTableKnown);
+  this->Do(SendToBackend{ aConnection.id, aConnection.execution->Start(aConnection.session) });
+}
+
+void DatabaseOwner::ContinueTransaction(Unit&& aUnit, PooledConnection& aConnection, Instant aNow)
+{
+  // A failover or release has ended the right to run anything on this connection.
+  if (this->released || !this->lease.CoversEpoch(this->row.ownerEpoch, aNow)) {
+    this->ReplyFailure(aUnit,
+                       ResultCode::BackendConnectionLost,
+                       RunState::NotRun,
+                       "the ownership lease expired; the transaction was rolled back",
+                       'E',
+                       Duration{ 0 },
+                       aNow);
+    this->CloseAndForget(aConnection.id, "the ownership lease expired", aNow);
+    return;
+  }
+  aUnit.fromReplica = aConnection.slot != this->row.primary;
+  const std::uint64_t id = aUnit.id;
+  this->channelUnits[aUnit.Channel()] = id;
+  Unit& stored = this->units.insert_or_assign(id, std::move(aUnit)).first->second;
+  this->StartUnit(stored, aConnection, aNow);
+}
+
+void DatabaseOwner::ManageConnections(Instant aNow)
+{
+  std::set<std::string> usable;
+  for (const auto& [name, state] : this->slots.Slots()) {
+    if (this->SlotIsUsable(state, aNow)) {
+      usable.insert(name);
+    }
+  }
+  const ConnectionPool::Plan plan = this->pool.MakePlan(this->wanted, usable, aNow);
+  for (const ConnectionId id : plan.close) {
+    this->CloseAndForget(id, "surplus", aNow);
+  }
+  for (const std::string& slot : plan.open) {
+    this->Do(OpenConnection{ this->pool.Open(slot, aNow).id, slot });
+  }
+}
+
+// --- Backend connections
+// ---------------------------------------------------------------------------
+
+void DatabaseOwner::ConnectionOpened(ConnectionId aConnection, Instant aNow)
+{
+  PooledConnection* connection = this->pool.Find(aConnection);
+  if (connection == nullptr || connection->phase != ConnectionPhase::Opening) {
+    return;
+  }
+  this->pool.NoteOpened(connection->slot);
+  this->Recycle(*connection, aNow);
+  this->Pump(aNow);
+}
+
+void DatabaseOwner::ConnectionLost(ConnectionId aConnection, std::string_view aReason, Instant aNow)
+{
+  PooledConnection* connection = this->pool.Find(aConnection);
+  if (connection == nullptr) {
+    return;
+  }
+  if (connection->phase == ConnectionPhase::Opening) {
+    this->pool.NoteOpenFailed(connection->slot, aNow);
+  }
+  this->Log(LogEvent::BackendConnectionLost,
+            "slot=" + connection->slot + " reason=" + std::string(aReason));
+  this->CloseAndForget(aConnection, aReason, aNow);
+  this->Pump(aNow);
+}
+
+void DatabaseOwner::CloseAndForget(ConnectionId aConnection, std::string_view aReason, Instant aNow)
+{
+  PooledConnection* connection = this->pool.Find(aConnection);
+  if (connection == nullptr) {
+    return;
+  }
+  this->Do(CloseConnection{ aConnection });
+  this->NoteServiceEnd(*connection, aNow);
+  if (connection->phase == ConnectionPhase::InTransaction) {
+    this->transactions.erase(connection->channel);
+  }
+  if (connection->execution != nullptr) {
+    this->LoseRunningUnit(*connection, aReason, aNow);
+  }
+  this->pool.Erase(aConnection);
+}
+
+void DatabaseOwner::CloseWhere(const std::function<bool(const PooledConnection&)>& aMatches,
+                               std::string_view aReason,
+                               Instant aNow)
+{
+  for (const ConnectionId id : this->pool.Select(aMatches)) {
+    this->CloseAndForget(id, aReason, aNow);
+  }
+}
+
+void DatabaseOwner::LoseRunningUnit(PooledConnection& aConnection,
+                                    std::string_view aReason,
+                                    Instant aNow)
+{
+  const auto found = this->units.find(aConnection.unit);
+  if (found == this->units.end()) {
+    return;
+  }
+  Unit unit = std::move(found->second);
+  this->units.erase(found);
+  this->channelUnits.erase(unit.Channel());
+  this->transactions.erase(unit.Channel());
+  if (unit.callerGone) {
+    return;
+  }
+  const bool wasSent = aConnection.execution->IsStatementSent();
+  if (!wasSent && !unit.request.inTransaction && !this->released && !unit.cancelWanted &&
+      ++unit.losses < kMaxLossesBeforeSend) {
+    this->Enqueue(std::move(unit), aNow);
+    return;
+  }
+  this->ReplyFailure(unit,
+                     ResultCode::BackendConnectionLost,
+                     wasSent ? RunState::Unknown : RunState::NotRun,
+                     aReason,
+                     unit.request.inTransaction ? 'E' : 'I',
+                     Duration{ 0 },
+                     aNow);
+}
+
+void DatabaseOwner::NoteServiceEnd(PooledConnection& aConnection, Instant aNow)
+{
+  if (aConnection.heldSince == Instant{}) {
+    return;
+  }
+  this->scheduler->NoteServed(
+    aConnection.workClass, aConnection.caller, aNow - aConnection.heldSince);
+  aConnection.heldSince = Instant{};
+}
+
+void DatabaseOwner::Recycle(PooledConnection& aConnection, Instant aNow)
+{
+  this->NoteServiceEnd(aConnection, aNow);
+  if (aConnection.phase == ConnectionPhase::InTransaction) {
+    this->transactions.erase(aConnection.channel);
+  }
+  aConnection.execution.reset();
+  aConnection.unit = 0;
+  aConnection.channel = {};
+  aConnection.lastUsed = aNow;
+  const SlotState* state = this->slots.Find(aConnection.slot);
+  if (aConnection.closeWhenFree || state == nullptr || this->HasDeparted(*state, aNow)) {
+    this->CloseAndForget(aConnection.id, "the slot departs", aNow);
+    return;
+  }
+  if (aConnection.transactionStatus != 'I') {
+    aConnection.phase = ConnectionPhase::Resetting;
+    this->Do(SendToBackend{ aConnection.id, BuildQuery("ROLLBACK") });
+    return;
+  }
+  if (aConnection.cancellations > 0) {
+    // The cancellation may arrive after the unit has ended and must not hit the next one.
+    aConnection.phase = ConnectionPhase::Quarantined;
+    aConnection.session.RequireReset();
+    return;
+  }
+  if (aConnection.session.NeedsReset()) {
+    aConnection.phase = ConnectionPhase::Resetting;
+    this->Do(SendToBackend{ aConnection.id, BuildQuery("DISCARD ALL") });
+    return;
+  }
+  aConnection.phase = ConnectionPhase::Idle;
+}
+
+void DatabaseOwner::HandleResetMessage(PooledConnection& aConnection,
+                                       const MessageView& aMessage,
+                                       Instant aNow)
+{
+  if (aMessage.type == 'E') {
+    this->CloseAndForget(aConnection.id, "the session could not be reset", aNow);
+    this->Pump(aNow);
+    return;
+  }
+  if (aMessage.type != 'Z') {
+    return;
+  }
+  const bool wasRollback = aConnection.transactionStatus != 'I';
+  aConnection.transactionStatus = aMessage.body.empty() ? 'I' : aMessage.body.front();
+  if (wasRollback && aConnection.transactionStatus != 'I') {
+    this->CloseAndForget(aConnection.id, "the transaction could not be rolled back", aNow);
+    return;
+  }
+  if (!wasRollback) {
+    aConnection.session.NoteReset();
+  }
+  this->Recycle(aConnection, aNow);
+  this->Pump(aNow);
+}
+
+void DatabaseOwner::BackendMessage(ConnectionId aConnection,
+                                   const MessageView& aMessage,
+                                   Instant aNow)
+{
+  PooledConnection* connection = this->pool.Find(aConnection);
+  if (connection == nullptr) {
+    return;
+  }
+  if (connection->phase == ConnectionPhase::Resetting) {
+    this->HandleResetMessage(*connection, aMessage, aNow);
+    return;
+  }
+  if (connection->execution == nullptr) {
+    // Notices and parameter changes may arrive at any time; an answer without a question may not.
+    if (aMessage.type == 'Z' || aMessage.type == 'D' || aMessage.type == 'C') {
+      this->CloseAndForget(aConnection, "unexpected message", aNow);
+    }
+    return;
+  }
+  std::string bytes = connection->execution->HandleMessage(aMessage, connection->session);
+  if (!bytes.empty()) {
+    this->Do(SendToBackend{ aConnection, std::move(bytes) });
+  }
+  this->AfterExecutionStep(*connection, aNow);
+}
+
+void DatabaseOwner::SendCancel(PooledConnection& aConnection)
+{
+  ++aConnection.cancellations;
+  this->Do(CancelOnBackend{ aConnection.id });
+}
+
+void DatabaseOwner::AfterExecutionStep(PooledConnection& aConnection, Instant aNow)
+{
+  Unit& unit = this->units.at(aConnection.unit);
+  if (aConnection.execution->RequestsTableCreated()) {
+    this->requestsTableKnown = true;
+  }
+  if (aConnection.execution->TakeCancelWanted() ||
+      (unit.cancelWanted && aConnection.execution->IsPayloadRunning())) {
+    unit.cancelWanted = false;
+    this->SendCancel(aConnection);
+  }
+  std::string piece = aConnection.execution->TakeStreamable();
+  if (!piece.empty() && !unit.callerGone) {
+    StatementReply reply = this->MakeReply(unit);
+    reply.payload = std::move(piece);
+    this->Reply(unit.link, std::move(reply), aNow);
+  }
+  if (aConnection.execution->IsFinished()) {
+    this->FinishUnit(aConnection, aNow);
+  }
+}
+
+void DatabaseOwner::FinishUnit(PooledConnection& aConnection, Instant aNow)
+{
+  const auto found = this->units.find(aConnection.unit);
+  const Unit unit = std::move(found->second);
+  this->units.erase(found);
+  this->channelUnits.erase(unit.Channel());
+  UnitResult result = aConnection.execution->TakeResult();
+  aConnection.execution.reset();
+  aConnection.unit = 0;
+  aConnection.transactionStatus = result.transactionStatus;
+  if (result.transactionStatus == 'I' || unit.callerGone) {
+    this->transactions.erase(unit.Channel());
+    this->SettleResult(unit, std::move(result), aNow);
+    this->Recycle(aConnection, aNow);
+  } else {
+    aConnection.phase = ConnectionPhase::InTransaction;
+    aConnection.lastUsed = aNow;
+    this->transactions[unit.Channel()] = aConnection.id;
+    this->SettleResult(unit, std::move(result), aNow);
+  }
+  this->ReviewRelease(aNow);
+  this->Pump(aNow);
+}
+
+void DatabaseOwner::SettleResult(const Unit& aUnit, UnitResult&& aResult, Instant aNow)
+{
+  StatementReply reply = this->MakeReply(aUnit);
+  reply.finalPiece = true;
+  reply.transactionStatus = aResult.transactionStatus;
+  reply.code = aResult.code;
+  reply.runState = aResult.runState;
+  reply.message = std::move(aResult.message);
+  reply.payload = std::move(aResult.answer);
+  if (!aResult.isWrite) {
+    if (aUnit.callerGone) {
+      return;
+    }
+    if (reply.code == ResultCode::Ok) {
+      this->CountServed(aUnit.request.workClass, aUnit.arrival, aNow);
+    }
+    this->Reply(aUnit.link, std::move(reply), aNow);
+    return;
+  }
+  const bool sameOwnership =
+    aUnit.epoch == this->row.ownerEpoch && aUnit.term == this->row.term && !this->released;
+  const bool confirmed = aResult.positionKnown && aResult.positionIsPrimary &&
+                         aResult.position.term == this->row.term && sameOwnership;
+  if (confirmed) {
+    this->sessions.NoteWrite(this->SessionOf(aUnit), aResult.position);
+  }
+  if (aUnit.callerGone) {
+    return;
+  }
+  if (!confirmed) {
+    this->ReplyFailure(aUnit,
+                       ResultCode::OutcomeUnknown,
+                       RunState::Unknown,
+                       "the server no longer is the primary of this term",
+                       aResult.transactionStatus,
+                       Duration{ 0 },
+                       aNow);
+    return;
+  }
+  this->held.Add({ aUnit.link,
+                   std::move(reply),
+                   aResult.position,
+                   aNow,
+                   aUnit.arrival,
+                   aUnit.request.workClass });
+  this->Acknowledge(aNow);
+}
+
+// --- Acknowledgement
+// -------------------------------------------------------------------------------
+
+void DatabaseOwner::Acknowledge(Instant aNow)
+{
+  if (this->held.IsEmpty()) {
+    return;
+  }
+  // The fence: without a valid lease of this epoch and term another primary may have taken over.
+  if (!this->CoversWrites(aNow)) {
+    this->FailHeld(ResultCode::LeaseExpired, aNow);
+    return;
+  }
+  auto ready = this->held.TakeIf([&](const HeldAcknowledgement& aHeld) {
+    return this->gate.IsReceivedByAll(aHeld.position, this->slots);
+  });
+  for (HeldAcknowledgement& entry : ready) {
+    this->slots.NoteAcknowledged(entry.position);
+    entry.reply.isWriteAcknowledgement = true;
+    if (entry.reply.code == ResultCode::Ok) {
+      this->CountServed(entry.workClass, entry.arrival, aNow);
+    }
+    this->Reply(entry.link, std::move(entry.reply), aNow);
+  }
+}
+
+void DatabaseOwner::FailHeld(ResultCode aCode, Instant aNow)
+{
+  for (HeldAcknowledgement& entry :
+       this->held.TakeIf([](const HeldAcknowledgement&) { return true; })) {
+    entry.reply.code = aCode;
+    entry.reply.runState = RunState::Unknown;
+    entry.reply.message = InfoOf(aCode).text;
+    entry.reply.payload.clear();
+    this->Reply(entry.link, std::move(entry.reply), aNow);
+  }
+}
+
+void DatabaseOwner::EstablishBase(const SlotStatus& aStatus)
+{
+  const bool isCurrentPrimary = aStatus.slot == this->row.primary && aStatus.isPrimary &&
+                                aStatus.term == this->row.term && HasPrimary(this->row);
+  if (!isCurrentPrimary) {
+    return;
+  }
+  const LogPosition position{ aStatus.term, aStatus.received };
+  this->slots.AddSample(aStatus.askedAt, position);
+  const auto& base = this->sessions.Base();
+  if (base && base->term == aStatus.term) {
+    return;
+  }
+  // An answer from before the lease could miss writes that the previous owner still acknowledged.
+  if (!this->lease.Covers(this->row.ownerEpoch, this->row.term, aStatus.askedAt) ||
+      aStatus.askedAt < this->lease.EpochStart() || aStatus.askedAt < this->termSince) {
+    return;
+  }
+  this->sessions.SetBase(position);
+  this->slots.NoteAcknowledged(position);
+}
+
+void DatabaseOwner::SlotAnswered(const SlotStatus& aStatus, Instant aNow)
+{
+  this->slots.NoteStatus(aStatus, aNow);
+  this->EstablishBase(aStatus);
+  const auto applied = this->slots.SmallestApplied(this->row.term, this->row.primary, aNow);
+  if (applied) {
+    this->sessions.ForgetUpTo({ this->row.term, *applied });
+  }
+  this->Acknowledge(aNow);
+  this->Pump(aNow);
+}
+
+void DatabaseOwner::SlotUnreachable(std::string_view aSlot, Instant /*aNow*/)
+{
+  this->slots.NoteUnreachable(aSlot);
+}
+
+// --- Cancellation and disconnection
+// ----------------------------------------------------------------
+
+void DatabaseOwner::Cancel(LinkId aLink, const CancelStatement& aCancel, Instant aNow)
+{
+  const auto found = this->channelUnits.find({ aLink, aCancel.channel });
+  if (found == this->channelUnits.end()) {
+    return;
+  }
+  Unit& unit = this->units.at(found->second);
+  if (unit.request.sequence != aCancel.sequence) {
+    return;
+  }
+  if (unit.connection == 0) {
+    const std::uint64_t id = unit.id;
+    this->scheduler->Remove(id);
+    this->RefuseQueued(id, { id, ResultCode::QueryCanceled, Duration{ 0 } }, aNow);
+    return;
+  }
+  PooledConnection* connection = this->pool.Find(unit.connection);
+  if (connection->execution->IsPayloadRunning()) {
+    this->SendCancel(*connection);
+  } else if (!connection->execution->IsStatementSent()) {
+    unit.cancelWanted = true;
+  }
+}
+
+void DatabaseOwner::CancelFinished(ConnectionId aConnection, Instant aNow)
+{
+  PooledConnection* connection = this->pool.Find(aConnection);
+  if (connection == nullptr || connection->cancellations == 0) {
+    return;
+  }
+  --connection->cancellations;
+  if (connection->cancellations == 0 && connection->phase == ConnectionPhase::Quarantined) {
+    this->Recycle(*connection, aNow);
+    this->Pump(aNow);
+  }
+}
+
+void DatabaseOwner::CloseChannel(ChannelKey aChannel, Instant aNow)
+{
+  this->held.TakeIf([&](const HeldAcknowledgement& aHeld) {
+    return aHeld.link == aChannel.link && aHeld.reply.channel == aChannel.channel;
+  });
+  if (const auto found = this->channelUnits.find(aChannel); found != this->channelUnits.end()) {
+    Unit& unit = this->units.at(found->second);
+    if (unit.connection == 0) {
+      const std::uint64_t id = unit.id;
+      this->scheduler->Remove(id);
+      this->channelUnits.erase(found);
+      this->units.erase(id);
+      return;
+    }
+    unit.callerGone = true;
+    PooledConnection* connection = this->pool.Find(unit.connection);
+    // An autocommit write is left to finish; anything else is of no use to anybody.
+    if ((unit.request.inTransaction || unit.request.readOnly) &&
+        connection->execution->IsPayloadRunning()) {
+      this->SendCancel(*connection);
+    }
+    return;
+  }
+  if (const auto open = this->transactions.find(aChannel); open != this->transactions.end()) {
+    this->Recycle(*this->pool.Find(open->second), aNow);
+    this->Pump(aNow);
+  }
+}
+
+void DatabaseOwner::CloseLink(LinkId aLink, Instant aNow)
+{
+  std::set<ChannelKey> channels;
+  for (const auto& [channel, unit] : this->channelUnits) {
+    channels.insert(channel);
+  }
+  for (const auto& [channel, connection] : this->transactions) {
+    channels.insert(channel);
+  }
+  for (const ChannelKey& channel : channels) {
+    if (channel.link == aLink) {
+      this->CloseChannel(channel, aNow);
+    }
+  }
+  this->held.TakeIf([&](const HeldAcknowledgement& aHeld) { return aHeld.link == aLink; });
+}
+
+// --- Time
+// ------------------------------------------------------------------------------------------
+
+void DatabaseOwner::Tick(Instant aNow)
+{
+  const bool leaseIsValid = this->lease.CoversEpoch(this->row.ownerEpoch, aNow);
+  if (this->leaseWasValid && !leaseIsValid && !this->released) {
+    this->Log(LogEvent::OwnerLeaseExpired, "epoch=" + std::to_string(this->row.ownerEpoch));
+  }
+  this->leaseWasValid = leaseIsValid;
+  this->Acknowledge(aNow);
+  for (HeldAcknowledgement& entry : this->held.TakeIf(
+         [&](const HeldAcknowledgement& aHeld) { return aNow - aHeld.heldSince > kHoldLimit; })) {
+    entry.reply.code = ResultCode::OutcomeUnknown;
+    entry.reply.runState = RunState::Unknown;
+    entry.reply.message = "the in-sync set did not confirm the write in time";
+    entry.reply.payload.clear();
+    this->Reply(entry.link, std::move(entry.reply), aNow);
+  }
+  const SlotState* primary = this->slots.Find(this->row.primary);
+  this->gate.Review(this->slots,
+                    aNow,
+                    this->held.OldestWait(aNow),
+                    this->held.NewestPosition(),
+                    primary != nullptr ? primary->received : LogPosition{});
+  const bool draining = this->stopping || this->row.phase == FailoverPhase::Draining;
+  this->CloseWhere(
+    [&](const PooledConnection& aConnection) {
+      if (aConnection.phase != ConnectionPhase::InTransaction) {
+        return false;
+      }
+      return aNow - aConnection.lastUsed > kIdleTransactionLimit ||
+             (draining &&
+              aNow - std::max(aConnection.lastUsed, this->drainingSince) > kDrainTransactionLimit);
+    },
+    "the transaction was idle for too long",
+    aNow);
+  // A replica that hangs without closing its connections would hold its readers for ever.
+  this->CloseWhere(
+    [&](const PooledConnection& aConnection) {
+      return aConnection.slot != this->row.primary &&
+             aConnection.phase != ConnectionPhase::Opening &&
+             !this->slots.IsAlive(aConnection.slot, aNow);
+    },
+    "the server does not answer",
+    aNow);
+  this->CloseWhere(
+    [&](const PooledConnection& aConnection) {
+      const SlotState* state = this->slots.Find(aConnection.slot);
+      return aConnection.phase == ConnectionPhase::Idle && state != nullptr &&
+             this->HasDeparted(*state, aNow);
+    },
+    "the slot departs",
+    aNow);
+  if (this->HasPrimaryWork()) {
+    this->quiescentSince = aNow;
+  }
+  this->ReviewRelease(aNow);
+  this->Pump(aNow);
+}
+
+// --- Queries
+// ---------------------------------------------------------------------------------------
+
+bool DatabaseOwner::HasWork() const
+{
+  return this->scheduler->QueuedCount() > 0 || !this->held.IsEmpty() || !this->units.empty();
+}
+
+bool DatabaseOwner::WantsFastStatus() const
+{
+  return !this->held.IsEmpty();
+}
+
+bool DatabaseOwner::IsIdle() const
+{
+  return !this->HasOpenWork() && this->units.empty();
+}
+
+LinkId DatabaseOwner::LinkOf(ConnectionId aConnection)
+{
+  const PooledConnection* connection = this->pool.Find(aConnection);
+  return connection != nullptr && connection->execution != nullptr ? connection->channel.link : 0;
+}
+
+OwnerReport DatabaseOwner::Report(Instant aNow) const
+{
+  OwnerReport report;
+  report.database = this->row.name;
+  report.epoch = this->row.ownerEpoch;
+  report.term = this->row.term;
+  report.released = this->released;
+  report.proposedInSync = this->gate.Proposal();
+  for (const auto& [name, state] : this->slots.Slots()) {
+    SlotObservation observation;
+    observation.slot = name;
+    observation.reachable = state.answered && state.reachable;
+    observation.isPrimary = state.isPrimary;
+    observation.term = state.received.term;
+    observation.received = state.received.offset;
+    observation.applied = state.applied.offset;
+    observation.silentMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aNow - state.lastAnswer).count();
+    report.slots.push_back(std::move(observation));
+  }
+  const SlotState* primary = this->slots.Find(this->row.primary);
+  const bool draining = this->stopping || this->row.phase == FailoverPhase::Draining;
+  if (draining && primary != nullptr && !this->HasPrimaryWork() &&
+      primary->lastAskedAt > this->quiescentSince) {
+    report.drained = true;
+    report.drainedOffset = primary->received.offset;
+  }
+  return report;
+}
+
+// --- Replies
+// ---------------------------------------------------------------------------------------
+
+StatementReply DatabaseOwner::MakeReply(const Unit& aUnit) const
+{
+  StatementReply reply;
+  reply.channel = aUnit.request.channel;
+  reply.sequence = aUnit.request.sequence;
+  reply.database = this->row.name;
+  reply.term = this->row.term;
+  reply.fromReplica = aUnit.fromReplica;
+  return reply;
+}
+
+void DatabaseOwner::ReplyFailure(const Unit& aUnit,
+                                 ResultCode aCode,
+                                 RunState aRunState,
+                                 std::string_view aMessage,
+                                 char aStatus,
+                                 Duration aRetryAfter,
+                                 Instant aNow)
+{
+  if (aUnit.callerGone) {
+    return;
+  }
+  StatementReply reply = this->MakeReply(aUnit);
+  reply.finalPiece = true;
+  reply.transactionStatus = aStatus;
+  reply.code = aCode;
+  reply.runState = aRunState;
+  reply.message = aMessage.empty() ? InfoOf(aCode).text : aMessage;
+  reply.retryAfterMs = std::chrono::ceil<std::chrono::milliseconds>(aRetryAfter).count();
+  this->Reply(aUnit.link, std::move(reply), aNow);
+}
+
+void DatabaseOwner::Reply(LinkId aLink, StatementReply&& aReply, Instant aNow)
+{
+  aReply.leaseLeftUs = this->lease.Remaining(aNow).count();
+  if (aReply.payload.size() > kReplyPieceBytes) {
+    const std::string payload = std::exchange(aReply.payload, {});
+    for (const MessageView& message : SplitMessages(payload)) {
+      if (!aReply.payload.empty() &&
+          aReply.payload.size() + message.whole.size() > kReplyPieceBytes) {
+        StatementReply piece = aReply;
+        piece.finalPiece = false;
+        this->Do(SendReply{ aLink, std::move(piece) });
+        aReply.payload.clear();
+      }
+      aReply.payload.append(message.whole);
+    }
+  }
+  this->Do(SendReply{ aLink, std::move(aReply) });
+}
+
+void DatabaseOwner::CountServed(const std::string& aClass, Instant aArrival, Instant aNow)
+{
+  const std::string& name = this->ClassOf(aClass);
+  const auto target = this->targets.find(name);
+  const Duration limit = target != this->targets.end() ? target->second : kDefaultTarget;
+  this->counters.NoteServed(name, aNow - aArrival <= limit);
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/internal/DelayLine.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "oleanderledge/base/base.hpp"
+
+#include <QObject>
+#include <QTimer>
+
+#include <deque>
+#include <functional>
+#include <string>
+
+namespace oleanderledge {
+
+/// Hands bytes on after a fixed delay, in order. With a delay of 0 they are handed on at once.
+class DelayLine : public QObject
+{
+  Q_OBJECT
+
+public:
+  using Sink = std::function<void(const std::string&)>;
+
+  DelayLine(Duration aDelay, Sink aSink, QObject* aParent);
+
+  void Push(std::string aBytes);
+
+private:
+  struct Entry
+  {
+    Instant due;
+    std::string bytes;
+  };
+
+  void Flush();
+
+  Duration delay;
+  Sink sink;
+  QTimer timer;
+  std::deque<Entry> entries;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/internal/InSyncGate.cpp
@@ -0,0 +1,135 @@
+#include "oleanderledge/owner/internal/InSyncGate.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Longest replication lag, as time since the last progress, of a replica that keeps up.
+constexpr Duration kKeepUpLag{ 400'000 };
+
+} // namespace
+
+void InSyncGate::ApplyRow(const DatabaseRow& aRow)
+{
+  if (aRow.ownerEpoch != this->epoch || aRow.term != this->term || aRow.primary != this->primary) {
+    this->epoch = aRow.ownerEpoch;
+    this->term = aRow.term;
+    this->primary = aRow.primary;
+    this->joining.clear();
+    this->proposed.clear();
+    this->removing.clear();
+    this->keepingUpSince.clear();
+  }
+  this->committed = { aRow.inSync.begin(), aRow.inSync.end() };
+  std::erase_if(this->joining, [&](const auto& aSlot) { return this->committed.contains(aSlot); });
+  std::erase_if(this->proposed, [&](const auto& aSlot) { return this->committed.contains(aSlot); });
+  std::erase_if(this->removing,
+                [&](const auto& aSlot) { return !this->committed.contains(aSlot); });
+}
+
+bool InSyncGate::IsReceivedByAll(LogPosition aPosition, const SlotTracker& aSlots) const
+{
+  const auto hasReceived = [&](const std::string& aSlot) {
+    if (aSlot == this->primary) {
+      return true;
+    }
+    const SlotState* state = aSlots.Find(aSlot);
+    return state != nullptr && state->answered && state->received.term == aPosition.term &&
+           state->received.offset >= aPosition.offset;
+  };
+  return std::all_of(this->committed.begin(), this->committed.end(), hasReceived) &&
+         std::all_of(this->joining.begin(), this->joining.end(), hasReceived) &&
+         std::all_of(this->proposed.begin(), this->proposed.end(), hasReceived);
+}
+
+bool InSyncGate::IsStalled(const SlotState& aState, Instant aNow, Instant aOldestWait) const
+{
+  return aNow - std::max(aState.lastProgress, aOldestWait) >= kStallLimit;
+}
+
+bool InSyncGate::KeepsUp(const std::string& aSlot,
+                         const SlotState& aState,
+                         Instant aNow,
+                         LogPosition aPrimaryPosition)
+{
+  const bool caughtUp =
+    aState.received.term == this->term &&
+    (aState.received.offset >= aPrimaryPosition.offset || aNow - aState.lastProgress <= kKeepUpLag);
+  if (!aState.answered || !aState.reachable || aState.isPrimary || aState.row.departing ||
+      aState.row.silent || aNow - aState.lastAnswer > kSlotSilenceLimit || !caughtUp) {
+    this->keepingUpSince.erase(aSlot);
+    return false;
+  }
+  const Instant since = this->keepingUpSince.try_emplace(aSlot, aNow).first->second;
+  return aNow - since >= kJoinDelay;
+}
+
+void InSyncGate::Review(const SlotTracker& aSlots,
+                        Instant aNow,
+                        Instant aOldestWait,
+                        LogPosition aNewestWaiting,
+                        LogPosition aPrimaryPosition)
+{
+  this->ReviewRemovals(aSlots, aNow, aOldestWait, aNewestWaiting);
+  this->ReviewJoining(aSlots, aNow, aPrimaryPosition);
+}
+
+void InSyncGate::ReviewRemovals(const SlotTracker& aSlots,
+                                Instant aNow,
+                                Instant aOldestWait,
+                                LogPosition aNewestWaiting)
+{
+  this->removing.clear();
+  for (const std::string& slot : this->committed) {
+    if (slot == this->primary) {
+      continue;
+    }
+    const SlotState* state = aSlots.Find(slot);
+    const bool behind = state == nullptr || state->received < aNewestWaiting;
+    if (state == nullptr || (behind && this->IsStalled(*state, aNow, aOldestWait))) {
+      this->removing.insert(slot);
+      this->keepingUpSince.erase(slot);
+    }
+  }
+}
+
+void InSyncGate::ReviewJoining(const SlotTracker& aSlots,
+                               Instant aNow,
+                               LogPosition aPrimaryPosition)
+{
+  for (const auto& [slot, state] : aSlots.Slots()) {
+    if (slot == this->primary || this->committed.contains(slot) || this->proposed.contains(slot)) {
+      continue;
+    }
+    if (!this->KeepsUp(slot, state, aNow, aPrimaryPosition)) {
+      this->joining.erase(slot);
+      continue;
+    }
+    // The first review makes the slot required. A later one proposes it once it also holds
+    // everything that was acknowledged before: only then may it be promoted.
+    const bool wasRequired = !this->joining.insert(slot).second;
+    const auto& acknowledged = aSlots.Acknowledged();
+    if (wasRequired && acknowledged && state.received.term == acknowledged->term &&
+        state.received.offset >= acknowledged->offset) {
+      this->joining.erase(slot);
+      this->proposed.insert(slot);
+    }
+  }
+}
+
+std::vector<std::string> InSyncGate::Proposal() const
+{
+  if (this->removing.empty() && this->proposed.empty()) {
+    return {};
+  }
+  std::set<std::string> members = this->committed;
+  for (const std::string& slot : this->removing) {
+    members.erase(slot);
+  }
+  members.insert(this->proposed.begin(), this->proposed.end());
+  return { members.begin(), members.end() };
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/internal/OwnerTypes.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "oleanderledge/base/base.hpp"
+#include "oleanderledge/link/link.hpp"
+#include "oleanderledge/owner/OwnerService.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace oleanderledge {
+
+/// Identifies a caller session across the links of this process.
+struct ChannelKey
+{
+  LinkId link = 0;
+  std::uint64_t channel = 0;
+
+  auto operator<=>(const ChannelKey&) const = default;
+};
+
+/// Identifies a connection to a backend server within one database owner. Never used twice.
+using ConnectionId = std::uint64_t;
+
+/// Answer of a slot to `SELECT * FROM platform_status()`.
+struct SlotStatus
+{
+  std::string slot;
+  bool isPrimary = false;
+  std::uint64_t term = 0;
+  std::uint64_t received = 0;
+  std::uint64_t applied = 0;
+  Instant askedAt; ///< When the question was sent; the answer is at least this recent.
+};
+
+// Actions that the adapter carries out, in order.
+
+struct OpenConnection
+{
+  ConnectionId connection = 0;
+  std::string slot;
+};
+
+struct SendToBackend
+{
+  ConnectionId connection = 0;
+  std::string bytes;
+};
+
+struct CloseConnection
+{
+  ConnectionId connection = 0;
+};
+
+/// Sends a CancelRequest. The adapter reports CancelFinished() once the server has processed it.
+struct CancelOnBackend
+{
+  ConnectionId connection = 0;
+};
+
+struct SendReply
+{
+  LinkId link = 0;
+  StatementReply reply;
+};
+
+struct WriteOwnerLog
+{
+  LogEvent event = LogEvent::LinkClosed;
+  std::string detail;
+};
+
+using OwnerAction = std::variant<OpenConnection,
+                                 SendToBackend,
+                                 CloseConnection,
+                                 CancelOnBackend,
+                                 SendReply,
+                                 WriteOwnerLog>;
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/internal/QtOwnerService.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "oleanderledge/owner/OwnerFactory.hpp"
+#include "oleanderledge/owner/internal/DatabaseOwner.hpp"
+#include "oleanderledge/owner/internal/SlotMonitor.hpp"
+
+#include <QObject>
+#include <QTimer>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace oleanderledge {
+
+/// Connects the database owners of this process to sockets, timers and links.
+class QtOwnerService
+  : public QObject
+  , public OwnerService
+{
+  Q_OBJECT
+
+public:
+  QtOwnerService(QObject* aParent, ReplySink& aSink, OwnerSettings aSettings);
+  ~QtOwnerService() override;
+
+  void Submit(LinkId aLink, StatementRequest&& aRequest) override;
+  void Cancel(LinkId aLink, const CancelStatement& aCancel) override;
+  void CloseChannel(LinkId aLink, std::uint64_t aChannel) override;
+  void CloseLink(LinkId aLink) override;
+  void NotePing(LinkId aLink, const LinkPing& aPing) override;
+  void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
+  void ApplyLeases(std::span<const LeaseGrant> aLeases, Instant aHeartbeatSent) override;
+  std::vector<OwnerReport> Reports(Instant aNow) override;
+  std::vector<ClassService> Service() const override;
+  void BeginRelease() override;
+  bool IsIdle() const override;
+
+private:
+  struct OwnedDatabase
+  {
+    std::unique_ptr<DatabaseOwner> owner;
+    std::map<ConnectionId, BackendSocket*> sockets;
+    std::map<std::string, SlotMonitor*> monitors;
+    std::set<ConnectionId> paused;
+    std::uint64_t rowVersion = 0;
+    bool carryingOut = false;
+  };
+  struct PendingLease
+  {
+    LeaseGrant grant;
+    Instant sent;
+  };
+
+  bool IsOwnedHere(const DatabaseRow& aRow) const;
+  std::unique_ptr<Scheduler> CreateScheduler() const;
+  void Adopt(const DatabaseRow& aRow);
+  void Give(const std::string& aDatabase);
+  void UpdateMonitors(OwnedDatabase& aOwned);
+  void CarryOut(OwnedDatabase& aOwned);
+  void CarryOutOne(OwnedDatabase& aOwned, OwnerAction& aAction);
+  void OpenSocket(OwnedDatabase& aOwned, const OpenConnection& aAction);
+  void CloseSocket(OwnedDatabase& aOwned, ConnectionId aConnection);
+  void HandleBackendMessage(OwnedDatabase& aOwned,
+                            ConnectionId aConnection,
+                            const std::string& aMessage);
+  void ResumePaused(OwnedDatabase& aOwned);
+  BackendEndpoint EndpointOf(const OwnedDatabase& aOwned, const std::string& aSlot) const;
+  void Tick();
+  void AdjustTimer();
+
+  ReplySink& sink;
+  OwnerSettings settings;
+  ServiceCounters counters;
+  std::shared_ptr<const Directory> directory;
+  std::vector<ClassTarget> classes;
+  std::map<std::string, std::unique_ptr<OwnedDatabase>, std::less<>> owned;
+  std::map<std::string, PendingLease> pendingLeases;
+  std::map<LinkId, std::int64_t> pings;
+  QTimer timer;
+  bool stopping = false;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/internal/SlotMonitor.cpp
@@ -0,0 +1,120 @@
+#include "oleanderledge/owner/internal/SlotMonitor.hpp"
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr int kReopenDelayMs = 100;
+
+/// Unanswered questions on the way: with 24 ms of round trip and a question every 5 ms, five are.
+constexpr std::size_t kMaxQuestions = 8;
+
+/// A connection without an answer for this time is opened anew; the old one may be cut off.
+constexpr Duration kAnswerTimeout{ 1'500'000 };
+
+} // namespace
+
+SlotMonitor::SlotMonitor(std::string aSlot,
+                         BackendEndpoint aEndpoint,
+                         Duration aInterval,
+                         QObject* aParent)
+  : QObject(aParent)
+  , slot(std::move(aSlot))
+  , endpoint(std::move(aEndpoint))
+  , interval(aInterval)
+{
+  this->timer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->timer, &QTimer::timeout, this, &SlotMonitor::Ask);
+  this->timer.start(std::chrono::ceil<std::chrono::milliseconds>(aInterval));
+  this->Open();
+}
+
+void SlotMonitor::SetInterval(Duration aInterval)
+{
+  if (aInterval == this->interval) {
+    return;
+  }
+  const bool isShorter = aInterval < this->interval;
+  this->interval = aInterval;
+  this->timer.start(std::chrono::ceil<std::chrono::milliseconds>(aInterval));
+  if (isShorter) {
+    this->Ask();
+  }
+}
+
+void SlotMonitor::Open()
+{
+  this->questions.clear();
+  this->status.reset();
+  this->socket = new BackendSocket(this->endpoint, this);
+  QObject::connect(this->socket, &BackendSocket::Ready, this, &SlotMonitor::Ask);
+  QObject::connect(this->socket, &BackendSocket::Received, this, &SlotMonitor::HandleMessage);
+  // Queued, because the socket can fail inside its constructor. The call may arrive after the
+  // socket was replaced.
+  QObject::connect(
+    this->socket,
+    &BackendSocket::Closed,
+    this,
+    [this, opened = this->socket] {
+      if (opened == this->socket) {
+        this->HandleClosed();
+      }
+    },
+    Qt::QueuedConnection);
+}
+
+void SlotMonitor::HandleClosed()
+{
+  if (this->socket == nullptr) {
+    return;
+  }
+  this->socket->disconnect(this);
+  this->socket->deleteLater();
+  this->socket = nullptr;
+  Q_EMIT this->Unreachable();
+  QTimer::singleShot(kReopenDelayMs, this, &SlotMonitor::Open);
+}
+
+void SlotMonitor::Ask()
+{
+  if (this->socket == nullptr || !this->socket->IsReady()) {
+    return;
+  }
+  const Instant now = MonotonicNow();
+  if (!this->questions.empty() && now - this->questions.front() > kAnswerTimeout) {
+    this->HandleClosed();
+    return;
+  }
+  if (this->questions.size() >= kMaxQuestions) {
+    return;
+  }
+  this->questions.push_back(now);
+  this->socket->Send(BuildQuery(kStatusQuery));
+}
+
+void SlotMonitor::HandleMessage(const std::string& aMessage)
+{
+  const auto views = SplitMessages(aMessage);
+  if (views.empty()) {
+    return;
+  }
+  if (views.front().type == 'D') {
+    this->status = ParseStatusRow(ReadDataRow(views.front().body));
+    return;
+  }
+  if (views.front().type != 'Z' || this->questions.empty()) {
+    return;
+  }
+  const Instant askedAt = this->questions.front();
+  this->questions.pop_front();
+  if (!this->status) {
+    return;
+  }
+  SlotStatus answer = *this->status;
+  this->status.reset();
+  answer.slot = this->slot;
+  answer.askedAt = askedAt;
+  Q_EMIT this->Answered(answer);
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/owner/internal/SlotTracker.cpp
@@ -0,0 +1,153 @@
+#include "oleanderledge/owner/internal/SlotTracker.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr std::size_t kMaxSamples = 2048;
+
+/// Samples closer together than this add no useful precision to an accepted age.
+constexpr Duration kSampleSpacing{ 5'000 };
+
+} // namespace
+
+void SlotTracker::ApplyRow(const DatabaseRow& aRow, Instant aNow)
+{
+  std::map<std::string, SlotState, std::less<>> next;
+  for (const SlotRow& row : aRow.slots) {
+    const auto found = this->slots.find(row.name);
+    SlotState state;
+    if (found != this->slots.end() && found->second.row.address == row.address) {
+      state = found->second;
+    } else {
+      state.lastAnswer = aNow;
+      state.lastProgress = aNow;
+    }
+    if (row.departing && !state.row.departing) {
+      state.departingSince = aNow;
+    }
+    state.row = row;
+    next.emplace(row.name, std::move(state));
+  }
+  this->slots = std::move(next);
+}
+
+void SlotTracker::NoteStatus(const SlotStatus& aStatus, Instant aNow)
+{
+  const auto found = this->slots.find(aStatus.slot);
+  if (found == this->slots.end()) {
+    return;
+  }
+  SlotState& state = found->second;
+  const LogPosition received{ aStatus.term, aStatus.received };
+  if (!state.answered || received > state.received) {
+    state.lastProgress = aNow;
+  }
+  state.answered = true;
+  state.reachable = true;
+  state.isPrimary = aStatus.isPrimary;
+  state.received = received;
+  state.applied = { aStatus.term, aStatus.applied };
+  state.lastAnswer = aNow;
+  state.lastAskedAt = aStatus.askedAt;
+}
+
+void SlotTracker::NoteUnreachable(std::string_view aSlot)
+{
+  const auto found = this->slots.find(aSlot);
+  if (found != this->slots.end()) {
+    found->second.reachable = false;
+  }
+}
+
+void SlotTracker::AddSample(Instant aTime, LogPosition aPosition)
+{
+  if (!this->samples.empty()) {
+    const Sample& last = this->samples.back();
+    // Answers may arrive crossed; a sample that goes backwards would break the search order.
+    if (aPosition < last.position || aTime < last.time + kSampleSpacing) {
+      return;
+    }
+  }
+  this->samples.push_back({ aTime, aPosition });
+  if (this->samples.size() > kMaxSamples) {
+    this->ThinSamples();
+  }
+}
+
+void SlotTracker::ThinSamples()
+{
+  // Every second sample of the older half goes: precision falls with age, the span doubles.
+  std::deque<Sample> kept;
+  for (std::size_t index = 0; index < this->samples.size(); ++index) {
+    if (index >= this->samples.size() / 2 || index % 2 == 0) {
+      kept.push_back(this->samples[index]);
+    }
+  }
+  this->samples = std::move(kept);
+}
+
+void SlotTracker::NoteAcknowledged(LogPosition aPosition)
+{
+  if (!this->acknowledged || aPosition > *this->acknowledged) {
+    this->acknowledged = aPosition;
+  }
+}
+
+void SlotTracker::ForgetAcknowledged()
+{
+  this->acknowledged.reset();
+  this->samples.clear();
+}
+
+const SlotState* SlotTracker::Find(std::string_view aSlot) const
+{
+  const auto found = this->slots.find(aSlot);
+  return found != this->slots.end() ? &found->second : nullptr;
+}
+
+bool SlotTracker::IsAlive(std::string_view aSlot, Instant aNow) const
+{
+  const SlotState* state = this->Find(aSlot);
+  return state != nullptr && state->answered && aNow - state->lastAnswer <= kSlotSilenceLimit;
+}
+
+std::optional<Duration> SlotTracker::AgeOf(std::string_view aSlot, Instant aNow) const
+{
+  const SlotState* state = this->Find(aSlot);
+  if (state == nullptr || !state->answered) {
+    return std::nullopt;
+  }
+  if (this->acknowledged && state->applied.term == this->acknowledged->term &&
+      state->applied.offset >= this->acknowledged->offset) {
+    return Duration{ 0 };
+  }
+  for (auto sample = this->samples.rbegin(); sample != this->samples.rend(); ++sample) {
+    if (sample->position.term == state->applied.term &&
+        sample->position.offset <= state->applied.offset) {
+      return aNow - sample->time;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> SlotTracker::SmallestApplied(std::uint64_t aTerm,
+                                                          std::string_view aPrimary,
+                                                          Instant aNow) const
+{
+  std::optional<std::uint64_t> smallest;
+  for (const auto& [name, state] : this->slots) {
+    if (name == aPrimary || !this->IsAlive(name, aNow)) {
+      continue;
+    }
+    if (state.applied.term != aTerm) {
+      return std::nullopt;
+    }
+    smallest = std::min(smallest.value_or(state.applied.offset), state.applied.offset);
+  }
+  return smallest;
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/scheduling/ClassQueue.cpp
+++ b/src/oleanderledge/scheduling/ClassQueue.cpp
@@ -165,9 +165,8 @@
 std::size_t ClassQueue::SizeOf(const std::string& aCaller, WorkLane aLane) const
 {
   const auto found = this->callers.find(aCaller);
-  return found == this->callers.end()
-           ? 0
-           : found->second.lanes[static_cast<std::size_t>(aLane)].size();
+  return found == this->callers.end() ? 0
+                                      : found->second.lanes[static_cast<std::size_t>(aLane)].size();
 }
 
 std::size_t ClassQueue::CallerCount(WorkLane aLane) const
--- a/src/oleanderledge/scheduling/ClassQueue.hpp
+++ b/src/oleanderledge/scheduling/ClassQueue.hpp
@@ -62,7 +62,7 @@
   void GrantTurns();
 
   std::unordered_map<std::string, CallerQueue> callers;
-  Duration quantum{ 1'000 }; ///< Service time granted per turn.
+  Duration quantum{ 1'000 };    ///< Service time granted per turn.
   std::list<std::string> turns; ///< Callers with queued units, next in turn first.
   std::unordered_map<std::uint64_t, UnitList::iterator> units;
   std::array<std::size_t, kWorkLaneCount> laneSizes{};
--- a/src/oleanderledge/scheduling/DeadlineScheduler.cpp
+++ b/src/oleanderledge/scheduling/DeadlineScheduler.cpp
@@ -122,8 +122,7 @@
 
 void DeadlineScheduler::TakeSample()
 {
-  const double available =
-    this->capacity * static_cast<double>(kDemandSampleInterval.count());
+  const double available = this->capacity * static_cast<double>(kDemandSampleInterval.count());
   double total = 0;
   for (const auto& [name, state] : this->classes) {
     total += static_cast<double>(state.offeredInSample) * state.serviceTime / available;
@@ -140,8 +139,8 @@
 
 void DeadlineScheduler::UpdateShares()
 {
-  const double floor =
-    std::min(kFloorShare, 1.0 / static_cast<double>(std::max<std::size_t>(this->classes.size(), 1)));
+  const double floor = std::min(
+    kFloorShare, 1.0 / static_cast<double>(std::max<std::size_t>(this->classes.size(), 1)));
   double aboveFloor = 0;
   for (auto& [name, state] : this->classes) {
     state.guaranteedShare = std::max(floor, state.demand.Share() * kDemandHeadroom);
@@ -262,10 +261,9 @@
   this->Advance(aNow);
   std::vector<Refusal> refusals;
   for (auto& [name, state] : this->classes) {
-    const Duration margin = std::min(FromDouble(state.serviceTime * kServiceTimeMargin),
-                                     state.target / 2);
-    for (const ScheduledUnit& unit :
-         state.queue.TakeArrivedBefore(aNow - state.target + margin)) {
+    const Duration margin =
+      std::min(FromDouble(state.serviceTime * kServiceTimeMargin), state.target / 2);
+    for (const ScheduledUnit& unit : state.queue.TakeArrivedBefore(aNow - state.target + margin)) {
       this->Dequeued(unit);
       refusals.push_back(
         this->Refuse(state, unit, ResultCode::TargetUnreachable, Duration{ 0 }, aNow));
@@ -299,8 +297,7 @@
   const auto measured = static_cast<double>(aServiceTime.count());
   state.queue.Correct(aCaller, aServiceTime - FromDouble(state.serviceTime));
   ++state.servedCount;
-  const double weight =
-    std::max(kServiceTimeWeight, 1.0 / static_cast<double>(state.servedCount));
+  const double weight = std::max(kServiceTimeWeight, 1.0 / static_cast<double>(state.servedCount));
   state.serviceTime = std::max(1.0, state.serviceTime + (measured - state.serviceTime) * weight);
 }
 
--- a/src/oleanderledge/scheduling/DeadlineScheduler.hpp
+++ b/src/oleanderledge/scheduling/DeadlineScheduler.hpp
@@ -41,8 +41,8 @@
     DemandEstimate demand;
     RateMeter dispatched;
     double guaranteedShare = 0;
-    double credit = 0;               ///< Guaranteed connection time not yet used, in microseconds.
-    double serviceTime = 1'000;      ///< Moving average in microseconds.
+    double credit = 0;          ///< Guaranteed connection time not yet used, in microseconds.
+    double serviceTime = 1'000; ///< Moving average in microseconds.
     std::uint64_t servedCount = 0;
     std::uint64_t offeredInSample = 0;
     Instant floodingUntil{};
