--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -43,6 +43,11 @@
   OperatorChange = 1516,
   AnnouncementRejected = 1517,
   // 1600: owner.
+  OwnershipChanged = 1601,
+  OwnershipReleased = 1602,
+  OwnerLeaseExpired = 1603,
+  BackendConnectionLost = 1604,
+  BackendRefusedConnection = 1605,
   // 1700: entry.
   // 1800: daemons.
   DaemonStarted = 1801,
