--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -27,6 +27,11 @@
   // 1500: control.
   // 1600: owner.
   // 1700: entry.
+  CallerRejected = 1701,
+  CallerClosed = 1702,
+  OwnerLinkSilent = 1703,
+  OwnerLinkRejected = 1704,
+  EntryStopping = 1705,
   // 1800: daemons.
   DaemonStarted = 1801,
   DaemonStopping = 1802,
--- a/src/oleanderledge/base/ResultCode.hpp
+++ b/src/oleanderledge/base/ResultCode.hpp
@@ -35,6 +35,8 @@
   InvalidSetting = 1307,
   StartupRejected = 1308,
   QueryCanceled = 1309,
+  TransactionFailed = 1310,
+  SlowReader = 1311,
   // Control state and operators.
   VersionConflict = 1401,
   NotLeader = 1402,
--- /dev/null
+++ b/src/oleanderledge/entry/EntryService.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "oleanderledge/base/base.hpp"
+#include "oleanderledge/entry/EntrySettings.hpp"
+#include "oleanderledge/entry/OwnerLinks.hpp"
+#include "oleanderledge/link/link.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+class QObject;
+
+namespace oleanderledge {
+
+/// Counters of the entry role since it started.
+struct EntryCounters
+{
+  std::uint64_t sessionsAccepted = 0;
+  std::uint64_t sessionsRejected = 0;
+  std::uint64_t unitsForwarded = 0; ///< Units of callers, without resends.
+  std::uint64_t unitsAnswered = 0;  ///< With the owner's own answer.
+  std::uint64_t unitsLocal = 0;     ///< Answered by the entry without an owner.
+  std::uint64_t resends = 0;
+  std::uint64_t repliesIgnored = 0; ///< Late, duplicate or unknown replies.
+  std::uint64_t cancels = 0;
+  std::uint64_t notRun = 0;  ///< Errors to callers that say "not run".
+  std::uint64_t unknown = 0; ///< Errors to callers that say "unknown".
+  std::map<ResultCode, std::uint64_t> errors;
+};
+
+/// The entry role of a proxy: accepts callers and forwards their units to owners. All methods are
+/// called in the thread that created it.
+class EntryService
+{
+public:
+  virtual ~EntryService() = default;
+
+  /// Puts a newer directory into force.
+  virtual void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) = 0;
+
+  /// Starts a graceful stop: accepts no callers, closes idle sessions with 57P01 and the others
+  /// after their transaction, all within EntryLimits::stopLimit.
+  virtual void BeginStop() = 0;
+
+  /// True once no session is open.
+  virtual bool IsIdle() const = 0;
+
+  virtual std::size_t SessionCount() const = 0;
+  /// Units that wait for an owner, a link or a retry.
+  virtual std::size_t WaitingUnits() const = 0;
+  virtual const EntryCounters& Counters() const = 0;
+
+  /// The callers' port actually open, for settings with port 0.
+  virtual std::uint16_t CallersPort() const = 0;
+};
+
+/// Creates the entry role in the calling thread as a child of `aParent` and opens the callers'
+/// port. Fails with ListenFailed. `aLinks` outlives the service.
+Result<EntryService*> CreateEntryService(QObject* aParent,
+                                         const EntrySettings& aSettings,
+                                         OwnerLinks& aLinks);
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/entry/internal/CallerConnection.cpp
@@ -0,0 +1,294 @@
+#include "oleanderledge/entry/internal/CallerConnection.hpp"
+
+#include "oleanderledge/entry/internal/CallerErrors.hpp"
+#include "oleanderledge/entry/internal/DelayLine.hpp"
+
+#include <QTimer>
+
+namespace oleanderledge {
+
+namespace {
+
+/// The same limit as the database server has.
+constexpr std::size_t kMaxStartupBytes = 10'000;
+/// A client asks for TLS and for GSSAPI encryption at most once each.
+constexpr int kMaxEncryptionRequests = 2;
+/// Input that Qt buffers for one socket before the kernel's flow control holds the caller back.
+constexpr qint64 kReadBufferBytes = qint64{ 256 } * 1024;
+/// A caller that does not read the last error is dropped after this time.
+constexpr int kCloseTimeoutMs = 2000;
+
+} // namespace
+
+CallerConnection::CallerConnection(std::uint64_t aChannel,
+                                   QTcpSocket* aSocket,
+                                   const EntrySettings& aSettings,
+                                   CallerConnectionEvents& aEvents,
+                                   QObject* aParent)
+  : QObject(aParent)
+  , channel(aChannel)
+  , socket(aSocket)
+  , limits(aSettings.limits)
+  , events(aEvents)
+  , reader(kMaxStartupBytes)
+{
+  this->socket->setParent(this);
+  this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  this->socket->setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+  this->socket->setReadBufferSize(kReadBufferBytes);
+  this->input = new DelayLine(
+    aSettings.latencyToClients,
+    [this](const QByteArray& aBytes) {
+      this->reader.Feed({ aBytes.constData(), static_cast<std::size_t>(aBytes.size()) });
+      this->ProcessBuffered();
+    },
+    this);
+  this->output = new DelayLine(
+    aSettings.latencyToClients,
+    [this](const QByteArray& aBytes) {
+      if (!this->isGone) {
+        this->socket->write(aBytes);
+      }
+    },
+    this);
+  QObject::connect(this->socket, &QTcpSocket::readyRead, this, &CallerConnection::ReadSocket);
+  QObject::connect(this->socket, &QTcpSocket::bytesWritten, this, &CallerConnection::CheckOutput);
+  QObject::connect(
+    this->socket, &QTcpSocket::disconnected, this, &CallerConnection::HandleDisconnect);
+  QObject::connect(
+    this->socket, &QTcpSocket::errorOccurred, this, &CallerConnection::HandleDisconnect);
+  const auto startupTimeout =
+    std::chrono::ceil<std::chrono::milliseconds>(this->limits.startupTimeout);
+  QTimer::singleShot(startupTimeout, this, [this] {
+    if (!this->session) {
+      this->CloseWithError(ResultCode::StartupRejected, "the start-up took too long");
+    }
+  });
+}
+
+bool CallerConnection::IsReadingPaused() const
+{
+  return this->isClosing || this->isOutputFull || (this->session && !this->session->WantsMore());
+}
+
+void CallerConnection::ReadSocket()
+{
+  if (this->isClosing) {
+    // Unread input would make the system reset the connection before the caller has the error.
+    this->socket->readAll();
+    return;
+  }
+  if (!this->IsReadingPaused()) {
+    this->input->Push(this->socket->readAll());
+  }
+}
+
+void CallerConnection::ProcessBuffered()
+{
+  while (!this->IsReadingPaused()) {
+    if (!(this->session ? this->ProcessMessage() : this->ProcessStartup())) {
+      return;
+    }
+  }
+}
+
+bool CallerConnection::ProcessStartup()
+{
+  auto packet = this->reader.NextUntyped();
+  if (!packet) {
+    this->CloseWithError(packet.error().code, packet.error().message);
+    return false;
+  }
+  if (!packet.value()) {
+    return false;
+  }
+  auto parsed = ParseStartupPacket(*packet.value());
+  if (!parsed) {
+    this->CloseWithError(parsed.error().code, parsed.error().message);
+    return false;
+  }
+  if (std::holds_alternative<EncryptionRequest>(parsed.value())) {
+    if (++this->encryptionRequests > kMaxEncryptionRequests) {
+      this->CloseWithError(ResultCode::ProtocolViolation, "too many requests for encryption");
+      return false;
+    }
+    this->Write("N");
+    return true;
+  }
+  if (const auto* cancel = std::get_if<CancelRequest>(&parsed.value())) {
+    // The protocol asks to close without an answer, so that keys cannot be guessed.
+    this->events.OnCancelRequest(*cancel);
+    this->CloseAfterFlush();
+    return false;
+  }
+  this->StartSession(std::get<StartupMessage>(parsed.value()));
+  return this->session != nullptr;
+}
+
+void CallerConnection::StartSession(const StartupMessage& aMessage)
+{
+  auto starting = std::make_unique<CallerSession>(this->channel, this->limits);
+  auto opening = starting->Start(aMessage);
+  if (!opening) {
+    this->CloseWithError(opening.error().code, opening.error().message);
+    return;
+  }
+  auto key = this->events.OnSessionStart(*this);
+  if (!key) {
+    this->CloseWithError(key.error().code, key.error().message);
+    return;
+  }
+  this->session = std::move(starting);
+  this->reader.SetMaxMessageBytes(this->limits.maxMessageBytes);
+  this->Write(opening.value() + BuildBackendKeyData(key.value().processId, key.value().secret) +
+              BuildReadyForQuery('I'));
+}
+
+bool CallerConnection::ProcessMessage()
+{
+  auto message = this->reader.NextTyped();
+  if (!message) {
+    this->CloseWithError(message.error().code, message.error().message);
+    return false;
+  }
+  if (!message.value()) {
+    return false;
+  }
+  this->HandleOutput(this->session->OnMessage(std::move(*message.value()), MonotonicNow()));
+  return true;
+}
+
+void CallerConnection::DeliverReply(StatementReply&& aReply)
+{
+  if (this->isClosing || !this->session) {
+    return;
+  }
+  this->HandleOutput(this->session->OnReply(std::move(aReply)));
+  if (!this->isClosing) {
+    this->ProcessBuffered();
+    this->ReadSocket();
+    this->CloseIfStopped();
+  }
+}
+
+void CallerConnection::HandleOutput(SessionOutput&& aOutput)
+{
+  this->events.OnOutput(aOutput);
+  this->Write(aOutput.toCaller);
+  if (this->isClosing) {
+    return;
+  }
+  if (aOutput.forward) {
+    this->events.OnUnit(std::move(*aOutput.forward));
+  }
+  if (aOutput.shouldClose) {
+    if (aOutput.closeReason != ResultCode::Ok) {
+      WriteLog(LogEvent::CallerClosed,
+               "channel=" + std::to_string(this->channel) +
+                 " code=" + std::to_string(static_cast<unsigned>(aOutput.closeReason)));
+    }
+    this->CloseAfterFlush();
+  }
+}
+
+void CallerConnection::Write(const std::string& aBytes)
+{
+  if (aBytes.empty() || this->isGone) {
+    return;
+  }
+  this->output->Push(QByteArray(aBytes.data(), static_cast<qsizetype>(aBytes.size())));
+  const auto unread =
+    static_cast<std::size_t>(this->output->Bytes() + this->socket->bytesToWrite());
+  if (unread > this->limits.maxOutputBytes) {
+    WriteLog(LogEvent::CallerClosed,
+             "channel=" + std::to_string(this->channel) +
+               " code=" + std::to_string(static_cast<unsigned>(ResultCode::SlowReader)) +
+               " unread=" + std::to_string(unread));
+    this->Abort();
+    return;
+  }
+  if (unread > this->limits.pauseOutputBytes && !this->isOutputFull) {
+    this->isOutputFull = true;
+    if (this->session) {
+      (void)this->session->SetOutputFull(true);
+    }
+  }
+}
+
+void CallerConnection::CheckOutput()
+{
+  const auto unread =
+    static_cast<std::size_t>(this->output->Bytes() + this->socket->bytesToWrite());
+  if (!this->isOutputFull || this->isClosing || unread > this->limits.pauseOutputBytes / 2) {
+    return;
+  }
+  this->isOutputFull = false;
+  if (this->session) {
+    this->HandleOutput(this->session->SetOutputFull(false));
+  }
+  this->ProcessBuffered();
+  this->ReadSocket();
+  this->CloseIfStopped();
+}
+
+void CallerConnection::CloseWithError(ResultCode aCode, std::string_view aDetail)
+{
+  if (this->isClosing) {
+    return;
+  }
+  WriteLog(this->session ? LogEvent::CallerClosed : LogEvent::CallerRejected,
+           "channel=" + std::to_string(this->channel) + " code=" +
+             std::to_string(static_cast<unsigned>(aCode)) + " reason=" + std::string(aDetail));
+  this->Write(BuildCallerError("FATAL", aCode, RunState::NotRun, aDetail));
+  this->CloseAfterFlush();
+}
+
+void CallerConnection::CloseAfterFlush()
+{
+  if (this->isClosing) {
+    return;
+  }
+  this->isClosing = true;
+  QTimer::singleShot(kCloseTimeoutMs, this, &CallerConnection::Abort);
+  if (this->output->Bytes() > 0) {
+    QObject::connect(
+      this->output, &DelayLine::Drained, this->socket, &QTcpSocket::disconnectFromHost);
+    return;
+  }
+  this->socket->disconnectFromHost();
+}
+
+void CallerConnection::BeginStop()
+{
+  this->isStopping = true;
+  this->CloseIfStopped();
+}
+
+void CallerConnection::CloseIfStopped()
+{
+  if (!this->isStopping || this->isClosing) {
+    return;
+  }
+  if (!this->session || (this->session->IsIdle() && this->reader.BufferedBytes() == 0)) {
+    this->CloseWithError(ResultCode::ShuttingDown, {});
+  }
+}
+
+void CallerConnection::Abort()
+{
+  this->isClosing = true;
+  this->socket->abort();
+  this->HandleDisconnect();
+}
+
+void CallerConnection::HandleDisconnect()
+{
+  if (this->isGone) {
+    return;
+  }
+  this->isGone = true;
+  this->isClosing = true;
+  this->events.OnGone(*this);
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/entry/internal/CallerServer.cpp
@@ -0,0 +1,258 @@
+#include "oleanderledge/entry/internal/CallerServer.hpp"
+
+#include "oleanderledge/transport/transport.hpp"
+
+#include <QHostAddress>
+#include <QRandomGenerator>
+
+#include <vector>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Connections beyond the sessions limit that may be in their start-up, for example to cancel.
+constexpr std::size_t kExtraConnections = 100;
+
+} // namespace
+
+Result<EntryService*> CreateEntryService(QObject* aParent,
+                                         const EntrySettings& aSettings,
+                                         OwnerLinks& aLinks)
+{
+  auto created = std::make_unique<CallerServer>(aSettings, aLinks, nullptr);
+  if (auto listening = created->Listen(); !listening) {
+    return listening.as_failure();
+  }
+  created->setParent(aParent);
+  return static_cast<EntryService*>(created.release());
+}
+
+CallerServer::CallerServer(const EntrySettings& aSettings, OwnerLinks& aLinks, QObject* aParent)
+  : QObject(aParent)
+  , settings(aSettings)
+  , links(aLinks)
+  , forwarder(aSettings.limits, aSettings.seed)
+{
+  this->timer.setSingleShot(true);
+  this->timer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->timer, &QTimer::timeout, this, [this] {
+    this->Run(this->forwarder.Tick(MonotonicNow()));
+  });
+  QObject::connect(&this->server, &QTcpServer::newConnection, this, &CallerServer::AcceptPending);
+  this->links.SetListener(this);
+}
+
+CallerServer::~CallerServer()
+{
+  this->links.SetListener(nullptr);
+  const auto open = this->connections;
+  for (const auto& [channel, connection] : open) {
+    // Deleted here, while the members that a closing connection uses still exist.
+    connection->Abort();
+    delete connection;
+  }
+}
+
+Result<void> CallerServer::Listen()
+{
+  const auto [host, port] = SplitAddress(this->settings.callersAddress);
+  if (!this->server.listen(QHostAddress(QString::fromStdString(host)), port)) {
+    return Fail(ResultCode::ListenFailed,
+                this->settings.callersAddress + ": " + this->server.errorString().toStdString());
+  }
+  return boost::outcome_v2::success();
+}
+
+void CallerServer::AcceptPending()
+{
+  while (QTcpSocket* socket = this->server.nextPendingConnection()) {
+    if (this->connections.size() >= this->settings.limits.maxSessions + kExtraConnections) {
+      ++this->counters.sessionsRejected;
+      socket->abort();
+      socket->deleteLater();
+      continue;
+    }
+    const std::uint64_t channel = this->nextChannel++;
+    this->connections[channel] = new CallerConnection(channel, socket, this->settings, *this, this);
+  }
+}
+
+Result<CancelRequest> CallerServer::OnSessionStart(CallerConnection& aConnection)
+{
+  if (this->isStopping) {
+    return Fail(ResultCode::ShuttingDown, {});
+  }
+  if (this->keys.size() >= this->settings.limits.maxSessions) {
+    ++this->counters.sessionsRejected;
+    return Fail(ResultCode::StartupRejected, "too many sessions on this proxy");
+  }
+  CancelRequest key;
+  do {
+    // Random process ids too: proxies share no counter, and an id of another proxy must not hit a
+    // session here.
+    key.processId = QRandomGenerator::system()->generate();
+  } while (key.processId == 0 || this->keys.contains(key.processId));
+  key.secret = QRandomGenerator::system()->generate();
+  this->keys[key.processId] = { aConnection.Channel(), key.secret };
+  this->processIds[aConnection.Channel()] = key.processId;
+  ++this->counters.sessionsAccepted;
+  return key;
+}
+
+void CallerServer::OnCancelRequest(const CancelRequest& aRequest)
+{
+  const auto found = this->keys.find(aRequest.processId);
+  if (found == this->keys.end() || found->second.secret != aRequest.secret) {
+    return;
+  }
+  this->Run(this->forwarder.Cancel(found->second.channel, MonotonicNow()));
+}
+
+void CallerServer::OnUnit(ForwardUnit&& aUnit)
+{
+  this->Run(this->forwarder.Submit(std::move(aUnit), MonotonicNow()));
+}
+
+void CallerServer::OnOutput(const SessionOutput& aOutput)
+{
+  this->counters.unitsLocal += aOutput.localAnswers;
+  for (const auto& [code, runState] : aOutput.errors) {
+    ++this->counters.errors[code];
+    if (runState == RunState::NotRun) {
+      ++this->counters.notRun;
+    } else if (runState == RunState::Unknown) {
+      ++this->counters.unknown;
+    }
+  }
+}
+
+void CallerServer::OnGone(CallerConnection& aConnection)
+{
+  const std::uint64_t channel = aConnection.Channel();
+  if (const auto found = this->processIds.find(channel); found != this->processIds.end()) {
+    this->keys.erase(found->second);
+    this->processIds.erase(found);
+  }
+  this->connections.erase(channel);
+  aConnection.deleteLater();
+  this->Run(this->forwarder.CloseChannel(channel));
+}
+
+void CallerServer::ApplyDirectory(std::shared_ptr<const Directory> aDirectory)
+{
+  this->Run(this->forwarder.ApplyDirectory(std::move(aDirectory), MonotonicNow()));
+}
+
+void CallerServer::OnLinkReady(const std::string& aAddress)
+{
+  this->Run(this->forwarder.LinkReady(aAddress, MonotonicNow()));
+}
+
+void CallerServer::OnLinkClosed(const std::string& aAddress)
+{
+  this->Run(this->forwarder.LinkClosed(aAddress, MonotonicNow()));
+}
+
+void CallerServer::OnLinkReply(const std::string& aAddress, StatementReply&& aReply)
+{
+  this->Run(this->forwarder.Reply(aAddress, std::move(aReply), MonotonicNow()));
+}
+
+void CallerServer::Run(Forwarder::Actions&& aActions)
+{
+  for (ForwardAction& action : aActions) {
+    this->pendingActions.push_back(std::move(action));
+  }
+  if (this->isExecuting) {
+    return;
+  }
+  this->isExecuting = true;
+  while (!this->pendingActions.empty()) {
+    ForwardAction action = std::move(this->pendingActions.front());
+    this->pendingActions.pop_front();
+    this->Execute(std::move(action));
+  }
+  this->isExecuting = false;
+  this->ArmTimer();
+}
+
+void CallerServer::Execute(ForwardAction&& aAction)
+{
+  if (auto* open = std::get_if<OpenOwnerLink>(&aAction)) {
+    this->links.Open(open->address);
+    return;
+  }
+  if (auto* send = std::get_if<SendToOwner>(&aAction)) {
+    this->ExecuteSend(std::move(*send));
+    return;
+  }
+  StatementReply& reply = std::get<DeliverPiece>(aAction).reply;
+  const auto found = this->connections.find(reply.channel);
+  if (found == this->connections.end()) {
+    return;
+  }
+  if (reply.finalPiece && reply.code == ResultCode::Ok) {
+    ++this->counters.unitsAnswered;
+  }
+  found->second->DeliverReply(std::move(reply));
+}
+
+void CallerServer::ExecuteSend(SendToOwner&& aSend)
+{
+  const auto* request = std::get_if<StatementRequest>(&aSend.message);
+  const std::uint64_t channel = request == nullptr ? 0 : request->channel;
+  const std::uint64_t sequence = request == nullptr ? 0 : request->sequence;
+  if (!this->links.Send(aSend.address, std::move(aSend.message)) && channel != 0) {
+    this->Run(this->forwarder.SendFailed(channel, sequence, MonotonicNow()));
+  }
+}
+
+void CallerServer::ArmTimer()
+{
+  const auto next = this->forwarder.NextTimer();
+  if (!next) {
+    this->timer.stop();
+    return;
+  }
+  const Duration wait = std::max(Duration{ 0 }, *next - MonotonicNow());
+  this->timer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
+}
+
+void CallerServer::BeginStop()
+{
+  if (this->isStopping) {
+    return;
+  }
+  this->isStopping = true;
+  WriteLog(LogEvent::EntryStopping, "sessions=" + std::to_string(this->keys.size()));
+  this->server.close();
+  const auto open = this->connections;
+  for (const auto& [channel, connection] : open) {
+    connection->BeginStop();
+  }
+  const auto limit = std::chrono::ceil<std::chrono::milliseconds>(this->settings.limits.stopLimit);
+  QTimer::singleShot(limit, this, [this] {
+    const auto left = this->connections;
+    for (const auto& [channel, connection] : left) {
+      connection->Abort();
+    }
+  });
+}
+
+bool CallerServer::IsIdle() const
+{
+  return this->connections.empty();
+}
+
+const EntryCounters& CallerServer::Counters() const
+{
+  const Forwarder::Statistics& statistics = this->forwarder.Stats();
+  this->counters.unitsForwarded = statistics.forwarded;
+  this->counters.resends = statistics.resends;
+  this->counters.repliesIgnored = statistics.repliesIgnored;
+  this->counters.cancels = statistics.cancels;
+  return this->counters;
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/entry/internal/CallerSession.cpp
@@ -0,0 +1,709 @@
+#include "oleanderledge/entry/internal/CallerSession.hpp"
+
+#include "oleanderledge/entry/internal/CallerErrors.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Room in a link frame for everything but the payload and the prepared statements.
+constexpr std::size_t kFrameReserveBytes = std::size_t{ 64 } * 1024;
+
+constexpr std::string_view kRequestIdName = "oleanderledge.request_id";
+
+/// Version that callers are told; clients derive features from it.
+constexpr std::string_view kServerVersion = "15.0";
+
+/// Parameters reported at start-up, with the values of a backend server's defaults.
+constexpr std::array<std::pair<std::string_view, std::string_view>, 11> kStartupParameters = { {
+  { "server_version", kServerVersion },
+  { "server_encoding", "UTF8" },
+  { "client_encoding", "UTF8" },
+  { "application_name", "" },
+  { "DateStyle", "ISO, MDY" },
+  { "IntervalStyle", "postgres" },
+  { "TimeZone", "UTC" },
+  { "integer_datetimes", "on" },
+  { "standard_conforming_strings", "on" },
+  { "is_superuser", "off" },
+  { "in_hot_standby", "off" },
+} };
+
+std::string LowerCase(std::string_view aText)
+{
+  std::string lower(aText);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char aCharacter) {
+    return aCharacter >= 'A' && aCharacter <= 'Z' ? static_cast<char>(aCharacter - 'A' + 'a')
+                                                  : aCharacter;
+  });
+  return lower;
+}
+
+/// Answers options of a newer protocol: the proxy speaks 3.0 and knows no options.
+std::string BuildNegotiateProtocolVersion(const std::vector<std::string>& aOptions)
+{
+  std::string body(7, '\0');
+  body.push_back(static_cast<char>(aOptions.size()));
+  for (const std::string& option : aOptions) {
+    body += option;
+    body.push_back('\0');
+  }
+  return BuildMessage('v', body);
+}
+
+std::string_view TagOf(const RecognizedStatement& aStatement)
+{
+  switch (aStatement.kind) {
+    case StatementKind::Show:
+      return "SHOW";
+    case StatementKind::Reset:
+    case StatementKind::ResetAll:
+      return "RESET";
+    case StatementKind::DiscardAll:
+      return "DISCARD ALL";
+    case StatementKind::Commit:
+    case StatementKind::Rollback:
+      // Only answered locally for a failed transaction, where COMMIT rolls back.
+      return "ROLLBACK";
+    default:
+      return "SET";
+  }
+}
+
+bool EndsTransaction(StatementKind aKind)
+{
+  return aKind == StatementKind::Commit || aKind == StatementKind::Rollback;
+}
+
+/// SET and RESET of settings that the owner has to know for later units.
+bool ChangesRememberedSetting(const RecognizedStatement& aStatement)
+{
+  const bool isChange = (aStatement.kind == StatementKind::Set && !aStatement.isLocal) ||
+                        aStatement.kind == StatementKind::Reset;
+  return isChange && !SessionSettings::IsOwn(aStatement.name) &&
+         !aStatement.name.starts_with("transaction_");
+}
+
+/// The same change for the running transaction only: on a shared connection, the change must not
+/// outlive the transaction.
+std::string LocalText(const RecognizedStatement& aStatement)
+{
+  return aStatement.kind == StatementKind::Reset ? "SET LOCAL " + aStatement.name + " TO DEFAULT"
+                                                 : "SET LOCAL " + aStatement.assignment;
+}
+
+} // namespace
+
+CallerSession::CallerSession(std::uint64_t aChannel, const EntryLimits& aLimits)
+  : channel(aChannel)
+  , limits(aLimits)
+  , collector(std::min(aLimits.maxMessageBytes, kMaxFrameBytes) - kFrameReserveBytes)
+{
+}
+
+Result<std::string> CallerSession::Start(const StartupMessage& aStartup)
+{
+  this->user = aStartup.user;
+  this->database = aStartup.database;
+  for (const auto& [name, value] : aStartup.parameters) {
+    const std::string lower = LowerCase(name);
+    if (!SessionSettings::IsOwn(lower)) {
+      this->settings.Remember(lower, value);
+      continue;
+    }
+    if (auto set = this->settings.SetOwn(lower, value); !set) {
+      return set.as_failure();
+    }
+  }
+  this->settings.MarkStartup();
+  std::string opening;
+  if (aStartup.minorVersion > 0 || !aStartup.unsupportedOptions.empty()) {
+    opening += BuildNegotiateProtocolVersion(aStartup.unsupportedOptions);
+  }
+  opening += BuildAuthenticationOk();
+  for (const auto& [name, value] : kStartupParameters) {
+    const auto stated = this->settings.RememberedValue(LowerCase(name));
+    opening += BuildParameterStatus(name, stated ? *stated : std::string(value));
+  }
+  opening += BuildParameterStatus("session_authorization", this->user);
+  opening +=
+    BuildParameterStatus("default_transaction_read_only", this->settings.ReadOnly() ? "on" : "off");
+  return opening;
+}
+
+bool CallerSession::IsIdle() const
+{
+  return !this->running && this->queue.empty() && this->status == 'I';
+}
+
+bool CallerSession::WantsMore() const
+{
+  return this->queue.size() < this->limits.maxQueuedUnits &&
+         this->queuedBytes < this->limits.maxQueuedBytes;
+}
+
+SessionOutput CallerSession::OnMessage(std::string aMessage, Instant aNow)
+{
+  SessionOutput output;
+  auto unit = this->collector.Add(std::move(aMessage), aNow);
+  if (unit) {
+    this->queuedBytes += unit->payload.size();
+    this->queue.push_back(std::move(*unit));
+    this->RunQueued(output);
+  }
+  return output;
+}
+
+SessionOutput CallerSession::SetOutputFull(bool aIsFull)
+{
+  SessionOutput output;
+  this->isOutputFull = aIsFull;
+  this->RunQueued(output);
+  return output;
+}
+
+void CallerSession::RunQueued(SessionOutput& aOutput)
+{
+  while (!this->running && !this->isOutputFull && !this->queue.empty() && !aOutput.shouldClose) {
+    CollectedUnit unit = std::move(this->queue.front());
+    this->queue.pop_front();
+    this->queuedBytes -= unit.payload.size();
+    this->RunUnit(std::move(unit), aOutput);
+  }
+}
+
+void CallerSession::RunUnit(CollectedUnit&& aUnit, SessionOutput& aOutput)
+{
+  switch (aUnit.kind) {
+    case CollectedUnit::Kind::Terminate:
+      aOutput.shouldClose = true;
+      return;
+    case CollectedUnit::Kind::Violation:
+      aOutput.toCaller += BuildCallerError("FATAL", aUnit.code, RunState::NotRun, aUnit.detail);
+      aOutput.errors.emplace_back(aUnit.code, RunState::NotRun);
+      aOutput.shouldClose = true;
+      aOutput.closeReason = aUnit.code;
+      return;
+    case CollectedUnit::Kind::Ready:
+      aOutput.toCaller += BuildReadyForQuery(this->status);
+      return;
+    case CollectedUnit::Kind::Refusal:
+      this->Refuse(aUnit.code, aUnit.detail, aOutput);
+      if (aUnit.endsWithReady) {
+        aOutput.toCaller += BuildReadyForQuery(this->status);
+      }
+      return;
+    case CollectedUnit::Kind::Work:
+      break;
+  }
+  auto analyzed = AnalyzeUnit(aUnit.payload, this->statements);
+  if (!analyzed) {
+    this->Refuse(analyzed.error().code, analyzed.error().message, aOutput);
+    aOutput.toCaller += BuildReadyForQuery(this->status);
+    return;
+  }
+  UnitAnalysis& analysis = analyzed.value();
+  if (this->isFailedHere && !(this->failedAtBegin && analysis.SoleKind() == StatementKind::Begin)) {
+    this->RunInFailedTransaction(analysis, aOutput);
+    return;
+  }
+  std::size_t local = 0;
+  std::size_t remote = 0;
+  for (const UnitStep& step : analysis.steps) {
+    if (step.statement.kind == StatementKind::Copy) {
+      this->Refuse(ResultCode::CopyNotSupported, {}, aOutput);
+      aOutput.toCaller += BuildReadyForQuery(this->status);
+      return;
+    }
+    if (step.view.type == 'S' || (step.view.type == 'C' && !step.refersToPortal)) {
+      continue;
+    }
+    ++(this->IsAnsweredLocally(step.statement) ? local : remote);
+  }
+  if (remote == 0) {
+    this->AnswerLocally(analysis, aOutput);
+  } else if (local == 0) {
+    this->Forward(std::move(aUnit), std::move(analysis), aOutput);
+  } else {
+    this->Refuse(ResultCode::FeatureNotSupported,
+                 "SET, SHOW and RESET of settings of the proxy need a Sync before and after them",
+                 aOutput);
+    aOutput.toCaller += BuildReadyForQuery(this->status);
+  }
+}
+
+void CallerSession::RunInFailedTransaction(const UnitAnalysis& aAnalysis, SessionOutput& aOutput)
+{
+  const bool isAllowed =
+    std::all_of(aAnalysis.steps.begin(), aAnalysis.steps.end(), [](const UnitStep& aStep) {
+      return aStep.view.type == 'S' || aStep.view.type == 'C' ||
+             (EndsTransaction(aStep.statement.kind) && !aStep.statement.isChained);
+    });
+  if (isAllowed) {
+    this->AnswerLocally(aAnalysis, aOutput);
+    return;
+  }
+  this->WriteError(ResultCode::TransactionFailed, RunState::NotRun, {}, 0, aOutput);
+  aOutput.toCaller += BuildReadyForQuery(this->status);
+}
+
+void CallerSession::Forward(CollectedUnit&& aUnit, UnitAnalysis&& aAnalysis, SessionOutput& aOutput)
+{
+  Running next;
+  next.wasInTransaction = this->status != 'I' && !this->isFailedHere;
+  next.endsTransaction = EndsTransaction(aAnalysis.SoleKind());
+  const auto begin = std::find_if(
+    aAnalysis.executed.begin(),
+    aAnalysis.executed.end(),
+    [](const RecognizedStatement& aStatement) { return aStatement.kind == StatementKind::Begin; });
+  next.beginsTransaction = !next.wasInTransaction && begin != aAnalysis.executed.end();
+  if (next.wasInTransaction) {
+    next.readOnly = this->transactionReadOnly;
+  } else {
+    next.readOnly = next.beginsTransaction ? begin->readOnly.value_or(this->settings.ReadOnly())
+                                           : this->settings.ReadOnly();
+  }
+  this->NoteDefinitions(aAnalysis, next);
+
+  ForwardUnit forward;
+  forward.arrived = aUnit.arrived;
+  StatementRequest& request = forward.request;
+  request.channel = this->channel;
+  request.database = this->database;
+  request.caller = this->user;
+  request.inTransaction = next.wasInTransaction;
+  request.readOnly = next.readOnly;
+  this->settings.FillRequest(request);
+  // Units that only prepare or describe run nothing, so they leave the request id to the unit that
+  // does.
+  const bool usesRequestId = !next.wasInTransaction && !aAnalysis.executed.empty() &&
+                             !ChangesRememberedSetting(aAnalysis.executed.front());
+  if (!usesRequestId) {
+    request.requestId.clear();
+  }
+  std::size_t bytes = aUnit.payload.size();
+  for (const std::string& name : aAnalysis.usedStatements) {
+    const SessionStatement& statement = this->statements.find(name)->second;
+    const bool isRewritten =
+      next.wasInTransaction && ChangesRememberedSetting(statement.recognized);
+    request.prepared.push_back(
+      { name,
+        isRewritten ? ReplaceParseText(statement.parseMessage, LocalText(statement.recognized))
+                    : statement.parseMessage });
+    bytes += request.prepared.back().parseMessage.size();
+  }
+  if (bytes > kMaxFrameBytes - kFrameReserveBytes) {
+    this->Refuse(
+      ResultCode::MessageTooLarge, "the unit and its prepared statements are too large", aOutput);
+    aOutput.toCaller += BuildReadyForQuery(this->status);
+    return;
+  }
+  for (const RecognizedStatement& statement : aAnalysis.executed) {
+    if (ChangesRememberedSetting(statement)) {
+      next.settings.push_back({ statement.name,
+                                statement.kind == StatementKind::Reset || statement.isDefault
+                                  ? std::nullopt
+                                  : std::optional(statement.value) });
+    }
+  }
+  if (next.wasInTransaction) {
+    request.settings = this->settings.Remembered();
+    request.payload =
+      next.settings.empty() ? std::move(aUnit.payload) : this->RewriteForTransaction(aAnalysis);
+  } else {
+    // The owner applies the new value before the unit, so the connection is known to have it.
+    SessionSettings changed = this->settings;
+    for (const SettingChange& change : next.settings) {
+      change.value ? changed.Remember(change.name, *change.value) : changed.Forget(change.name);
+    }
+    request.settings = changed.Remembered();
+    request.payload = std::move(aUnit.payload);
+  }
+  forward.mayResend = this->MayResend(aAnalysis, request);
+  if (usesRequestId) {
+    this->settings.ClearRequestId();
+  }
+  if (this->isFailedHere) {
+    this->SetStatus('I');
+  }
+  this->running = std::move(next);
+  aOutput.forward = std::move(forward);
+}
+
+void CallerSession::NoteDefinitions(const UnitAnalysis& aAnalysis, Running& aRunning) const
+{
+  for (const UnitStep& step : aAnalysis.steps) {
+    if (step.view.type == 'P') {
+      aRunning.parses.push_back(
+        { step.statementName, { std::string(step.view.whole), step.statement } });
+    } else if (step.view.type == 'C' && step.refersToStatement) {
+      aRunning.closes.push_back(step.statementName);
+    }
+  }
+}
+
+bool CallerSession::MayResend(const UnitAnalysis& aAnalysis, const StatementRequest& aRequest) const
+{
+  if (aRequest.inTransaction) {
+    return false;
+  }
+  if (aAnalysis.executed.empty() || aRequest.idempotent || !aRequest.requestId.empty() ||
+      aAnalysis.SoleKind() == StatementKind::Begin) {
+    return true;
+  }
+  // A text of several statements could leave the read-only mode before it writes.
+  return aRequest.readOnly && aAnalysis.executed.size() == 1 &&
+         !aAnalysis.executed.front().mayBeSeveral;
+}
+
+std::string CallerSession::RewriteForTransaction(const UnitAnalysis& aAnalysis) const
+{
+  std::string payload;
+  for (const UnitStep& step : aAnalysis.steps) {
+    if (!ChangesRememberedSetting(step.statement)) {
+      payload += step.view.whole;
+    } else if (step.view.type == 'Q') {
+      payload += BuildQuery(LocalText(step.statement));
+    } else if (step.view.type == 'P') {
+      payload += ReplaceParseText(step.view.whole, LocalText(step.statement));
+    } else {
+      payload += step.view.whole;
+    }
+  }
+  return payload;
+}
+
+// --- Answers without an owner --------------------------------------------------------------------
+
+bool CallerSession::IsAnsweredLocally(const RecognizedStatement& aStatement) const
+{
+  switch (aStatement.kind) {
+    case StatementKind::Set:
+      return SessionSettings::IsOwn(aStatement.name) ||
+             (aStatement.isDefault && !aStatement.isLocal && this->status == 'I');
+    case StatementKind::Show:
+      return SessionSettings::IsOwn(aStatement.name);
+    case StatementKind::Reset:
+      return SessionSettings::IsOwn(aStatement.name) || this->status == 'I';
+    case StatementKind::ResetAll:
+    case StatementKind::DiscardAll:
+    case StatementKind::SetCharacteristic:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void CallerSession::AnswerLocally(const UnitAnalysis& aAnalysis, SessionOutput& aOutput)
+{
+  for (const UnitStep& step : aAnalysis.steps) {
+    if (auto answered = this->AnswerStep(step, aOutput); !answered) {
+      this->Refuse(answered.error().code, answered.error().message, aOutput);
+      break;
+    }
+  }
+  ++aOutput.localAnswers;
+  aOutput.toCaller += BuildReadyForQuery(this->status);
+}
+
+Result<void> CallerSession::AnswerStep(const UnitStep& aStep, SessionOutput& aOutput)
+{
+  switch (aStep.view.type) {
+    case 'Q':
+      if (aStep.statement.kind == StatementKind::Show) {
+        aOutput.toCaller += this->DescribeLocally(aStep.statement);
+      }
+      return this->ExecuteLocally(aStep.statement, aOutput);
+    case 'P':
+      this->statements[aStep.statementName] = { std::string(aStep.view.whole), aStep.statement };
+      aOutput.toCaller += BuildEmptyMessage('1');
+      break;
+    case 'B':
+      aOutput.toCaller += BuildEmptyMessage('2');
+      break;
+    case 'D':
+      if (aStep.refersToStatement) {
+        aOutput.toCaller += BuildParameterDescription(0);
+      }
+      aOutput.toCaller += this->DescribeLocally(aStep.statement);
+      break;
+    case 'E':
+      return this->ExecuteLocally(aStep.statement, aOutput);
+    case 'C':
+      this->statements.erase(aStep.statementName);
+      aOutput.toCaller += BuildEmptyMessage('3');
+      break;
+    default:
+      break;
+  }
+  return boost::outcome_v2::success();
+}
+
+std::string CallerSession::DescribeLocally(const RecognizedStatement& aStatement) const
+{
+  if (aStatement.kind != StatementKind::Show) {
+    return BuildEmptyMessage('n');
+  }
+  const std::array columns = { aStatement.name };
+  return BuildRowDescription(columns);
+}
+
+Result<void> CallerSession::ExecuteLocally(const RecognizedStatement& aStatement,
+                                           SessionOutput& aOutput)
+{
+  switch (aStatement.kind) {
+    case StatementKind::Set:
+    case StatementKind::Reset: {
+      if (auto set = this->ExecuteSet(aStatement); !set) {
+        return set;
+      }
+      this->ReportSetting(aStatement.name, aOutput);
+      break;
+    }
+    case StatementKind::Show: {
+      auto value = this->settings.ShowOwn(aStatement.name);
+      if (!value) {
+        return value.as_failure();
+      }
+      const std::array<std::optional<std::string>, 1> row = { value.value() };
+      aOutput.toCaller += BuildDataRow(row);
+      break;
+    }
+    case StatementKind::SetCharacteristic:
+      if (aStatement.readOnly) {
+        (void)this->settings.SetOwn("default_transaction_read_only",
+                                    *aStatement.readOnly ? "on" : "off");
+      }
+      if (!aStatement.isolationLevel.empty()) {
+        this->settings.Remember("default_transaction_isolation", aStatement.isolationLevel);
+      }
+      break;
+    case StatementKind::ResetAll:
+    case StatementKind::DiscardAll:
+      if (this->status != 'I') {
+        return Fail(ResultCode::FeatureNotSupported,
+                    "RESET ALL and DISCARD ALL are not supported inside a transaction");
+      }
+      this->settings.ResetAll();
+      if (aStatement.kind == StatementKind::DiscardAll) {
+        this->statements.clear();
+      }
+      break;
+    default:
+      this->SetStatus('I');
+      break;
+  }
+  aOutput.toCaller += BuildCommandComplete(TagOf(aStatement));
+  return boost::outcome_v2::success();
+}
+
+Result<void> CallerSession::ExecuteSet(const RecognizedStatement& aStatement)
+{
+  const std::string& name = aStatement.name;
+  if (!SessionSettings::IsOwn(name)) {
+    this->settings.Forget(name);
+    return boost::outcome_v2::success();
+  }
+  if (aStatement.isLocal) {
+    return Fail(ResultCode::FeatureNotSupported, "SET LOCAL is not supported for " + name);
+  }
+  if (aStatement.kind == StatementKind::Reset || aStatement.isDefault) {
+    return this->settings.ResetOwn(name);
+  }
+  if (name == kRequestIdName && this->status != 'I') {
+    return Fail(ResultCode::InvalidSetting,
+                "oleanderledge.request_id must be set before the transaction begins");
+  }
+  return this->settings.SetOwn(name, aStatement.value);
+}
+
+void CallerSession::ReportSetting(std::string_view aName, SessionOutput& aOutput) const
+{
+  const std::string_view reported = SessionSettings::ReportedName(aName);
+  if (reported.empty()) {
+    return;
+  }
+  auto value = this->settings.RememberedValue(aName);
+  if (!value) {
+    const auto* found = std::find_if(kStartupParameters.begin(),
+                                     kStartupParameters.end(),
+                                     [&](const auto& aEntry) { return aEntry.first == reported; });
+    value = std::string(found->second);
+  }
+  aOutput.toCaller += BuildParameterStatus(reported, *value);
+}
+
+// --- Errors --------------------------------------------------------------------------------------
+
+void CallerSession::WriteError(ResultCode aCode,
+                               RunState aRunState,
+                               std::string_view aDetail,
+                               std::int64_t aRetryAfterMs,
+                               SessionOutput& aOutput) const
+{
+  aOutput.toCaller += BuildCallerError("ERROR", aCode, aRunState, aDetail, aRetryAfterMs);
+  aOutput.errors.emplace_back(aCode, aRunState);
+}
+
+void CallerSession::Refuse(ResultCode aCode, std::string_view aDetail, SessionOutput& aOutput)
+{
+  this->WriteError(aCode, RunState::NotRun, aDetail, 0, aOutput);
+  if (this->status == 'T') {
+    this->FailTransaction(aOutput);
+  }
+}
+
+void CallerSession::FailTransaction(SessionOutput& aOutput)
+{
+  this->status = 'E';
+  this->isFailedHere = true;
+  this->failedAtBegin = false;
+  Running rollback;
+  rollback.isRollback = true;
+  ForwardUnit forward;
+  forward.request.channel = this->channel;
+  forward.request.database = this->database;
+  forward.request.caller = this->user;
+  forward.request.inTransaction = true;
+  forward.request.readOnly = this->transactionReadOnly;
+  this->settings.FillRequest(forward.request);
+  forward.request.requestId.clear();
+  forward.request.settings = this->settings.Remembered();
+  forward.request.payload = BuildQuery("ROLLBACK");
+  this->running = std::move(rollback);
+  aOutput.forward = std::move(forward);
+}
+
+// --- Answers of the owner ------------------------------------------------------------------------
+
+SessionOutput CallerSession::OnReply(StatementReply&& aReply)
+{
+  SessionOutput output;
+  if (!this->running) {
+    return output;
+  }
+  if (this->running->isRollback) {
+    if (aReply.finalPiece) {
+      this->running.reset();
+      this->RunQueued(output);
+    }
+    return output;
+  }
+  this->RelayPayload(aReply.payload, output);
+  if (aReply.finalPiece) {
+    this->FinishUnit(aReply, output);
+    this->RunQueued(output);
+  }
+  return output;
+}
+
+void CallerSession::RelayPayload(const std::string& aPayload, SessionOutput& aOutput)
+{
+  Running& unit = *this->running;
+  for (const MessageView& view : SplitMessages(aPayload)) {
+    switch (view.type) {
+      case '1':
+        ++unit.parseCompletes;
+        break;
+      case 'E':
+        unit.hasError = true;
+        break;
+      case 'C':
+        unit.lastTag = FieldReader(view.body).ReadString();
+        break;
+      case 'S':
+        unit.reported.push_back(LowerCase(FieldReader(view.body).ReadString()));
+        break;
+      case 'Z':
+        // The session writes its own ReadyForQuery when the unit is complete.
+        continue;
+      default:
+        break;
+    }
+    aOutput.toCaller += view.whole;
+  }
+}
+
+void CallerSession::FinishUnit(const StatementReply& aReply, SessionOutput& aOutput)
+{
+  const Running finished = std::move(*this->running);
+  this->running.reset();
+  char nextStatus = aReply.transactionStatus;
+  bool isLost = false;
+  if (aReply.code != ResultCode::Ok) {
+    this->WriteError(aReply.code, aReply.runState, aReply.message, aReply.retryAfterMs, aOutput);
+    isLost = nextStatus == 'I' && ((finished.wasInTransaction && !finished.endsTransaction) ||
+                                   finished.beginsTransaction);
+  }
+  this->ApplyChanges(finished, aReply.code == ResultCode::Ok && !finished.hasError, aOutput);
+  if (nextStatus != 'T' && nextStatus != 'E') {
+    nextStatus = 'I';
+  }
+  if (isLost) {
+    this->status = 'E';
+    this->isFailedHere = true;
+    this->failedAtBegin = finished.beginsTransaction;
+    this->pendingSettings.clear();
+  } else {
+    this->SetStatus(nextStatus);
+    this->transactionReadOnly = nextStatus != 'I' && finished.readOnly;
+    if (aReply.code != ResultCode::Ok && nextStatus == 'T') {
+      this->FailTransaction(aOutput);
+    }
+  }
+  aOutput.toCaller += BuildReadyForQuery(this->status);
+}
+
+void CallerSession::ApplyChanges(const Running& aFinished, bool aSucceeded, SessionOutput& aOutput)
+{
+  for (std::size_t at = 0; at < aFinished.parses.size() && at < aFinished.parseCompletes; ++at) {
+    this->statements[aFinished.parses[at].name] = aFinished.parses[at].statement;
+  }
+  for (const std::string& name : aFinished.closes) {
+    const bool isParsedAgain =
+      std::any_of(aFinished.parses.begin(),
+                  aFinished.parses.end(),
+                  [&](const PreparedChange& aParse) { return aParse.name == name; });
+    if (aSucceeded && !isParsedAgain) {
+      this->statements.erase(name);
+    }
+  }
+  if (aFinished.wasInTransaction) {
+    if (aSucceeded) {
+      this->pendingSettings.insert(
+        this->pendingSettings.end(), aFinished.settings.begin(), aFinished.settings.end());
+    }
+    if (aFinished.lastTag != "COMMIT") {
+      return;
+    }
+  }
+  if (!aSucceeded) {
+    return;
+  }
+  const auto changes =
+    aFinished.wasInTransaction ? std::exchange(this->pendingSettings, {}) : aFinished.settings;
+  for (const SettingChange& change : changes) {
+    change.value ? this->settings.Remember(change.name, *change.value)
+                 : this->settings.Forget(change.name);
+    if (std::find(aFinished.reported.begin(), aFinished.reported.end(), change.name) ==
+        aFinished.reported.end()) {
+      this->ReportSetting(change.name, aOutput);
+    }
+  }
+}
+
+void CallerSession::SetStatus(char aStatus)
+{
+  this->status = aStatus;
+  if (aStatus == 'I') {
+    this->isFailedHere = false;
+    this->failedAtBegin = false;
+    this->transactionReadOnly = false;
+    this->pendingSettings.clear();
+  }
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/entry/internal/Forwarder.cpp
@@ -0,0 +1,465 @@
+#include "oleanderledge/entry/internal/Forwarder.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+/// After a database got a new owner, an answer of the former owner is awaited this long. The former
+/// owner has released the database or its lease was waited out before the new one was assigned, so
+/// only answers under way can still come; the longest one-way delay between regions is 12 ms today.
+constexpr Duration kFormerOwnerGrace = std::chrono::seconds(1);
+
+/// Longer leases than this are not granted; a larger value in a reply is damage.
+constexpr std::int64_t kMaxLeaseUs = 60'000'000;
+
+StatementReply Failure(const ForwardUnit& aUnit, ResultCode aCode, RunState aRunState)
+{
+  StatementReply reply;
+  reply.channel = aUnit.request.channel;
+  reply.database = aUnit.request.database;
+  reply.finalPiece = true;
+  reply.code = aCode;
+  reply.runState = aRunState;
+  return reply;
+}
+
+/// Refusals that another attempt can overcome: the owner or the primary changes.
+bool IsWorthAnotherAttempt(ResultCode aCode)
+{
+  switch (aCode) {
+    case ResultCode::NoOwner:
+    case ResultCode::NoPrimary:
+    case ResultCode::NotOwner:
+    case ResultCode::ShuttingDown:
+    case ResultCode::BackendConnectionLost:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// The lease in a write acknowledgement, on this entry's clock: the owner's remaining lease counted
+/// from the entry's own ping that the owner echoes.
+bool IsLeaseInForce(const StatementReply& aReply, Instant aNow)
+{
+  if (aReply.pingEchoUs <= 0 || aReply.leaseLeftUs <= 0 || aReply.leaseLeftUs > kMaxLeaseUs) {
+    return false;
+  }
+  const Instant ping = FromMicroseconds(aReply.pingEchoUs);
+  return ping <= aNow && aNow < ping + Duration{ aReply.leaseLeftUs };
+}
+
+std::size_t BytesOf(const StatementRequest& aRequest)
+{
+  std::size_t bytes = aRequest.payload.size();
+  for (const PreparedStatement& prepared : aRequest.prepared) {
+    bytes += prepared.parseMessage.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
+Forwarder::Forwarder(const EntryLimits& aLimits, std::uint64_t aSeed)
+  : limits(aLimits)
+  , backOff(aSeed)
+{
+}
+
+Forwarder::Actions Forwarder::ApplyDirectory(std::shared_ptr<const Directory> aDirectory,
+                                             Instant aNow)
+{
+  Actions actions;
+  this->directory = std::move(aDirectory);
+  std::vector<std::pair<Instant, std::uint64_t>> ready;
+  for (auto& [id, channel] : this->channels) {
+    if (!channel.unit) {
+      continue;
+    }
+    Unit& unit = *channel.unit;
+    if (unit.state == UnitState::Waiting) {
+      ready.emplace_back(unit.forward.arrived, id);
+      continue;
+    }
+    const DatabaseRow* row = this->directory->FindDatabase(unit.forward.request.database);
+    if (row == nullptr || row->ownerEpoch == unit.epoch) {
+      continue;
+    }
+    if (unit.state == UnitState::BackingOff) {
+      ready.emplace_back(unit.forward.arrived, id);
+    } else if (!unit.timer) {
+      this->SetState(id, unit, UnitState::Sent, aNow + kFormerOwnerGrace);
+    }
+  }
+  std::sort(ready.begin(), ready.end());
+  for (const auto& [arrived, id] : ready) {
+    this->Dispatch(id, this->channels.at(id), aNow, actions);
+  }
+  return actions;
+}
+
+Forwarder::Actions Forwarder::LinkReady(const std::string& aAddress, Instant aNow)
+{
+  Actions actions;
+  this->readyLinks.insert(aAddress);
+  const auto candidates = this->waiting;
+  for (const auto& [arrived, id] : candidates) {
+    this->Dispatch(id, this->channels.at(id), aNow, actions);
+  }
+  return actions;
+}
+
+Forwarder::Actions Forwarder::LinkClosed(const std::string& aAddress, Instant aNow)
+{
+  Actions actions;
+  this->readyLinks.erase(aAddress);
+  for (auto& [id, channel] : this->channels) {
+    channel.owners.erase(aAddress);
+    if (channel.boundAddress == aAddress) {
+      channel.boundAddress.clear();
+    }
+    if (channel.unit && channel.unit->state == UnitState::Sent &&
+        channel.unit->address == aAddress) {
+      this->HandleUnknown(
+        id,
+        channel,
+        Failure(channel.unit->forward, ResultCode::OutcomeUnknown, RunState::Unknown),
+        aNow,
+        actions);
+    }
+  }
+  return actions;
+}
+
+Forwarder::Actions Forwarder::Submit(ForwardUnit&& aUnit, Instant aNow)
+{
+  Actions actions;
+  const std::uint64_t id = aUnit.request.channel;
+  Channel& channel = this->channels[id];
+  Unit& unit = channel.unit.emplace();
+  unit.forward = std::move(aUnit);
+  unit.deadline = unit.forward.arrived + this->limits.waitLimit;
+  ++this->statistics.forwarded;
+  ++this->heldUnits;
+  this->heldBytes += BytesOf(unit.forward.request);
+  this->SetState(id, unit, UnitState::Waiting, unit.deadline);
+  if (this->heldUnits > this->limits.maxWaitingUnits ||
+      this->heldBytes > this->limits.maxHeldBytes) {
+    this->FinishWithFailure(id, channel, ResultCode::Overloaded, RunState::NotRun, actions);
+    return actions;
+  }
+  this->Dispatch(id, channel, aNow, actions);
+  return actions;
+}
+
+void Forwarder::Dispatch(std::uint64_t aId, Channel& aChannel, Instant aNow, Actions& aActions)
+{
+  Unit& unit = *aChannel.unit;
+  const StatementRequest& request = unit.forward.request;
+  if (request.inTransaction) {
+    if (aChannel.boundAddress.empty() || !this->readyLinks.contains(aChannel.boundAddress)) {
+      this->FinishWithFailure(
+        aId, aChannel, ResultCode::BackendConnectionLost, RunState::NotRun, aActions);
+      return;
+    }
+    this->Send(aId, aChannel, aChannel.boundAddress, aChannel.boundEpoch, aNow, aActions);
+    return;
+  }
+  if (!this->directory || this->directory->Version() == 0) {
+    this->SetState(aId, unit, UnitState::Waiting, unit.deadline);
+    return;
+  }
+  const DatabaseRow* row = this->directory->FindDatabase(request.database);
+  if (row == nullptr) {
+    this->FinishWithFailure(aId, aChannel, ResultCode::UnknownDatabase, RunState::NotRun, aActions);
+    return;
+  }
+  if (row->owner.empty() || row->ownerAddress.empty()) {
+    this->SetState(aId, unit, UnitState::Waiting, unit.deadline);
+    return;
+  }
+  if (!this->readyLinks.contains(row->ownerAddress)) {
+    this->SetState(aId, unit, UnitState::Waiting, unit.deadline);
+    aActions.emplace_back(OpenOwnerLink{ row->ownerAddress });
+    return;
+  }
+  this->Send(aId, aChannel, row->ownerAddress, row->ownerEpoch, aNow, aActions);
+}
+
+void Forwarder::Send(std::uint64_t aId,
+                     Channel& aChannel,
+                     const std::string& aAddress,
+                     std::uint64_t aEpoch,
+                     Instant aNow,
+                     Actions& aActions)
+{
+  Unit& unit = *aChannel.unit;
+  unit.address = aAddress;
+  unit.epoch = aEpoch;
+  unit.sequence = aChannel.nextSequence++;
+  unit.leaseLost = false;
+  StatementRequest request = unit.forward.request;
+  request.sequence = unit.sequence;
+  request.ownerEpoch = aEpoch;
+  request.waitedUs = (aNow - unit.forward.arrived).count();
+  aChannel.owners.insert(aAddress);
+  this->SetState(aId, unit, UnitState::Sent, std::nullopt);
+  aActions.emplace_back(SendToOwner{ aAddress, std::move(request) });
+}
+
+Forwarder::Actions Forwarder::Reply(const std::string& aAddress,
+                                    StatementReply&& aReply,
+                                    Instant aNow)
+{
+  Actions actions;
+  const auto found = this->channels.find(aReply.channel);
+  if (found == this->channels.end() || !found->second.unit ||
+      found->second.unit->state != UnitState::Sent ||
+      found->second.unit->sequence != aReply.sequence || found->second.unit->address != aAddress) {
+    ++this->statistics.repliesIgnored;
+    return actions;
+  }
+  Channel& channel = found->second;
+  Unit& unit = *channel.unit;
+  if (aReply.code == ResultCode::Ok && aReply.isWriteAcknowledgement &&
+      !IsLeaseInForce(aReply, aNow)) {
+    unit.leaseLost = true;
+  }
+  if (aReply.finalPiece) {
+    this->HandleFinal(aReply.channel, channel, std::move(aReply), aNow, actions);
+  } else if (!unit.leaseLost) {
+    unit.piecesDelivered = true;
+    actions.emplace_back(DeliverPiece{ std::move(aReply) });
+  }
+  return actions;
+}
+
+void Forwarder::HandleFinal(std::uint64_t aId,
+                            Channel& aChannel,
+                            StatementReply&& aReply,
+                            Instant aNow,
+                            Actions& aActions)
+{
+  Unit& unit = *aChannel.unit;
+  const bool isOpen = aReply.transactionStatus == 'T' || aReply.transactionStatus == 'E';
+  aChannel.boundAddress = isOpen ? unit.address : std::string{};
+  aChannel.boundEpoch = unit.epoch;
+  if (unit.leaseLost) {
+    StatementReply failure = Failure(unit.forward, ResultCode::LeaseExpired, RunState::Unknown);
+    failure.transactionStatus = aReply.transactionStatus;
+    this->HandleUnknown(aId, aChannel, std::move(failure), aNow, aActions);
+    return;
+  }
+  if (aReply.code == ResultCode::Ok) {
+    this->budget.NoteSuccess(aNow);
+    this->Finish(aId, aChannel, std::move(aReply), aActions);
+    return;
+  }
+  if (aReply.runState == RunState::Unknown) {
+    this->HandleUnknown(aId, aChannel, std::move(aReply), aNow, aActions);
+    return;
+  }
+  const bool mayDispatchAgain = aReply.runState == RunState::NotRun &&
+                                IsWorthAnotherAttempt(aReply.code) && !isOpen &&
+                                !unit.forward.request.inTransaction && !unit.piecesDelivered &&
+                                !unit.canceled && aNow < unit.deadline;
+  if (!mayDispatchAgain) {
+    this->Finish(aId, aChannel, std::move(aReply), aActions);
+    return;
+  }
+  unit.refusal = std::move(aReply);
+  this->BackOffUntilRetry(aId, unit, aNow);
+}
+
+void Forwarder::HandleUnknown(std::uint64_t aId,
+                              Channel& aChannel,
+                              StatementReply&& aFailure,
+                              Instant aNow,
+                              Actions& aActions)
+{
+  Unit& unit = *aChannel.unit;
+  unit.mayHaveRun = true;
+  const bool isOpen = aFailure.transactionStatus != 'I';
+  const bool mayResend = unit.forward.mayResend && !unit.forward.request.inTransaction && !isOpen &&
+                         !unit.piecesDelivered && !unit.canceled && aNow < unit.deadline &&
+                         this->budget.TryRetry(aNow);
+  if (!mayResend) {
+    this->Finish(aId, aChannel, std::move(aFailure), aActions);
+    return;
+  }
+  ++this->statistics.resends;
+  this->BackOffUntilRetry(aId, unit, aNow);
+}
+
+void Forwarder::BackOffUntilRetry(std::uint64_t aId, Unit& aUnit, Instant aNow)
+{
+  ++aUnit.failures;
+  const Instant next = aNow + this->backOff.Next(aUnit.failures);
+  this->SetState(aId, aUnit, UnitState::BackingOff, std::min(next, aUnit.deadline));
+}
+
+Forwarder::Actions Forwarder::SendFailed(std::uint64_t aChannel,
+                                         std::uint64_t aSequence,
+                                         Instant aNow)
+{
+  Actions actions;
+  const auto found = this->channels.find(aChannel);
+  if (found == this->channels.end() || !found->second.unit ||
+      found->second.unit->state != UnitState::Sent || found->second.unit->sequence != aSequence) {
+    return actions;
+  }
+  Unit& unit = *found->second.unit;
+  if (unit.forward.request.inTransaction) {
+    this->FinishWithFailure(
+      aChannel, found->second, ResultCode::BackendConnectionLost, RunState::NotRun, actions);
+  } else {
+    this->BackOffUntilRetry(aChannel, unit, aNow);
+  }
+  return actions;
+}
+
+Forwarder::Actions Forwarder::Cancel(std::uint64_t aChannel, Instant /*aNow*/)
+{
+  Actions actions;
+  const auto found = this->channels.find(aChannel);
+  if (found == this->channels.end() || !found->second.unit) {
+    return actions;
+  }
+  ++this->statistics.cancels;
+  Unit& unit = *found->second.unit;
+  unit.canceled = true;
+  if (unit.state == UnitState::Sent) {
+    actions.emplace_back(SendToOwner{ unit.address, CancelStatement{ aChannel, unit.sequence } });
+  } else {
+    this->FinishWithFailure(
+      aChannel, found->second, ResultCode::QueryCanceled, RunState::NotRun, actions);
+  }
+  return actions;
+}
+
+Forwarder::Actions Forwarder::CloseChannel(std::uint64_t aChannel)
+{
+  Actions actions;
+  const auto found = this->channels.find(aChannel);
+  if (found == this->channels.end()) {
+    return actions;
+  }
+  this->ForgetUnit(aChannel, found->second);
+  for (const std::string& address : found->second.owners) {
+    actions.emplace_back(SendToOwner{ address, oleanderledge::CloseChannel{ aChannel } });
+  }
+  this->channels.erase(found);
+  return actions;
+}
+
+Forwarder::Actions Forwarder::Tick(Instant aNow)
+{
+  Actions actions;
+  while (!this->timers.empty() && this->timers.begin()->first <= aNow) {
+    const std::uint64_t id = this->timers.begin()->second;
+    this->HandleTimer(id, this->channels.at(id), aNow, actions);
+  }
+  return actions;
+}
+
+void Forwarder::HandleTimer(std::uint64_t aId, Channel& aChannel, Instant aNow, Actions& aActions)
+{
+  Unit& unit = *aChannel.unit;
+  if (unit.state == UnitState::Sent) {
+    // The former owner may still hold a transaction or the unit itself; nothing of this channel may
+    // run there while the new owner serves it.
+    aActions.emplace_back(SendToOwner{ unit.address, oleanderledge::CloseChannel{ aId } });
+    aChannel.owners.erase(unit.address);
+    aChannel.boundAddress.clear();
+    this->HandleUnknown(aId,
+                        aChannel,
+                        Failure(unit.forward, ResultCode::OutcomeUnknown, RunState::Unknown),
+                        aNow,
+                        aActions);
+    return;
+  }
+  if (aNow < unit.deadline) {
+    this->Dispatch(aId, aChannel, aNow, aActions);
+    return;
+  }
+  if (unit.refusal) {
+    this->Finish(aId, aChannel, StatementReply(*unit.refusal), aActions);
+    return;
+  }
+  this->FinishWithFailure(aId, aChannel, ResultCode::NoOwner, RunState::NotRun, aActions);
+}
+
+std::optional<Instant> Forwarder::NextTimer() const
+{
+  return this->timers.empty() ? std::nullopt : std::optional(this->timers.begin()->first);
+}
+
+void Forwarder::FinishWithFailure(std::uint64_t aId,
+                                  Channel& aChannel,
+                                  ResultCode aCode,
+                                  RunState aRunState,
+                                  Actions& aActions)
+{
+  this->Finish(aId, aChannel, Failure(aChannel.unit->forward, aCode, aRunState), aActions);
+}
+
+void Forwarder::Finish(std::uint64_t aId,
+                       Channel& aChannel,
+                       StatementReply&& aReply,
+                       Actions& aActions)
+{
+  const Unit& unit = *aChannel.unit;
+  // "Not run" must be true of every attempt, not only of the last one.
+  if (aReply.code != ResultCode::Ok && aReply.runState == RunState::NotRun &&
+      (unit.mayHaveRun || unit.piecesDelivered)) {
+    if (aReply.code != ResultCode::QueryCanceled) {
+      aReply.code = ResultCode::OutcomeUnknown;
+    }
+    aReply.runState = RunState::Unknown;
+    aReply.message.clear();
+    aReply.retryAfterMs = 0;
+  }
+  this->ForgetUnit(aId, aChannel);
+  aActions.emplace_back(DeliverPiece{ std::move(aReply) });
+}
+
+void Forwarder::SetState(std::uint64_t aId,
+                         Unit& aUnit,
+                         UnitState aState,
+                         std::optional<Instant> aTimer)
+{
+  const std::pair position(aUnit.forward.arrived, aId);
+  if (aUnit.state == UnitState::Waiting) {
+    this->waiting.erase(position);
+  }
+  if (aState == UnitState::Waiting) {
+    this->waiting.insert(position);
+  }
+  if (aUnit.state != UnitState::Sent && aState == UnitState::Sent) {
+    --this->heldUnits;
+  } else if (aUnit.state == UnitState::Sent && aState != UnitState::Sent) {
+    ++this->heldUnits;
+  }
+  if (aUnit.timer) {
+    this->timers.erase({ *aUnit.timer, aId });
+  }
+  if (aTimer) {
+    this->timers.emplace(*aTimer, aId);
+  }
+  aUnit.state = aState;
+  aUnit.timer = aTimer;
+}
+
+void Forwarder::ForgetUnit(std::uint64_t aId, Channel& aChannel)
+{
+  if (!aChannel.unit) {
+    return;
+  }
+  this->SetState(aId, *aChannel.unit, UnitState::Sent, std::nullopt);
+  this->heldBytes -= BytesOf(aChannel.unit->forward.request);
+  aChannel.unit.reset();
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/wire/MessageReader.hpp
+++ b/src/oleanderledge/wire/MessageReader.hpp
@@ -20,6 +20,12 @@
   {
   }
 
+  /// Changes the limit for messages not yet taken: a start-up packet has a lower one.
+  void SetMaxMessageBytes(std::size_t aMaxMessageBytes)
+  {
+    this->maxMessageBytes = aMaxMessageBytes;
+  }
+
   void Feed(std::string_view aBytes);
 
   /// Takes the next whole message, with type byte and length, or nothing if bytes are missing.
--- a/src/oleanderledge/wire/wire.hpp
+++ b/src/oleanderledge/wire/wire.hpp
@@ -7,3 +7,4 @@
 #include "oleanderledge/wire/MessageReader.hpp"
 #include "oleanderledge/wire/MessageView.hpp"
 #include "oleanderledge/wire/StartupPacket.hpp"
+#include "oleanderledge/wire/StatementRecognizer.hpp"
