Test the callers' port and let links be destroyed before the entry

Cause: children of one QObject are destroyed in the order of their creation, so the links went before the entry that uses them and it crashed.

Change: links tell their listener when they are destroyed. Tests cover start-up, statements, cancel, graceful stop, limits, garbage and callers that do not read.

--- a/src/oleanderledge/entry/EntryService.hpp
+++ b/src/oleanderledge/entry/EntryService.hpp
@@ -56,7 +56,8 @@
 };
 
 /// Creates the entry role in the calling thread as a child of `aParent` and opens the callers'
-/// port. Fails with ListenFailed. `aLinks` outlives the service.
+/// port. Fails with ListenFailed. `aLinks` may be destroyed before the service; units are not
+/// forwarded any more then.
 Result<EntryService*> CreateEntryService(QObject* aParent,
                                          const EntrySettings& aSettings,
                                          OwnerLinks& aLinks);
--- a/src/oleanderledge/entry/OwnerLinks.hpp
+++ b/src/oleanderledge/entry/OwnerLinks.hpp
@@ -6,7 +6,7 @@
 
 namespace oleanderledge {
 
-/// Told what happens on the links to owners. Never called from inside a method of OwnerLinks.
+/// Told what happens on the links to owners. Never called from inside Open() or Send().
 class OwnerLinksListener
 {
 public:
@@ -17,6 +17,8 @@
   /// The link was lost: the owner rolls back what was open. Called only after OnLinkReady().
   virtual void OnLinkClosed(const std::string& aAddress) = 0;
   virtual void OnLinkReply(const std::string& aAddress, StatementReply&& aReply) = 0;
+  /// The links are being destroyed and must not be used any more.
+  virtual void OnLinksGone() = 0;
 };
 
 /// The links from this entry to owners, by the link address ("ip:port") of the owner. One link
--- a/src/oleanderledge/entry/internal/CallerServer.cpp
+++ b/src/oleanderledge/entry/internal/CallerServer.cpp
@@ -31,7 +31,7 @@
 CallerServer::CallerServer(const EntrySettings& aSettings, OwnerLinks& aLinks, QObject* aParent)
   : QObject(aParent)
   , settings(aSettings)
-  , links(aLinks)
+  , links(&aLinks)
   , forwarder(aSettings.limits, aSettings.seed)
 {
   this->timer.setSingleShot(true);
@@ -40,12 +40,14 @@
     this->Run(this->forwarder.Tick(MonotonicNow()));
   });
   QObject::connect(&this->server, &QTcpServer::newConnection, this, &CallerServer::AcceptPending);
-  this->links.SetListener(this);
+  this->links->SetListener(this);
 }
 
 CallerServer::~CallerServer()
 {
-  this->links.SetListener(nullptr);
+  if (this->links != nullptr) {
+    this->links->SetListener(nullptr);
+  }
   const auto open = this->connections;
   for (const auto& [channel, connection] : open) {
     // Deleted here, while the members that a closing connection uses still exist.
@@ -180,7 +182,9 @@
 void CallerServer::Execute(ForwardAction&& aAction)
 {
   if (auto* open = std::get_if<OpenOwnerLink>(&aAction)) {
-    this->links.Open(open->address);
+    if (this->links != nullptr) {
+      this->links->Open(open->address);
+    }
     return;
   }
   if (auto* send = std::get_if<SendToOwner>(&aAction)) {
@@ -203,7 +207,9 @@
   const auto* request = std::get_if<StatementRequest>(&aSend.message);
   const std::uint64_t channel = request == nullptr ? 0 : request->channel;
   const std::uint64_t sequence = request == nullptr ? 0 : request->sequence;
-  if (!this->links.Send(aSend.address, std::move(aSend.message)) && channel != 0) {
+  const bool isSent =
+    this->links != nullptr && this->links->Send(aSend.address, std::move(aSend.message));
+  if (!isSent && channel != 0) {
     this->Run(this->forwarder.SendFailed(channel, sequence, MonotonicNow()));
   }
 }
--- a/src/oleanderledge/entry/internal/CallerServer.hpp
+++ b/src/oleanderledge/entry/internal/CallerServer.hpp
@@ -40,6 +40,7 @@
   void OnLinkReady(const std::string& aAddress) override;
   void OnLinkClosed(const std::string& aAddress) override;
   void OnLinkReply(const std::string& aAddress, StatementReply&& aReply) override;
+  void OnLinksGone() override { this->links = nullptr; }
 
 private:
   struct SessionKey
@@ -62,7 +63,7 @@
   void ArmTimer();
 
   EntrySettings settings;
-  OwnerLinks& links;
+  OwnerLinks* links; ///< Null once destroyed.
   Forwarder forwarder;
   QTcpServer server;
   QTimer timer;
--- a/src/oleanderledge/entry/internal/CallerSession.cpp
+++ b/src/oleanderledge/entry/internal/CallerSession.cpp
@@ -363,11 +363,10 @@
 {
   std::string payload;
   for (const UnitStep& step : aAnalysis.steps) {
-    if (!ChangesRememberedSetting(step.statement)) {
-      payload += step.view.whole;
-    } else if (step.view.type == 'Q') {
+    const bool isChanged = ChangesRememberedSetting(step.statement);
+    if (isChanged && step.view.type == 'Q') {
       payload += BuildQuery(LocalText(step.statement));
-    } else if (step.view.type == 'P') {
+    } else if (isChanged && step.view.type == 'P') {
       payload += ReplaceParseText(step.view.whole, LocalText(step.statement));
     } else {
       payload += step.view.whole;
--- a/src/oleanderledge/entry/internal/Forwarder.cpp
+++ b/src/oleanderledge/entry/internal/Forwarder.cpp
@@ -138,7 +138,8 @@
   Actions actions;
   const std::uint64_t id = aUnit.request.channel;
   Channel& channel = this->channels[id];
-  Unit& unit = channel.unit.emplace();
+  channel.unit = Unit{};
+  Unit& unit = *channel.unit;
   unit.forward = std::move(aUnit);
   unit.deadline = unit.forward.arrived + this->limits.waitLimit;
   ++this->statistics.forwarded;
--- a/src/oleanderledge/entry/internal/LinkPool.cpp
+++ b/src/oleanderledge/entry/internal/LinkPool.cpp
@@ -56,6 +56,13 @@
   this->pingTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(kPingInterval));
 }
 
+LinkPool::~LinkPool()
+{
+  if (this->listener != nullptr) {
+    this->listener->OnLinksGone();
+  }
+}
+
 void LinkPool::Open(const std::string& aAddress)
 {
   if (aAddress == this->selfInfo.linkAddress) {
--- a/src/oleanderledge/entry/internal/LinkPool.hpp
+++ b/src/oleanderledge/entry/internal/LinkPool.hpp
@@ -31,6 +31,7 @@
            std::uint64_t aSeed,
            OwnerLinkServer& aLocal,
            QObject* aParent);
+  ~LinkPool() override;
 
   void SetListener(OwnerLinksListener* aListener) override { this->listener = aListener; }
   void Open(const std::string& aAddress) override;
--- /dev/null
+++ b/tests/entry/CallerServerTests.cpp
@@ -0,0 +1,265 @@
+#include "oleanderledge/transport/transport.hpp"
+
+#include "tests/entry/FakeOwner.hpp"
+#include "tests/entry/TestCaller.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace oleanderledge;
+using namespace oleanderledge::test;
+
+namespace {
+
+using Texts = std::vector<std::string>;
+
+QCoreApplication& Application()
+{
+  static int count = 1;
+  static char name[] = "test";
+  static char* arguments[] = { name, nullptr };
+  static QCoreApplication application(count, arguments);
+  return application;
+}
+
+std::shared_ptr<const Directory> DirectoryWithOwner(const std::string& aAddress)
+{
+  DatabaseRow row;
+  row.name = "orders";
+  row.owner = "proxy";
+  row.ownerAddress = aAddress;
+  row.ownerEpoch = 1;
+  row.version = 1;
+  auto directory = std::make_shared<Directory>();
+  directory->Apply({ 0, 1, {}, { row } });
+  return directory;
+}
+
+/// An entry and a fake owner in one process, on the direct path.
+class EntryFixture
+{
+public:
+  explicit EntryFixture(const EntryLimits& aLimits = {}, Duration aLatency = Duration{ 0 })
+  {
+    Application();
+    this->settings.self.id = "proxy";
+    this->settings.self.linkAddress = "127.0.0.1:1";
+    this->settings.callersAddress = "127.0.0.1:0";
+    this->settings.limits = aLimits;
+    this->settings.latencyToClients = aLatency;
+    this->links = CreateProxyLinks(&this->parent, this->settings.self, {}, 1);
+    this->owner = std::make_unique<FakeOwner>(*this->links.incoming);
+    this->links.incoming->SetOwner(this->owner.get());
+    this->entry = CreateEntryService(&this->parent, this->settings, *this->links.outgoing).value();
+    this->entry->ApplyDirectory(DirectoryWithOwner("127.0.0.1:1"));
+  }
+
+  std::unique_ptr<FakeOwner> owner;
+  QObject parent;
+  EntrySettings settings;
+  ProxyLinks links;
+  EntryService* entry = nullptr;
+};
+
+} // namespace
+
+TEST_CASE("A caller runs statements, transactions and settings through the entry")
+{
+  EntryFixture fixture;
+  TestCaller caller(fixture.entry->CallersPort());
+  caller.Send(std::string("\0\0\0\x08\x04\xD2\x16\x2F", 8));
+  REQUIRE(WaitFor([&] {
+    caller.Read();
+    return caller.received == "N";
+  }));
+  caller.Forget();
+  REQUIRE(caller.Start({ { "options", "-c oleanderledge.class=bookings" } }));
+  CHECK(caller.Query("SELECT 1") == Texts{ "C:SELECT 1", "Z:I" });
+  CHECK(caller.Query("BEGIN READ ONLY") == Texts{ "C:BEGIN READ ONLY", "Z:T" });
+  CHECK(caller.Query("COMMIT") == Texts{ "C:COMMIT", "Z:I" });
+  CHECK(caller.Query("SET oleanderledge.request_id = 'a-1'") == Texts{ "C:SET", "Z:I" });
+  CHECK(caller.Query("SHOW oleanderledge.class") == Texts{ "T", "D:bookings", "C:SHOW", "Z:I" });
+  CHECK(caller.Query("INSERT") == Texts{ "C:INSERT", "Z:I" });
+  REQUIRE(fixture.owner->requests.size() == 4);
+  CHECK(fixture.owner->requests[1].readOnly);
+  CHECK(fixture.owner->requests[2].inTransaction);
+  CHECK(fixture.owner->requests[3].requestId == "a-1");
+  CHECK(fixture.owner->requests[3].workClass == "bookings");
+  caller.Forget();
+  caller.Send(BuildMessage('P', std::string("s1\0SELECT 2\0\0\0", 14)) + BuildSync());
+  REQUIRE(caller.WaitForReady(1));
+  caller.Forget();
+  caller.Send(BuildMessage('B', std::string("\0s1\0\0\0\0\0\0\0", 10)) +
+              BuildMessage('E', std::string("\0\0\0\0\0", 5)) + BuildSync());
+  REQUIRE(caller.WaitForReady(1));
+  CHECK(caller.Messages() == Texts{ "2", "C:EXECUTE", "Z:I" });
+  REQUIRE(fixture.owner->requests.back().prepared.size() == 1);
+  CHECK(fixture.owner->requests.back().prepared[0].name == "s1");
+}
+
+// I2: guards against relaying an acknowledgement of an owner whose lease ran out on the way.
+TEST_CASE("A write acknowledgement after the lease is answered as unknown")
+{
+  EntryFixture fixture;
+  fixture.owner->leaseLeftUs = 1;
+  TestCaller caller(fixture.entry->CallersPort());
+  REQUIRE(caller.Start());
+  CHECK(caller.Query("INSERT") ==
+        Texts{ "E:ERROR 08007 the ownership lease expired before the outcome was confirmed "
+               "[1204, unknown]",
+               "Z:I" });
+}
+
+TEST_CASE("A cancel request reaches the running unit and a foreign key is ignored")
+{
+  EntryFixture fixture;
+  TestCaller caller(fixture.entry->CallersPort());
+  REQUIRE(caller.Start());
+  const CancelRequest key = caller.Key();
+  caller.Forget();
+  caller.Send(BuildQuery("hang"));
+  REQUIRE(WaitFor([&] { return fixture.owner->requests.size() == 1; }));
+  TestCaller foreign(fixture.entry->CallersPort());
+  foreign.Send(BuildCancelRequest(key.processId, key.secret + 1));
+  REQUIRE(foreign.WaitForClose());
+  CHECK(foreign.received.empty());
+  CHECK(fixture.owner->cancels.empty());
+  TestCaller own(fixture.entry->CallersPort());
+  own.Send(BuildCancelRequest(key.processId, key.secret));
+  REQUIRE(caller.WaitForReady(1));
+  CHECK(fixture.owner->cancels.size() == 1);
+}
+
+// I8: guards against a stop that interrupts a transaction or leaves sessions open for ever.
+TEST_CASE("A graceful stop closes idle sessions at once and others after their transaction")
+{
+  EntryFixture fixture;
+  TestCaller idle(fixture.entry->CallersPort());
+  TestCaller busy(fixture.entry->CallersPort());
+  REQUIRE(idle.Start());
+  REQUIRE(busy.Start());
+  busy.Query("BEGIN");
+  idle.Forget();
+  fixture.entry->BeginStop();
+  REQUIRE(idle.WaitForClose());
+  CHECK(idle.Messages() == Texts{ "E:FATAL 57P01 this proxy is shutting down [1104, not run]" });
+  CHECK(busy.Query("INSERT") == Texts{ "C:INSERT", "Z:T" });
+  busy.Forget();
+  busy.Send(BuildQuery("COMMIT"));
+  REQUIRE(busy.WaitForClose());
+  CHECK(busy.Messages() ==
+        Texts{ "C:COMMIT", "Z:I", "E:FATAL 57P01 this proxy is shutting down [1104, not run]" });
+  CHECK(WaitFor([&] { return fixture.entry->IsIdle(); }));
+}
+
+TEST_CASE("A graceful stop drops sessions that do not finish within its limit")
+{
+  EntryLimits limits;
+  limits.stopLimit = std::chrono::milliseconds(100);
+  EntryFixture fixture(limits);
+  TestCaller busy(fixture.entry->CallersPort());
+  REQUIRE(busy.Start());
+  busy.Send(BuildQuery("hang"));
+  REQUIRE(WaitFor([&] { return fixture.owner->requests.size() == 1; }));
+  fixture.entry->BeginStop();
+  CHECK(WaitFor([&] { return fixture.entry->IsIdle(); }));
+  CHECK(fixture.owner->closedChannels.size() == 1);
+}
+
+TEST_CASE("Sessions over the limit and start-ups that take too long are refused clearly")
+{
+  EntryLimits limits;
+  limits.maxSessions = 1;
+  limits.startupTimeout = std::chrono::milliseconds(200);
+  EntryFixture fixture(limits);
+  TestCaller first(fixture.entry->CallersPort());
+  REQUIRE(first.Start());
+  TestCaller second(fixture.entry->CallersPort());
+  second.Send(BuildStartup(TestCaller::Parameters{ { "user", "counter" } }));
+  REQUIRE(second.WaitForClose());
+  CHECK(second.Messages() ==
+        Texts{ "E:FATAL 08004 too many sessions on this proxy [1308, not run]" });
+  TestCaller silent(fixture.entry->CallersPort());
+  REQUIRE(silent.WaitForClose());
+  CHECK(silent.Messages() == Texts{ "E:FATAL 08004 the start-up took too long [1308, not run]" });
+  CHECK(first.Query("SELECT") == Texts{ "C:SELECT", "Z:I" });
+}
+
+// Guards against garbage of one client that disturbs, stalls or ends the sessions of others.
+TEST_CASE("Garbage, truncated and oversized input closes only its own connection")
+{
+  EntryLimits limits;
+  limits.maxMessageBytes = std::size_t{ 256 } * 1024;
+  limits.startupTimeout = std::chrono::milliseconds(300);
+  EntryFixture fixture(limits);
+  TestCaller other(fixture.entry->CallersPort());
+  REQUIRE(other.Start());
+  const std::string startup =
+    BuildStartup(TestCaller::Parameters{ { "user", "counter" }, { "database", "orders" } });
+
+  SECTION("random bytes in place of a start-up or after it")
+  {
+    rc::prop("random input", [&](std::string aBytes, bool aAfterStartup) {
+      TestCaller caller(fixture.entry->CallersPort());
+      caller.Send((aAfterStartup ? startup : std::string{}) + aBytes);
+      RunFor(2);
+      caller.socket.disconnectFromHost();
+      RC_ASSERT(other.Query("SELECT") == (Texts{ "C:SELECT", "Z:I" }));
+    });
+  }
+  SECTION("an oversized message")
+  {
+    TestCaller caller(fixture.entry->CallersPort());
+    REQUIRE(caller.Start());
+    caller.Forget();
+    caller.Send(std::string("Q\x7F\xFF\xFF\xFF", 5) + std::string(1000, 'x'));
+    REQUIRE(caller.WaitForClose());
+    CHECK_THAT(caller.Messages().at(0), Catch::StartsWith("E:FATAL 54000"));
+    CHECK_THAT(caller.Messages().at(0), Catch::EndsWith("[1302, not run]"));
+  }
+  SECTION("a truncated start-up")
+  {
+    TestCaller caller(fixture.entry->CallersPort());
+    caller.Send(startup.substr(0, startup.size() - 3));
+    REQUIRE(caller.WaitForClose());
+    CHECK_THAT(caller.Messages().at(0), Catch::EndsWith("[1308, not run]"));
+  }
+  CHECK(other.Query("SELECT") == Texts{ "C:SELECT", "Z:I" });
+  CHECK(WaitFor([&] { return fixture.entry->SessionCount() == 1; }));
+}
+
+// Guards against unbounded memory for a caller that sends queries but never reads.
+TEST_CASE("A caller that does not read is held back and at last closed")
+{
+  EntryLimits limits;
+  limits.pauseOutputBytes = 1000;
+  limits.maxOutputBytes = std::size_t{ 4 } * 1024 * 1024;
+  EntryFixture fixture(limits);
+  TestCaller caller(fixture.entry->CallersPort());
+  REQUIRE(caller.Start());
+  caller.socket.setReadBufferSize(1);
+  TestCaller other(fixture.entry->CallersPort());
+  REQUIRE(other.Start());
+  const std::string query = BuildQuery(std::string(200'000, 'x'));
+  for (int count = 0; count < 100; ++count) {
+    caller.socket.write(query.data(), static_cast<qint64>(query.size()));
+  }
+  RunFor(300);
+  const std::size_t handled = fixture.owner->requests.size();
+  CHECK(handled < 100);
+  CHECK(other.Query("SELECT") == Texts{ "C:SELECT", "Z:I" });
+  CHECK(fixture.entry->SessionCount() == 2);
+  caller.socket.setReadBufferSize(0);
+  REQUIRE(caller.WaitForReady(101));
+  CHECK(fixture.owner->requests.size() == 101);
+}
+
+TEST_CASE("Emulated latency delays answers to callers in both directions")
+{
+  EntryFixture fixture({}, std::chrono::milliseconds(20));
+  TestCaller caller(fixture.entry->CallersPort());
+  REQUIRE(caller.Start());
+  const Instant before = MonotonicNow();
+  CHECK(caller.Query("SELECT") == Texts{ "C:SELECT", "Z:I" });
+  CHECK(MonotonicNow() - before >= std::chrono::milliseconds(40));
+}
