--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -49,6 +49,11 @@
   BackendConnectionLost = 1604,
   BackendRefusedConnection = 1605,
   // 1700: entry.
+  CallerRejected = 1701,
+  CallerClosed = 1702,
+  OwnerLinkSilent = 1703,
+  OwnerLinkRejected = 1704,
+  EntryStopping = 1705,
   // 1800: daemons.
   DaemonStarted = 1801,
   DaemonStopping = 1802,
