Add the proxy process and the daemon subcommands

Cause: the modules need one process that joins them. Change: ProxyDaemon (control thread), TrafficWorker (traffic thread), health, readiness, metrics, metrics log, operator requests passed on to control, graceful stop by SIGTERM; proxy and control subcommands. Measured: builds; not yet run.

--- a/src/oleanderledge/cli/Commands.hpp
+++ b/src/oleanderledge/cli/Commands.hpp
@@ -19,6 +19,10 @@
 /// Positional arguments after the subcommand.
 using Arguments = std::span<const std::string>;
 
+/// `proxy --settings=FILE`
+ExitCode RunProxyCommand();
+/// `control --settings=FILE`
+ExitCode RunControlCommand();
 /// `check-settings proxy|control FILE...`
 ExitCode RunCheckSettings(Arguments aArguments);
 /// `ctl class|status|config ...`
--- /dev/null
+++ b/src/oleanderledge/cli/DaemonCommand.cpp
@@ -0,0 +1,48 @@
+#include "oleanderledge/cli/Commands.hpp"
+#include "oleanderledge/cli/internal/CommandLine.hpp"
+#include "oleanderledge/daemon/daemon.hpp"
+#include "oleanderledge/settings/settings.hpp"
+
+namespace oleanderledge {
+
+namespace {
+
+using RunFunction = Result<void> (*)(const Settings&, const DaemonOptions&);
+
+ExitCode RunDaemonCommand(DaemonKind aKind, RunFunction aRun)
+{
+  if (FLAGS_settings.empty()) {
+    return ReportFailure(
+      ExitCode::Usage, "--settings is missing", "See oleanderledge proxy --help.");
+  }
+  const auto settings = LoadSettings(FLAGS_settings, aKind);
+  if (!settings) {
+    WriteLog(LogEvent::SettingsRejected, "file=" + FLAGS_settings);
+    return ReportFailure(ExitCode::Usage, settings.error().message, "");
+  }
+  const auto finished = aRun(settings.value(), { FLAGS_metrics_log });
+  if (finished) {
+    return ExitCode::Ok;
+  }
+  if (finished.error().code == ResultCode::ListenFailed) {
+    WriteLog(LogEvent::ListenFailed, finished.error().message);
+  }
+  return ReportFailure(ExitCode::Failed,
+                       "[" + std::to_string(static_cast<unsigned>(finished.error().code)) + "] " +
+                         finished.error().message,
+                       "docs/result-codes.md explains the code.");
+}
+
+} // namespace
+
+ExitCode RunProxyCommand()
+{
+  return RunDaemonCommand(DaemonKind::Proxy, &RunProxy);
+}
+
+ExitCode RunControlCommand()
+{
+  return RunDaemonCommand(DaemonKind::Control, &RunControl);
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/cli/Main.cpp
+++ b/src/oleanderledge/cli/Main.cpp
@@ -42,6 +42,12 @@
   if (aName == "ctl") {
     return RunCtl(aArguments);
   }
+  if (aName == "proxy") {
+    return RunProxyCommand();
+  }
+  if (aName == "control") {
+    return RunControlCommand();
+  }
   if (aName == "report") {
     return RunReport(aArguments);
   }
--- a/src/oleanderledge/control/internal/ControlHttp.cpp
+++ b/src/oleanderledge/control/internal/ControlHttp.cpp
@@ -1,7 +1,7 @@
 #include "oleanderledge/control/internal/ControlHttp.hpp"
 
 #include "oleanderledge/control/internal/ControlJson.hpp"
-#include "oleanderledge/control/internal/HttpForwarder.hpp"
+#include "oleanderledge/transport/HttpForwarder.hpp"
 #include "oleanderledge/transport/LinkConnection.hpp"
 
 #include <QHostAddress>
@@ -131,6 +131,7 @@
   this->forwarder->Forward(leader,
                            aRequest.url().toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority),
                            aRequest.method() == Method::Post ? aRequest.body() : QByteArray(),
+                           HttpForwarder::Hop::Final,
                            [responder, noQuorum](int aStatus, const QByteArray& aBody) {
                              if (aStatus == 0) {
                                responder->write(
--- a/src/oleanderledge/daemon/ControlContact.hpp
+++ b/src/oleanderledge/daemon/ControlContact.hpp
@@ -55,6 +55,9 @@
   /// Time until the next heartbeat.
   Duration NextInterval() const;
 
+  /// When the newest heartbeat was sent that the leader has answered.
+  Instant LastAcceptedSent() const { return this->lastAcceptedSent; }
+
   void SetLeaving() { this->self.leaving = true; }
   std::shared_ptr<const Directory> CurrentDirectory() const { return this->directory; }
   const InstanceInfo& Self() const { return this->self; }
--- /dev/null
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -0,0 +1,71 @@
+#include "oleanderledge/daemon/RunDaemon.hpp"
+
+#include "oleanderledge/control/internal/ControlDaemon.hpp"
+#include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
+#include "oleanderledge/daemon/internal/StopSignals.hpp"
+
+#include <QCoreApplication>
+
+#include <random>
+
+namespace oleanderledge {
+
+namespace {
+
+template<class Daemon>
+Result<void> Run(Daemon& aDaemon, const std::string& aInstance)
+{
+  StopSignals signals(nullptr);
+  QObject::connect(&signals, &StopSignals::StopRequested, &aDaemon, &Daemon::BeginStop);
+  QObject::connect(
+    &aDaemon, &Daemon::Stopped, qApp, &QCoreApplication::quit, Qt::QueuedConnection);
+  auto started = aDaemon.Start();
+  if (!started) {
+    return started;
+  }
+  WriteLog(LogEvent::DaemonStarted, "instance=" + aInstance);
+  QCoreApplication::exec();
+  return boost::outcome_v2::success();
+}
+
+ControlSettings ToControlSettings(const Settings& aSettings)
+{
+  ControlSettings control;
+  control.instance.id = aSettings.instance;
+  std::random_device source;
+  control.instance.incarnation = (std::uint64_t{ source() } << 32U) | source();
+  control.instance.role = InstanceRole::Control;
+  control.instance.zone = aSettings.zone;
+  control.instance.linkAddress = aSettings.linkAddress;
+  control.instance.httpAddress = aSettings.httpAddress;
+  for (const std::string& address : aSettings.controlAddresses) {
+    if (address != aSettings.linkAddress) {
+      control.peers.push_back(address);
+    }
+  }
+  for (const InitialMember& member : aSettings.initialMembers) {
+    control.initialMembers.push_back({ "", member.instance, member.linkAddress, true });
+  }
+  control.dataFolder = aSettings.dataFolder;
+  control.electionTimeoutMin = std::chrono::milliseconds(aSettings.electionTimeoutMs);
+  control.electionTimeoutMax = control.electionTimeoutMin * 2;
+  control.latencyBetweenZones = Duration{ aSettings.emulatedLatency.betweenZones };
+  control.latencyBetweenRegions = Duration{ aSettings.emulatedLatency.betweenRegions };
+  return control;
+}
+
+} // namespace
+
+Result<void> RunProxy(const Settings& aSettings, const DaemonOptions& aOptions)
+{
+  ProxyDaemon daemon(aSettings, aOptions.metricsLog, nullptr);
+  return Run(daemon, aSettings.instance);
+}
+
+Result<void> RunControl(const Settings& aSettings, const DaemonOptions& /*aOptions*/)
+{
+  ControlDaemon daemon(ToControlSettings(aSettings), nullptr);
+  return Run(daemon, aSettings.instance);
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "oleanderledge/base/base.hpp"
+#include "oleanderledge/link/link.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace oleanderledge {
+
+/// Counters that the traffic thread hands to the control thread, for /metrics and the metrics log.
+struct TrafficCounters
+{
+  std::size_t sessions = 0;
+  std::size_t waitingUnits = 0;
+  std::uint64_t unitsForwarded = 0;
+  std::uint64_t unitsAnswered = 0;
+  std::uint64_t resends = 0;
+  std::uint64_t repliesIgnored = 0;
+  std::uint64_t notRun = 0;
+  std::uint64_t unknown = 0;
+  std::map<ResultCode, std::uint64_t> errors;
+  std::vector<ClassService> service;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.cpp
@@ -0,0 +1,108 @@
+#include "oleanderledge/daemon/internal/TrafficWorker.hpp"
+
+namespace oleanderledge {
+
+namespace {
+
+EmulatedLatency LatencyOf(const LatencySettings& aSettings)
+{
+  return { Duration{ aSettings.betweenZones },
+           Duration{ aSettings.betweenRegions },
+           Duration{ aSettings.toClients } };
+}
+
+} // namespace
+
+TrafficWorker::TrafficWorker(InstanceInfo aSelf, Settings aSettings)
+  : self(std::move(aSelf))
+  , settings(std::move(aSettings))
+{
+}
+
+TrafficWorker::~TrafficWorker() = default;
+
+Result<void> TrafficWorker::Start()
+{
+  const EmulatedLatency latency = LatencyOf(this->settings.emulatedLatency);
+  this->links = CreateProxyLinks(this, this->self, latency, this->self.incarnation);
+  OwnerSettings ownerSettings;
+  ownerSettings.self = this->self;
+  ownerSettings.latency = latency;
+  this->owner = CreateOwnerService(this, *this->links.incoming, ownerSettings);
+  this->links.incoming->SetOwner(this->owner.get());
+  this->linkServer = std::make_unique<LinkServer>(this->self, latency, nullptr);
+  QObject::connect(
+    this->linkServer.get(), &LinkServer::Accepted, this, &TrafficWorker::AcceptLink);
+  auto listening = this->linkServer->Listen(this->settings.linkAddress);
+  if (!listening) {
+    return listening;
+  }
+  EntrySettings entrySettings;
+  entrySettings.self = this->self;
+  entrySettings.callersAddress = this->settings.callersAddress;
+  entrySettings.limits.maxMessageBytes = this->settings.limits.messageBytes;
+  entrySettings.limits.maxSessions = this->settings.limits.maxCallers;
+  entrySettings.latencyToClients = latency.toClients;
+  entrySettings.seed = this->self.incarnation;
+  auto created = CreateEntryService(this, entrySettings, *this->links.outgoing);
+  if (!created) {
+    return Fail(created.error().code, created.error().message);
+  }
+  this->entry = created.value();
+  return boost::outcome_v2::success();
+}
+
+void TrafficWorker::AcceptLink(LinkConnection* aLink)
+{
+  if (aLink->Peer().role != InstanceRole::Proxy) {
+    aLink->Close();
+    return;
+  }
+  this->links.incoming->Adopt(aLink);
+}
+
+void TrafficWorker::ApplyDirectory(std::shared_ptr<const Directory> aDirectory)
+{
+  this->owner->ApplyDirectory(aDirectory);
+  this->entry->ApplyDirectory(std::move(aDirectory));
+}
+
+void TrafficWorker::ApplyLeases(const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent)
+{
+  this->owner->ApplyLeases(aLeases, aHeartbeatSent);
+}
+
+TrafficState TrafficWorker::CollectState()
+{
+  return { this->owner->Reports(MonotonicNow()), this->owner->Service() };
+}
+
+TrafficCounters TrafficWorker::CollectCounters() const
+{
+  const EntryCounters& counters = this->entry->Counters();
+  TrafficCounters collected;
+  collected.sessions = this->entry->SessionCount();
+  collected.waitingUnits = this->entry->WaitingUnits();
+  collected.unitsForwarded = counters.unitsForwarded;
+  collected.unitsAnswered = counters.unitsAnswered;
+  collected.resends = counters.resends;
+  collected.repliesIgnored = counters.repliesIgnored;
+  collected.notRun = counters.notRun;
+  collected.unknown = counters.unknown;
+  collected.errors = counters.errors;
+  collected.service = this->owner->Service();
+  return collected;
+}
+
+void TrafficWorker::BeginStop()
+{
+  this->entry->BeginStop();
+  this->owner->BeginRelease();
+}
+
+bool TrafficWorker::IsIdle() const
+{
+  return this->entry->IsIdle() && this->owner->IsIdle();
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/control/internal/HttpForwarder.cpp
+++ b/src/oleanderledge/transport/HttpForwarder.cpp
@@ -1,4 +1,4 @@
-#include "oleanderledge/control/internal/HttpForwarder.hpp"
+#include "oleanderledge/transport/HttpForwarder.hpp"
 
 #include <QNetworkProxy>
 #include <QNetworkReply>
@@ -22,12 +22,15 @@
 void HttpForwarder::Forward(const std::string& aAddress,
                             const QByteArray& aPathAndQuery,
                             const QByteArray& aBody,
+                            Hop aHop,
                             Callback aCallback)
 {
   QNetworkRequest request(
     QUrl("http://" + QString::fromStdString(aAddress) + QString::fromUtf8(aPathAndQuery)));
   request.setTransferTimeout(kForwardTimeoutMs);
-  request.setRawHeader(kForwardedHeader, "1");
+  if (aHop == Hop::Final) {
+    request.setRawHeader(kForwardedHeader, "1");
+  }
   request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
   QNetworkReply* reply =
     aBody.isEmpty() ? this->network.get(request) : this->network.post(request, aBody);
--- a/src/oleanderledge/control/internal/HttpForwarder.hpp
+++ b/src/oleanderledge/transport/HttpForwarder.hpp
@@ -9,21 +9,29 @@
 
 namespace oleanderledge {
 
-/// Passes operator requests from a follower on to the leader.
+/// Passes operator requests on to another instance.
 class HttpForwarder : public QObject
 {
   Q_OBJECT
 
 public:
-  /// HTTP status and body; status 0 if the leader did not answer.
+  /// HTTP status and body; status 0 if the instance did not answer.
   using Callback = std::function<void(int, const QByteArray&)>;
 
   explicit HttpForwarder(QObject* aParent);
 
+  /// A final hop is marked with kForwardedHeader, and its receiver passes it on no further.
+  enum class Hop
+  {
+    First,
+    Final,
+  };
+
   /// Sends a request to "ip:port". An empty body makes it a GET.
   void Forward(const std::string& aAddress,
                const QByteArray& aPathAndQuery,
                const QByteArray& aBody,
+               Hop aHop,
                Callback aCallback);
 
 private:
