--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -23,7 +23,18 @@
   LinkClosed = 1202,
   LinkRejected = 1203,
   // 1300: consensus.
+  LeadershipGained = 1301,
+  LeadershipLost = 1302,
+  MembersCommitted = 1303,
+  GroupFounded = 1304,
+  JoinRequested = 1305,
+  ConsensusStopped = 1306,
+  SnapshotRestored = 1307,
+  MembershipChangeStarted = 1308,
   // 1400: storage.
+  TornRecordCut = 1401,
+  StorageFailed = 1402,
+  StorageOpened = 1403,
   // 1500: control.
   // 1600: owner.
   // 1700: entry.
--- a/src/oleanderledge/base/ResultCode.hpp
+++ b/src/oleanderledge/base/ResultCode.hpp
@@ -43,6 +43,8 @@
   ClassExists = 1405,
   ClassNotFound = 1406,
   RequestIdReused = 1407,
+  InvalidMembershipChange = 1450,
+  MembershipChangePending = 1451,
   // Durable state.
   StorageCorrupt = 1501,
   StorageWriteFailed = 1502,
--- /dev/null
+++ b/src/oleanderledge/consensus/ByteCodec.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace oleanderledge {
+
+/// Appends integers (little-endian) and length-prefixed strings to a byte string, for records on
+/// disk and snapshot contents.
+class ByteWriter
+{
+public:
+  void PutU8(std::uint8_t aValue);
+  void PutU32(std::uint32_t aValue);
+  void PutU64(std::uint64_t aValue);
+  /// A four-byte length, then the bytes.
+  void PutString(std::string_view aValue);
+
+  std::string Take() { return std::move(this->bytes); }
+
+private:
+  std::string bytes;
+};
+
+/// Reads what ByteWriter wrote. After a read past the end, IsValid() is false and reads give zeros
+/// and empty strings.
+class ByteReader
+{
+public:
+  explicit ByteReader(std::string_view aBytes)
+    : rest(aBytes)
+  {
+  }
+
+  std::uint8_t GetU8();
+  std::uint32_t GetU32();
+  std::uint64_t GetU64();
+  std::string_view GetString();
+
+  bool IsValid() const { return this->valid; }
+  /// The bytes not yet read.
+  std::string_view Rest() const { return this->rest; }
+
+private:
+  std::string_view Take(std::size_t aCount);
+  std::uint64_t GetNumber(std::size_t aCount);
+
+  std::string_view rest;
+  bool valid = true;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -0,0 +1,149 @@
+#include "oleanderledge/consensus/GroupMaintenance.hpp"
+
+#include "oleanderledge/consensus/Membership.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+std::vector<ControlMember> Without(std::vector<ControlMember> aMembers, const std::string& aId)
+{
+  std::erase_if(aMembers, [&aId](const ControlMember& each) { return each.id == aId; });
+  return aMembers;
+}
+
+std::vector<ControlMember> WithVoter(std::vector<ControlMember> aMembers, const std::string& aId)
+{
+  for (ControlMember& member : aMembers) {
+    member.voter = member.voter || member.id == aId;
+  }
+  return aMembers;
+}
+
+} // namespace
+
+void GroupMaintenance::OnJoinRequest(const JoinRequest& aRequest, Instant aNow)
+{
+  const ControlMember member{
+    aRequest.memberId, aRequest.instance.id, aRequest.instance.linkAddress, false
+  };
+  if (!member.id.empty() && !member.linkAddress.empty()) {
+    this->joins[member.id] = { member, aNow };
+  }
+}
+
+void GroupMaintenance::OnLeadershipGained(Instant aNow)
+{
+  this->leaderSince = aNow;
+}
+
+std::optional<std::vector<ControlMember>> GroupMaintenance::NextChange(const RaftNode& aNode,
+                                                                       Instant aNow)
+{
+  if (!aNode.LeadershipAnnounced() || aNode.MembershipChangePending()) {
+    return std::nullopt;
+  }
+  const std::vector<ControlMember>& members = aNode.Members();
+  if (auto admitted = this->Admit(members, aNow)) {
+    return admitted;
+  }
+  const ControlMember* learner = this->ReadyLearner(aNode, aNow);
+  if (learner != nullptr && CountVoters(members) < this->settings.voterGoal) {
+    return WithVoter(members, learner->id);
+  }
+  // The lost voter is removed before the learner is promoted. The other order would need the same
+  // number of live members but would also make the commit depend on the newest copy.
+  const ControlMember* lost = this->LostVoter(aNode, aNow);
+  if (learner != nullptr && lost != nullptr) {
+    return Without(members, lost->id);
+  }
+  for (const ControlMember& member : members) {
+    if (!member.voter && this->IsReplaced(members, member) &&
+        this->SilenceOf(aNode, member.id, aNow) > this->settings.lostAfter) {
+      return Without(members, member.id);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::vector<ControlMember>> GroupMaintenance::Admit(
+  const std::vector<ControlMember>& aMembers,
+  Instant aNow)
+{
+  std::erase_if(this->joins, [this, aNow, &aMembers](const auto& aEntry) {
+    return aNow - aEntry.second.askedAt > this->settings.joinRequestLifetime ||
+           FindMember(aMembers, aEntry.first) != nullptr;
+  });
+  if (this->joins.empty()) {
+    return std::nullopt;
+  }
+  std::vector<ControlMember> changed = aMembers;
+  changed.push_back(this->joins.begin()->second.member);
+  return changed;
+}
+
+/// True if a later member of the list runs on the same instance: lists only grow at the end, so that
+/// one has the newer identity.
+bool GroupMaintenance::IsReplaced(const std::vector<ControlMember>& aMembers,
+                                  const ControlMember& aMember) const
+{
+  bool isLater = false;
+  for (const ControlMember& member : aMembers) {
+    if (isLater && member.instance == aMember.instance) {
+      return true;
+    }
+    isLater = isLater || member.id == aMember.id;
+  }
+  return false;
+}
+
+Duration GroupMaintenance::SilenceOf(const RaftNode& aNode,
+                                     const std::string& aMember,
+                                     Instant aNow) const
+{
+  const auto found = aNode.Progress().find(aMember);
+  const bool isConfirmed = found != aNode.Progress().end() && found->second.confirmedAt;
+  return aNow - (isConfirmed ? *found->second.confirmedAt : this->leaderSince);
+}
+
+const ControlMember* GroupMaintenance::ReadyLearner(const RaftNode& aNode, Instant aNow) const
+{
+  const ControlMember* best = nullptr;
+  std::uint64_t bestMatch = 0;
+  for (const ControlMember& member : aNode.Members()) {
+    const auto found = aNode.Progress().find(member.id);
+    if (member.voter || found == aNode.Progress().end() || !found->second.confirmedAt ||
+        this->IsReplaced(aNode.Members(), member)) {
+      continue;
+    }
+    const std::uint64_t match = found->second.matchIndex;
+    const bool isReady = match + this->settings.catchUpEntries >= aNode.Log().LastIndex() &&
+                         match > 0 && aNow - *found->second.confirmedAt < std::chrono::seconds(1);
+    if (isReady && match > bestMatch) {
+      best = &member;
+      bestMatch = match;
+    }
+  }
+  return best;
+}
+
+const ControlMember* GroupMaintenance::LostVoter(const RaftNode& aNode, Instant aNow) const
+{
+  for (const ControlMember& member : aNode.Members()) {
+    if (!member.voter || member.id == aNode.Self()) {
+      continue;
+    }
+    const Duration silence = this->SilenceOf(aNode, member.id, aNow);
+    // An instance that came back with a new identity has lost the old one for good.
+    const bool isReplaced = this->IsReplaced(aNode.Members(), member) &&
+                            silence > std::chrono::seconds(1);
+    if (isReplaced || silence > this->settings.lostAfter) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/consensus/RaftActions.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "oleanderledge/base/base.hpp"
+#include "oleanderledge/consensus/PersistentState.hpp"
+#include "oleanderledge/consensus/ReplicatedLog.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace oleanderledge {
+
+/// Sends a message to a member, if there is a link to it. Messages may be lost.
+struct SendAction
+{
+  std::string to; ///< Member id.
+  Message message;
+};
+
+/// Writes a batch durably and then calls RaftNode::OnPersisted() with its sequence. If the write
+/// fails, the instance must stop: the node does not go on without it.
+struct PersistAction
+{
+  PersistBatch batch;
+};
+
+/// Applies a committed entry. Entries of kind Command go to the replicated state.
+struct ApplyAction
+{
+  LogEntry entry;
+};
+
+/// Replaces the replicated state by a durable snapshot from the leader.
+struct RestoreAction
+{
+  RaftSnapshot snapshot;
+};
+
+/// The outcome of Propose() or ChangeMembers(). Follows the ApplyAction of the entry.
+struct ProposalResultAction
+{
+  std::uint64_t proposal = 0;
+  ResultCode code = ResultCode::Ok;
+  std::uint64_t index = 0; ///< Valid if ok.
+  std::string message;     ///< Detail if not ok.
+};
+
+/// This member leads and has emitted ApplyAction for all entries of earlier terms.
+struct LeadershipGainedAction
+{
+  std::uint64_t term = 0;
+};
+
+struct LeadershipLostAction
+{
+};
+
+/// A list of members was committed, alone or in a snapshot.
+struct MembersCommittedAction
+{
+  std::uint64_t index = 0;
+  std::vector<ControlMember> members;
+};
+
+/// The leader asks to replace committed entries. This cannot happen while all members keep what they
+/// made durable; the instance must stop.
+struct FaultAction
+{
+  std::string reason;
+};
+
+using RaftAction = std::variant<SendAction,
+                                PersistAction,
+                                ApplyAction,
+                                RestoreAction,
+                                ProposalResultAction,
+                                LeadershipGainedAction,
+                                LeadershipLostAction,
+                                MembersCommittedAction,
+                                FaultAction>;
+
+/// Actions in the order in which they are to be carried out.
+using RaftActions = std::vector<RaftAction>;
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -0,0 +1,842 @@
+#include "oleanderledge/consensus/RaftNode.hpp"
+
+#include "oleanderledge/consensus/Membership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace oleanderledge {
+
+RaftNode::RaftNode(std::string aSelf,
+                   const RaftSettings& aSettings,
+                   PersistentState aStored,
+                   std::mt19937_64 aRandom,
+                   Instant aNow)
+  : self(std::move(aSelf))
+  , settings(aSettings)
+  , random(aRandom)
+  , hardState(aStored.hardState)
+  , log(std::move(aStored))
+  , leaderContact(aNow)
+{
+  if (this->hardState.term < this->log.LastTerm()) {
+    // A crash after the snapshot file and before the log file of a batch leaves an older hard state.
+    this->hardState = { this->log.LastTerm(), {} };
+  }
+  this->commitIndex = this->log.BaseIndex();
+  this->appliedIndex = this->commitIndex;
+  this->durableIndex = this->log.LastIndex();
+  this->ResetElectionTimer(aNow);
+}
+
+PersistBatch RaftNode::FoundingBatch(const std::vector<ControlMember>& aMembers)
+{
+  PersistBatch batch;
+  batch.hardState.term = 1;
+  batch.entries.push_back({ 1, 1, EncodeMembers(aMembers), LogEntryKind::Membership });
+  return batch;
+}
+
+RaftActions RaftNode::Start()
+{
+  RaftActions result;
+  if (this->log.Snapshot()) {
+    result.emplace_back(RestoreAction{ *this->log.Snapshot() });
+    result.emplace_back(
+      MembersCommittedAction{ this->appliedIndex, this->log.MembersAt(this->appliedIndex) });
+  }
+  return result;
+}
+
+RaftActions RaftNode::OnTick(Instant aNow)
+{
+  if (this->role == RaftRole::Leader) {
+    this->CheckQuorum(aNow);
+  }
+  if (this->role == RaftRole::Leader) {
+    if (aNow >= this->heartbeatDeadline) {
+      this->Broadcast(true, aNow);
+    }
+  } else if (aNow >= this->electionDeadline) {
+    if (IsVoter(this->Members(), this->self)) {
+      this->StartElection(true, aNow);
+    } else {
+      this->ResetElectionTimer(aNow);
+    }
+  }
+  return this->Finish(aNow);
+}
+
+RaftActions RaftNode::OnMessage(const Message& aMessage, Instant aNow)
+{
+  if (this->role == RaftRole::Leader) {
+    // After a freeze, messages may arrive before the timer event.
+    this->CheckQuorum(aNow);
+  }
+  std::visit(
+    [this, aNow](const auto& aValue) {
+      if constexpr (requires { this->Handle(aValue, aNow); }) {
+        this->Handle(aValue, aNow);
+      }
+    },
+    aMessage);
+  return this->Finish(aNow);
+}
+
+RaftActions RaftNode::OnPersisted(std::uint64_t aSequence, Instant aNow)
+{
+  this->completedSequence = std::max(this->completedSequence, aSequence);
+  while (!this->pendingBatches.empty() &&
+         this->pendingBatches.front().sequence <= this->completedSequence) {
+    this->durableIndex = std::max(this->durableIndex, this->pendingBatches.front().lastIndex);
+    this->pendingBatches.pop_front();
+  }
+  while (!this->held.empty() && this->held.front().sequence <= this->completedSequence) {
+    this->actions.emplace_back(std::move(this->held.front().action));
+    this->held.pop_front();
+  }
+  this->RestoreIfDurable();
+  if (this->role == RaftRole::Candidate) {
+    this->CountVotes(aNow);
+  }
+  if (this->role == RaftRole::Leader) {
+    this->AdvanceCommit();
+  }
+  return this->Finish(aNow);
+}
+
+RaftActions RaftNode::Propose(std::uint64_t aProposal, std::string aCommand, Instant aNow)
+{
+  if (this->role == RaftRole::Leader) {
+    this->CheckQuorum(aNow);
+  }
+  if (this->role != RaftRole::Leader) {
+    this->Reject(aProposal, ResultCode::NotLeader, "this member does not lead");
+    return this->Finish(aNow);
+  }
+  this->AppendAsLeader(LogEntryKind::Command, std::move(aCommand));
+  this->proposals[this->log.LastIndex()] = { aProposal, this->hardState.term };
+  this->Broadcast(false, aNow);
+  return this->Finish(aNow);
+}
+
+RaftActions RaftNode::ChangeMembers(std::uint64_t aProposal,
+                                    const std::vector<ControlMember>& aMembers,
+                                    Instant aNow)
+{
+  if (this->role == RaftRole::Leader) {
+    this->CheckQuorum(aNow);
+  }
+  if (this->role != RaftRole::Leader) {
+    this->Reject(aProposal, ResultCode::NotLeader, "this member does not lead");
+    return this->Finish(aNow);
+  }
+  // Before an entry of this term is committed, an earlier leader's change may still be decided
+  // elsewhere; two changes at once could give disjoint majorities.
+  if (this->MembershipChangePending() || !this->announced) {
+    this->Reject(aProposal, ResultCode::MembershipChangePending, "an earlier change is open");
+    return this->Finish(aNow);
+  }
+  const auto checked = CheckMembershipChange(this->Members(), aMembers);
+  if (!checked) {
+    this->Reject(aProposal, checked.error().code, checked.error().message);
+    return this->Finish(aNow);
+  }
+  this->AppendAsLeader(LogEntryKind::Membership, EncodeMembers(aMembers));
+  this->proposals[this->log.LastIndex()] = { aProposal, this->hardState.term };
+  this->UpdateProgressMembers();
+  this->Broadcast(false, aNow);
+  return this->Finish(aNow);
+}
+
+RaftActions RaftNode::Compact(std::string_view aState)
+{
+  const std::uint64_t index = this->appliedIndex;
+  const bool isNewer = !this->log.Snapshot() || this->log.Snapshot()->lastIndex < index;
+  if (!isNewer || this->restore) {
+    return {};
+  }
+  RaftSnapshot snapshot{ index,
+                         this->log.TermAt(index),
+                         std::make_shared<const std::string>(
+                           EncodeSnapshotContent(this->log.MembersAt(index), aState)) };
+  this->unwrittenSnapshot = snapshot;
+  this->log.Compact(std::move(snapshot), this->settings.retainedEntries);
+  this->IssueBatch();
+  return std::exchange(this->actions, {});
+}
+
+Instant RaftNode::NextDeadline() const
+{
+  return this->role == RaftRole::Leader ? this->heartbeatDeadline : this->electionDeadline;
+}
+
+bool RaftNode::HasLeaderLease(Instant aNow) const
+{
+  return this->role == RaftRole::Leader && this->announced &&
+         this->QuorumContact(aNow) + this->settings.LeaderLease() > aNow;
+}
+
+bool RaftNode::HasCurrentLeader(Instant aNow) const
+{
+  if (this->role == RaftRole::Leader) {
+    return this->HasLeaderLease(aNow);
+  }
+  return !this->leader.empty() && this->leaderContact + this->settings.electionTimeoutMin > aNow;
+}
+
+// --- Elections ----------------------------------------------------------------------------------
+
+void RaftNode::ResetElectionTimer(Instant aNow)
+{
+  std::uniform_int_distribution<std::int64_t> spread(this->settings.electionTimeoutMin.count(),
+                                                     this->settings.electionTimeoutMax.count());
+  this->electionDeadline = aNow + Duration(spread(this->random));
+}
+
+bool RaftNode::RefusesVotes(Instant aNow) const
+{
+  return this->role == RaftRole::Leader ||
+         aNow < this->leaderContact + this->settings.electionTimeoutMin;
+}
+
+bool RaftNode::IsLogUpToDate(const VoteRequest& aRequest) const
+{
+  return std::pair(aRequest.lastTerm, aRequest.lastIndex) >=
+         std::pair(this->log.LastTerm(), this->log.LastIndex());
+}
+
+void RaftNode::StartElection(bool aPreVote, Instant aNow)
+{
+  this->ResetElectionTimer(aNow);
+  this->votes.clear();
+  this->leader.clear();
+  std::uint64_t term = this->hardState.term + 1;
+  if (aPreVote) {
+    this->role = RaftRole::PreCandidate;
+    this->votes.insert(this->self);
+  } else {
+    this->role = RaftRole::Candidate;
+    this->hardState = { term, this->self };
+    this->hardStateChanged = true;
+    this->electionSequence = this->issuedSequence + 1;
+  }
+  const VoteRequest request{
+    term, this->self, this->log.LastIndex(), this->log.LastTerm(), aPreVote
+  };
+  for (const ControlMember& member : this->Members()) {
+    if (!member.voter || member.id == this->self) {
+      continue;
+    }
+    this->SendWhenDurable(member.id, request);
+  }
+  this->CountVotes(aNow);
+}
+
+void RaftNode::CountVotes(Instant aNow)
+{
+  if (this->role == RaftRole::Candidate && this->completedSequence >= this->electionSequence) {
+    this->votes.insert(this->self);
+  }
+  const auto granted =
+    std::ranges::count_if(this->Members(), [this](const ControlMember& aMember) {
+      return aMember.voter && this->votes.contains(aMember.id);
+    });
+  if (static_cast<std::size_t>(granted) <= CountVoters(this->Members()) / 2) {
+    return;
+  }
+  if (this->role == RaftRole::PreCandidate) {
+    this->StartElection(false, aNow);
+  } else if (this->role == RaftRole::Candidate) {
+    this->BecomeLeader(aNow);
+  }
+}
+
+void RaftNode::Handle(const VoteRequest& aRequest, Instant aNow)
+{
+  VoteReply reply{ this->hardState.term, this->self, false, aRequest.preVote };
+  if (this->RefusesVotes(aNow) || aRequest.term < this->hardState.term) {
+    // The term is not adopted either: a member that cannot win must not depose the leader.
+    this->SendWhenDurable(aRequest.candidate, reply);
+    return;
+  }
+  if (aRequest.preVote) {
+    reply.granted = aRequest.term > this->hardState.term && this->IsLogUpToDate(aRequest);
+    reply.term = reply.granted ? aRequest.term : this->hardState.term;
+    this->SendWhenDurable(aRequest.candidate, reply);
+    return;
+  }
+  if (aRequest.term > this->hardState.term) {
+    this->BecomeFollower(aRequest.term, {}, aNow);
+  }
+  const bool mayVote =
+    this->hardState.vote.empty() || this->hardState.vote == aRequest.candidate;
+  if (mayVote && this->IsLogUpToDate(aRequest)) {
+    reply.granted = true;
+    this->hardStateChanged = this->hardStateChanged || this->hardState.vote.empty();
+    this->hardState.vote = aRequest.candidate;
+    this->ResetElectionTimer(aNow);
+  }
+  reply.term = this->hardState.term;
+  this->SendWhenDurable(aRequest.candidate, reply);
+}
+
+void RaftNode::Handle(const VoteReply& aReply, Instant aNow)
+{
+  if (!aReply.granted) {
+    if (aReply.term > this->hardState.term) {
+      this->BecomeFollower(aReply.term, {}, aNow);
+    }
+    return;
+  }
+  const bool answersPreVote = aReply.preVote && this->role == RaftRole::PreCandidate &&
+                              aReply.term == this->hardState.term + 1;
+  const bool answersVote = !aReply.preVote && this->role == RaftRole::Candidate &&
+                           aReply.term == this->hardState.term;
+  if (answersPreVote || answersVote) {
+    this->votes.insert(aReply.voter);
+    this->CountVotes(aNow);
+  }
+}
+
+void RaftNode::BecomeFollower(std::uint64_t aTerm, const std::string& aLeader, Instant aNow)
+{
+  if (aTerm > this->hardState.term) {
+    this->hardState = { aTerm, {} };
+    this->hardStateChanged = true;
+  }
+  if (this->role == RaftRole::Leader) {
+    this->FailProposals();
+    this->progress.clear();
+  }
+  if (this->announced) {
+    this->announced = false;
+    this->actions.emplace_back(LeadershipLostAction{});
+  }
+  this->role = RaftRole::Follower;
+  this->leader = aLeader;
+  this->votes.clear();
+  this->ResetElectionTimer(aNow);
+}
+
+void RaftNode::BecomeLeader(Instant aNow)
+{
+  this->role = RaftRole::Leader;
+  this->leader = this->self;
+  this->leaderSince = aNow;
+  this->votes.clear();
+  this->incoming.reset();
+  this->progress.clear();
+  this->UpdateProgressMembers();
+  this->AppendAsLeader(LogEntryKind::TermStart, {});
+  this->Broadcast(true, aNow);
+}
+
+void RaftNode::AcceptLeader(std::uint64_t aTerm, const std::string& aLeader, Instant aNow)
+{
+  if (aTerm > this->hardState.term || this->role != RaftRole::Follower) {
+    this->BecomeFollower(aTerm, aLeader, aNow);
+  }
+  this->leader = aLeader;
+  this->leaderContact = aNow;
+  this->ResetElectionTimer(aNow);
+}
+
+// --- Leader -------------------------------------------------------------------------------------
+
+/// Requests carry the time since the start of the leadership, so the echoed round says when the
+/// request was sent. Zero is no round.
+std::uint64_t RaftNode::RoundAt(Instant aNow) const
+{
+  return static_cast<std::uint64_t>((aNow - this->leaderSince).count()) + 1;
+}
+
+/// The latest time at which a quorum, with this member, can be shown to have followed it.
+Instant RaftNode::QuorumContact(Instant aNow) const
+{
+  std::vector<Instant> contacts;
+  for (const ControlMember& member : this->Members()) {
+    if (!member.voter) {
+      continue;
+    }
+    if (member.id == this->self) {
+      contacts.push_back(aNow);
+      continue;
+    }
+    const auto found = this->progress.find(member.id);
+    const bool confirmed = found != this->progress.end() && found->second.confirmedAt;
+    contacts.push_back(confirmed ? *found->second.confirmedAt : Instant::min());
+  }
+  std::ranges::sort(contacts, std::greater<>());
+  const std::size_t quorum = contacts.size() / 2 + 1;
+  // A far past that can still be added to without overflow.
+  const Instant never{ Duration::min() / 2 };
+  return contacts.size() < quorum ? never : std::max(contacts[quorum - 1], never);
+}
+
+void RaftNode::CheckQuorum(Instant aNow)
+{
+  const Instant contact = std::max(this->QuorumContact(aNow), this->leaderSince);
+  if (aNow - contact > this->settings.electionTimeoutMax) {
+    this->BecomeFollower(this->hardState.term, {}, aNow);
+  }
+}
+
+void RaftNode::UpdateProgressMembers()
+{
+  for (const ControlMember& member : this->Members()) {
+    if (member.id == this->self || this->progress.contains(member.id)) {
+      continue;
+    }
+    this->progress[member.id].nextIndex = this->log.LastIndex() + 1;
+  }
+  std::erase_if(this->progress, [this](const auto& aEntry) {
+    return FindMember(this->Members(), aEntry.first) == nullptr;
+  });
+}
+
+MemberProgress* RaftNode::ConfirmedProgress(const std::string& aMember,
+                                            std::uint64_t aRound,
+                                            Instant aNow)
+{
+  const auto found = this->progress.find(aMember);
+  if (found == this->progress.end()) {
+    return nullptr;
+  }
+  if (aRound > 0 && aRound <= this->RoundAt(aNow)) {
+    const Instant sentAt = this->leaderSince + Duration(static_cast<std::int64_t>(aRound - 1));
+    auto& confirmed = found->second.confirmedAt;
+    confirmed = confirmed ? std::max(*confirmed, sentAt) : sentAt;
+  }
+  return &found->second;
+}
+
+void RaftNode::Broadcast(bool aHeartbeat, Instant aNow)
+{
+  if (aHeartbeat) {
+    this->heartbeatDeadline = aNow + this->settings.heartbeatInterval;
+  }
+  for (auto& [member, memberProgress] : this->progress) {
+    this->Replicate(member, memberProgress, aHeartbeat, aNow);
+  }
+}
+
+bool RaftNode::NeedsSnapshot(const MemberProgress& aProgress) const
+{
+  return aProgress.nextIndex <= this->log.BaseIndex() && this->log.Snapshot();
+}
+
+/// Sends what a member lacks. A heartbeat is sent even if it lacks nothing.
+void RaftNode::Replicate(const std::string& aMember,
+                         MemberProgress& aProgress,
+                         bool aHeartbeat,
+                         Instant aNow)
+{
+  if (this->NeedsSnapshot(aProgress)) {
+    const bool isNew = aProgress.snapshotIndex != this->log.Snapshot()->lastIndex;
+    if (isNew) {
+      aProgress.snapshotIndex = this->log.Snapshot()->lastIndex;
+      aProgress.snapshotOffset = 0;
+    }
+    // A piece is repeated only after this time: repeating a large piece at each heartbeat would fill
+    // a slow link.
+    const bool overdue = aNow - aProgress.pieceSentAt > this->settings.electionTimeoutMin;
+    if (isNew || overdue) {
+      this->SendPiece(aMember, aProgress, aNow);
+    } else if (aHeartbeat) {
+      this->SendEmptyAppend(aMember, aNow);
+    }
+    return;
+  }
+  aProgress.snapshotIndex = 0;
+  const Instant heard = std::max(aProgress.confirmedAt.value_or(this->leaderSince), this->leaderSince);
+  const bool isActive = aNow - heard <= this->settings.electionTimeoutMin;
+  const bool hasRoom =
+    aProgress.nextIndex <= aProgress.matchIndex + this->settings.maxUnconfirmedEntries;
+  const bool hasEntries = aProgress.nextIndex <= this->log.LastIndex();
+  // A silent member gets only heartbeats, so that no queue builds up for it.
+  if (hasEntries && isActive && hasRoom) {
+    this->SendAppend(aMember,
+                     aProgress,
+                     this->log.From(aProgress.nextIndex, this->settings.maxAppendBytes),
+                     aNow);
+  } else if (aHeartbeat) {
+    this->SendAppend(aMember, aProgress, {}, aNow);
+  }
+}
+
+void RaftNode::SendAppend(const std::string& aMember,
+                          MemberProgress& aProgress,
+                          std::vector<LogEntry> aEntries,
+                          Instant aNow)
+{
+  const std::uint64_t previous = aProgress.nextIndex - 1;
+  aProgress.nextIndex += aEntries.size();
+  this->Send(aMember,
+             AppendRequest{ this->hardState.term,
+                            this->self,
+                            previous,
+                            this->log.TermAt(previous),
+                            this->commitIndex,
+                            this->RoundAt(aNow),
+                            std::move(aEntries) });
+}
+
+/// Keeps the lease and the follower's timer going during a snapshot transfer. Index 0 precedes every
+/// log, so the request always matches and changes nothing.
+void RaftNode::SendEmptyAppend(const std::string& aMember, Instant aNow)
+{
+  this->Send(aMember,
+             AppendRequest{ this->hardState.term, this->self, 0, 0, 0, this->RoundAt(aNow), {} });
+}
+
+void RaftNode::SendPiece(const std::string& aMember, MemberProgress& aProgress, Instant aNow)
+{
+  const RaftSnapshot& snapshot = *this->log.Snapshot();
+  const std::string& content = *snapshot.content;
+  const std::uint64_t offset = std::min<std::uint64_t>(aProgress.snapshotOffset, content.size());
+  std::string piece = content.substr(offset, this->settings.snapshotPieceBytes);
+  const bool isLast = offset + piece.size() == content.size();
+  aProgress.pieceSentAt = aNow;
+  this->Send(aMember,
+             SnapshotRequest{ this->hardState.term,
+                              this->self,
+                              snapshot.lastIndex,
+                              snapshot.lastTerm,
+                              offset,
+                              isLast,
+                              std::move(piece),
+                              this->RoundAt(aNow) });
+}
+
+void RaftNode::AppendAsLeader(LogEntryKind aKind, std::string aCommand)
+{
+  LogEntry entry{ this->hardState.term, this->log.LastIndex() + 1, std::move(aCommand), aKind };
+  this->unwritten.push_back(entry);
+  this->log.Append(std::move(entry));
+}
+
+void RaftNode::AdvanceCommit()
+{
+  std::vector<std::uint64_t> matches;
+  for (const ControlMember& member : this->Members()) {
+    if (!member.voter) {
+      continue;
+    }
+    if (member.id == this->self) {
+      matches.push_back(this->durableIndex);
+      continue;
+    }
+    const auto found = this->progress.find(member.id);
+    matches.push_back(found == this->progress.end() ? 0 : found->second.matchIndex);
+  }
+  std::ranges::sort(matches, std::greater<>());
+  const std::size_t quorum = matches.size() / 2 + 1;
+  if (matches.size() < quorum) {
+    return;
+  }
+  const std::uint64_t index = matches[quorum - 1];
+  // Entries of earlier terms are committed only together with one of this term: alone they could
+  // still be replaced by another leader.
+  if (index > this->commitIndex && this->log.TermAt(index) == this->hardState.term) {
+    this->commitIndex = index;
+  }
+}
+
+void RaftNode::Handle(const AppendReply& aReply, Instant aNow)
+{
+  if (aReply.term > this->hardState.term) {
+    this->BecomeFollower(aReply.term, {}, aNow);
+    return;
+  }
+  if (this->role != RaftRole::Leader || aReply.term != this->hardState.term) {
+    return;
+  }
+  MemberProgress* member = this->ConfirmedProgress(aReply.follower, aReply.round, aNow);
+  if (member == nullptr) {
+    return;
+  }
+  if (aReply.success) {
+    member->matchIndex = std::max(member->matchIndex, aReply.matchIndex);
+    member->nextIndex = std::max(member->nextIndex, member->matchIndex + 1);
+    this->AdvanceCommit();
+  } else {
+    const std::uint64_t hint = std::min(aReply.matchIndex + 1, member->nextIndex);
+    member->nextIndex = std::max(member->matchIndex + 1, hint);
+  }
+  this->Replicate(aReply.follower, *member, false, aNow);
+}
+
+void RaftNode::Handle(const SnapshotReply& aReply, Instant aNow)
+{
+  if (aReply.term > this->hardState.term) {
+    this->BecomeFollower(aReply.term, {}, aNow);
+    return;
+  }
+  if (this->role != RaftRole::Leader || aReply.term != this->hardState.term) {
+    return;
+  }
+  MemberProgress* member = this->ConfirmedProgress(aReply.follower, aReply.round, aNow);
+  if (member == nullptr) {
+    return;
+  }
+  if (aReply.installed) {
+    member->matchIndex = std::max(member->matchIndex, aReply.lastIndex);
+    member->nextIndex = std::max(member->nextIndex, member->matchIndex + 1);
+    this->AdvanceCommit();
+    this->Replicate(aReply.follower, *member, false, aNow);
+    return;
+  }
+  const bool isCurrent = this->NeedsSnapshot(*member) &&
+                         member->snapshotIndex == aReply.lastIndex &&
+                         aReply.lastIndex == this->log.Snapshot()->lastIndex;
+  if (isCurrent && aReply.received != member->snapshotOffset) {
+    member->snapshotOffset = aReply.received;
+    this->SendPiece(aReply.follower, *member, aNow);
+  }
+}
+
+// --- Follower -----------------------------------------------------------------------------------
+
+void RaftNode::Handle(const AppendRequest& aRequest, Instant aNow)
+{
+  AppendReply reply{ this->hardState.term, this->self, false, 0, aRequest.round };
+  if (aRequest.term < this->hardState.term) {
+    this->SendWhenDurable(aRequest.leader, reply);
+    return;
+  }
+  this->AcceptLeader(aRequest.term, aRequest.leader, aNow);
+  reply.term = this->hardState.term;
+  const std::uint64_t previous = aRequest.previousIndex;
+  if (previous > this->log.LastIndex()) {
+    reply.matchIndex = this->log.LastIndex();
+  } else if (previous > this->log.BaseIndex() &&
+             this->log.TermAt(previous) != aRequest.previousTerm) {
+    // Skips the whole conflicting term, so that one exchange suffices for each term.
+    const std::uint64_t conflicting = this->log.TermAt(previous);
+    std::uint64_t hint = previous - 1;
+    while (hint > std::max(this->commitIndex, this->log.BaseIndex()) &&
+           this->log.TermAt(hint) == conflicting) {
+      --hint;
+    }
+    reply.matchIndex = hint;
+  } else {
+    reply.success = true;
+    reply.matchIndex = this->MergeEntries(aRequest);
+    this->commitIndex =
+      std::max(this->commitIndex, std::min(aRequest.commitIndex, reply.matchIndex));
+  }
+  this->SendWhenDurable(aRequest.leader, reply);
+}
+
+/// Adds the entries that the log lacks and replaces those that differ. Returns the last index up to
+/// which the log is known to equal the leader's.
+std::uint64_t RaftNode::MergeEntries(const AppendRequest& aRequest)
+{
+  std::uint64_t index = aRequest.previousIndex;
+  for (const LogEntry& entry : aRequest.entries) {
+    if (entry.index != index + 1) {
+      return index;
+    }
+    ++index;
+    // Entries up to the base are committed and therefore equal.
+    if (index <= this->log.BaseIndex() || this->log.TermAt(index) == entry.term) {
+      continue;
+    }
+    if (index <= this->commitIndex) {
+      this->actions.emplace_back(
+        FaultAction{ "leader " + aRequest.leader + " replaces committed entry " +
+                     std::to_string(index) });
+      return index - 1;
+    }
+    this->TruncateFrom(index);
+    this->unwritten.push_back(entry);
+    this->log.Append(entry);
+  }
+  return index;
+}
+
+void RaftNode::TruncateFrom(std::uint64_t aIndex)
+{
+  if (aIndex > this->log.LastIndex()) {
+    return;
+  }
+  this->log.TruncateFrom(aIndex);
+  this->durableIndex = std::min(this->durableIndex, aIndex - 1);
+  for (PendingBatch& batch : this->pendingBatches) {
+    batch.lastIndex = std::min(batch.lastIndex, aIndex - 1);
+  }
+}
+
+void RaftNode::Handle(const SnapshotRequest& aRequest, Instant aNow)
+{
+  SnapshotReply reply{ this->hardState.term, this->self, aRequest.lastIndex, 0,
+                       false,                aRequest.round };
+  if (aRequest.term < this->hardState.term) {
+    this->SendWhenDurable(aRequest.leader, reply);
+    return;
+  }
+  this->AcceptLeader(aRequest.term, aRequest.leader, aNow);
+  reply.term = this->hardState.term;
+  if (aRequest.lastIndex <= this->commitIndex) {
+    this->incoming.reset();
+    reply.installed = true;
+    this->SendWhenDurable(aRequest.leader, reply);
+    return;
+  }
+  const bool continues = this->incoming && this->incoming->lastIndex == aRequest.lastIndex &&
+                         this->incoming->lastTerm == aRequest.lastTerm &&
+                         this->incoming->term == aRequest.term;
+  if (!continues) {
+    this->incoming = { aRequest.lastIndex, aRequest.lastTerm, aRequest.term, {} };
+  }
+  std::string& content = this->incoming->content;
+  if (aRequest.offset == content.size()) {
+    content += aRequest.data;
+    if (aRequest.lastPiece) {
+      if (DecodeSnapshotContent(content)) {
+        this->InstallSnapshot({ aRequest.lastIndex,
+                                aRequest.lastTerm,
+                                std::make_shared<const std::string>(std::move(content)) });
+        reply.installed = true;
+      }
+      this->incoming.reset();
+      this->SendWhenDurable(aRequest.leader, reply);
+      return;
+    }
+  }
+  reply.received = content.size();
+  this->SendWhenDurable(aRequest.leader, reply);
+}
+
+void RaftNode::InstallSnapshot(RaftSnapshot aSnapshot)
+{
+  this->commitIndex = aSnapshot.lastIndex;
+  this->durableIndex = std::min(this->durableIndex, aSnapshot.lastIndex - 1);
+  for (PendingBatch& batch : this->pendingBatches) {
+    batch.lastIndex = std::min(batch.lastIndex, aSnapshot.lastIndex - 1);
+  }
+  this->unwrittenSnapshot = aSnapshot;
+  // The batch that will be issued at the end of this event makes the snapshot durable.
+  this->restore = PendingRestore{ this->issuedSequence + 1, aSnapshot };
+  this->log.Install(std::move(aSnapshot));
+}
+
+void RaftNode::RestoreIfDurable()
+{
+  if (!this->restore || this->restore->sequence > this->completedSequence) {
+    return;
+  }
+  const RaftSnapshot snapshot = this->restore->snapshot;
+  this->restore.reset();
+  this->appliedIndex = snapshot.lastIndex;
+  this->actions.emplace_back(RestoreAction{ snapshot });
+  this->actions.emplace_back(
+    MembersCommittedAction{ snapshot.lastIndex, this->log.MembersAt(snapshot.lastIndex) });
+}
+
+// --- Applying and durability --------------------------------------------------------------------
+
+void RaftNode::ApplyCommitted(Instant aNow)
+{
+  while (!this->restore &&
+         this->appliedIndex < std::min(this->commitIndex, this->durableIndex)) {
+    ++this->appliedIndex;
+    const LogEntry entry = this->log.At(this->appliedIndex);
+    this->ApplyEntry(entry, aNow);
+  }
+}
+
+void RaftNode::ApplyEntry(const LogEntry& aEntry, Instant aNow)
+{
+  this->actions.emplace_back(ApplyAction{ aEntry });
+  const auto found = this->proposals.find(aEntry.index);
+  if (found != this->proposals.end()) {
+    const bool isOwn = found->second.term == aEntry.term;
+    this->actions.emplace_back(
+      ProposalResultAction{ found->second.proposal,
+                            isOwn ? ResultCode::Ok : ResultCode::OutcomeUnknown,
+                            aEntry.index,
+                            {} });
+    this->proposals.erase(found);
+  }
+  if (aEntry.kind == LogEntryKind::Membership) {
+    this->actions.emplace_back(
+      MembersCommittedAction{ aEntry.index, this->log.MembersAt(aEntry.index) });
+  }
+  if (this->role != RaftRole::Leader) {
+    return;
+  }
+  if (aEntry.kind == LogEntryKind::TermStart && aEntry.term == this->hardState.term) {
+    this->announced = true;
+    this->actions.emplace_back(LeadershipGainedAction{ this->hardState.term });
+  }
+  if (aEntry.kind == LogEntryKind::Membership && !this->MembershipChangePending() &&
+      !IsVoter(this->Members(), this->self)) {
+    this->BecomeFollower(this->hardState.term, {}, aNow);
+  }
+}
+
+void RaftNode::FailProposals()
+{
+  for (const auto& [index, pending] : this->proposals) {
+    this->actions.emplace_back(ProposalResultAction{
+      pending.proposal, ResultCode::OutcomeUnknown, index, "leadership was lost" });
+  }
+  this->proposals.clear();
+}
+
+void RaftNode::Reject(std::uint64_t aProposal, ResultCode aCode, const std::string& aMessage)
+{
+  this->actions.emplace_back(ProposalResultAction{ aProposal, aCode, 0, aMessage });
+}
+
+void RaftNode::Send(const std::string& aTo, Message aMessage)
+{
+  this->actions.emplace_back(SendAction{ aTo, std::move(aMessage) });
+}
+
+void RaftNode::SendWhenDurable(const std::string& aTo, Message aMessage)
+{
+  this->waiting.push_back({ aTo, std::move(aMessage) });
+}
+
+void RaftNode::IssueBatch()
+{
+  const bool isNeeded =
+    this->hardStateChanged || !this->unwritten.empty() || this->unwrittenSnapshot.has_value();
+  if (!isNeeded) {
+    return;
+  }
+  PersistBatch batch;
+  batch.sequence = ++this->issuedSequence;
+  batch.hardState = this->hardState;
+  batch.entries = std::exchange(this->unwritten, {});
+  if (this->unwrittenSnapshot) {
+    const std::uint64_t first = this->unwrittenSnapshot->lastIndex + 1;
+    batch.entries = this->log.From(first, SIZE_MAX);
+    batch.snapshot = std::exchange(this->unwrittenSnapshot, std::nullopt);
+  }
+  this->hardStateChanged = false;
+  this->pendingBatches.push_back({ batch.sequence, this->log.LastIndex() });
+  this->actions.emplace_back(PersistAction{ std::move(batch) });
+}
+
+/// Ends an event: applies what became committed, issues the durable write and then the messages that
+/// depend on it.
+RaftActions RaftNode::Finish(Instant aNow)
+{
+  this->ApplyCommitted(aNow);
+  this->IssueBatch();
+  for (SendAction& send : this->waiting) {
+    if (this->issuedSequence > this->completedSequence) {
+      this->held.push_back({ this->issuedSequence, std::move(send) });
+    } else {
+      this->actions.emplace_back(std::move(send));
+    }
+  }
+  this->waiting.clear();
+  return std::exchange(this->actions, {});
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -440,16 +440,24 @@
 
 // --- Between control members ------------------------------------------------------------------
 
+enum class LogEntryKind : std::uint8_t
+{
+  Command = 0,
+  Membership = 1, ///< `command` is the encoded list of members.
+  TermStart = 2,  ///< First entry of a term; `command` is empty.
+};
+
 struct LogEntry
 {
   std::uint64_t term = 0;
   std::uint64_t index = 0;
-  std::string command; ///< Encoded control command; empty for the first entry of a term.
+  std::string command; ///< Encoded control command or list of members.
+  LogEntryKind kind = LogEntryKind::Command;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->term, this->index, this->command);
+    aVisitor(this->term, this->index, this->command, this->kind);
   }
 };
 
--- /dev/null
+++ b/src/oleanderledge/storage/MemberIdentity.cpp
@@ -0,0 +1,53 @@
+#include "oleanderledge/storage/MemberIdentity.hpp"
+
+#include "oleanderledge/consensus/ByteCodec.hpp"
+
+#include <random>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr std::string_view kIdentityMagic = "OLID0001";
+constexpr int kIdWords = 4;
+
+} // namespace
+
+std::string EncodeIdentityFile(std::string_view aId)
+{
+  ByteWriter body;
+  body.PutU32(Crc32(aId));
+  body.PutString(aId);
+  return std::string(kIdentityMagic) + body.Take();
+}
+
+Result<std::string> DecodeIdentityFile(std::string_view aBytes)
+{
+  if (!aBytes.starts_with(kIdentityMagic)) {
+    return Fail(ResultCode::StorageCorrupt, "the identity does not start with its format mark");
+  }
+  ByteReader reader(aBytes.substr(kIdentityMagic.size()));
+  const std::uint32_t crc = reader.GetU32();
+  const std::string_view id = reader.GetString();
+  if (!reader.IsValid() || !reader.Rest().empty() || id.empty() || Crc32(id) != crc) {
+    return Fail(ResultCode::StorageCorrupt, "the identity has a wrong checksum");
+  }
+  return std::string(id);
+}
+
+std::string NewMemberId()
+{
+  static constexpr std::string_view kDigits = "0123456789abcdef";
+  std::random_device device;
+  std::string id;
+  for (int word = 0; word < kIdWords; ++word) {
+    std::uint32_t bits = device();
+    for (int digit = 0; digit < 8; ++digit) {
+      id.push_back(kDigits[bits & 0xFU]);
+      bits >>= 4U;
+    }
+  }
+  return id;
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/storage/MemberStorage.cpp
@@ -0,0 +1,222 @@
+#include "oleanderledge/storage/MemberStorage.hpp"
+
+#include "oleanderledge/consensus/ByteCodec.hpp"
+#include "oleanderledge/link/Codec.hpp"
+#include "oleanderledge/storage/MemberIdentity.hpp"
+#include "oleanderledge/storage/SnapshotFile.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr std::string_view kIdentityName = "identity";
+constexpr std::string_view kLogName = "log";
+constexpr std::string_view kSnapshotName = "snapshot";
+
+/// Payload of one log record: the hard state, then entries. An entry replaces all earlier ones with
+/// the same or a higher index.
+std::string EncodePayload(const HardState& aHardState, std::span<const PersistBatch> aBatches)
+{
+  ByteWriter writer;
+  writer.PutU64(aHardState.term);
+  writer.PutString(aHardState.vote);
+  for (const PersistBatch& batch : aBatches) {
+    for (const LogEntry& entry : batch.entries) {
+      writer.PutString(EncodeStruct(entry));
+    }
+  }
+  return writer.Take();
+}
+
+Result<void> AddEntry(std::vector<LogEntry>& aEntries, LogEntry aEntry)
+{
+  while (!aEntries.empty() && aEntries.back().index >= aEntry.index) {
+    aEntries.pop_back();
+  }
+  if (!aEntries.empty() && aEntries.back().index + 1 != aEntry.index) {
+    return Fail(ResultCode::StorageCorrupt,
+                "entry " + std::to_string(aEntries.back().index + 1) + " is missing");
+  }
+  aEntries.push_back(std::move(aEntry));
+  return boost::outcome_v2::success();
+}
+
+Result<void> ReadPayload(std::string_view aPayload, PersistentState& aState)
+{
+  ByteReader reader(aPayload);
+  aState.hardState.term = reader.GetU64();
+  aState.hardState.vote = reader.GetString();
+  while (reader.IsValid() && !reader.Rest().empty()) {
+    auto entry = DecodeStruct<LogEntry>(reader.GetString());
+    if (!entry) {
+      return Fail(ResultCode::StorageCorrupt, "entry: " + entry.error().message);
+    }
+    BOOST_OUTCOME_TRY(AddEntry(aState.entries, std::move(entry.value())));
+  }
+  if (!reader.IsValid()) {
+    return Fail(ResultCode::StorageCorrupt, "a log record has a wrong length");
+  }
+  return boost::outcome_v2::success();
+}
+
+/// Removes the entries that a snapshot covers. A crash between the two files of StoreSnapshot()
+/// leaves a log from before the snapshot.
+Result<void> DropCovered(PersistentState& aState)
+{
+  std::vector<LogEntry>& entries = aState.entries;
+  const std::uint64_t last = aState.snapshot ? aState.snapshot->lastIndex : 0;
+  const auto atLast =
+    std::ranges::find_if(entries, [last](const LogEntry& each) { return each.index == last; });
+  const bool conflicts = atLast != entries.end() && atLast->term != aState.snapshot->lastTerm;
+  // An older log that ends before the snapshot or disagrees with it has nothing that follows it.
+  if (conflicts) {
+    entries.clear();
+  }
+  std::erase_if(entries, [last](const LogEntry& each) { return each.index <= last; });
+  if (!entries.empty() && entries.front().index != last + 1) {
+    return Fail(ResultCode::StorageCorrupt,
+                "entry " + std::to_string(last + 1) + " after the snapshot is missing");
+  }
+  return boost::outcome_v2::success();
+}
+
+} // namespace
+
+MemberStorage::MemberStorage(FileSystem& aFiles, std::string aFolder)
+  : files(aFiles)
+  , folder(std::move(aFolder))
+{
+}
+
+std::string MemberStorage::PathOf(std::string_view aName) const
+{
+  return this->folder + "/" + std::string(aName);
+}
+
+Result<std::unique_ptr<MemberStorage>> MemberStorage::Open(FileSystem& aFiles,
+                                                           const std::string& aFolder)
+{
+  BOOST_OUTCOME_TRY(aFiles.CreateFolder(aFolder));
+  BOOST_OUTCOME_TRY(aFiles.LockFolder(aFolder));
+  std::unique_ptr<MemberStorage> storage(new MemberStorage(aFiles, aFolder));
+  BOOST_OUTCOME_TRY(storage->Load());
+  return storage;
+}
+
+Result<void> MemberStorage::Load()
+{
+  BOOST_OUTCOME_TRY(identity, this->files.Read(this->PathOf(kIdentityName)));
+  if (!identity) {
+    BOOST_OUTCOME_TRY(this->CreateIdentity());
+  } else {
+    BOOST_OUTCOME_TRY(id, DecodeIdentityFile(*identity));
+    this->memberId = id;
+  }
+  BOOST_OUTCOME_TRY(bytes, this->files.Read(this->PathOf(kLogName)));
+  if (!bytes) {
+    // Without its log this identity might vote twice in a term.
+    return Fail(ResultCode::StorageCorrupt, this->folder + ": the log is missing");
+  }
+  BOOST_OUTCOME_TRY(this->LoadSnapshot());
+  return this->LoadLog(*bytes);
+}
+
+/// The log precedes the identity, so that an identity without a log is always damage.
+Result<void> MemberStorage::CreateIdentity()
+{
+  BOOST_OUTCOME_TRY(log, this->files.Read(this->PathOf(kLogName)));
+  BOOST_OUTCOME_TRY(snapshot, this->files.Read(this->PathOf(kSnapshotName)));
+  if (snapshot || (log && *log != WriteAheadLog::kMagic)) {
+    return Fail(ResultCode::StorageCorrupt, this->folder + ": the identity is missing");
+  }
+  BOOST_OUTCOME_TRY(ReplaceFile(
+    this->files, this->folder, std::string(kLogName), WriteAheadLog::Encode({})));
+  this->memberId = NewMemberId();
+  return ReplaceFile(
+    this->files, this->folder, std::string(kIdentityName), EncodeIdentityFile(this->memberId));
+}
+
+Result<void> MemberStorage::LoadSnapshot()
+{
+  BOOST_OUTCOME_TRY(bytes, this->files.Read(this->PathOf(kSnapshotName)));
+  if (bytes) {
+    BOOST_OUTCOME_TRY(snapshot, DecodeSnapshotFile(*bytes));
+    this->loaded.snapshot = std::move(snapshot);
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void> MemberStorage::LoadLog(const std::string& aBytes)
+{
+  BOOST_OUTCOME_TRY(content, WriteAheadLog::Scan(aBytes));
+  for (const std::string& payload : content.payloads) {
+    BOOST_OUTCOME_TRY(ReadPayload(payload, this->loaded));
+  }
+  BOOST_OUTCOME_TRY(DropCovered(this->loaded));
+  BOOST_OUTCOME_TRY(file, this->files.Open(this->PathOf(kLogName)));
+  if (content.hasTornTail) {
+    WriteLog(LogEvent::TornRecordCut,
+             "folder=" + this->folder + " bytes=" + std::to_string(content.validBytes) + ".." +
+               std::to_string(aBytes.size()));
+    BOOST_OUTCOME_TRY(file->Truncate(content.validBytes));
+    BOOST_OUTCOME_TRY(file->Sync());
+  }
+  this->wal.emplace(std::move(file), content.payloads.size());
+  return boost::outcome_v2::success();
+}
+
+Result<void> MemberStorage::Persist(std::span<const PersistBatch> aBatches)
+{
+  if (this->hasFailed) {
+    return Fail(ResultCode::StorageWriteFailed, "an earlier write failed");
+  }
+  auto written = this->Write(aBatches);
+  if (!written) {
+    this->hasFailed = true;
+    WriteLog(LogEvent::StorageFailed,
+             "folder=" + this->folder + " reason=" + written.error().message);
+  }
+  return written;
+}
+
+Result<void> MemberStorage::Write(std::span<const PersistBatch> aBatches)
+{
+  std::size_t start = 0;
+  for (std::size_t at = 0; at < aBatches.size(); ++at) {
+    if (!aBatches[at].snapshot) {
+      continue;
+    }
+    // A batch with a snapshot contains the whole log after it, but a crash may come before its
+    // files are complete, so the earlier batches are written too.
+    BOOST_OUTCOME_TRY(this->AppendBatches(aBatches.subspan(start, at - start)));
+    BOOST_OUTCOME_TRY(this->StoreSnapshot(aBatches[at]));
+    start = at + 1;
+  }
+  return this->AppendBatches(aBatches.subspan(start));
+}
+
+Result<void> MemberStorage::AppendBatches(std::span<const PersistBatch> aBatches)
+{
+  if (aBatches.empty()) {
+    return boost::outcome_v2::success();
+  }
+  return this->wal->Append(EncodePayload(aBatches.back().hardState, aBatches));
+}
+
+Result<void> MemberStorage::StoreSnapshot(const PersistBatch& aBatch)
+{
+  BOOST_OUTCOME_TRY(ReplaceFile(this->files,
+                                this->folder,
+                                std::string(kSnapshotName),
+                                EncodeSnapshotFile(*aBatch.snapshot)));
+  const std::string payload = EncodePayload(aBatch.hardState, std::span(&aBatch, 1));
+  BOOST_OUTCOME_TRY(ReplaceFile(
+    this->files, this->folder, std::string(kLogName), WriteAheadLog::Encode({ payload })));
+  BOOST_OUTCOME_TRY(file, this->files.Open(this->PathOf(kLogName)));
+  this->wal.emplace(std::move(file), 1);
+  return boost::outcome_v2::success();
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/storage/WriteAheadLog.cpp
@@ -0,0 +1,112 @@
+#include "oleanderledge/storage/WriteAheadLog.hpp"
+
+#include "oleanderledge/consensus/ByteCodec.hpp"
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr std::size_t kHeaderBytes = 8; ///< Length and CRC-32.
+constexpr std::size_t kNumberBytes = 8; ///< Record number at the start of the payload.
+
+std::string EncodeRecord(std::uint64_t aNumber, std::string_view aPayload)
+{
+  ByteWriter payload;
+  payload.PutU64(aNumber);
+  std::string numbered = payload.Take();
+  numbered.append(aPayload);
+  ByteWriter header;
+  header.PutU32(static_cast<std::uint32_t>(numbered.size()));
+  header.PutU32(Crc32(numbered));
+  return header.Take() + numbered;
+}
+
+/// The payload of the record at the start of some bytes, with its number, or nothing if there is no
+/// valid record with a number of at least `aMinNumber`.
+std::optional<std::string_view> ValidRecord(std::string_view aBytes, std::uint64_t aMinNumber)
+{
+  ByteReader reader(aBytes);
+  const std::uint32_t length = reader.GetU32();
+  const std::uint32_t crc = reader.GetU32();
+  if (!reader.IsValid() || length < kNumberBytes || length > reader.Rest().size()) {
+    return std::nullopt;
+  }
+  const std::string_view payload = reader.Rest().substr(0, length);
+  // The number is compared first, because the search for later records tries every offset.
+  if (ByteReader(payload).GetU64() < aMinNumber || Crc32(payload) != crc) {
+    return std::nullopt;
+  }
+  return payload;
+}
+
+/// True if a valid record follows within the bytes. Then the bytes before it were once complete, so
+/// they are damage and not the rest of an interrupted write.
+bool HasLaterRecord(std::string_view aBytes, std::uint64_t aNumber)
+{
+  for (std::size_t offset = 1; offset + kHeaderBytes < aBytes.size(); ++offset) {
+    if (ValidRecord(aBytes.substr(offset), aNumber)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+Result<WriteAheadLog::Content> WriteAheadLog::Scan(std::string_view aBytes)
+{
+  if (!aBytes.starts_with(kMagic)) {
+    return Fail(ResultCode::StorageCorrupt, "the log does not start with its format mark");
+  }
+  Content content;
+  std::string_view rest = aBytes.substr(kMagic.size());
+  std::uint64_t number = 1;
+  while (!rest.empty()) {
+    const auto payload = ValidRecord(rest, number);
+    if (!payload) {
+      break;
+    }
+    if (ByteReader(*payload).GetU64() != number) {
+      return Fail(ResultCode::StorageCorrupt,
+                  "record " + std::to_string(number) + " is missing");
+    }
+    content.payloads.emplace_back(payload->substr(kNumberBytes));
+    rest.remove_prefix(kHeaderBytes + payload->size());
+    ++number;
+  }
+  content.validBytes = aBytes.size() - rest.size();
+  content.hasTornTail = !rest.empty();
+  if (content.hasTornTail && HasLaterRecord(rest, number)) {
+    return Fail(ResultCode::StorageCorrupt,
+                "record " + std::to_string(number) + " at byte " +
+                  std::to_string(content.validBytes) + " is damaged and later records exist");
+  }
+  return content;
+}
+
+std::string WriteAheadLog::Encode(const std::vector<std::string>& aPayloads)
+{
+  std::string bytes(kMagic);
+  std::uint64_t number = 1;
+  for (const std::string& payload : aPayloads) {
+    bytes += EncodeRecord(number, payload);
+    ++number;
+  }
+  return bytes;
+}
+
+Result<void> WriteAheadLog::Append(std::string_view aPayload)
+{
+  if (this->hasFailed) {
+    return Fail(ResultCode::StorageWriteFailed, "an earlier write failed");
+  }
+  // Until the write is known to be durable, the end of the file is unknown.
+  this->hasFailed = true;
+  BOOST_OUTCOME_TRY(AppendAll(*this->file, EncodeRecord(this->records + 1, aPayload)));
+  BOOST_OUTCOME_TRY(this->file->Sync());
+  ++this->records;
+  this->hasFailed = false;
+  return boost::outcome_v2::success();
+}
+
+} // namespace oleanderledge
