Add a fake control group for tests of the replicated log

Cause: the safety of the log must be checked under crashes, cuts and clock differences. Change: FakeGroup with a fake network, disks and clocks that checks safety after every event. Conclusion: further histories can be written against it.

--- /dev/null
+++ b/tests/consensus/FakeGroup.cpp
@@ -0,0 +1,508 @@
+#include "tests/consensus/FakeGroup.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr std::int64_t kMaintenanceInterval = 100 * FakeGroup::kMillisecond;
+/// Half of the drift that the lease allows between two clocks.
+constexpr double kMaxRateError = 0.0099;
+
+std::uint64_t HashOf(std::uint64_t aBefore, const LogEntry& aEntry)
+{
+  std::uint64_t hash = aBefore * 1099511628211ULL + aEntry.term;
+  hash = hash * 1099511628211ULL + aEntry.index;
+  return hash * 1099511628211ULL + std::hash<std::string>{}(aEntry.command);
+}
+
+bool IsSameEntry(const LogEntry& aLeft, const LogEntry& aRight)
+{
+  return aLeft.term == aRight.term && aLeft.index == aRight.index &&
+         aLeft.command == aRight.command && aLeft.kind == aRight.kind;
+}
+
+/// The fake disk's counterpart of MemberStorage::Persist().
+void WriteToDisk(PersistentState& aState, const PersistBatch& aBatch)
+{
+  aState.hardState = aBatch.hardState;
+  if (aBatch.snapshot) {
+    aState.snapshot = aBatch.snapshot;
+    aState.entries.clear();
+  }
+  for (const LogEntry& entry : aBatch.entries) {
+    while (!aState.entries.empty() && aState.entries.back().index >= entry.index) {
+      aState.entries.pop_back();
+    }
+    aState.entries.push_back(entry);
+  }
+}
+
+std::uint64_t LastIndexOf(const PersistentState& aState)
+{
+  if (!aState.entries.empty()) {
+    return aState.entries.back().index;
+  }
+  return aState.snapshot ? aState.snapshot->lastIndex : 0;
+}
+
+} // namespace
+
+FakeGroup::FakeGroup(std::uint64_t aSeed, std::size_t aVoters, std::size_t aSpares)
+  : random(aSeed)
+  , instances(aVoters + aSpares)
+{
+  // Small limits make pieces, truncation and snapshots common in short histories.
+  this->settings.snapshotPieceBytes = 64;
+  this->settings.retainedEntries = 5;
+  this->settings.maxAppendBytes = 64;
+  for (Instance& instance : this->instances) {
+    instance.clockRate = 1.0 + kMaxRateError * static_cast<double>(this->RandomBetween(-100, 100)) / 100;
+    GroupMaintenanceSettings maintenance;
+    maintenance.voterGoal = aVoters;
+    maintenance.lostAfter = std::chrono::milliseconds(1500);
+    instance.maintenance = GroupMaintenance(maintenance);
+  }
+  std::vector<ControlMember> members;
+  for (std::size_t at = 0; at < aVoters; ++at) {
+    this->instances[at].disk.memberId = "m" + std::to_string(this->nextIdentity++);
+    this->instanceOfMember[this->instances[at].disk.memberId] = at;
+    members.push_back(this->Describe(at));
+    members.back().voter = true;
+  }
+  this->committedMembers = members;
+  WriteToDisk(this->instances[0].disk.state, RaftNode::FoundingBatch(members));
+  for (std::size_t at = 0; at < aVoters; ++at) {
+    this->Restart(at);
+  }
+}
+
+ControlMember FakeGroup::Describe(std::size_t aInstance) const
+{
+  return { this->instances[aInstance].disk.memberId,
+           "i" + std::to_string(aInstance),
+           "127.0.0.1:" + std::to_string(aInstance + 1),
+           false };
+}
+
+std::int64_t FakeGroup::RandomBetween(std::int64_t aLow, std::int64_t aHigh)
+{
+  return aLow + static_cast<std::int64_t>(
+                  this->random() % static_cast<std::uint64_t>(aHigh - aLow + 1));
+}
+
+Instant FakeGroup::ClockOf(const Instance& aInstance) const
+{
+  return Instant{ Duration(
+    static_cast<std::int64_t>(static_cast<double>(this->now) * aInstance.clockRate)) };
+}
+
+std::int64_t FakeGroup::RealTimeOf(const Instance& aInstance, Instant aLocal) const
+{
+  const auto real = static_cast<std::int64_t>(
+    std::ceil(static_cast<double>(aLocal.time_since_epoch().count() + 1) / aInstance.clockRate));
+  return std::max({ real, aInstance.frozenUntil, this->now });
+}
+
+std::int64_t FakeGroup::NextEventAt() const
+{
+  std::int64_t next = INT64_MAX;
+  if (!this->network.empty()) {
+    next = this->network.top().dueAt;
+  }
+  for (const Instance& instance : this->instances) {
+    if (!instance.node) {
+      continue;
+    }
+    next = std::min(next, this->RealTimeOf(instance, instance.node->NextDeadline()));
+    next = std::min(next, std::max(instance.maintenanceAt, instance.frozenUntil));
+    if (!instance.writes.empty()) {
+      next = std::min(next, std::max(instance.writes.front().dueAt, instance.frozenUntil));
+    }
+  }
+  return next;
+}
+
+void FakeGroup::Run(std::int64_t aMicroseconds)
+{
+  const std::int64_t end = this->now + aMicroseconds;
+  while (!this->violation) {
+    const std::int64_t next = this->NextEventAt();
+    if (next > end) {
+      break;
+    }
+    this->now = std::max(this->now, next);
+    this->HandleDue();
+  }
+  this->now = std::max(this->now, end);
+}
+
+void FakeGroup::HandleDue()
+{
+  this->DeliverMessages();
+  for (std::size_t at = 0; at < this->instances.size(); ++at) {
+    Instance& instance = this->instances[at];
+    if (!instance.node || this->IsFrozen(instance)) {
+      continue;
+    }
+    this->CompleteWrites(at);
+    if (this->RealTimeOf(instance, instance.node->NextDeadline()) <= this->now) {
+      this->Execute(at, instance.node->OnTick(this->ClockOf(instance)));
+    }
+    if (instance.maintenanceAt <= this->now) {
+      this->Maintain(at);
+    }
+  }
+}
+
+void FakeGroup::DeliverMessages()
+{
+  while (!this->network.empty() && this->network.top().dueAt <= this->now) {
+    Delivery delivery = this->network.top();
+    this->network.pop();
+    Instance& receiver = this->instances[delivery.to];
+    if (!receiver.node || this->cuts.contains({ delivery.from, delivery.to })) {
+      continue;
+    }
+    if (this->IsFrozen(receiver)) {
+      delivery.dueAt = receiver.frozenUntil;
+      this->network.push(std::move(delivery));
+      continue;
+    }
+    this->Execute(delivery.to,
+                  receiver.node->OnMessage(delivery.message, this->ClockOf(receiver)));
+  }
+}
+
+void FakeGroup::CompleteWrites(std::size_t aInstance)
+{
+  Instance& instance = this->instances[aInstance];
+  while (!instance.writes.empty() && instance.writes.front().dueAt <= this->now) {
+    const PersistBatch batch = std::move(instance.writes.front().batch);
+    instance.writes.pop_front();
+    WriteToDisk(instance.disk.state, batch);
+    this->Execute(aInstance,
+                  instance.node->OnPersisted(batch.sequence, this->ClockOf(instance)));
+  }
+}
+
+void FakeGroup::Maintain(std::size_t aInstance)
+{
+  Instance& instance = this->instances[aInstance];
+  instance.maintenanceAt = this->now + kMaintenanceInterval;
+  const std::string& id = instance.disk.memberId;
+  const bool isMember = FindMember(instance.node->Members(), id) != nullptr;
+  const auto leader = this->Leader();
+  if (!isMember && leader && !this->cuts.contains({ aInstance, *leader })) {
+    JoinRequest request;
+    const ControlMember self = this->Describe(aInstance);
+    request.memberId = id;
+    request.instance.id = self.instance;
+    request.instance.linkAddress = self.linkAddress;
+    Instance& receiver = this->instances[*leader];
+    receiver.maintenance.OnJoinRequest(request, this->ClockOf(receiver));
+  }
+  const Instant clock = this->ClockOf(instance);
+  if (auto members = instance.maintenance.NextChange(*instance.node, clock)) {
+    this->Execute(aInstance,
+                  instance.node->ChangeMembers(++this->nextProposal, *members, clock));
+  }
+}
+
+void FakeGroup::Execute(std::size_t aInstance, RaftActions aActions)
+{
+  Instance& instance = this->instances[aInstance];
+  for (RaftAction& action : aActions) {
+    if (auto* send = std::get_if<SendAction>(&action)) {
+      this->CheckSend(aInstance, send->message);
+      this->Carry(aInstance, std::move(*send));
+    } else if (auto* persist = std::get_if<PersistAction>(&action)) {
+      const std::int64_t start = instance.writes.empty() ? this->now : instance.writes.back().dueAt;
+      instance.writes.push_back({ start + this->RandomBetween(100, 3000),
+                                  std::move(persist->batch) });
+    } else if (auto* apply = std::get_if<ApplyAction>(&action)) {
+      this->Apply(aInstance, apply->entry);
+    } else if (auto* restore = std::get_if<RestoreAction>(&action)) {
+      this->Restore(aInstance, restore->snapshot);
+    } else if (auto* result = std::get_if<ProposalResultAction>(&action)) {
+      this->acknowledged += result->code == ResultCode::Ok ? 1 : 0;
+      if (result->code == ResultCode::Ok && result->index > this->LastCommitted()) {
+        this->Violate("acknowledged before commit");
+      }
+    } else if (auto* members = std::get_if<MembersCommittedAction>(&action)) {
+      if (members->index >= this->committedMembersIndex) {
+        this->committedMembersIndex = members->index;
+        this->committedMembers = members->members;
+      }
+    } else if (std::holds_alternative<LeadershipGainedAction>(action)) {
+      instance.maintenance.OnLeadershipGained(this->ClockOf(instance));
+    } else if (auto* fault = std::get_if<FaultAction>(&action)) {
+      this->Violate(fault->reason);
+    }
+  }
+  this->CheckLeaders();
+}
+
+void FakeGroup::Carry(std::size_t aInstance, SendAction aSend)
+{
+  const auto target = this->instanceOfMember.find(aSend.to);
+  const bool isLost = this->lossPerMille > 0 && this->random() % 1000 < this->lossPerMille;
+  if (target == this->instanceOfMember.end() || isLost ||
+      this->cuts.contains({ aInstance, target->second })) {
+    return;
+  }
+  // A few messages are late, so that they cross newer ones.
+  const std::int64_t delay = this->random() % 20 == 0 ? this->RandomBetween(1000, 60000)
+                                                      : this->RandomBetween(200, 3000);
+  this->network.push({ this->now + delay,
+                       this->nextOrder++,
+                       aInstance,
+                       target->second,
+                       std::move(aSend.message) });
+}
+
+/// Nothing may be confirmed to another member before it is on the sender's disk.
+void FakeGroup::CheckSend(std::size_t aInstance, const Message& aMessage)
+{
+  const PersistentState& disk = this->instances[aInstance].disk.state;
+  if (const auto* vote = std::get_if<VoteReply>(&aMessage)) {
+    if (vote->granted && !vote->preVote &&
+        (disk.hardState.term < vote->term || disk.hardState.vote.empty())) {
+      this->Violate("vote sent before it was durable");
+    }
+  } else if (const auto* append = std::get_if<AppendReply>(&aMessage)) {
+    if (append->success && append->matchIndex > LastIndexOf(disk) &&
+        append->term == disk.hardState.term) {
+      this->Violate("entries confirmed before they were durable");
+    }
+  } else if (const auto* snapshot = std::get_if<SnapshotReply>(&aMessage)) {
+    if (snapshot->installed && snapshot->lastIndex > LastIndexOf(disk)) {
+      this->Violate("snapshot confirmed before it was durable");
+    }
+  }
+}
+
+void FakeGroup::Apply(std::size_t aInstance, const LogEntry& aEntry)
+{
+  Instance& instance = this->instances[aInstance];
+  if (aEntry.index != instance.appliedIndex + 1) {
+    this->Violate("applied index does not grow by one");
+    return;
+  }
+  if (aEntry.index > this->committed.size()) {
+    this->committed.push_back(aEntry);
+    this->hashes.push_back(HashOf(this->hashes.back(), aEntry));
+  } else if (!IsSameEntry(this->committed[aEntry.index - 1], aEntry)) {
+    this->Violate("committed entry " + std::to_string(aEntry.index) + " changed");
+  }
+  instance.appliedIndex = aEntry.index;
+  instance.appliedHash = HashOf(instance.appliedHash, aEntry);
+  if (instance.appliedHash != this->hashes[aEntry.index]) {
+    this->Violate("applied state differs at " + std::to_string(aEntry.index));
+  }
+}
+
+void FakeGroup::Restore(std::size_t aInstance, const RaftSnapshot& aSnapshot)
+{
+  Instance& instance = this->instances[aInstance];
+  const auto content = DecodeSnapshotContent(*aSnapshot.content);
+  if (!content || aSnapshot.lastIndex <= instance.appliedIndex ||
+      aSnapshot.lastIndex >= this->hashes.size()) {
+    this->Violate("snapshot at " + std::to_string(aSnapshot.lastIndex) + " moves backwards");
+    return;
+  }
+  instance.appliedIndex = aSnapshot.lastIndex;
+  instance.appliedHash = std::stoull(std::string(content.value().state));
+  if (instance.appliedHash != this->hashes[aSnapshot.lastIndex]) {
+    this->Violate("snapshot differs at " + std::to_string(aSnapshot.lastIndex));
+  }
+}
+
+void FakeGroup::CheckLeaders()
+{
+  int leases = 0;
+  for (std::size_t at = 0; at < this->instances.size(); ++at) {
+    const Instance& instance = this->instances[at];
+    if (!instance.node || instance.node->Role() != RaftRole::Leader) {
+      continue;
+    }
+    leases += instance.node->HasLeaderLease(this->ClockOf(instance)) ? 1 : 0;
+    const auto [known, isNew] =
+      this->leaderOfTerm.try_emplace(instance.node->Term(), instance.disk.memberId);
+    if (known->second != instance.disk.memberId) {
+      this->Violate("two leaders in term " + std::to_string(instance.node->Term()));
+    }
+    if (isNew) {
+      this->CheckLeaderLog(at);
+    }
+  }
+  if (leases > 1) {
+    this->Violate("two members hold a leader lease");
+  }
+}
+
+/// A new leader must have every committed entry.
+void FakeGroup::CheckLeaderLog(std::size_t aInstance)
+{
+  const RaftLog& log = this->instances[aInstance].node->Log();
+  for (std::uint64_t index = log.BaseIndex() + 1; index <= this->committed.size(); ++index) {
+    if (index > log.LastIndex() || !IsSameEntry(log.At(index), this->committed[index - 1])) {
+      this->Violate("a new leader lacks committed entry " + std::to_string(index));
+      return;
+    }
+  }
+}
+
+void FakeGroup::Violate(const std::string& aWhat)
+{
+  if (!this->violation) {
+    this->violation = aWhat + " at " + std::to_string(this->now) + " us";
+  }
+}
+
+void FakeGroup::Crash(std::size_t aInstance)
+{
+  Instance& instance = this->instances[aInstance];
+  if (!instance.node) {
+    return;
+  }
+  // Writes that were not confirmed reach the disk up to a random one.
+  while (!instance.writes.empty() && this->random() % 2 == 0) {
+    WriteToDisk(instance.disk.state, instance.writes.front().batch);
+    instance.writes.pop_front();
+  }
+  instance.writes.clear();
+  instance.node.reset();
+  instance.frozenUntil = 0;
+}
+
+void FakeGroup::Restart(std::size_t aInstance)
+{
+  Instance& instance = this->instances[aInstance];
+  if (instance.node) {
+    return;
+  }
+  if (instance.disk.memberId.empty()) {
+    instance.disk.memberId = "m" + std::to_string(this->nextIdentity++);
+    this->instanceOfMember[instance.disk.memberId] = aInstance;
+  }
+  instance.appliedIndex = 0;
+  instance.appliedHash = 0;
+  instance.maintenanceAt = this->now;
+  instance.node.emplace(instance.disk.memberId,
+                        this->settings,
+                        instance.disk.state,
+                        std::mt19937_64(this->random()),
+                        this->ClockOf(instance));
+  this->Execute(aInstance, instance.node->Start());
+}
+
+void FakeGroup::LoseDisk(std::size_t aInstance)
+{
+  this->Crash(aInstance);
+  this->instances[aInstance].disk = {};
+}
+
+void FakeGroup::Cut(std::size_t aLeft, std::size_t aRight)
+{
+  this->cuts.insert({ aLeft, aRight });
+  this->cuts.insert({ aRight, aLeft });
+}
+
+void FakeGroup::Isolate(std::size_t aInstance)
+{
+  for (std::size_t other = 0; other < this->instances.size(); ++other) {
+    if (other != aInstance) {
+      this->Cut(aInstance, other);
+    }
+  }
+}
+
+void FakeGroup::HealNetwork()
+{
+  this->cuts.clear();
+}
+
+void FakeGroup::Freeze(std::size_t aInstance, std::int64_t aMicroseconds)
+{
+  if (this->instances[aInstance].node) {
+    this->instances[aInstance].frozenUntil = this->now + aMicroseconds;
+  }
+}
+
+std::optional<std::size_t> FakeGroup::Leader() const
+{
+  std::optional<std::size_t> found;
+  for (std::size_t at = 0; at < this->instances.size(); ++at) {
+    const auto& node = this->instances[at].node;
+    if (!node || node->Role() != RaftRole::Leader) {
+      continue;
+    }
+    if (!found || node->Term() > this->instances[*found].node->Term()) {
+      found = at;
+    }
+  }
+  return found;
+}
+
+RaftNode* FakeGroup::Node(std::size_t aInstance)
+{
+  auto& node = this->instances[aInstance].node;
+  return node ? &*node : nullptr;
+}
+
+std::uint64_t FakeGroup::AppliedAt(std::size_t aInstance) const
+{
+  return this->instances[aInstance].appliedIndex;
+}
+
+std::size_t FakeGroup::Propose(std::size_t aCount)
+{
+  const auto leader = this->Leader();
+  if (!leader || this->IsFrozen(this->instances[*leader])) {
+    return 0;
+  }
+  Instance& instance = this->instances[*leader];
+  for (std::size_t at = 0; at < aCount; ++at) {
+    const std::uint64_t proposal = ++this->nextProposal;
+    this->Execute(*leader,
+                  instance.node->Propose(proposal,
+                                         "command " + std::to_string(proposal),
+                                         this->ClockOf(instance)));
+  }
+  return aCount;
+}
+
+void FakeGroup::Compact(std::size_t aInstance)
+{
+  Instance& instance = this->instances[aInstance];
+  if (instance.node && !this->IsFrozen(instance)) {
+    this->Execute(aInstance, instance.node->Compact(std::to_string(instance.appliedHash)));
+  }
+}
+
+bool FakeGroup::HasLiveMajority(const std::vector<ControlMember>& aMembers) const
+{
+  const auto live = std::ranges::count_if(aMembers, [this](const ControlMember& aMember) {
+    const auto found = this->instanceOfMember.find(aMember.id);
+    return aMember.voter && found != this->instanceOfMember.end() &&
+           this->instances[found->second].disk.memberId == aMember.id;
+  });
+  return static_cast<std::size_t>(live) > CountVoters(aMembers) / 2;
+}
+
+bool FakeGroup::CanHaveQuorum() const
+{
+  if (!this->HasLiveMajority(this->committedMembers)) {
+    return false;
+  }
+  return std::ranges::all_of(this->instances, [this](const Instance& aInstance) {
+    return !aInstance.node || aInstance.node->Members().empty() ||
+           this->HasLiveMajority(aInstance.node->Members());
+  });
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/tests/consensus/FakeGroup.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "oleanderledge/consensus/consensus.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace oleanderledge {
+
+/// A control group in one process with a fake network, fake disks and fake clocks, for tests.
+///
+/// After every event the group checks the safety properties of the replicated log and records the
+/// first violation. All times are real microseconds; each instance has a clock with its own rate.
+class FakeGroup
+{
+public:
+  static constexpr std::int64_t kMillisecond = 1000;
+
+  /// Founds a group of voters on instances 0 to `aVoters` - 1; further instances are spares that
+  /// are not started.
+  FakeGroup(std::uint64_t aSeed, std::size_t aVoters, std::size_t aSpares = 0);
+
+  /// Handles all events of a span of time, or until a violation.
+  void Run(std::int64_t aMicroseconds);
+  /// Runs until a condition holds. Returns false after `aMicroseconds` or a violation.
+  template<class Condition>
+  bool RunUntil(std::int64_t aMicroseconds, Condition aCondition)
+  {
+    const std::int64_t end = this->now + aMicroseconds;
+    while (!aCondition()) {
+      if (this->now >= end || this->violation) {
+        return false;
+      }
+      this->Run(10 * kMillisecond);
+    }
+    return true;
+  }
+
+  void Crash(std::size_t aInstance);
+  /// Starts an instance that is not running; an empty disk gets a new identity.
+  void Restart(std::size_t aInstance);
+  /// Crashes an instance and empties its disk.
+  void LoseDisk(std::size_t aInstance);
+  void Cut(std::size_t aLeft, std::size_t aRight);
+  void Isolate(std::size_t aInstance);
+  void HealNetwork();
+  /// The instance handles no event for a span of time.
+  void Freeze(std::size_t aInstance, std::int64_t aMicroseconds);
+  void SetLossPerMille(unsigned aLoss) { this->lossPerMille = aLoss; }
+
+  /// Proposes commands at the present leader, if any. Returns how many were accepted.
+  std::size_t Propose(std::size_t aCount);
+  void Compact(std::size_t aInstance);
+
+  /// The leader with the highest term that is running, or nothing.
+  std::optional<std::size_t> Leader() const;
+  RaftNode* Node(std::size_t aInstance);
+  std::uint64_t LastCommitted() const { return this->committed.size(); }
+  std::size_t Acknowledged() const { return this->acknowledged; }
+  std::uint64_t AppliedAt(std::size_t aInstance) const;
+  /// True if majorities of the committed and of the newest list of members still have their disks.
+  bool CanHaveQuorum() const;
+  /// The newest committed list of members.
+  const std::vector<ControlMember>& CommittedMembers() const { return this->committedMembers; }
+
+  /// The first violation of a safety property.
+  const std::optional<std::string>& Violation() const { return this->violation; }
+
+private:
+  struct Disk
+  {
+    std::string memberId;
+    PersistentState state;
+  };
+  struct Write
+  {
+    std::int64_t dueAt;
+    PersistBatch batch;
+  };
+  struct Instance
+  {
+    Disk disk;
+    std::optional<RaftNode> node;
+    GroupMaintenance maintenance{ {} };
+    double clockRate = 1.0;
+    std::int64_t frozenUntil = 0;
+    std::int64_t maintenanceAt = 0;
+    std::deque<Write> writes;
+    std::uint64_t appliedIndex = 0;
+    std::uint64_t appliedHash = 0;
+  };
+  struct Delivery
+  {
+    std::int64_t dueAt;
+    std::uint64_t order;
+    std::size_t from;
+    std::size_t to;
+    Message message;
+    bool operator>(const Delivery& aOther) const
+    {
+      return std::pair(this->dueAt, this->order) > std::pair(aOther.dueAt, aOther.order);
+    }
+  };
+
+  Instant ClockOf(const Instance& aInstance) const;
+  std::int64_t RealTimeOf(const Instance& aInstance, Instant aLocal) const;
+  std::int64_t NextEventAt() const;
+  void HandleDue();
+  void DeliverMessages();
+  void CompleteWrites(std::size_t aInstance);
+  void Maintain(std::size_t aInstance);
+  void Execute(std::size_t aInstance, RaftActions aActions);
+  void Carry(std::size_t aInstance, SendAction aSend);
+  void CheckSend(std::size_t aInstance, const Message& aMessage);
+  void Apply(std::size_t aInstance, const LogEntry& aEntry);
+  void Restore(std::size_t aInstance, const RaftSnapshot& aSnapshot);
+  void CheckLeaders();
+  void CheckLeaderLog(std::size_t aInstance);
+  void Violate(const std::string& aWhat);
+  bool IsFrozen(const Instance& aInstance) const { return aInstance.frozenUntil > this->now; }
+  std::int64_t RandomBetween(std::int64_t aLow, std::int64_t aHigh);
+  bool HasLiveMajority(const std::vector<ControlMember>& aMembers) const;
+  ControlMember Describe(std::size_t aInstance) const;
+
+  RaftSettings settings;
+  std::mt19937_64 random;
+  std::int64_t now = 1'000'000;
+  std::uint64_t nextOrder = 0;
+  std::uint64_t nextProposal = 0;
+  std::uint64_t nextIdentity = 0;
+  unsigned lossPerMille = 0;
+  std::size_t acknowledged = 0;
+  std::vector<Instance> instances;
+  std::map<std::string, std::size_t> instanceOfMember;
+  std::set<std::pair<std::size_t, std::size_t>> cuts;
+  std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>> network;
+
+  std::map<std::uint64_t, std::string> leaderOfTerm;
+  std::vector<LogEntry> committed;
+  std::vector<std::uint64_t> hashes{ 0 };
+  std::uint64_t committedMembersIndex = 0;
+  std::vector<ControlMember> committedMembers;
+  std::optional<std::string> violation;
+};
+
+} // namespace oleanderledge
