--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -20,7 +20,6 @@
   LogEventInfo{ LogEvent::LeadershipLost, "leadership_lost", Warning },
   LogEventInfo{ LogEvent::MembersCommitted, "members_committed", Info },
   LogEventInfo{ LogEvent::GroupFounded, "group_founded", Info },
-  LogEventInfo{ LogEvent::JoinRequested, "join_requested", Info },
   LogEventInfo{ LogEvent::ConsensusStopped, "consensus_stopped", Error },
   LogEventInfo{ LogEvent::SnapshotRestored, "snapshot_restored", Info },
   LogEventInfo{ LogEvent::MembershipChangeStarted, "membership_change_started", Info },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -27,7 +27,6 @@
   LeadershipLost = 1302,
   MembersCommitted = 1303,
   GroupFounded = 1304,
-  JoinRequested = 1305,
   ConsensusStopped = 1306,
   SnapshotRestored = 1307,
   MembershipChangeStarted = 1308,
--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -10,7 +10,7 @@
 
 std::vector<ControlMember> Without(std::vector<ControlMember> aMembers, const std::string& aId)
 {
-  std::erase_if(aMembers, [&aId](const ControlMember& each) { return each.id == aId; });
+  std::erase_if(aMembers, [&aId](const ControlMember& aEach) { return aEach.id == aId; });
   return aMembers;
 }
 
@@ -84,8 +84,8 @@
   return changed;
 }
 
-/// True if a later member of the list runs on the same instance: lists only grow at the end, so that
-/// one has the newer identity.
+/// True if a later member of the list runs on the same instance: lists only grow at the end, so
+/// that one has the newer identity.
 bool GroupMaintenance::IsReplaced(const std::vector<ControlMember>& aMembers,
                                   const ControlMember& aMember) const
 {
@@ -137,8 +137,8 @@
     }
     const Duration silence = this->SilenceOf(aNode, member.id, aNow);
     // An instance that came back with a new identity has lost the old one for good.
-    const bool isReplaced = this->IsReplaced(aNode.Members(), member) &&
-                            silence > std::chrono::seconds(1);
+    const bool isReplaced =
+      this->IsReplaced(aNode.Members(), member) && silence > std::chrono::seconds(1);
     if (isReplaced || silence > this->settings.lostAfter) {
       return &member;
     }
--- a/src/oleanderledge/consensus/Membership.cpp
+++ b/src/oleanderledge/consensus/Membership.cpp
@@ -46,7 +46,7 @@
 const ControlMember* FindMember(const std::vector<ControlMember>& aMembers, std::string_view aId)
 {
   const auto found =
-    std::ranges::find_if(aMembers, [aId](const ControlMember& each) { return each.id == aId; });
+    std::ranges::find_if(aMembers, [aId](const ControlMember& aEach) { return aEach.id == aId; });
   return found == aMembers.end() ? nullptr : &*found;
 }
 
--- a/src/oleanderledge/consensus/RaftActions.hpp
+++ b/src/oleanderledge/consensus/RaftActions.hpp
@@ -53,8 +53,7 @@
 };
 
 struct LeadershipLostAction
-{
-};
+{};
 
 /// A list of members was committed, alone or in a snapshot.
 struct MembersCommittedAction
@@ -63,8 +62,8 @@
   std::vector<ControlMember> members;
 };
 
-/// The leader asks to replace committed entries. This cannot happen while all members keep what they
-/// made durable; the instance must stop.
+/// The leader asks to replace committed entries. This cannot happen while all members keep what
+/// they made durable; the instance must stop.
 struct FaultAction
 {
   std::string reason;
--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -20,7 +20,8 @@
   , leaderContact(aNow)
 {
   if (this->hardState.term < this->log.LastTerm()) {
-    // A crash after the snapshot file and before the log file of a batch leaves an older hard state.
+    // A crash after the snapshot file and before the log file of a batch leaves an older hard
+    // state.
     this->hardState = { this->log.LastTerm(), {} };
   }
   this->commitIndex = this->log.BaseIndex();
@@ -238,10 +239,9 @@
   if (this->role == RaftRole::Candidate && this->completedSequence >= this->electionSequence) {
     this->votes.insert(this->self);
   }
-  const auto granted =
-    std::ranges::count_if(this->Members(), [this](const ControlMember& aMember) {
-      return aMember.voter && this->votes.contains(aMember.id);
-    });
+  const auto granted = std::ranges::count_if(this->Members(), [this](const ControlMember& aMember) {
+    return aMember.voter && this->votes.contains(aMember.id);
+  });
   if (static_cast<std::size_t>(granted) <= CountVoters(this->Members()) / 2) {
     return;
   }
@@ -269,8 +269,7 @@
   if (aRequest.term > this->hardState.term) {
     this->BecomeFollower(aRequest.term, {}, aNow);
   }
-  const bool mayVote =
-    this->hardState.vote.empty() || this->hardState.vote == aRequest.candidate;
+  const bool mayVote = this->hardState.vote.empty() || this->hardState.vote == aRequest.candidate;
   if (mayVote && this->IsLogUpToDate(aRequest)) {
     reply.granted = true;
     this->hardStateChanged = this->hardStateChanged || this->hardState.vote.empty();
@@ -291,8 +290,8 @@
   }
   const bool answersPreVote = aReply.preVote && this->role == RaftRole::PreCandidate &&
                               aReply.term == this->hardState.term + 1;
-  const bool answersVote = !aReply.preVote && this->role == RaftRole::Candidate &&
-                           aReply.term == this->hardState.term;
+  const bool answersVote =
+    !aReply.preVote && this->role == RaftRole::Candidate && aReply.term == this->hardState.term;
   if (answersPreVote || answersVote) {
     this->votes.insert(aReply.voter);
     this->CountVotes(aNow);
@@ -438,8 +437,8 @@
       aProgress.snapshotIndex = this->log.Snapshot()->lastIndex;
       aProgress.snapshotOffset = 0;
     }
-    // A piece is repeated only after this time: repeating a large piece at each heartbeat would fill
-    // a slow link.
+    // A piece is repeated only after this time: repeating a large piece at each heartbeat would
+    // fill a slow link.
     const bool overdue = aNow - aProgress.pieceSentAt > this->settings.electionTimeoutMin;
     if (isNew || overdue) {
       this->SendPiece(aMember, aProgress, aNow);
@@ -449,17 +448,16 @@
     return;
   }
   aProgress.snapshotIndex = 0;
-  const Instant heard = std::max(aProgress.confirmedAt.value_or(this->leaderSince), this->leaderSince);
+  const Instant heard =
+    std::max(aProgress.confirmedAt.value_or(this->leaderSince), this->leaderSince);
   const bool isActive = aNow - heard <= this->settings.electionTimeoutMin;
   const bool hasRoom =
     aProgress.nextIndex <= aProgress.matchIndex + this->settings.maxUnconfirmedEntries;
   const bool hasEntries = aProgress.nextIndex <= this->log.LastIndex();
   // A silent member gets only heartbeats, so that no queue builds up for it.
   if (hasEntries && isActive && hasRoom) {
-    this->SendAppend(aMember,
-                     aProgress,
-                     this->log.From(aProgress.nextIndex, this->settings.maxAppendBytes),
-                     aNow);
+    this->SendAppend(
+      aMember, aProgress, this->log.From(aProgress.nextIndex, this->settings.maxAppendBytes), aNow);
   } else if (aHeartbeat) {
     this->SendAppend(aMember, aProgress, {}, aNow);
   }
@@ -482,8 +480,8 @@
                             std::move(aEntries) });
 }
 
-/// Keeps the lease and the follower's timer going during a snapshot transfer. Index 0 precedes every
-/// log, so the request always matches and changes nothing.
+/// Keeps the lease and the follower's timer going during a snapshot transfer. Index 0 precedes
+/// every log, so the request always matches and changes nothing.
 void RaftNode::SendEmptyAppend(const std::string& aMember, Instant aNow)
 {
   this->Send(aMember,
@@ -644,9 +642,8 @@
       continue;
     }
     if (index <= this->commitIndex) {
-      this->actions.emplace_back(
-        FaultAction{ "leader " + aRequest.leader + " replaces committed entry " +
-                     std::to_string(index) });
+      this->actions.emplace_back(FaultAction{
+        "leader " + aRequest.leader + " replaces committed entry " + std::to_string(index) });
       return index - 1;
     }
     this->TruncateFrom(index);
@@ -670,8 +667,8 @@
 
 void RaftNode::Handle(const SnapshotRequest& aRequest, Instant aNow)
 {
-  SnapshotReply reply{ this->hardState.term, this->self, aRequest.lastIndex, 0,
-                       false,                aRequest.round };
+  SnapshotReply reply{ this->hardState.term, this->self, aRequest.lastIndex, 0, false,
+                       aRequest.round };
   if (aRequest.term < this->hardState.term) {
     this->SendWhenDurable(aRequest.leader, reply);
     return;
@@ -739,8 +736,7 @@
 
 void RaftNode::ApplyCommitted(Instant aNow)
 {
-  while (!this->restore &&
-         this->appliedIndex < std::min(this->commitIndex, this->durableIndex)) {
+  while (!this->restore && this->appliedIndex < std::min(this->commitIndex, this->durableIndex)) {
     ++this->appliedIndex;
     const LogEntry entry = this->log.At(this->appliedIndex);
     this->ApplyEntry(entry, aNow);
@@ -822,8 +818,8 @@
   this->actions.emplace_back(PersistAction{ std::move(batch) });
 }
 
-/// Ends an event: applies what became committed, issues the durable write and then the messages that
-/// depend on it.
+/// Ends an event: applies what became committed, issues the durable write and then the messages
+/// that depend on it.
 RaftActions RaftNode::Finish(Instant aNow)
 {
   this->ApplyCommitted(aNow);
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -147,9 +147,7 @@
   Instant QuorumContact(Instant aNow) const;
   void CheckQuorum(Instant aNow);
   void UpdateProgressMembers();
-  MemberProgress* ConfirmedProgress(const std::string& aMember,
-                                    std::uint64_t aRound,
-                                    Instant aNow);
+  MemberProgress* ConfirmedProgress(const std::string& aMember, std::uint64_t aRound, Instant aNow);
   void Broadcast(bool aHeartbeat, Instant aNow);
   void Replicate(const std::string& aMember,
                  MemberProgress& aProgress,
--- a/src/oleanderledge/consensus/RaftSettings.hpp
+++ b/src/oleanderledge/consensus/RaftSettings.hpp
@@ -20,8 +20,8 @@
   std::int64_t clockDriftPerMille = 20;
   std::size_t maxAppendBytes = std::size_t{ 1024 } * 1024;
   std::size_t snapshotPieceBytes = std::size_t{ 256 } * 1024;
-  /// Entries kept in memory before a snapshot, so that a member that is slightly behind gets entries
-  /// instead of the snapshot.
+  /// Entries kept in memory before a snapshot, so that a member that is slightly behind gets
+  /// entries instead of the snapshot.
   std::uint64_t retainedEntries = 1000;
   /// Entries sent to a member beyond the last one that it confirmed.
   std::uint64_t maxUnconfirmedEntries = 4096;
--- /dev/null
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -0,0 +1,512 @@
+#include "oleanderledge/consensus/internal/ConsensusDriver.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace oleanderledge {
+
+namespace {
+
+constexpr std::chrono::milliseconds kMaintenanceInterval(100);
+constexpr Duration kJoinInterval = std::chrono::milliseconds(300);
+/// A member that found no leader for this long asks to be admitted: it may have been replaced while
+/// it was away.
+constexpr Duration kLeaderlessLimit = std::chrono::seconds(3);
+/// Below the frame limit, with room for the other fields of a request.
+constexpr std::size_t kMaxCommandBytes = std::size_t{ 8 } * 1024 * 1024;
+
+/// Member id of the sender of a consensus message, or empty for other messages.
+std::string SenderOf(const Message& aMessage)
+{
+  if (const auto* vote = std::get_if<VoteRequest>(&aMessage)) {
+    return vote->candidate;
+  }
+  if (const auto* vote = std::get_if<VoteReply>(&aMessage)) {
+    return vote->voter;
+  }
+  if (const auto* append = std::get_if<AppendRequest>(&aMessage)) {
+    return append->leader;
+  }
+  if (const auto* append = std::get_if<AppendReply>(&aMessage)) {
+    return append->follower;
+  }
+  if (const auto* snapshot = std::get_if<SnapshotRequest>(&aMessage)) {
+    return snapshot->leader;
+  }
+  if (const auto* snapshot = std::get_if<SnapshotReply>(&aMessage)) {
+    return snapshot->follower;
+  }
+  return {};
+}
+
+std::string Describe(const std::vector<ControlMember>& aMembers)
+{
+  std::string text;
+  for (const ControlMember& member : aMembers) {
+    text += (text.empty() ? "" : ",") + member.instance + (member.voter ? ":voter" : ":learner");
+  }
+  return text;
+}
+
+std::mt19937_64 SeededRandom()
+{
+  std::random_device device;
+  std::seed_seq seed{ device(), device(), device(), device() };
+  return std::mt19937_64(seed);
+}
+
+} // namespace
+
+ConsensusDriver::ConsensusDriver(const InstanceInfo& aSelf,
+                                 ConsensusDriverSettings aSettings,
+                                 FileSystem& aFiles,
+                                 ReplicatedState& aState,
+                                 LeadershipListener& aListener,
+                                 QObject* aParent)
+  : QObject(aParent)
+  , selfInfo(aSelf)
+  , settings(std::move(aSettings))
+  , files(aFiles)
+  , state(aState)
+  , listener(aListener)
+  , links(aSelf, this->settings.latency, this)
+  , founding(aSelf.id, this->settings.initialMembers)
+  , maintenance([this] {
+    GroupMaintenanceSettings goal = this->settings.maintenance;
+    goal.voterGoal = this->settings.initialMembers.size();
+    return goal;
+  }())
+{
+  this->electionTimer.setSingleShot(true);
+  this->electionTimer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->electionTimer, &QTimer::timeout, this, &ConsensusDriver::OnTimer);
+  QObject::connect(
+    &this->maintenanceTimer, &QTimer::timeout, this, &ConsensusDriver::OnMaintenance);
+  QObject::connect(&this->links,
+                   &MemberLinks::Received,
+                   this,
+                   [this](const InstanceInfo& aPeer, const Message& aMessage) {
+                     if (!this->HandleMessage(aPeer, aMessage)) {
+                       Q_EMIT this->OtherMessage(aPeer, aMessage);
+                     }
+                   });
+}
+
+Result<void> ConsensusDriver::Start()
+{
+  BOOST_OUTCOME_TRY(opened, MemberStorage::Open(this->files, this->settings.dataFolder));
+  this->storage = std::move(opened);
+  PersistentState stored = this->storage->TakeLoaded();
+  if (stored.snapshot) {
+    const auto content = DecodeSnapshotContent(*stored.snapshot->content);
+    if (!content) {
+      return Fail(ResultCode::StorageCorrupt, content.error().message);
+    }
+  }
+  WriteLog(LogEvent::StorageOpened,
+           "folder=" + this->settings.dataFolder + " member=" + this->storage->MemberId() +
+             " term=" + std::to_string(stored.hardState.term) +
+             " entries=" + std::to_string(stored.entries.size()));
+  this->lastLeaderSeen = MonotonicNow();
+  this->StartNode(std::move(stored));
+  if (!this->node) {
+    return Fail(ResultCode::StorageCorrupt, "the stored snapshot cannot be restored");
+  }
+  this->maintenanceTimer.start(kMaintenanceInterval);
+  this->OnMaintenance();
+  return boost::outcome_v2::success();
+}
+
+void ConsensusDriver::StartNode(PersistentState aStored)
+{
+  this->node.emplace(this->storage->MemberId(),
+                     this->settings.raft,
+                     std::move(aStored),
+                     SeededRandom(),
+                     MonotonicNow());
+  this->Execute(this->node->Start());
+}
+
+void ConsensusDriver::Stop()
+{
+  this->electionTimer.stop();
+  this->maintenanceTimer.stop();
+  this->node.reset();
+  this->pendingWrites.clear();
+  this->pendingActions.clear();
+  this->links.CloseAll();
+  if (std::exchange(this->isLeading, false)) {
+    this->listener.OnLeadershipLost();
+  }
+  for (const auto& [proposal, callback] : std::exchange(this->callbacks, {})) {
+    callback(Fail(ResultCode::OutcomeUnknown, "the replicated log stopped"));
+  }
+}
+
+void ConsensusDriver::Abort(ResultCode aCode, const std::string& aReason)
+{
+  WriteLog(LogEvent::ConsensusStopped,
+           "code=" + std::to_string(static_cast<unsigned>(aCode)) + " reason=" + aReason);
+  this->Stop();
+  Q_EMIT this->Failed(Error{ aCode, aReason });
+}
+
+std::string ConsensusDriver::MemberId() const
+{
+  return this->storage ? this->storage->MemberId() : std::string{};
+}
+
+// --- Links and messages -------------------------------------------------------------------------
+
+void ConsensusDriver::AddLink(LinkConnection* aLink)
+{
+  this->links.Add(aLink);
+}
+
+bool ConsensusDriver::SendToInstance(const std::string& aInstance, const Message& aMessage)
+{
+  return this->links.Send(aInstance, aMessage, MonotonicNow());
+}
+
+bool ConsensusDriver::HandleMessage(const InstanceInfo& aPeer, const Message& aMessage)
+{
+  if (aPeer.role != InstanceRole::Control) {
+    return false;
+  }
+  const auto* join = std::get_if<JoinRequest>(&aMessage);
+  const std::string sender = SenderOf(aMessage);
+  if (join == nullptr && sender.empty()) {
+    return false;
+  }
+  if (!this->node) {
+    return true;
+  }
+  const Instant now = MonotonicNow();
+  if (join != nullptr) {
+    this->HandleJoinRequest(aPeer, *join, now);
+    return true;
+  }
+  this->routes[sender] = aPeer.id;
+  this->Execute(this->node->OnMessage(aMessage, now));
+  return true;
+}
+
+void ConsensusDriver::HandleJoinRequest(const InstanceInfo& aPeer,
+                                        const JoinRequest& aRequest,
+                                        Instant aNow)
+{
+  if (!this->HasLog()) {
+    this->founding.OnJoinRequest(aRequest, aNow);
+    return;
+  }
+  if (this->node->Role() == RaftRole::Leader) {
+    this->maintenance.OnJoinRequest(aRequest, aNow);
+    return;
+  }
+  // Only requests that come directly from their sender are passed on, so that they cannot circle
+  // between members that disagree about the leader.
+  const std::string& leader = this->node->LeaderId();
+  if (aPeer.id == aRequest.instance.id && !leader.empty()) {
+    this->links.Send(this->InstanceOf(leader), aRequest, aNow);
+  }
+}
+
+std::string ConsensusDriver::InstanceOf(const std::string& aMember) const
+{
+  if (const ControlMember* member = FindMember(this->node->Members(), aMember)) {
+    return member->instance;
+  }
+  const auto found = this->routes.find(aMember);
+  return found == this->routes.end() ? std::string{} : found->second;
+}
+
+std::vector<std::string> ConsensusDriver::KnownAddresses() const
+{
+  std::vector<std::string> addresses;
+  addresses.reserve(this->node->Members().size() + this->settings.initialMembers.size() +
+                    this->settings.peerAddresses.size());
+  const std::vector<ControlMember>& members = this->node->Members();
+  const bool isMember = FindMember(members, this->node->Self()) != nullptr;
+  for (const ControlMember& member : members) {
+    addresses.push_back(member.linkAddress);
+  }
+  // A member needs no links to addresses of instances that were replaced.
+  if (!isMember || !this->node->HasCurrentLeader(MonotonicNow())) {
+    for (const InitialMember& initial : this->settings.initialMembers) {
+      addresses.push_back(initial.linkAddress);
+    }
+    for (const std::string& address : this->settings.peerAddresses) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
+bool ConsensusDriver::HasLog() const
+{
+  return this->node->Log().LastIndex() > 0;
+}
+
+// --- Timers -------------------------------------------------------------------------------------
+
+void ConsensusDriver::OnTimer()
+{
+  if (this->node) {
+    this->Execute(this->node->OnTick(MonotonicNow()));
+  }
+}
+
+void ConsensusDriver::ArmTimer()
+{
+  if (!this->node) {
+    return;
+  }
+  const Duration wait = this->node->NextDeadline() - MonotonicNow();
+  this->electionTimer.start(
+    std::max(std::chrono::milliseconds(0), std::chrono::ceil<std::chrono::milliseconds>(wait)));
+}
+
+void ConsensusDriver::OnMaintenance()
+{
+  if (!this->node) {
+    return;
+  }
+  const Instant now = MonotonicNow();
+  this->links.Maintain(this->KnownAddresses(), now);
+  if (this->node->HasCurrentLeader(now)) {
+    this->lastLeaderSeen = now;
+  }
+  if (!this->HasLog()) {
+    if (const auto members = this->founding.FoundingMembers(this->node->Self(), now)) {
+      this->FoundGroup(*members);
+      return;
+    }
+  }
+  this->AskToJoin(now);
+  if (const auto members = this->maintenance.NextChange(*this->node, now)) {
+    WriteLog(LogEvent::MembershipChangeStarted, "members=" + Describe(*members));
+    this->ChangeMembers(*members, [](const Result<std::uint64_t>&) {});
+  }
+}
+
+void ConsensusDriver::AskToJoin(Instant aNow)
+{
+  const bool isMember = FindMember(this->node->Members(), this->node->Self()) != nullptr;
+  const bool mayBeReplaced = aNow - this->lastLeaderSeen > kLeaderlessLimit;
+  if ((isMember && !mayBeReplaced) || aNow - this->lastJoinRequest < kJoinInterval) {
+    return;
+  }
+  this->lastJoinRequest = aNow;
+  this->links.SendToAll(JoinRequest{ this->selfInfo, this->node->Self(), this->HasLog() }, aNow);
+}
+
+void ConsensusDriver::FoundGroup(const std::vector<ControlMember>& aMembers)
+{
+  this->FlushWrites();
+  if (!this->node) {
+    return;
+  }
+  PersistBatch batch = RaftNode::FoundingBatch(aMembers);
+  // This member may have taken over a term or voted while it waited.
+  batch.hardState.term = std::max(batch.hardState.term, this->node->Term() + 1);
+  const auto written = this->storage->Persist(std::span(&batch, 1));
+  if (!written) {
+    this->Abort(written.error().code, written.error().message);
+    return;
+  }
+  WriteLog(LogEvent::GroupFounded, "members=" + Describe(aMembers));
+  this->StartNode({ batch.hardState, std::nullopt, batch.entries });
+}
+
+// --- Actions ------------------------------------------------------------------------------------
+
+void ConsensusDriver::Execute(RaftActions aActions)
+{
+  for (RaftAction& action : aActions) {
+    this->pendingActions.push_back(std::move(action));
+  }
+  // The state, the listener and callbacks may call back into the driver; the actions of such calls
+  // follow those already waiting.
+  if (this->isExecuting) {
+    return;
+  }
+  this->isExecuting = true;
+  while (!this->pendingActions.empty()) {
+    const RaftAction action = std::move(this->pendingActions.front());
+    this->pendingActions.pop_front();
+    this->Carry(action);
+  }
+  this->CompactIfDue();
+  this->isExecuting = false;
+  this->ArmTimer();
+}
+
+void ConsensusDriver::Carry(const RaftAction& aAction)
+{
+  if (const auto* send = std::get_if<SendAction>(&aAction)) {
+    this->links.Send(this->InstanceOf(send->to), send->message, MonotonicNow());
+  } else if (const auto* persist = std::get_if<PersistAction>(&aAction)) {
+    this->pendingWrites.push_back(persist->batch);
+    this->ScheduleWrites();
+  } else if (const auto* apply = std::get_if<ApplyAction>(&aAction)) {
+    ++this->entriesSinceSnapshot;
+    this->bytesSinceSnapshot += apply->entry.command.size();
+    if (apply->entry.kind == LogEntryKind::Command) {
+      this->state.Apply(apply->entry.index, apply->entry.command);
+    }
+    this->appliedIndex = apply->entry.index;
+  } else if (const auto* restore = std::get_if<RestoreAction>(&aAction)) {
+    const auto content = DecodeSnapshotContent(*restore->snapshot.content);
+    const auto restored =
+      content ? this->state.Restore(restore->snapshot.lastIndex, content.value().state)
+              : Result<void>(Fail(content.error().code, content.error().message));
+    if (!restored) {
+      this->Abort(ResultCode::StorageCorrupt, "snapshot: " + restored.error().message);
+      return;
+    }
+    this->appliedIndex = restore->snapshot.lastIndex;
+    this->entriesSinceSnapshot = 0;
+    this->bytesSinceSnapshot = 0;
+    WriteLog(LogEvent::SnapshotRestored,
+             "index=" + std::to_string(restore->snapshot.lastIndex) +
+               " bytes=" + std::to_string(restore->snapshot.content->size()));
+  } else if (const auto* result = std::get_if<ProposalResultAction>(&aAction)) {
+    this->Complete(*result);
+  } else if (const auto* gained = std::get_if<LeadershipGainedAction>(&aAction)) {
+    WriteLog(LogEvent::LeadershipGained, "term=" + std::to_string(gained->term));
+    this->isLeading = true;
+    this->maintenance.OnLeadershipGained(MonotonicNow());
+    this->listener.OnLeadershipGained(gained->term);
+  } else if (std::holds_alternative<LeadershipLostAction>(aAction)) {
+    WriteLog(LogEvent::LeadershipLost, "term=" + std::to_string(this->Term()));
+    this->isLeading = false;
+    this->listener.OnLeadershipLost();
+  } else if (const auto* members = std::get_if<MembersCommittedAction>(&aAction)) {
+    this->committedMembers = members->members;
+    WriteLog(LogEvent::MembersCommitted, "members=" + Describe(members->members));
+  } else if (const auto* fault = std::get_if<FaultAction>(&aAction)) {
+    this->Abort(ResultCode::StorageCorrupt, fault->reason);
+  }
+}
+
+void ConsensusDriver::CompactIfDue()
+{
+  const bool isDue = this->entriesSinceSnapshot >= this->settings.snapshotAfterEntries ||
+                     this->bytesSinceSnapshot >= this->settings.snapshotAfterBytes;
+  if (!isDue || !this->node) {
+    return;
+  }
+  this->entriesSinceSnapshot = 0;
+  this->bytesSinceSnapshot = 0;
+  for (const RaftAction& action : this->node->Compact(this->state.Serialize())) {
+    this->Carry(action);
+  }
+}
+
+/// Writes once for all events of one turn of the event loop, so that commands that arrive together
+/// share one sync.
+void ConsensusDriver::ScheduleWrites()
+{
+  if (std::exchange(this->writesScheduled, true)) {
+    return;
+  }
+  QMetaObject::invokeMethod(this, &ConsensusDriver::FlushWrites, Qt::QueuedConnection);
+}
+
+void ConsensusDriver::FlushWrites()
+{
+  this->writesScheduled = false;
+  const std::vector<PersistBatch> batches = std::exchange(this->pendingWrites, {});
+  if (batches.empty() || !this->node) {
+    return;
+  }
+  const auto written = this->storage->Persist(batches);
+  if (!written) {
+    this->Abort(written.error().code, written.error().message);
+    return;
+  }
+  this->Execute(this->node->OnPersisted(batches.back().sequence, MonotonicNow()));
+}
+
+// --- ReplicatedLog ------------------------------------------------------------------------------
+
+std::uint64_t ConsensusDriver::Register(ProposeCallback aCallback)
+{
+  const std::uint64_t proposal = ++this->nextProposal;
+  this->callbacks.emplace(proposal, std::move(aCallback));
+  return proposal;
+}
+
+void ConsensusDriver::Complete(const ProposalResultAction& aResult)
+{
+  auto found = this->callbacks.extract(aResult.proposal);
+  if (found.empty()) {
+    return;
+  }
+  if (aResult.code == ResultCode::Ok) {
+    found.mapped()(aResult.index);
+  } else {
+    found.mapped()(Fail(aResult.code, aResult.message));
+  }
+}
+
+void ConsensusDriver::Propose(std::string aCommand, ProposeCallback aCallback)
+{
+  if (!this->node || this->node->Role() != RaftRole::Leader) {
+    aCallback(Fail(ResultCode::NotLeader, "this member does not lead"));
+    return;
+  }
+  if (aCommand.size() > kMaxCommandBytes) {
+    aCallback(Fail(ResultCode::MessageTooLarge, "command for the replicated log"));
+    return;
+  }
+  const std::uint64_t proposal = this->Register(std::move(aCallback));
+  this->Execute(this->node->Propose(proposal, std::move(aCommand), MonotonicNow()));
+}
+
+void ConsensusDriver::ChangeMembers(std::vector<ControlMember> aMembers, ProposeCallback aCallback)
+{
+  if (!this->node || this->node->Role() != RaftRole::Leader) {
+    aCallback(Fail(ResultCode::NotLeader, "this member does not lead"));
+    return;
+  }
+  const std::uint64_t proposal = this->Register(std::move(aCallback));
+  this->Execute(this->node->ChangeMembers(proposal, aMembers, MonotonicNow()));
+}
+
+bool ConsensusDriver::HasLeaderLease(Instant aNow) const
+{
+  return this->isLeading && this->node && this->node->HasLeaderLease(aNow);
+}
+
+bool ConsensusDriver::HasCurrentLeader(Instant aNow) const
+{
+  return this->node && this->node->HasCurrentLeader(aNow);
+}
+
+ControlMember ConsensusDriver::Leader() const
+{
+  if (!this->node) {
+    return {};
+  }
+  const ControlMember* leader = FindMember(this->node->Members(), this->node->LeaderId());
+  return leader == nullptr ? ControlMember{} : *leader;
+}
+
+std::uint64_t ConsensusDriver::Term() const
+{
+  return this->node ? this->node->Term() : 0;
+}
+
+std::uint64_t ConsensusDriver::AppliedIndex() const
+{
+  return this->appliedIndex;
+}
+
+std::vector<ControlMember> ConsensusDriver::Members() const
+{
+  return this->committedMembers;
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "oleanderledge/consensus/consensus.hpp"
+#include "oleanderledge/consensus/internal/GroupFounding.hpp"
+#include "oleanderledge/consensus/internal/MemberLinks.hpp"
+#include "oleanderledge/storage/storage.hpp"
+#include "oleanderledge/transport/transport.hpp"
+
+#include <QObject>
+#include <QTimer>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oleanderledge {
+
+/// What a control instance's settings say about its group.
+struct ConsensusDriverSettings
+{
+  std::string dataFolder;
+  /// The instances that form the group at its first start; the number of voters to keep. The same
+  /// list on all of them. Later it serves as a list of addresses at which the group can be found. A
+  /// spare or relay that is not in the list joins as a learner.
+  std::vector<InitialMember> initialMembers;
+  /// Further link addresses of control instances, "ip:port".
+  std::vector<std::string> peerAddresses;
+  RaftSettings raft;
+  /// `voterGoal` is replaced by the number of initial members.
+  GroupMaintenanceSettings maintenance;
+  EmulatedLatency latency;
+  /// A snapshot is taken after so many applied entries or bytes of commands.
+  std::uint64_t snapshotAfterEntries = 5000;
+  std::uint64_t snapshotAfterBytes = std::uint64_t{ 8 } * 1024 * 1024;
+};
+
+/// The replicated log of one control instance: connects RaftNode to the data folder, Qt timers and
+/// links. Lives in the control thread.
+///
+/// First start of a group: every initial instance has an empty data folder, gets a new member id
+/// and asks the others to admit it. The initial instance with the lowest id founds the group once
+/// all others have asked for 1 s and none of them has a log; until then nobody leads. Any other
+/// instance with an empty folder, also one whose disk was lost, is admitted by the leader as a
+/// learner and promoted when it has caught up and a voter is missing or lost.
+///
+/// Use:
+///   ConsensusDriver driver(self, settings, files, state, listener, parent);
+///   connect(&driver, &ConsensusDriver::Failed, ...);  // stop the process
+///   driver.Start();                                   // restores `state`, may fail
+///   // for each accepted link whose peer has InstanceRole::Control:
+///   driver.AddLink(link);
+class ConsensusDriver
+  : public QObject
+  , public ReplicatedLog
+{
+  Q_OBJECT
+
+public:
+  /// All references must outlive the driver. `aSelf.linkAddress` is the address at which the daemon
+  /// accepts links. `aState` is empty; Start() fills it from disk.
+  ConsensusDriver(const InstanceInfo& aSelf,
+                  ConsensusDriverSettings aSettings,
+                  FileSystem& aFiles,
+                  ReplicatedState& aState,
+                  LeadershipListener& aListener,
+                  QObject* aParent);
+
+  /// Opens the data folder, restores the state and starts timers and links. Fails with
+  /// StorageCorrupt, StorageOpenFailed or StorageWriteFailed; the process should then stop.
+  Result<void> Start();
+
+  /// Stops taking part: closes links, and writes nothing more. Open proposals end with
+  /// OutcomeUnknown.
+  void Stop();
+
+  /// Uses an accepted link to a control instance. The driver handles the consensus messages that
+  /// arrive on it itself; the daemon may handle others, for example RelayedHeartbeats, with its own
+  /// connection to LinkConnection::Received.
+  void AddLink(LinkConnection* aLink);
+
+  /// Handles a consensus message that arrived on a link which is not known to the driver. Returns
+  /// false for messages of other kinds and for peers that are not control instances.
+  bool HandleMessage(const InstanceInfo& aPeer, const Message& aMessage);
+
+  /// Sends any message to a control instance, over a link opened by either side. Returns false if
+  /// there is no ready link.
+  bool SendToInstance(const std::string& aInstance, const Message& aMessage);
+
+  /// Identity of the data folder; empty before Start().
+  std::string MemberId() const;
+
+  /// The state machine, for status pages and tests; null before Start() and after Stop().
+  const RaftNode* Node() const { return this->node ? &*this->node : nullptr; }
+
+  // ReplicatedLog
+  void Propose(std::string aCommand, ProposeCallback aCallback) override;
+  bool HasLeaderLease(Instant aNow) const override;
+  bool HasCurrentLeader(Instant aNow) const override;
+  ControlMember Leader() const override;
+  std::uint64_t Term() const override;
+  std::uint64_t AppliedIndex() const override;
+  /// The newest committed list.
+  std::vector<ControlMember> Members() const override;
+  void ChangeMembers(std::vector<ControlMember> aMembers, ProposeCallback aCallback) override;
+
+Q_SIGNALS:
+  /// A write failed or the log is inconsistent. The driver has stopped; the process must stop too
+  /// and may be restarted.
+  void Failed(const oleanderledge::Error& aError);
+
+  /// A message that is not of the consensus protocol arrived on a link that the driver opened or
+  /// was given by AddLink().
+  void OtherMessage(const oleanderledge::InstanceInfo& aPeer,
+                    const oleanderledge::Message& aMessage);
+
+private:
+  void StartNode(PersistentState aStored);
+  void OnTimer();
+  void OnMaintenance();
+  void FoundGroup(const std::vector<ControlMember>& aMembers);
+  void AskToJoin(Instant aNow);
+  void HandleJoinRequest(const InstanceInfo& aPeer, const JoinRequest& aRequest, Instant aNow);
+  std::string InstanceOf(const std::string& aMember) const;
+  std::vector<std::string> KnownAddresses() const;
+  bool HasLog() const;
+
+  void Execute(RaftActions aActions);
+  void Carry(const RaftAction& aAction);
+  void ArmTimer();
+  void CompactIfDue();
+  void ScheduleWrites();
+  void FlushWrites();
+  void Abort(ResultCode aCode, const std::string& aReason);
+  std::uint64_t Register(ProposeCallback aCallback);
+  void Complete(const ProposalResultAction& aResult);
+
+  InstanceInfo selfInfo;
+  ConsensusDriverSettings settings;
+  FileSystem& files;
+  ReplicatedState& state;
+  LeadershipListener& listener;
+
+  MemberLinks links;
+  GroupFounding founding;
+  GroupMaintenance maintenance;
+  std::unique_ptr<MemberStorage> storage;
+  std::optional<RaftNode> node;
+  std::vector<ControlMember> committedMembers;
+  /// Instance from which a member's messages arrive, by member id.
+  std::map<std::string, std::string, std::less<>> routes;
+
+  QTimer electionTimer;
+  QTimer maintenanceTimer;
+  std::deque<RaftAction> pendingActions;
+  bool isExecuting = false;
+  bool isLeading = false;
+  std::vector<PersistBatch> pendingWrites;
+  bool writesScheduled = false;
+  std::map<std::uint64_t, ProposeCallback> callbacks;
+  std::uint64_t nextProposal = 0;
+  /// Follows the state, which lags behind the node while actions wait.
+  std::uint64_t appliedIndex = 0;
+  std::uint64_t entriesSinceSnapshot = 0;
+  std::uint64_t bytesSinceSnapshot = 0;
+  Instant lastJoinRequest{};
+  Instant lastLeaderSeen{};
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/consensus/internal/GroupFounding.cpp
@@ -0,0 +1,61 @@
+#include "oleanderledge/consensus/internal/GroupFounding.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Longer than a message of an earlier group can be on its way to an instance that asks to join.
+constexpr Duration kSettlingTime = std::chrono::seconds(1);
+/// An instance that did not ask again within this time may have stopped or got a log.
+constexpr Duration kRequestLifetime = std::chrono::seconds(1);
+
+} // namespace
+
+GroupFounding::GroupFounding(std::string aSelfInstance, std::vector<InitialMember> aInitialMembers)
+  : selfInstance(std::move(aSelfInstance))
+  , initialMembers(std::move(aInitialMembers))
+{
+  std::ranges::sort(this->initialMembers, {}, &InitialMember::instance);
+}
+
+void GroupFounding::OnJoinRequest(const JoinRequest& aRequest, Instant aNow)
+{
+  if (aRequest.hasLog) {
+    this->candidates.erase(aRequest.instance.id);
+    return;
+  }
+  Candidate& candidate = this->candidates[aRequest.instance.id];
+  const bool continues =
+    candidate.memberId == aRequest.memberId && aNow - candidate.lastAsked <= kRequestLifetime;
+  if (!continues) {
+    candidate = { aRequest.memberId, aNow, aNow };
+  }
+  candidate.lastAsked = aNow;
+}
+
+std::optional<std::vector<ControlMember>> GroupFounding::FoundingMembers(
+  const std::string& aSelfMember,
+  Instant aNow) const
+{
+  if (this->initialMembers.empty() || this->initialMembers.front().instance != this->selfInstance) {
+    return std::nullopt;
+  }
+  std::vector<ControlMember> members;
+  for (const InitialMember& initial : this->initialMembers) {
+    if (initial.instance == this->selfInstance) {
+      members.push_back({ aSelfMember, initial.instance, initial.linkAddress, true });
+      continue;
+    }
+    const auto found = this->candidates.find(initial.instance);
+    if (found == this->candidates.end() || aNow - found->second.lastAsked > kRequestLifetime ||
+        aNow - found->second.firstAsked < kSettlingTime) {
+      return std::nullopt;
+    }
+    members.push_back({ found->second.memberId, initial.instance, initial.linkAddress, true });
+  }
+  return members;
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/consensus/internal/MemberLinks.cpp
@@ -0,0 +1,134 @@
+#include "oleanderledge/consensus/internal/MemberLinks.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Members answer within a round trip. A link without an answer for this long has lost its peer
+/// without notice, and a new one may find another way.
+constexpr Duration kUnansweredLimit = std::chrono::seconds(2);
+
+/// Messages for a slow peer are dropped above this: the log repeats what is missing.
+constexpr std::int64_t kMaxQueuedBytes = std::int64_t{ 8 } * 1024 * 1024;
+
+bool ExpectsAnswer(const Message& aMessage)
+{
+  return std::holds_alternative<VoteRequest>(aMessage) ||
+         std::holds_alternative<AppendRequest>(aMessage) ||
+         std::holds_alternative<SnapshotRequest>(aMessage);
+}
+
+} // namespace
+
+MemberLinks::MemberLinks(InstanceInfo aSelf, const EmulatedLatency& aLatency, QObject* aParent)
+  : QObject(aParent)
+  , selfInfo(std::move(aSelf))
+  , latency(aLatency)
+{
+}
+
+void MemberLinks::Add(LinkConnection* aLink)
+{
+  this->Watch(aLink, {});
+}
+
+void MemberLinks::Watch(LinkConnection* aLink, const std::string& aAddress)
+{
+  this->entries.push_back({ aLink, aAddress, std::nullopt });
+  QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
+    this->OnReceived(aLink, aMessage);
+  });
+  QObject::connect(aLink, &LinkConnection::Closed, this, [this, aLink] { this->Forget(aLink); });
+  // The owner of an accepted link may destroy it without closing it.
+  QObject::connect(aLink, &QObject::destroyed, this, [this, aLink] { this->Forget(aLink); });
+}
+
+void MemberLinks::Forget(LinkConnection* aLink)
+{
+  std::erase_if(this->entries, [aLink](const Entry& aEntry) { return aEntry.link == aLink; });
+}
+
+void MemberLinks::OnReceived(LinkConnection* aLink, const Message& aMessage)
+{
+  for (Entry& entry : this->entries) {
+    if (entry.link == aLink) {
+      entry.unansweredSince.reset();
+    }
+  }
+  if (aLink->Peer().role == InstanceRole::Control) {
+    Q_EMIT this->Received(aLink->Peer(), aMessage);
+  }
+}
+
+bool MemberLinks::HasLinkTo(const std::string& aAddress) const
+{
+  return std::ranges::any_of(this->entries, [&aAddress](const Entry& aEntry) {
+    return aEntry.address == aAddress ||
+           (aEntry.link->IsReady() && aEntry.link->Peer().linkAddress == aAddress);
+  });
+}
+
+void MemberLinks::Maintain(const std::vector<std::string>& aAddresses, Instant aNow)
+{
+  for (const Entry& entry : this->entries) {
+    if (entry.unansweredSince && aNow - *entry.unansweredSince > kUnansweredLimit) {
+      entry.link->Close();
+    }
+  }
+  for (const std::string& address : aAddresses) {
+    if (address.empty() || address == this->selfInfo.linkAddress || this->HasLinkTo(address)) {
+      continue;
+    }
+    auto* link = new LinkConnection(this->selfInfo, address, this->latency, this);
+    this->Watch(link, address);
+    QObject::connect(link, &LinkConnection::Closed, link, &QObject::deleteLater);
+  }
+}
+
+MemberLinks::Entry* MemberLinks::ReadyEntry(const std::string& aInstance)
+{
+  // The newest link is preferred: an older one may belong to an earlier process of the instance.
+  const auto found =
+    std::find_if(this->entries.rbegin(), this->entries.rend(), [&aInstance](const Entry& aEntry) {
+      return aEntry.link->IsReady() && aEntry.link->Peer().id == aInstance;
+    });
+  return found == this->entries.rend() ? nullptr : &*found;
+}
+
+bool MemberLinks::Send(const std::string& aInstance, const Message& aMessage, Instant aNow)
+{
+  Entry* entry = this->ReadyEntry(aInstance);
+  if (entry == nullptr || entry->link->QueuedBytes() > kMaxQueuedBytes) {
+    return false;
+  }
+  if (ExpectsAnswer(aMessage) && !entry->unansweredSince) {
+    entry->unansweredSince = aNow;
+  }
+  entry->link->Send(aMessage);
+  return true;
+}
+
+void MemberLinks::SendToAll(const Message& aMessage, Instant aNow)
+{
+  std::set<std::string> instances;
+  for (const Entry& entry : this->entries) {
+    if (entry.link->IsReady() && entry.link->Peer().role == InstanceRole::Control) {
+      instances.insert(entry.link->Peer().id);
+    }
+  }
+  for (const std::string& instance : instances) {
+    this->Send(instance, aMessage, aNow);
+  }
+}
+
+void MemberLinks::CloseAll()
+{
+  for (const Entry& entry : this->entries) {
+    entry.link->Close();
+  }
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -576,11 +576,12 @@
 {
   InstanceInfo instance;
   std::string memberId; ///< From the identity file of its data folder.
+  bool hasLog = false;  ///< True once the member received anything of a group's log.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->instance, this->memberId);
+    aVisitor(this->instance, this->memberId, this->hasLog);
   }
 };
 
--- a/src/oleanderledge/storage/MemberStorage.cpp
+++ b/src/oleanderledge/storage/MemberStorage.cpp
@@ -68,13 +68,13 @@
   std::vector<LogEntry>& entries = aState.entries;
   const std::uint64_t last = aState.snapshot ? aState.snapshot->lastIndex : 0;
   const auto atLast =
-    std::ranges::find_if(entries, [last](const LogEntry& each) { return each.index == last; });
+    std::ranges::find_if(entries, [last](const LogEntry& aEach) { return aEach.index == last; });
   const bool conflicts = atLast != entries.end() && atLast->term != aState.snapshot->lastTerm;
   // An older log that ends before the snapshot or disagrees with it has nothing that follows it.
   if (conflicts) {
     entries.clear();
   }
-  std::erase_if(entries, [last](const LogEntry& each) { return each.index <= last; });
+  std::erase_if(entries, [last](const LogEntry& aEach) { return aEach.index <= last; });
   if (!entries.empty() && entries.front().index != last + 1) {
     return Fail(ResultCode::StorageCorrupt,
                 "entry " + std::to_string(last + 1) + " after the snapshot is missing");
@@ -131,8 +131,8 @@
   if (snapshot || (log && *log != WriteAheadLog::kMagic)) {
     return Fail(ResultCode::StorageCorrupt, this->folder + ": the identity is missing");
   }
-  BOOST_OUTCOME_TRY(ReplaceFile(
-    this->files, this->folder, std::string(kLogName), WriteAheadLog::Encode({})));
+  BOOST_OUTCOME_TRY(
+    ReplaceFile(this->files, this->folder, std::string(kLogName), WriteAheadLog::Encode({})));
   this->memberId = NewMemberId();
   return ReplaceFile(
     this->files, this->folder, std::string(kIdentityName), EncodeIdentityFile(this->memberId));
@@ -207,10 +207,8 @@
 
 Result<void> MemberStorage::StoreSnapshot(const PersistBatch& aBatch)
 {
-  BOOST_OUTCOME_TRY(ReplaceFile(this->files,
-                                this->folder,
-                                std::string(kSnapshotName),
-                                EncodeSnapshotFile(*aBatch.snapshot)));
+  BOOST_OUTCOME_TRY(ReplaceFile(
+    this->files, this->folder, std::string(kSnapshotName), EncodeSnapshotFile(*aBatch.snapshot)));
   const std::string payload = EncodePayload(aBatch.hardState, std::span(&aBatch, 1));
   BOOST_OUTCOME_TRY(ReplaceFile(
     this->files, this->folder, std::string(kLogName), WriteAheadLog::Encode({ payload })));
--- a/src/oleanderledge/storage/WriteAheadLog.cpp
+++ b/src/oleanderledge/storage/WriteAheadLog.cpp
@@ -67,8 +67,7 @@
       break;
     }
     if (ByteReader(*payload).GetU64() != number) {
-      return Fail(ResultCode::StorageCorrupt,
-                  "record " + std::to_string(number) + " is missing");
+      return Fail(ResultCode::StorageCorrupt, "record " + std::to_string(number) + " is missing");
     }
     content.payloads.emplace_back(payload->substr(kNumberBytes));
     rest.remove_prefix(kHeaderBytes + payload->size());
--- /dev/null
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -0,0 +1,255 @@
+#include "oleanderledge/consensus/internal/ConsensusDriver.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QTemporaryDir>
+
+#include <filesystem>
+#include <memory>
+
+using namespace oleanderledge;
+
+namespace {
+
+constexpr int kWaitMs = 20'000;
+
+/// Keeps the applied commands in order.
+class CommandList : public ReplicatedState
+{
+public:
+  void Apply(std::uint64_t /*aIndex*/, std::string_view aCommand) override
+  {
+    this->text += std::string(aCommand) + ";";
+  }
+  std::string Serialize() const override { return this->text; }
+  Result<void> Restore(std::uint64_t /*aIndex*/, std::string_view aSnapshot) override
+  {
+    this->text = aSnapshot;
+    return boost::outcome_v2::success();
+  }
+
+  std::string text;
+};
+
+class LeadershipRecord : public LeadershipListener
+{
+public:
+  void OnLeadershipGained(std::uint64_t /*aTerm*/) override { this->isLeading = true; }
+  void OnLeadershipLost() override { this->isLeading = false; }
+
+  bool isLeading = false;
+};
+
+std::string FreeAddress()
+{
+  QTcpServer server;
+  server.listen(QHostAddress::LocalHost, 0);
+  return "127.0.0.1:" + std::to_string(server.serverPort());
+}
+
+/// One control instance: a data folder and, while it runs, a driver with its link server.
+struct ControlInstance
+{
+  InstanceInfo info;
+  QTemporaryDir folder;
+  CommandList state;
+  LeadershipRecord leadership;
+  std::unique_ptr<PosixFileSystem> openFiles;
+  std::unique_ptr<LinkServer> server;
+  std::unique_ptr<ConsensusDriver> driver;
+
+  void Start(const std::vector<InitialMember>& aInitial)
+  {
+    this->state = {};
+    this->leadership = {};
+    this->openFiles = std::make_unique<PosixFileSystem>();
+    this->server = std::make_unique<LinkServer>(this->info, EmulatedLatency{}, nullptr);
+    ConsensusDriverSettings settings;
+    settings.dataFolder = this->folder.path().toStdString() + "/data";
+    settings.initialMembers = aInitial;
+    settings.maintenance.lostAfter = std::chrono::milliseconds(1500);
+    settings.snapshotAfterEntries = 50;
+    this->driver = std::make_unique<ConsensusDriver>(
+      this->info, settings, *this->openFiles, this->state, this->leadership, nullptr);
+    QObject::connect(
+      this->server.get(), &LinkServer::Accepted, this->driver.get(), &ConsensusDriver::AddLink);
+    REQUIRE(this->server->Listen(this->info.linkAddress));
+    REQUIRE(this->driver->Start());
+  }
+
+  void Crash()
+  {
+    this->driver.reset();
+    this->server.reset();
+    this->openFiles.reset();
+  }
+};
+
+/// Control instances of one group on loopback addresses.
+class DriverGroup
+{
+public:
+  explicit DriverGroup(std::size_t aCount)
+    : instances(aCount)
+  {
+    for (std::size_t at = 0; at < aCount; ++at) {
+      InstanceInfo& info = this->instances[at].info;
+      info.id = "control-" + std::to_string(at);
+      info.role = InstanceRole::Control;
+      info.zone = "dalarna/mora-" + std::to_string(at);
+      info.linkAddress = FreeAddress();
+      this->initial.push_back({ info.id, info.linkAddress });
+    }
+  }
+
+  void StartAll()
+  {
+    for (ControlInstance& instance : this->instances) {
+      instance.Start(this->initial);
+    }
+  }
+
+  template<class Condition>
+  bool WaitFor(Condition aCondition)
+  {
+    QElapsedTimer timer;
+    timer.start();
+    while (!aCondition()) {
+      if (timer.elapsed() > kWaitMs) {
+        return false;
+      }
+      QEventLoop loop;
+      QTimer::singleShot(5, &loop, &QEventLoop::quit);
+      loop.exec();
+    }
+    return true;
+  }
+
+  ControlInstance* Leader()
+  {
+    for (ControlInstance& instance : this->instances) {
+      if (instance.driver && instance.driver->HasLeaderLease(MonotonicNow())) {
+        return &instance;
+      }
+    }
+    return nullptr;
+  }
+
+  bool WaitForLeader()
+  {
+    return this->WaitFor([this] { return this->Leader() != nullptr; });
+  }
+
+  /// Proposes a command and waits for its outcome.
+  bool Commit(const std::string& aCommand)
+  {
+    std::optional<bool> outcome;
+    this->Leader()->driver->Propose(aCommand, [&outcome](const Result<std::uint64_t>& aResult) {
+      outcome = aResult.has_value();
+    });
+    return this->WaitFor([&outcome] { return outcome.has_value(); }) && *outcome;
+  }
+
+  bool AllHave(const std::string& aText)
+  {
+    return this->WaitFor([this, &aText] {
+      return std::ranges::all_of(this->instances, [&aText](const ControlInstance& aInstance) {
+        return !aInstance.driver || aInstance.state.text == aText;
+      });
+    });
+  }
+
+  std::vector<InitialMember> initial;
+  std::deque<ControlInstance> instances;
+};
+
+void EnsureApplication()
+{
+  static int count = 1;
+  static char name[] = "ol_test_consensus_driver";
+  static char* arguments[] = { name, nullptr };
+  static QCoreApplication application(count, arguments);
+}
+
+} // namespace
+
+// Guards against a group that cannot form over real links, or forgets commands at a restart.
+TEST_CASE("Three drivers found a group and keep commands over a crash of all")
+{
+  EnsureApplication();
+  DriverGroup group(3);
+  group.StartAll();
+  REQUIRE(group.WaitForLeader());
+  std::string expected;
+  for (int number = 0; number < 120; ++number) {
+    const std::string command = std::to_string(number);
+    REQUIRE(group.Commit(command));
+    expected += command + ";";
+  }
+  REQUIRE(group.AllHave(expected));
+  for (ControlInstance& instance : group.instances) {
+    instance.Crash();
+  }
+  group.StartAll();
+  REQUIRE(group.WaitForLeader());
+  CHECK(group.AllHave(expected));
+}
+
+// Guards against a returned instance with an empty folder that votes with its lost identity or
+// founds a second group, and against a group that stays one voter short.
+TEST_CASE("An instance that lost its disk rejoins with a new identity and becomes a voter")
+{
+  EnsureApplication();
+  DriverGroup group(3);
+  group.StartAll();
+  REQUIRE(group.WaitForLeader());
+  REQUIRE(group.Commit("before"));
+  // The instance with the lowest id is the one that could found a group.
+  ControlInstance& lost = group.instances.front();
+  const std::string oldMember = lost.driver->MemberId();
+  lost.Crash();
+  std::filesystem::remove_all(lost.folder.path().toStdString() + "/data");
+  lost.Start(group.initial);
+  REQUIRE(lost.driver->MemberId() != oldMember);
+  REQUIRE(group.WaitFor([&group, &lost] {
+    const ControlInstance* leader = group.Leader();
+    if (leader == nullptr) {
+      return false;
+    }
+    const auto members = leader->driver->Members();
+    return members.size() == 3 && IsVoter(members, lost.driver->MemberId());
+  }));
+  REQUIRE(group.WaitForLeader());
+  REQUIRE(group.Commit("after"));
+  CHECK(group.AllHave("before;after;"));
+}
+
+// Guards against proposals that are accepted by a member that cannot commit them.
+TEST_CASE("A follower refuses proposals and a lone member never leads")
+{
+  EnsureApplication();
+  DriverGroup group(3);
+  group.StartAll();
+  REQUIRE(group.WaitForLeader());
+  for (ControlInstance& instance : group.instances) {
+    if (&instance == group.Leader()) {
+      continue;
+    }
+    ResultCode code = ResultCode::Ok;
+    instance.driver->Propose("x", [&code](const Result<std::uint64_t>& aResult) {
+      code = aResult ? ResultCode::Ok : aResult.error().code;
+    });
+    CHECK(code == ResultCode::NotLeader);
+    CHECK(instance.driver->Leader().instance == group.Leader()->info.id);
+  }
+  group.instances[1].Crash();
+  group.instances[2].Crash();
+  REQUIRE(group.WaitFor([&group] { return group.Leader() == nullptr; }));
+  // The lease ends before the member steps down.
+  CHECK(group.WaitFor([&group] { return !group.instances[0].leadership.isLeading; }));
+  CHECK_FALSE(group.instances[0].driver->HasCurrentLeader(MonotonicNow()));
+}
--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -60,7 +60,8 @@
   this->settings.retainedEntries = 5;
   this->settings.maxAppendBytes = 64;
   for (Instance& instance : this->instances) {
-    instance.clockRate = 1.0 + kMaxRateError * static_cast<double>(this->RandomBetween(-100, 100)) / 100;
+    instance.clockRate =
+      1.0 + kMaxRateError * static_cast<double>(this->RandomBetween(-100, 100)) / 100;
     GroupMaintenanceSettings maintenance;
     maintenance.voterGoal = aVoters;
     maintenance.lostAfter = std::chrono::milliseconds(1500);
@@ -90,8 +91,8 @@
 
 std::int64_t FakeGroup::RandomBetween(std::int64_t aLow, std::int64_t aHigh)
 {
-  return aLow + static_cast<std::int64_t>(
-                  this->random() % static_cast<std::uint64_t>(aHigh - aLow + 1));
+  return aLow +
+         static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(aHigh - aLow + 1));
 }
 
 Instant FakeGroup::ClockOf(const Instance& aInstance) const
@@ -172,8 +173,7 @@
       this->network.push(std::move(delivery));
       continue;
     }
-    this->Execute(delivery.to,
-                  receiver.node->OnMessage(delivery.message, this->ClockOf(receiver)));
+    this->Execute(delivery.to, receiver.node->OnMessage(delivery.message, this->ClockOf(receiver)));
   }
 }
 
@@ -184,8 +184,7 @@
     const PersistBatch batch = std::move(instance.writes.front().batch);
     instance.writes.pop_front();
     WriteToDisk(instance.disk.state, batch);
-    this->Execute(aInstance,
-                  instance.node->OnPersisted(batch.sequence, this->ClockOf(instance)));
+    this->Execute(aInstance, instance.node->OnPersisted(batch.sequence, this->ClockOf(instance)));
   }
 }
 
@@ -207,8 +206,7 @@
   }
   const Instant clock = this->ClockOf(instance);
   if (auto members = instance.maintenance.NextChange(*instance.node, clock)) {
-    this->Execute(aInstance,
-                  instance.node->ChangeMembers(++this->nextProposal, *members, clock));
+    this->Execute(aInstance, instance.node->ChangeMembers(++this->nextProposal, *members, clock));
   }
 }
 
@@ -221,8 +219,8 @@
       this->Carry(aInstance, std::move(*send));
     } else if (auto* persist = std::get_if<PersistAction>(&action)) {
       const std::int64_t start = instance.writes.empty() ? this->now : instance.writes.back().dueAt;
-      instance.writes.push_back({ start + this->RandomBetween(100, 3000),
-                                  std::move(persist->batch) });
+      instance.writes.push_back(
+        { start + this->RandomBetween(100, 3000), std::move(persist->batch) });
     } else if (auto* apply = std::get_if<ApplyAction>(&action)) {
       this->Apply(aInstance, apply->entry);
     } else if (auto* restore = std::get_if<RestoreAction>(&action)) {
@@ -255,13 +253,10 @@
     return;
   }
   // A few messages are late, so that they cross newer ones.
-  const std::int64_t delay = this->random() % 20 == 0 ? this->RandomBetween(1000, 60000)
-                                                      : this->RandomBetween(200, 3000);
-  this->network.push({ this->now + delay,
-                       this->nextOrder++,
-                       aInstance,
-                       target->second,
-                       std::move(aSend.message) });
+  const std::int64_t delay =
+    this->random() % 20 == 0 ? this->RandomBetween(1000, 60000) : this->RandomBetween(200, 3000);
+  this->network.push(
+    { this->now + delay, this->nextOrder++, aInstance, target->second, std::move(aSend.message) });
 }
 
 /// Nothing may be confirmed to another member before it is on the sender's disk.
@@ -469,9 +464,8 @@
   for (std::size_t at = 0; at < aCount; ++at) {
     const std::uint64_t proposal = ++this->nextProposal;
     this->Execute(*leader,
-                  instance.node->Propose(proposal,
-                                         "command " + std::to_string(proposal),
-                                         this->ClockOf(instance)));
+                  instance.node->Propose(
+                    proposal, "command " + std::to_string(proposal), this->ClockOf(instance)));
   }
   return aCount;
 }
