--- a/src/oleanderledge/base/LogPosition.hpp
+++ b/src/oleanderledge/base/LogPosition.hpp
@@ -12,7 +12,8 @@
   std::uint64_t term = 0;
   std::uint64_t offset = 0;
 
-  auto operator<=>(const LogPosition&) const = default;
+  // clang-tidy 14 reports the comparison with zero that the compiler generates.
+  auto operator<=>(const LogPosition&) const = default; // NOLINT(modernize-use-nullptr)
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
--- a/src/oleanderledge/control/Announcement.hpp
+++ b/src/oleanderledge/control/Announcement.hpp
@@ -24,7 +24,7 @@
 };
 
 /// Answer of a backend server to a status or promotion call.
-struct SlotStatus
+struct PlatformStatus
 {
   bool isPrimary = false;
   std::uint64_t term = 0;
--- a/src/oleanderledge/control/SlotMonitor.cpp
+++ b/src/oleanderledge/control/BackendMonitor.cpp
@@ -1,12 +1,12 @@
-#include "oleanderledge/control/SlotMonitor.hpp"
+#include "oleanderledge/control/BackendMonitor.hpp"
 
 #include <algorithm>
 
 namespace oleanderledge {
 
-IncarnationVerdict SlotMonitor::Observe(const Announcement& aAnnouncement, Instant aNow)
+IncarnationVerdict BackendMonitor::Observe(const Announcement& aAnnouncement, Instant aNow)
 {
-  SlotView& view = this->databases[aAnnouncement.database][aAnnouncement.slot];
+  BackendView& view = this->databases[aAnnouncement.database][aAnnouncement.slot];
   const IncarnationVerdict verdict =
     view.incarnations.Observe(aAnnouncement.incarnation, aAnnouncement.sequence);
   if (!IsAccepted(verdict)) {
@@ -26,30 +26,30 @@
   return verdict;
 }
 
-void SlotMonitor::NoteStatus(std::string_view aDatabase,
+void BackendMonitor::NoteStatus(std::string_view aDatabase,
                              std::string_view aSlot,
-                             const SlotStatus& aStatus,
+                             const PlatformStatus& aStatus,
                              Instant aNow)
 {
-  SlotView& view = this->databases[std::string(aDatabase)][std::string(aSlot)];
+  BackendView& view = this->databases[std::string(aDatabase)][std::string(aSlot)];
   view.reachedAt = aNow;
   view.received = std::max(view.received, LogPosition{ aStatus.term, aStatus.received });
 }
 
-void SlotMonitor::NoteObservation(std::string_view aDatabase,
+void BackendMonitor::NoteObservation(std::string_view aDatabase,
                                   const SlotObservation& aObservation,
                                   Instant aNow)
 {
   if (!aObservation.reachable) {
     return;
   }
-  SlotView& view = this->databases[std::string(aDatabase)][aObservation.slot];
+  BackendView& view = this->databases[std::string(aDatabase)][aObservation.slot];
   view.reachedAt =
     std::max(view.reachedAt, aNow - std::chrono::milliseconds(aObservation.silentMs));
   view.received = std::max(view.received, LogPosition{ aObservation.term, aObservation.received });
 }
 
-void SlotMonitor::Forget(std::string_view aDatabase, std::string_view aSlot)
+void BackendMonitor::Forget(std::string_view aDatabase, std::string_view aSlot)
 {
   const auto database = this->databases.find(aDatabase);
   if (database == this->databases.end()) {
@@ -61,9 +61,9 @@
   }
 }
 
-const SlotView* SlotMonitor::Find(std::string_view aDatabase, std::string_view aSlot) const
+const BackendView* BackendMonitor::Find(std::string_view aDatabase, std::string_view aSlot) const
 {
-  const SlotViews* slots = this->FindDatabase(aDatabase);
+  const BackendViews* slots = this->FindDatabase(aDatabase);
   if (slots == nullptr) {
     return nullptr;
   }
@@ -71,42 +71,42 @@
   return found == slots->end() ? nullptr : &found->second;
 }
 
-const SlotMonitor::SlotViews* SlotMonitor::FindDatabase(std::string_view aDatabase) const
+const BackendMonitor::BackendViews* BackendMonitor::FindDatabase(std::string_view aDatabase) const
 {
   const auto found = this->databases.find(aDatabase);
   return found == this->databases.end() ? nullptr : &found->second;
 }
 
-Duration SlotMonitor::Silence(std::string_view aDatabase,
+Duration BackendMonitor::Silence(std::string_view aDatabase,
                               std::string_view aSlot,
                               Instant aNow) const
 {
-  const SlotView* view = this->Find(aDatabase, aSlot);
+  const BackendView* view = this->Find(aDatabase, aSlot);
   return aNow - std::max(this->since, view == nullptr ? Instant{} : view->announcedAt);
 }
 
-Duration SlotMonitor::PrimarySilence(std::string_view aDatabase,
+Duration BackendMonitor::PrimarySilence(std::string_view aDatabase,
                                      std::string_view aSlot,
                                      std::uint64_t aTerm,
                                      Instant aNow) const
 {
-  const SlotView* view = this->Find(aDatabase, aSlot);
+  const BackendView* view = this->Find(aDatabase, aSlot);
   const bool isKnown = view != nullptr && view->primaryTerm == aTerm;
   return aNow - std::max(this->since, isKnown ? view->primaryAt : Instant{});
 }
 
-bool SlotMonitor::IsReachable(std::string_view aDatabase,
+bool BackendMonitor::IsReachable(std::string_view aDatabase,
                               std::string_view aSlot,
                               Duration aWithin,
                               Instant aNow) const
 {
-  const SlotView* view = this->Find(aDatabase, aSlot);
+  const BackendView* view = this->Find(aDatabase, aSlot);
   return view != nullptr && aNow - std::max(view->announcedAt, view->reachedAt) < aWithin;
 }
 
-LogPosition SlotMonitor::Received(std::string_view aDatabase, std::string_view aSlot) const
+LogPosition BackendMonitor::Received(std::string_view aDatabase, std::string_view aSlot) const
 {
-  const SlotView* view = this->Find(aDatabase, aSlot);
+  const BackendView* view = this->Find(aDatabase, aSlot);
   return view == nullptr ? LogPosition{} : view->received;
 }
 
--- a/src/oleanderledge/control/SlotMonitor.hpp
+++ b/src/oleanderledge/control/BackendMonitor.hpp
@@ -11,7 +11,7 @@
 namespace oleanderledge {
 
 /// What this control member knows about one slot.
-struct SlotView
+struct BackendView
 {
   Announcement last;
   Instant announcedAt{};
@@ -27,10 +27,10 @@
 
 /// Announcements and call results of backend servers. Volatile. Every control member keeps it, as
 /// backend servers announce themselves to all of them, so a new leader knows the slots at once.
-class SlotMonitor
+class BackendMonitor
 {
 public:
-  using SlotViews = std::map<std::string, SlotView, std::less<>>;
+  using BackendViews = std::map<std::string, BackendView, std::less<>>;
 
   /// A new leader counts silence from `aNow` for slots that it has not heard.
   void SetSince(Instant aNow) { this->since = aNow; }
@@ -39,7 +39,7 @@
   /// Notes an answer of a slot to a call.
   void NoteStatus(std::string_view aDatabase,
                   std::string_view aSlot,
-                  const SlotStatus& aStatus,
+                  const PlatformStatus& aStatus,
                   Instant aNow);
   /// Notes what an owner observed.
   void NoteObservation(std::string_view aDatabase,
@@ -47,10 +47,10 @@
                        Instant aNow);
   void Forget(std::string_view aDatabase, std::string_view aSlot);
 
-  const SlotView* Find(std::string_view aDatabase, std::string_view aSlot) const;
+  const BackendView* Find(std::string_view aDatabase, std::string_view aSlot) const;
   /// Slots of a database, or null.
-  const SlotViews* FindDatabase(std::string_view aDatabase) const;
-  const std::map<std::string, SlotViews, std::less<>>& Databases() const { return this->databases; }
+  const BackendViews* FindDatabase(std::string_view aDatabase) const;
+  const std::map<std::string, BackendViews, std::less<>>& Databases() const { return this->databases; }
 
   /// Time since the slot was last announced at all.
   Duration Silence(std::string_view aDatabase, std::string_view aSlot, Instant aNow) const;
@@ -69,7 +69,7 @@
 
 private:
   Instant since{};
-  std::map<std::string, SlotViews, std::less<>> databases;
+  std::map<std::string, BackendViews, std::less<>> databases;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/ControlLeader.cpp
+++ b/src/oleanderledge/control/ControlLeader.cpp
@@ -276,7 +276,7 @@
 
 void ControlLeader::OnBackendAnswer(const std::string& aDatabase,
                                     const std::string& aSlot,
-                                    const Result<SlotStatus>& aAnswer,
+                                    const Result<PlatformStatus>& aAnswer,
                                     Instant aNow,
                                     ControlActions& aActions)
 {
--- a/src/oleanderledge/control/ControlLeader.hpp
+++ b/src/oleanderledge/control/ControlLeader.hpp
@@ -7,7 +7,7 @@
 #include "oleanderledge/control/FleetMonitor.hpp"
 #include "oleanderledge/control/LeaseTable.hpp"
 #include "oleanderledge/control/OwnershipIndex.hpp"
-#include "oleanderledge/control/SlotMonitor.hpp"
+#include "oleanderledge/control/BackendMonitor.hpp"
 
 #include <cstdint>
 #include <map>
@@ -58,12 +58,12 @@
   /// A promotion or status call ended.
   void OnBackendAnswer(const std::string& aDatabase,
                        const std::string& aSlot,
-                       const Result<SlotStatus>& aAnswer,
+                       const Result<PlatformStatus>& aAnswer,
                        Instant aNow,
                        ControlActions& aActions);
 
   const FleetMonitor& Fleet() const { return this->fleet; }
-  const SlotMonitor& Slots() const { return this->slots; }
+  const BackendMonitor& Slots() const { return this->slots; }
 
   /// Proxies that do not have a directory version in force: live ones that reported an older one,
   /// and registered ones that this leader has not heard yet.
@@ -91,7 +91,7 @@
   const ControlState& state;
   ControlTimings timings;
   FleetMonitor fleet;
-  SlotMonitor slots;
+  BackendMonitor slots;
   LeaseTable leases;
   OwnershipIndex ownership;
   FailoverCoordinator coordinator;
--- a/src/oleanderledge/control/FailoverCoordinator.hpp
+++ b/src/oleanderledge/control/FailoverCoordinator.hpp
@@ -9,7 +9,7 @@
 #include "oleanderledge/control/OwnerAssignment.hpp"
 #include "oleanderledge/control/OwnershipIndex.hpp"
 #include "oleanderledge/control/PacingBudget.hpp"
-#include "oleanderledge/control/SlotMonitor.hpp"
+#include "oleanderledge/control/BackendMonitor.hpp"
 
 #include <map>
 #include <set>
@@ -27,7 +27,7 @@
 public:
   FailoverCoordinator(const ControlState& aState,
                       const FleetMonitor& aFleet,
-                      const SlotMonitor& aSlots,
+                      const BackendMonitor& aSlots,
                       const OwnershipIndex& aOwnership,
                       LeaseTable& aLeases,
                       const ControlTimings& aTimings);
@@ -171,7 +171,7 @@
 
   const ControlState& state;
   const FleetMonitor& fleet;
-  const SlotMonitor& slots;
+  const BackendMonitor& slots;
   const OwnershipIndex& ownership;
   LeaseTable& leases;
   ControlTimings timings;
--- a/src/oleanderledge/control/internal/BackendAdmin.hpp
+++ b/src/oleanderledge/control/internal/BackendAdmin.hpp
@@ -14,7 +14,7 @@
 {
 public:
   /// Called once from the event loop, never from inside the call.
-  using Callback = std::function<void(const Result<SlotStatus>&)>;
+  using Callback = std::function<void(const Result<PlatformStatus>&)>;
 
   virtual ~BackendAdmin() = default;
 
--- a/src/oleanderledge/control/internal/BackendCall.cpp
+++ b/src/oleanderledge/control/internal/BackendCall.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-Result<SlotStatus> ReadSlotStatus(const PGresult* aResult)
+Result<PlatformStatus> ReadPlatformStatus(const PGresult* aResult)
 {
   if (PQresultStatus(aResult) != PGRES_TUPLES_OK || PQntuples(aResult) != 1) {
     return Fail(ResultCode::BackendConnectionLost, "the answer is not one row");
@@ -37,7 +37,7 @@
     role = composite.substr(1, comma - 1);
     term = composite.substr(comma + 1, composite.size() - comma - 2);
   }
-  SlotStatus status;
+  PlatformStatus status;
   status.isPrimary = role == "primary";
   const std::string_view received = TextOf(aResult, "received");
   const std::string_view applied = TextOf(aResult, "applied");
@@ -156,7 +156,7 @@
     this->FinishWithError();
     return;
   }
-  this->Finish(ReadSlotStatus(result.get()));
+  this->Finish(ReadPlatformStatus(result.get()));
 }
 
 void BackendCall::FinishWithError()
@@ -165,7 +165,7 @@
   this->Finish(Fail(ResultCode::BackendConnectionLost, text));
 }
 
-void BackendCall::Finish(const Result<SlotStatus>& aResult)
+void BackendCall::Finish(const Result<PlatformStatus>& aResult)
 {
   if (this->isDone) {
     return;
--- a/src/oleanderledge/control/internal/BackendCall.hpp
+++ b/src/oleanderledge/control/internal/BackendCall.hpp
@@ -34,7 +34,7 @@
   void ContinueConnecting();
   void SendQuery();
   void ContinueQuery();
-  void Finish(const Result<SlotStatus>& aResult);
+  void Finish(const Result<PlatformStatus>& aResult);
   void FinishWithError();
 
   std::string connectionString;
@@ -49,6 +49,6 @@
 
 /// Reads the answer of `platform_status()` or `platform_promote()`: columns role and term, and for
 /// a status received and applied. A promotion answer may be one composite value "(role,term)".
-Result<SlotStatus> ReadSlotStatus(const PGresult* aResult);
+Result<PlatformStatus> ReadPlatformStatus(const PGresult* aResult);
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -3,8 +3,8 @@
 #include "oleanderledge/control/internal/ControlJson.hpp"
 #include "oleanderledge/control/internal/HeartbeatRelay.hpp"
 #include "oleanderledge/control/internal/LibpqBackendAdmin.hpp"
-#include "oleanderledge/control/internal/LocalLog.hpp"
-#include "oleanderledge/control/internal/ProxyLinks.hpp"
+#include "oleanderledge/control/internal/LocalGroup.hpp"
+#include "oleanderledge/control/internal/DirectoryPublisher.hpp"
 
 #include <QJsonArray>
 
@@ -18,16 +18,13 @@
 constexpr Duration kOwnHeartbeatInterval = std::chrono::milliseconds(200);
 constexpr int kHttpUnavailable = 503;
 
-ControlDaemon::LogFactory LocalLogFactory(const ControlSettings& aSettings)
+ControlDaemon::GroupFactory LocalGroupFactory(const ControlSettings& aSettings)
 {
-  return [aSettings](ReplicatedState& aState,
-                     LeadershipListener& aListener) -> Result<std::unique_ptr<ReplicatedLog>> {
-    const ControlMember self{
-      aSettings.instance.id, aSettings.instance.id, aSettings.instance.linkAddress, true
-    };
-    auto log = std::make_unique<LocalLog>(self, aState, aListener);
-    log->Start();
-    return std::unique_ptr<ReplicatedLog>(std::move(log));
+  const ControlMember self{
+    aSettings.instance.id, aSettings.instance.id, aSettings.instance.linkAddress, true
+  };
+  return [self](ReplicatedState& aState, LeadershipListener& aListener) {
+    return std::make_unique<LocalGroup>(self, aState, aListener);
   };
 }
 
@@ -41,35 +38,33 @@
 ControlDaemon::ControlDaemon(const ControlSettings& aSettings, QObject* aParent)
   : ControlDaemon(
       aSettings,
-      LocalLogFactory(aSettings),
+      LocalGroupFactory(aSettings),
       std::make_unique<LibpqBackendAdmin>(aSettings.backendUser, aSettings.backendTimeout, nullptr),
       aParent)
 {
 }
 
 ControlDaemon::ControlDaemon(const ControlSettings& aSettings,
-                             LogFactory aLogFactory,
+                             const GroupFactory& aGroupFactory,
                              std::unique_ptr<BackendAdmin> aBackends,
                              QObject* aParent)
   : QObject(aParent)
   , settings(aSettings)
   , latency{ aSettings.latencyBetweenZones, aSettings.latencyBetweenRegions, Duration{ 0 } }
-  , observedState(this->state, [this] { this->proxies->SchedulePublish(); })
+  , observedState(this->state, [this] { this->publisher->SchedulePublish(); })
   , leader(this->state, aSettings.timings)
-  , logFactory(std::move(aLogFactory))
+  , group(aGroupFactory(this->observedState, *this))
   , backends(std::move(aBackends))
   , linkServer(aSettings.instance, this->latency, nullptr)
-  , proxies(new ProxyLinks(this->state, this))
-  , relay(new HeartbeatRelay(aSettings.instance, this->latency, this))
+  , publisher(new DirectoryPublisher(this->state, this))
+  , relay(new HeartbeatRelay(
+      [this](const Message& aMessage) {
+        this->group->SendToInstance(this->Log().Leader().instance, aMessage);
+      },
+      this))
   , http(*this, nullptr)
 {
   QObject::connect(&this->linkServer, &LinkServer::Accepted, this, &ControlDaemon::AcceptLink);
-  QObject::connect(
-    this->relay, &HeartbeatRelay::RepliesReceived, this, [this](const RelayedReplies& aReplies) {
-      for (const HeartbeatReply& reply : aReplies.replies) {
-        this->proxies->SendTo(reply.instance, reply);
-      }
-    });
   this->tickTimer.setTimerType(Qt::PreciseTimer);
   QObject::connect(&this->tickTimer, &QTimer::timeout, this, &ControlDaemon::Tick);
 }
@@ -86,11 +81,18 @@
   if (!listening) {
     return listening;
   }
-  auto created = this->logFactory(this->observedState, *this);
-  if (!created) {
-    return Fail(created.error().code, created.error().message);
+  auto started = this->group->Start(
+    [this](const InstanceInfo& aPeer, const Message& aMessage) {
+      this->HandleMemberMessage(aPeer, aMessage);
+    },
+    [this](const Error& aError) {
+      this->isStopping = true;
+      this->tickTimer.stop();
+      Q_EMIT this->Stopped(aError);
+    });
+  if (!started) {
+    return started;
   }
-  this->log = std::move(created.value());
   this->tickTimer.start(kTickInterval);
   return boost::outcome_v2::success();
 }
@@ -103,16 +105,17 @@
   this->isStopping = true;
   this->linkServer.Stop();
   this->tickTimer.stop();
-  // Operator requests under way are answered before the event loop ends.
+  this->group->Stop();
+  // Operator requests that the log has just ended are answered before the event loop ends.
   QMetaObject::invokeMethod(
-    this, [this] { Q_EMIT this->Stopped(); }, Qt::QueuedConnection);
+    this, [this] { Q_EMIT this->Stopped({}); }, Qt::QueuedConnection);
 }
 
 void ControlDaemon::OnLeadershipGained(std::uint64_t /*aTerm*/)
 {
   ControlActions actions;
   this->leader.OnLeadershipGained(MonotonicNow(), actions);
-  this->Execute(std::move(actions));
+  this->Execute(actions);
 }
 
 void ControlDaemon::OnLeadershipLost()
@@ -127,7 +130,7 @@
   const auto handle = [this, aAnnouncement] {
     ControlActions actions;
     this->leader.OnAnnouncement(aAnnouncement, MonotonicNow(), actions);
-    this->Execute(std::move(actions));
+    this->Execute(actions);
   };
   const Duration delay = this->latency.Between(aAnnouncement.zone, this->settings.instance.zone);
   if (delay == Duration{ 0 }) {
@@ -139,16 +142,16 @@
 
 bool ControlDaemon::IsCurrentLeader() const
 {
-  return this->log != nullptr && this->leader.IsLeading() &&
-         this->log->HasLeaderLease(MonotonicNow());
+  return this->leader.IsLeading() &&
+         this->Log().HasLeaderLease(MonotonicNow());
 }
 
 std::string ControlDaemon::LeaderHttpAddress() const
 {
-  if (this->log == nullptr || !this->log->HasCurrentLeader(MonotonicNow())) {
+  if (!this->Log().HasCurrentLeader(MonotonicNow())) {
     return {};
   }
-  const auto found = this->state.Instances().find(this->log->Leader().instance);
+  const auto found = this->state.Instances().find(this->Log().Leader().instance);
   return found == this->state.Instances().end() ? std::string{} : found->second.httpAddress;
 }
 
@@ -169,7 +172,7 @@
   if (answer()) {
     return;
   }
-  this->log->Propose(
+  this->Log().Propose(
     EncodeCommand(aChange), [answer, aCallback](const Result<std::uint64_t>& aIndex) {
       if (!aIndex) {
         aCallback(kHttpUnavailable, ErrorToJson(aIndex.error().code, aIndex.error().message));
@@ -197,9 +200,9 @@
 {
   const std::uint64_t version = aVersion == 0 ? this->state.Classes().Version() : aVersion;
   QJsonObject status = StatusToJson(this->state, this->leader, version, MonotonicNow());
-  status.insert("leader", QString::fromStdString(this->log->Leader().instance));
+  status.insert("leader", QString::fromStdString(this->Log().Leader().instance));
   QJsonArray members;
-  for (const ControlMember& member : this->log->Members()) {
+  for (const ControlMember& member : this->Log().Members()) {
     members.append(QJsonObject{ { "id", QString::fromStdString(member.id) },
                                 { "instance", QString::fromStdString(member.instance) },
                                 { "link", QString::fromStdString(member.linkAddress) },
@@ -211,8 +214,8 @@
 
 bool ControlDaemon::IsReady() const
 {
-  return !this->isStopping && this->log != nullptr &&
-         (this->IsCurrentLeader() || this->log->HasCurrentLeader(MonotonicNow()));
+  return !this->isStopping &&
+         (this->IsCurrentLeader() || this->Log().HasCurrentLeader(MonotonicNow()));
 }
 
 QByteArray ControlDaemon::Metrics() const
@@ -228,10 +231,10 @@
     unsteady += record.row.phase != FailoverPhase::Steady ? 1 : 0;
   }
   return line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
-         line("term", "gauge", this->log == nullptr ? 0 : this->log->Term()) +
-         line("applied_index", "gauge", this->log == nullptr ? 0 : this->log->AppliedIndex()) +
+         line("term", "gauge", this->Log().Term()) +
+         line("applied_index", "gauge", this->Log().AppliedIndex()) +
          line("directory_version", "gauge", this->state.DirectoryVersion()) +
-         line("connected_proxies", "gauge", this->proxies->Count()) +
+         line("connected_proxies", "gauge", this->publisher->Count()) +
          line("databases", "gauge", this->state.Databases().Records().size()) +
          line("databases_unsteady", "gauge", unsteady) +
          line("databases_waiting", "gauge", waiting) +
@@ -241,52 +244,61 @@
 
 void ControlDaemon::AcceptLink(LinkConnection* aLink)
 {
-  QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
-    this->HandleMessage(aLink, aMessage);
-  });
-}
-
-void ControlDaemon::HandleMessage(LinkConnection* aLink, const Message& aMessage)
-{
-  if (this->isStopping) {
+  if (aLink->Peer().role == InstanceRole::Control) {
+    this->group->AddLink(aLink);
     return;
   }
-  if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage)) {
-    this->HandleHeartbeat(aLink, *heartbeat);
-  } else if (const auto* relayed = std::get_if<RelayedHeartbeats>(&aMessage)) {
-    this->HandleRelayedHeartbeats(aLink, *relayed);
-  }
+  QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
+    const auto* heartbeat = std::get_if<Heartbeat>(&aMessage);
+    if (heartbeat != nullptr && !this->isStopping) {
+      this->HandleHeartbeat(aLink, *heartbeat);
+    }
+  });
 }
 
 void ControlDaemon::HandleHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat)
 {
   ++this->heartbeatCount;
-  this->proxies->OnHeartbeat(aLink, aHeartbeat);
+  this->publisher->OnHeartbeat(aLink, aHeartbeat);
   const Instant now = MonotonicNow();
-  if (!this->leader.IsLeading() && this->log->HasCurrentLeader(now)) {
+  if (!this->leader.IsLeading() && this->Log().HasCurrentLeader(now)) {
     this->relay->Add(aHeartbeat);
     return;
   }
   ControlActions actions;
   this->relayOf.erase(aHeartbeat.instance.id);
-  aLink->Send(this->leader.OnHeartbeat(aHeartbeat, this->log->HasLeaderLease(now), now, actions));
-  this->Execute(std::move(actions));
+  aLink->Send(this->leader.OnHeartbeat(aHeartbeat, this->Log().HasLeaderLease(now), now, actions));
+  this->Execute(actions);
 }
 
-void ControlDaemon::HandleRelayedHeartbeats(LinkConnection* aLink,
+void ControlDaemon::HandleMemberMessage(const InstanceInfo& aPeer, const Message& aMessage)
+{
+  if (this->isStopping) {
+    return;
+  }
+  if (const auto* relayed = std::get_if<RelayedHeartbeats>(&aMessage)) {
+    this->HandleRelayedHeartbeats(aPeer.id, *relayed);
+  } else if (const auto* replies = std::get_if<RelayedReplies>(&aMessage)) {
+    for (const HeartbeatReply& reply : replies->replies) {
+      this->publisher->SendTo(reply.instance, reply);
+    }
+  }
+}
+
+void ControlDaemon::HandleRelayedHeartbeats(const std::string& aPeer,
                                             const RelayedHeartbeats& aRelayed)
 {
   const Instant now = MonotonicNow();
-  const bool hasLease = this->log->HasLeaderLease(now);
+  const bool hasLease = this->Log().HasLeaderLease(now);
   RelayedReplies replies;
   ControlActions actions;
   for (const Heartbeat& heartbeat : aRelayed.heartbeats) {
     ++this->heartbeatCount;
-    this->relayOf[heartbeat.instance.id] = aLink;
+    this->relayOf[heartbeat.instance.id] = aPeer;
     replies.replies.push_back(this->leader.OnHeartbeat(heartbeat, hasLease, now, actions));
   }
-  aLink->Send(replies);
-  this->Execute(std::move(actions));
+  this->group->SendToInstance(aPeer, replies);
+  this->Execute(actions);
 }
 
 Heartbeat ControlDaemon::OwnHeartbeat()
@@ -304,25 +316,23 @@
 {
   const Instant now = MonotonicNow();
   const bool isLeading = this->leader.IsLeading();
-  const bool hasLeader = this->log->HasCurrentLeader(now);
-  this->relay->SetLeader(!isLeading && hasLeader ? this->log->Leader().linkAddress : std::string{});
   ControlActions actions;
   if (now - this->ownHeartbeatAt >= kOwnHeartbeatInterval) {
     this->ownHeartbeatAt = now;
     if (isLeading) {
-      this->leader.OnHeartbeat(this->OwnHeartbeat(), this->log->HasLeaderLease(now), now, actions);
+      this->leader.OnHeartbeat(this->OwnHeartbeat(), this->Log().HasLeaderLease(now), now, actions);
     } else {
       this->relay->Add(this->OwnHeartbeat());
     }
   }
   // Without the leader lease another member may lead already; its decisions count.
-  if (!isLeading || this->log->HasLeaderLease(now)) {
+  if (!isLeading || this->Log().HasLeaderLease(now)) {
     this->leader.OnTick(now, actions);
   }
-  this->Execute(std::move(actions));
+  this->Execute(actions);
 }
 
-void ControlDaemon::Execute(ControlActions aActions)
+void ControlDaemon::Execute(const ControlActions& aActions)
 {
   for (const ControlAction& action : aActions) {
     std::visit([this](const auto& aAction) { this->Execute(aAction); }, action);
@@ -331,7 +341,7 @@
 
 void ControlDaemon::Execute(const ProposeAction& aAction)
 {
-  this->log->Propose(
+  this->Log().Propose(
     EncodeCommand(aAction.command), [this, key = aAction.key](const Result<std::uint64_t>& aIndex) {
       const bool isDefinite = aIndex || aIndex.error().code != ResultCode::OutcomeUnknown;
       // Deferred, because the log may call back from inside Propose().
@@ -340,7 +350,7 @@
         [this, key, isDefinite] {
           ControlActions actions;
           this->leader.OnProposalDone(key, isDefinite, MonotonicNow(), actions);
-          this->Execute(std::move(actions));
+          this->Execute(actions);
         },
         Qt::QueuedConnection);
     });
@@ -349,12 +359,15 @@
 void ControlDaemon::Execute(const PromoteAction& aAction)
 {
   const Duration roundTrip = this->BackendRoundTrip(aAction.database, aAction.slot);
-  QTimer::singleShot(ToTimer(roundTrip), this, [this, aAction] {
-    this->backends->Promote(
-      aAction.database,
-      aAction.address,
-      aAction.term,
-      this->BackendCallback(aAction.database, aAction.slot, "platform_promote"));
+  auto callback = this->BackendCallback(aAction.database, aAction.slot, "platform_promote");
+  QTimer::singleShot(ToTimer(roundTrip), this, [this, aAction, callback = std::move(callback)] {
+    // A leader that was replaced meanwhile leaves the promotion to its successor, which may already
+    // have decided otherwise.
+    if (!this->IsCurrentLeader()) {
+      callback(Fail(ResultCode::NotLeader, "leadership was lost"));
+      return;
+    }
+    this->backends->Promote(aAction.database, aAction.address, aAction.term, callback);
   });
 }
 
@@ -373,11 +386,11 @@
 {
   const std::string& instance = aAction.reply.instance;
   const auto found = this->relayOf.find(instance);
-  if (found != this->relayOf.end() && found->second != nullptr) {
-    found->second->Send(RelayedReplies{ { aAction.reply } });
+  if (found != this->relayOf.end()) {
+    this->group->SendToInstance(found->second, RelayedReplies{ { aAction.reply } });
     return;
   }
-  this->proxies->SendTo(instance, aAction.reply);
+  this->publisher->SendTo(instance, aAction.reply);
 }
 
 void ControlDaemon::Execute(const LogAction& aAction)
@@ -389,7 +402,7 @@
                                                       const std::string& aSlot,
                                                       const std::string& aCall)
 {
-  return [this, aDatabase, aSlot, aCall](const Result<SlotStatus>& aAnswer) {
+  return [this, aDatabase, aSlot, aCall](const Result<PlatformStatus>& aAnswer) {
     if (!aAnswer) {
       WriteLog(LogEvent::BackendCallFailed,
                "database=" + aDatabase + " slot=" + aSlot + " call=" + aCall +
@@ -397,7 +410,7 @@
     }
     ControlActions actions;
     this->leader.OnBackendAnswer(aDatabase, aSlot, aAnswer, MonotonicNow(), actions);
-    this->Execute(std::move(actions));
+    this->Execute(actions);
   };
 }
 
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -6,11 +6,11 @@
 #include "oleanderledge/control/ControlState.hpp"
 #include "oleanderledge/control/internal/BackendAdmin.hpp"
 #include "oleanderledge/control/internal/ControlHttp.hpp"
+#include "oleanderledge/control/internal/ControlGroup.hpp"
 #include "oleanderledge/control/internal/ObservedState.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
 #include <QObject>
-#include <QPointer>
 #include <QTimer>
 
 #include <functional>
@@ -21,7 +21,7 @@
 namespace oleanderledge {
 
 class HeartbeatRelay;
-class ProxyLinks;
+class DirectoryPublisher;
 
 /// A control process: connects the decisions of ControlLeader to links, HTTP, the replicated log
 /// and backend servers. Lives in one thread.
@@ -33,14 +33,14 @@
   Q_OBJECT
 
 public:
-  /// Creates the replicated log of this member and starts it.
-  using LogFactory =
-    std::function<Result<std::unique_ptr<ReplicatedLog>>(ReplicatedState&, LeadershipListener&)>;
+  /// Creates the control group's adapter for this member.
+  using GroupFactory =
+    std::function<std::unique_ptr<ControlGroup>(ReplicatedState&, LeadershipListener&)>;
 
   ControlDaemon(const ControlSettings& aSettings, QObject* aParent);
-  /// For tests: with another log and other backend calls.
+  /// For tests: with another control group and other backend calls.
   ControlDaemon(const ControlSettings& aSettings,
-                LogFactory aLogFactory,
+                const GroupFactory& aGroupFactory,
                 std::unique_ptr<BackendAdmin> aBackends,
                 QObject* aParent);
   ~ControlDaemon() override;
@@ -52,7 +52,9 @@
   void BeginStop();
 
 Q_SIGNALS:
-  void Stopped();
+  /// The daemon has stopped, by request or because its log failed. A failed log is told by an error
+  /// in the argument; the process should then exit with a failure.
+  void Stopped(const oleanderledge::Error& aError);
 
 private:
   void OnLeadershipGained(std::uint64_t aTerm) override;
@@ -69,14 +71,15 @@
   QByteArray Metrics() const override;
 
   void AcceptLink(LinkConnection* aLink);
-  void HandleMessage(LinkConnection* aLink, const Message& aMessage);
   void HandleHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat);
-  void HandleRelayedHeartbeats(LinkConnection* aLink, const RelayedHeartbeats& aRelayed);
+  void HandleMemberMessage(const InstanceInfo& aPeer, const Message& aMessage);
+  void HandleRelayedHeartbeats(const std::string& aPeer, const RelayedHeartbeats& aRelayed);
   void Tick();
+  ReplicatedLog& Log() const { return this->group->Log(); }
   Heartbeat OwnHeartbeat();
 
   /// Executes actions. Those that follow from them are queued behind.
-  void Execute(ControlActions aActions);
+  void Execute(const ControlActions& aActions);
   void Execute(const ProposeAction& aAction);
   void Execute(const PromoteAction& aAction);
   void Execute(const QueryAction& aAction);
@@ -93,11 +96,10 @@
   ControlState state;
   ObservedState observedState;
   ControlLeader leader;
-  LogFactory logFactory;
-  std::unique_ptr<ReplicatedLog> log;
+  std::unique_ptr<ControlGroup> group;
   std::unique_ptr<BackendAdmin> backends;
   LinkServer linkServer;
-  ProxyLinks* proxies;
+  DirectoryPublisher* publisher;
   HeartbeatRelay* relay;
   ControlHttp http;
   QTimer tickTimer;
@@ -106,8 +108,8 @@
   std::uint64_t announcementCount = 0;
   std::uint64_t heartbeatCount = 0;
   bool isStopping = false;
-  /// Follower link through which an instance's heartbeats arrive.
-  std::map<std::string, QPointer<LinkConnection>> relayOf;
+  /// Follower through which an instance's heartbeats arrive, by instance id.
+  std::map<std::string, std::string> relayOf;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/internal/ControlJson.cpp
+++ b/src/oleanderledge/control/internal/ControlJson.cpp
@@ -139,7 +139,7 @@
   return "dead";
 }
 
-QJsonObject DatabaseToJson(const DatabaseRow& aRow, const SlotMonitor& aSlots)
+QJsonObject DatabaseToJson(const DatabaseRow& aRow, const BackendMonitor& aSlots)
 {
   QJsonArray slotArray;
   for (const SlotRow& slot : aRow.slots) {
@@ -191,7 +191,7 @@
     objects.append(document.object());
   }
   std::vector<Announcement> announcements;
-  for (const QJsonValue& value : objects) {
+  for (const auto& value : objects) {
     auto announcement = ParseAnnouncement(value.toObject());
     if (!announcement) {
       return Fail(announcement.error().code, announcement.error().message);
--- a/src/oleanderledge/control/internal/ProxyLinks.cpp
+++ b/src/oleanderledge/control/internal/DirectoryPublisher.cpp
@@ -1,14 +1,14 @@
-#include "oleanderledge/control/internal/ProxyLinks.hpp"
+#include "oleanderledge/control/internal/DirectoryPublisher.hpp"
 
 namespace oleanderledge {
 
-ProxyLinks::ProxyLinks(const ControlState& aState, QObject* aParent)
+DirectoryPublisher::DirectoryPublisher(const ControlState& aState, QObject* aParent)
   : QObject(aParent)
   , state(aState)
 {
 }
 
-void ProxyLinks::OnHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat)
+void DirectoryPublisher::OnHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat)
 {
   const std::string& id = aHeartbeat.instance.id;
   Proxy& proxy = this->proxies[id];
@@ -25,7 +25,7 @@
   this->PublishTo(proxy);
 }
 
-bool ProxyLinks::SendTo(const std::string& aInstance, const Message& aMessage)
+bool DirectoryPublisher::SendTo(const std::string& aInstance, const Message& aMessage)
 {
   const auto found = this->proxies.find(aInstance);
   if (found == this->proxies.end()) {
@@ -35,7 +35,7 @@
   return true;
 }
 
-void ProxyLinks::SchedulePublish()
+void DirectoryPublisher::SchedulePublish()
 {
   if (this->isScheduled) {
     return;
@@ -50,14 +50,14 @@
     Qt::QueuedConnection);
 }
 
-void ProxyLinks::Publish()
+void DirectoryPublisher::Publish()
 {
   for (auto& [id, proxy] : this->proxies) {
     this->PublishTo(proxy);
   }
 }
 
-void ProxyLinks::PublishTo(Proxy& aProxy)
+void DirectoryPublisher::PublishTo(Proxy& aProxy)
 {
   if (aProxy.sentVersion >= this->state.DirectoryVersion()) {
     return;
--- a/src/oleanderledge/control/internal/ProxyLinks.hpp
+++ b/src/oleanderledge/control/internal/DirectoryPublisher.hpp
@@ -13,12 +13,12 @@
 
 /// Links that proxies opened to this control member. Sends each proxy the directory rows that it
 /// does not have yet, as soon as they are committed.
-class ProxyLinks : public QObject
+class DirectoryPublisher : public QObject
 {
   Q_OBJECT
 
 public:
-  ProxyLinks(const ControlState& aState, QObject* aParent);
+  DirectoryPublisher(const ControlState& aState, QObject* aParent);
 
   /// Notes the directory version that the sender of a heartbeat has, and sends what it lacks. The
   /// newest link of an instance replaces earlier ones.
--- a/tests/control/ControlDaemonTests.cpp
+++ b/tests/control/ControlDaemonTests.cpp
@@ -1,5 +1,5 @@
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
-#include "oleanderledge/control/internal/LocalLog.hpp"
+#include "oleanderledge/control/internal/LocalGroup.hpp"
 
 #include "tests/control/FakeBackends.hpp"
 
@@ -53,13 +53,19 @@
   QJsonObject body;
 };
 
+/// Created before the members of the fixture, some of which need it.
+class WithApplication
+{
+public:
+  WithApplication() { EnsureApplication(); }
+};
+
 /// A control daemon with one member, one proxy link and HTTP access.
-class DaemonFixture
+class DaemonFixture : private WithApplication
 {
 public:
   DaemonFixture()
   {
-    EnsureApplication();
     this->settings.instance = {
       "control-1", 1, InstanceRole::Control, "dalarna/mora-1", FreeAddress(), FreeAddress(), false
     };
@@ -68,11 +74,8 @@
     const ControlMember self{ "m1", "control-1", this->settings.instance.linkAddress, true };
     this->daemon = std::make_unique<ControlDaemon>(
       this->settings,
-      [self](ReplicatedState& aState,
-             LeadershipListener& aListener) -> Result<std::unique_ptr<ReplicatedLog>> {
-        auto log = std::make_unique<LocalLog>(self, aState, aListener);
-        log->Start();
-        return std::unique_ptr<ReplicatedLog>(std::move(log));
+      [self](ReplicatedState& aState, LeadershipListener& aListener) {
+        return std::make_unique<LocalGroup>(self, aState, aListener);
       },
       std::move(backendsOwned),
       nullptr);
--- /dev/null
+++ b/tests/control/FailoverCoordinatorTests.cpp
@@ -0,0 +1,318 @@
+#include "tests/control/ControlHarness.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace oleanderledge;
+using namespace std::chrono_literals;
+
+// Guards the start of a database: nearest owner, committed in-sync set, lease.
+TEST_CASE("A new database gets the nearest owner and its replicas become in sync")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  CHECK(harness.Row().owner == "p1");
+  CHECK(harness.Row().primary == "a");
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards the order of the steps of 3.4 and the target of 3 s.
+TEST_CASE("A lost primary is replaced from the in-sync set and the durations are logged")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Slot("a").alive = false;
+  const Instant lost = harness.now;
+  REQUIRE(harness.RunUntil([&] { return harness.Row().term == 2 && harness.OwnerHasLease(); }));
+  REQUIRE(harness.RunUntil([&] { return harness.IsSteadyWith(harness.Row().primary); }));
+  CHECK(harness.now - lost < 3s);
+  CHECK_FALSE(IsInSync(harness.Row(), "a"));
+  harness.Run(500ms);
+  const auto lines = harness.LinesOf(LogEvent::FailoverCompleted);
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].find("kind=unplanned detection_ms=") != std::string::npos);
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+namespace {
+
+/// Loses the leader once, right after the database entered a phase.
+void LoseLeaderIn(ControlHarness& aHarness, FailoverPhase aPhase, bool aKeepProposals)
+{
+  aHarness.onCommitted = [&aHarness, aPhase, aKeepProposals] {
+    if (aHarness.Row().phase != aPhase) {
+      return;
+    }
+    aHarness.onCommitted = {};
+    aHarness.commitsPaused = true;
+  };
+  REQUIRE(aHarness.RunUntil([&] { return aHarness.commitsPaused; }));
+  // The next step is proposed, and the leader is lost with or without it.
+  aHarness.Run(1500ms);
+  aHarness.LoseLeader(aKeepProposals);
+  aHarness.commitsPaused = false;
+  aHarness.Run(400ms);
+  aHarness.ElectLeader();
+}
+
+} // namespace
+
+// Guards 3.4: a new leader continues from the committed step and takes no decision twice.
+TEST_CASE("A failover interrupted in any step by the loss of the leader is completed once")
+{
+  const FailoverPhase phase = GENERATE(FailoverPhase::Fencing, FailoverPhase::Promoting);
+  const bool keepProposals = GENERATE(false, true);
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Slot("a").alive = false;
+  LoseLeaderIn(harness, phase, keepProposals);
+  REQUIRE(harness.RunUntil([&] { return harness.Row().term == 2 && harness.IsSteadyWith("b"); }));
+  harness.Run(3s);
+  CHECK(harness.promotions.size() == 1);
+  CHECK(harness.Row().term == 2);
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards the planned change under the same interruption.
+TEST_CASE("A planned change interrupted in any step by the loss of the leader is completed once")
+{
+  const FailoverPhase phase = GENERATE(FailoverPhase::Draining, FailoverPhase::Promoting);
+  const bool keepProposals = GENERATE(false, true);
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Slot("a").departing = true;
+  LoseLeaderIn(harness, phase, keepProposals);
+  REQUIRE(harness.RunUntil([&] { return harness.Row().term == 2 && harness.IsSteadyWith("b"); }));
+  CHECK(harness.promotions.size() == 1);
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards 3.4: a departing primary is replaced quickly, by the same owner under the same epoch.
+TEST_CASE("A departing primary is drained and replaced without a change of owner")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  const std::uint64_t epoch = harness.Row().ownerEpoch;
+  harness.Slot("a").departing = true;
+  REQUIRE(harness.RunUntil([&] { return harness.IsSteadyWith("b"); }));
+  CHECK(harness.Row().ownerEpoch == epoch);
+  CHECK(harness.promotions.size() == 1);
+  CHECK_FALSE(IsInSync(harness.Row(), "a"));
+  harness.Run(500ms);
+  const auto lines = harness.LinesOf(LogEvent::FailoverCompleted);
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].find("kind=planned") != std::string::npos);
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards against slots that linger in the directory after they departed.
+TEST_CASE("A departed replica is marked silent and later removed")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Slot("c").departing = true;
+  REQUIRE(harness.RunUntil([&] { return FindSlot(harness.Row(), "c")->departing; }));
+  harness.Slot("c").alive = false;
+  REQUIRE(harness.RunUntil([&] { return FindSlot(harness.Row(), "c")->silent; }, 3s));
+  CHECK(harness.RunUntil([&] { return FindSlot(harness.Row(), "c") == nullptr; }, 60s));
+  CHECK(harness.Row().primary == "a");
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards 2.3: no order that was confirmed may be lost silently.
+TEST_CASE("A database whose in-sync set shrank to the lost primary waits for that slot")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Slot("b").alive = false;
+  harness.Slot("c").alive = false;
+  REQUIRE(harness.RunUntil([&] { return harness.Row().inSync.size() == 1; }));
+  harness.Run(500ms);
+  harness.Slot("a").alive = false;
+  harness.Slot("b").alive = true;
+  harness.Slot("c").alive = true;
+  REQUIRE(harness.RunUntil([&] { return harness.Row().phase == FailoverPhase::Waiting; }));
+  harness.Run(10s);
+  CHECK(harness.Row().phase == FailoverPhase::Waiting);
+  CHECK(harness.promotions.empty());
+  CHECK(harness.OwnerHasLease());
+  harness.Slot("a").alive = true;
+  CHECK(harness.RunUntil([&] { return harness.IsSteadyWith("a"); }));
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards 3.4: ownership moves before a primary is replaced that only its owner cannot reach.
+TEST_CASE("Ownership moves if only the owner cannot reach the primary")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Proxy("p1").unreachable.insert("a");
+  REQUIRE(harness.RunUntil([&] { return harness.Row().owner == "p2" && harness.OwnerHasLease(); }));
+  harness.Run(5s);
+  CHECK(harness.Row().owner == "p2");
+  CHECK(harness.promotions.empty());
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards 3.4: a primary that announces itself but serves nobody is replaced.
+TEST_CASE("A primary that two owners in turn cannot reach is replaced")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Slot("a").answersCalls = false;
+  harness.Proxy("p1").unreachable.insert("a");
+  harness.Proxy("p2").unreachable.insert("a");
+  REQUIRE(harness.RunUntil([&] { return harness.Row().term == 2; }));
+  CHECK(harness.RunUntil([&] { return harness.IsSteadyWith(harness.Row().primary); }));
+  CHECK(harness.promotions.size() == 1);
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards the gap at the loss of a zone: owner and primary fail together.
+TEST_CASE("A primary lost together with its owner is replaced within the target")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Proxy("p1").alive = false;
+  harness.Slot("a").alive = false;
+  const Instant lost = harness.now;
+  REQUIRE(harness.RunUntil([&] { return harness.IsSteadyWith("b"); }));
+  CHECK(harness.now - lost < 3s);
+  CHECK(harness.Row().owner == "p2");
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards 3.4: repeated failures must not make the database change its primary in a loop.
+TEST_CASE("Two unplanned failovers of a database are at least two seconds apart")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Slot("a").alive = false;
+  REQUIRE(harness.RunUntil([&] { return harness.Row().term == 2; }));
+  const Instant first = harness.now;
+  harness.Slot("a").alive = true;
+  REQUIRE(harness.RunUntil([&] { return harness.IsSteadyWith("b"); }));
+  harness.RunUntilSteady();
+  harness.Slot("b").alive = false;
+  REQUIRE(harness.RunUntil([&] { return harness.Row().term == 3; }));
+  CHECK(harness.now - first >= 2s);
+  CHECK(harness.RunUntil([&] { return harness.IsSteadyWith(harness.Row().primary); }));
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards the choice after a promotion that nobody confirms.
+TEST_CASE("A decided slot that never confirms gives way to another of the in-sync set")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.writes = false;
+  harness.Slot("b").answersCalls = false;
+  harness.Slot("a").alive = false;
+  REQUIRE(harness.RunUntil([&] { return harness.IsSteadyWith("c"); }));
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards 2.2: a dead owner's lease is waited out, also by a leader that did not grant it.
+TEST_CASE("An owner cut off from control is replaced only after its lease has ended")
+{
+  const bool changeLeader = GENERATE(false, true);
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Proxy("p1").connected = false;
+  const Instant end = harness.Proxy("p1").lease.end;
+  if (changeLeader) {
+    harness.LoseLeader(false);
+    harness.Run(300ms);
+    harness.ElectLeader();
+  }
+  REQUIRE(harness.RunUntil([&] { return harness.Row().owner == "p2"; }));
+  CHECK(harness.now >= end);
+  CHECK(harness.RunUntil([&] { return harness.OwnerHasLease(); }));
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards 3.2: the lease of the old process is waited out although it is dead at once.
+TEST_CASE("A restarted owner gets its databases back under a new epoch after the old lease")
+{
+  ControlHarness harness;
+  harness.Proxy("p2").alive = false;
+  harness.RunUntilSteady();
+  const std::uint64_t epoch = harness.Row().ownerEpoch;
+  const Instant end = harness.Proxy("p1").lease.end;
+  harness.RestartProxy("p1");
+  REQUIRE(harness.RunUntil([&] { return harness.Row().ownerEpoch > epoch; }));
+  CHECK(harness.now >= end);
+  CHECK(harness.Row().ownerIncarnation == 2);
+  CHECK(harness.RunUntil([&] { return harness.OwnerHasLease(); }));
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards I8: ownership moves before a proxy stops, faster than a lease runs out.
+TEST_CASE("A leaving owner hands its databases over")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Proxy("p1").instance.leaving = true;
+  const Instant start = harness.now;
+  REQUIRE(harness.RunUntil([&] { return harness.Row().owner == "p2" && harness.OwnerHasLease(); }));
+  CHECK(harness.now - start < 1s);
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards against a grant that a new leader cannot know of: the change of owner is committed, but
+// the old leader did not learn so.
+TEST_CASE("A lease is not renewed while a change of owner may be committed")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Proxy("p1").connected = false;
+  harness.commitsPaused = true;
+  harness.Run(2500ms);
+  harness.Proxy("p1").connected = true;
+  harness.Run(500ms);
+  CHECK(harness.Proxy("p1").lease.end < harness.now);
+  harness.LoseLeader(true);
+  harness.ElectLeader();
+  harness.commitsPaused = false;
+  CHECK(harness.RunUntil([&] { return harness.Row().owner == "p2" && harness.OwnerHasLease(); }));
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
+// Guards the start of failovers against a replaced primary that still announces itself.
+TEST_CASE("Announcements of an old term change nothing")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Slot("a").alive = false;
+  REQUIRE(harness.RunUntil([&] { return harness.IsSteadyWith("b"); }));
+  ControlState& state = harness.state;
+  const std::uint64_t term = harness.Row().term;
+  ControlLeader observer(state, ControlTimings{});
+  ControlActions actions;
+  observer.OnLeadershipGained(harness.now, actions);
+  Announcement old;
+  old.service = "ledger";
+  old.database = "orders";
+  old.slot = "a";
+  old.zone = "region/a";
+  old.address = "address-a";
+  old.isPrimary = true;
+  old.term = 1;
+  old.incarnation = 9;
+  for (old.sequence = 1; old.sequence <= 3; ++old.sequence) {
+    CHECK(IsAccepted(observer.OnAnnouncement(old, harness.now, actions)));
+  }
+  old.sequence = 2;
+  CHECK(observer.OnAnnouncement(old, harness.now, actions) == IncarnationVerdict::OldSequence);
+  bool wasLogged = false;
+  for (const ControlAction& action : actions) {
+    const auto* line = std::get_if<LogAction>(&action);
+    wasLogged = wasLogged || (line != nullptr && line->event == LogEvent::AnnouncementOldTerm);
+    const auto* propose = std::get_if<ProposeAction>(&action);
+    if (propose != nullptr) {
+      CHECK(std::holds_alternative<UpdateSlot>(propose->command));
+    }
+  }
+  CHECK(wasLogged);
+  CHECK(harness.Row().term == term);
+  CHECK(harness.Row().primary == "b");
+}
--- a/tests/control/FakeBackends.hpp
+++ b/tests/control/FakeBackends.hpp
@@ -35,7 +35,7 @@
     this->Answer(aAddress, std::move(aCallback));
   }
 
-  std::map<std::string, SlotStatus> slots;
+  std::map<std::string, PlatformStatus> slots;
 
 private:
   void Answer(const std::string& aAddress, Callback aCallback)
