Weight random events towards changes of leader and restarts of owners

Cause: removing the wait of a new leader for earlier leases went unnoticed by the tests. Change: two focused tests, and random events that combine a restart with a change of leader.

--- a/tests/control/ControlHarness.cpp
+++ b/tests/control/ControlHarness.cpp
@@ -167,7 +167,7 @@
     if (proxy.alive && (this->steps + offset++ * 3) % kStepsPerBeat == 0) {
       this->SendHeartbeat(proxy);
     }
-    if (proxy.alive && proxy.connected) {
+    if (proxy.alive && proxy.connected && proxy.followsDirectory) {
       proxy.directory.Apply(this->state.ChangesSince(proxy.directory.Version()));
     }
     if (this->writes && proxy.alive) {
@@ -333,7 +333,7 @@
   report.epoch = aRow.ownerEpoch;
   report.term = aRow.term;
   report.released = aProxy.releasedEpoch >= aRow.ownerEpoch;
-  report.drained = aRow.phase == FailoverPhase::Draining;
+  report.drained = aRow.phase == FailoverPhase::Draining || aProxy.claimsDrained;
   aProxy.drainedTerm = report.drained ? aRow.term : aProxy.drainedTerm;
   if (aRow.phase == FailoverPhase::Steady && aProxy.drainedTerm == aRow.term) {
     aProxy.drainedTerm = 0; // The planned change was abandoned.
--- a/tests/control/ControlHarness.hpp
+++ b/tests/control/ControlHarness.hpp
@@ -45,6 +45,8 @@
   bool alive = true;
   bool connected = true; ///< Can exchange messages with the control leader.
   bool refusesRelease = false;
+  bool followsDirectory = true;
+  bool claimsDrained = false; ///< Reports a drained primary in every phase.
   std::uint64_t sequence = 0;
   Directory directory;
   HeldLease lease;
--- a/tests/control/ControlInvariantTests.cpp
+++ b/tests/control/ControlInvariantTests.cpp
@@ -3,12 +3,14 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <string>
+
 using namespace oleanderledge;
 
 namespace {
 
-constexpr int kEventCount = 15;
-constexpr int kEventsPerRun = 30;
+constexpr int kEventCount = 18;
+constexpr int kEventsPerRun = 60;
 
 /// Disturbs or repairs one part of the harness.
 void ApplyEvent(ControlHarness& aHarness, int aEvent, bool aFlag)
@@ -46,6 +48,15 @@
     case 13:
       aHarness.commitsPaused = aFlag;
       break;
+    case 14:
+    case 15:
+      // A change of leader without a gap, which leaves earlier leases in use.
+      aHarness.LoseLeader(aFlag);
+      aHarness.ElectLeader();
+      break;
+    case 16:
+      aHarness.RestartProxy(aHarness.Row().owner.empty() ? proxy : aHarness.Row().owner);
+      break;
     default:
       aHarness.Proxy("p1").refusesRelease = aFlag;
       if (aFlag) {
@@ -84,7 +95,7 @@
     for (int i = 0; i < kEventsPerRun; ++i) {
       const int event = *rc::gen::inRange(0, kEventCount);
       const bool flag = *rc::gen::arbitrary<bool>();
-      const int pause = *rc::gen::element(10, 50, 200, 500, 1300);
+      const int pause = *rc::gen::element(10, 50, 200, 500, 1300, 3000);
       harness.heartbeatDelay =
         std::chrono::milliseconds(*rc::gen::element(1, 5, 40, 150));
       RC_LOG() << "event " << event << " " << flag << " then " << pause << " ms\n";
@@ -95,6 +106,7 @@
       }
       RC_ASSERT(harness.violations.empty());
     }
+    RC_TAG(std::to_string(harness.promotions.size()) + " promotions");
     Repair(harness);
     RC_ASSERT(harness.RunUntil([&] { return harness.IsSteadyWith(harness.Row().primary); }));
     RC_ASSERT(harness.violations.empty());
--- a/tests/control/FailoverCoordinatorTests.cpp
+++ b/tests/control/FailoverCoordinatorTests.cpp
@@ -104,6 +104,38 @@
   CHECK(harness.violations == std::vector<std::string>{});
 }
 
+// Guards against a report that belongs to an earlier, abandoned planned change: the owner may write
+// again since.
+TEST_CASE("A drained report counts only if its sender knew of the phase")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  harness.Proxy("p1").followsDirectory = false;
+  harness.Proxy("p1").claimsDrained = true;
+  harness.Slot("a").departing = true;
+  REQUIRE(harness.RunUntil([&] { return harness.Row().phase == FailoverPhase::Draining; }));
+  harness.Run(2s);
+  CHECK(harness.promotions.empty());
+  harness.Proxy("p1").followsDirectory = true;
+  CHECK(harness.RunUntil([&] { return harness.IsSteadyWith("b"); }));
+}
+
+// Guards 2.2 against the loss of two kinds of knowledge at once: the leader that granted the lease
+// is gone, and a new process makes the old owner look dead at once.
+TEST_CASE("A new leader waits out the lease of an owner that has restarted")
+{
+  ControlHarness harness;
+  harness.RunUntilSteady();
+  const Instant end = harness.Proxy("p1").lease.end;
+  const std::uint64_t epoch = harness.Row().ownerEpoch;
+  harness.RestartProxy("p1");
+  harness.LoseLeader(false);
+  harness.ElectLeader();
+  REQUIRE(harness.RunUntil([&] { return harness.Row().ownerEpoch > epoch; }));
+  CHECK(harness.now >= end);
+  CHECK(harness.violations == std::vector<std::string>{});
+}
+
 // Guards against slots that linger in the directory after they departed.
 TEST_CASE("A departed replica is marked silent and later removed")
 {
