Add the stand-in of a database server with replication and announcements

Cause: the proxy and control lanes need a backend server that speaks the published protocol, replicates asynchronously and announces itself.

--- /dev/null
+++ b/standin/DatabaseSlot.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Announcer.hpp"
+#include "ClientServer.hpp"
+#include "Replication.hpp"
+#include "ReplicationServer.hpp"
+#include "SlotContext.hpp"
+
+#include <QJsonObject>
+
+#include <cstdint>
+
+namespace oleanderledge::stand_in {
+
+/// Parts of a slot's network that can be cut separately.
+enum class CutScope : std::uint8_t
+{
+  All,
+  Clients,
+  Replication,
+  Announcements,
+};
+
+/// One slot: a database server with its client port, replication and announcements.
+class DatabaseSlot : public QObject
+{
+  Q_OBJECT
+
+public:
+  DatabaseSlot(SlotSettings aSettings, QObject* aParent);
+  ~DatabaseSlot() override;
+  DatabaseSlot(const DatabaseSlot&) = delete;
+  DatabaseSlot& operator=(const DatabaseSlot&) = delete;
+
+  /// Opens the ports. False if one is taken.
+  bool Start();
+
+  SocketAddress ClientAddress() const { return this->clients.Address(); }
+  SocketAddress ReplicationAddress() const { return this->replicationServer.Address(); }
+  SlotContext& Context() { return this->context; }
+
+  // --- Faults ---
+
+  /// Makes no progress, but keeps client connections open, as a stopped process would.
+  void Freeze();
+  void Thaw();
+  /// Drops and refuses connections.
+  void Cut(CutScope aScope);
+  void Heal();
+  void SetDeparting(bool aDeparting) { this->context.departing = aDeparting; }
+
+  /// Role, term, positions and the rows of all tables of the committed database.
+  QJsonObject Dump();
+
+private:
+  void RoleChanged();
+
+  SlotContext context;
+  ClientServer clients;
+  ReplicationServer replicationServer;
+  Replication replication;
+  Announcer announcer;
+  bool wasPrimary = false;
+};
+
+} // namespace oleanderledge::stand_in
--- /dev/null
+++ b/standin/JsonSocket.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <QJsonObject>
+#include <QObject>
+#include <QTcpSocket>
+
+namespace oleanderledge::stand_in {
+
+/// Exchanges JSON objects, one a line, over a TCP socket.
+class JsonSocket : public QObject
+{
+  Q_OBJECT
+
+public:
+  /// Takes over a socket, connected or connecting.
+  JsonSocket(QTcpSocket* aSocket, QObject* aParent);
+
+  void Send(const QJsonObject& aMessage);
+  bool IsConnected() const { return this->socket->state() == QAbstractSocket::ConnectedState; }
+
+  /// Drops the connection without `Closed`.
+  void Abort();
+
+Q_SIGNALS:
+  void Connected();
+  void Received(const QJsonObject& aMessage);
+  /// The connection failed or was closed by the peer. Emitted at most once.
+  void Closed();
+
+private:
+  void ReadLines();
+  void Finish();
+
+  QTcpSocket* socket;
+  bool finished = false;
+};
+
+} // namespace oleanderledge::stand_in
