--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy python3
   qt6-base-dev qt6-httpserver-dev qt6-websockets-dev libmsgpack-cxx-dev libboost-dev
   libyaml-cpp-dev libgflags-dev libspdlog-dev librapidcheck-dev catch2 libpq-dev libsqlite3-dev
-  postgresql-client)
+  postgresql-client curl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -129,7 +129,10 @@
   QObject::connect(
     notifier.get(), &QSocketNotifier::activated, notifier.get(), [] { QCoreApplication::quit(); });
   std::signal(SIGTERM, RequestStop);
-  std::signal(SIGINT, RequestStop);
+  // Stays ignored if the starting shell ignores it for background processes.
+  if (std::signal(SIGINT, RequestStop) == SIG_IGN) {
+    std::signal(SIGINT, SIG_IGN);
+  }
   return notifier;
 }
 
