Test the stand-in in process and over libpq

Cause: the daemons' tests rely on the stand-in's transactions, replication and faults, which were only checked by hand.

--- /dev/null
+++ b/tests/standin/SlotGroup.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "standin/CommandServer.hpp"
+#include "standin/DatabaseSlot.hpp"
+
+#include <QThread>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace oleanderledge::stand_in {
+
+/// Creates the application object that Qt's events need; Catch's main function creates none.
+void EnsureApplication();
+
+/// Waits until a condition holds. Returns false after five seconds.
+bool WaitUntil(const std::function<bool()>& aCondition);
+
+/// The slots of one database in a thread of their own, so that tests can block in libpq. The first
+/// slot is the initial primary.
+class SlotGroup
+{
+public:
+  using Adjust = std::function<void(SlotSettings&)>;
+
+  /// `aAdjust` changes the settings of each slot before it starts.
+  explicit SlotGroup(std::size_t aCount, const Adjust& aAdjust = {});
+  ~SlotGroup();
+  SlotGroup(const SlotGroup&) = delete;
+  SlotGroup& operator=(const SlotGroup&) = delete;
+
+  int ClientPort(std::size_t aSlot) const { return this->clientPorts[aSlot]; }
+  int HttpPort(std::size_t aSlot) const { return this->httpPorts[aSlot]; }
+
+  /// Runs a function on a slot in its thread and waits for it.
+  void On(std::size_t aSlot, const std::function<void(DatabaseSlot&)>& aFunction);
+
+  bool IsPrimary(std::size_t aSlot);
+  std::uint64_t Term(std::size_t aSlot);
+  std::uint64_t Received(std::size_t aSlot);
+  std::uint64_t Applied(std::size_t aSlot);
+
+  /// Replaces a slot by a new one with empty data, as after the restart of a process.
+  void Restart(std::size_t aSlot);
+
+private:
+  struct Member
+  {
+    SlotSettings settings;
+    std::unique_ptr<DatabaseSlot> slot;
+    std::unique_ptr<CommandServer> commands;
+  };
+
+  void InThread(const std::function<void()>& aFunction);
+  void StartMember(std::size_t aSlot);
+
+  QThread thread;
+  std::unique_ptr<QObject> threadObject;
+  std::vector<Member> members;
+  std::vector<int> clientPorts;
+  std::vector<int> httpPorts;
+};
+
+} // namespace oleanderledge::stand_in
