Add the acceptance client

Cause: the same protocol checks should run against the stand-in and, later, against a proxy, so that a difference shows which side is at fault.

--- /dev/null
+++ b/tests/acceptance/ProxyAcceptanceRun.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "AcceptanceRun.hpp"
+
+namespace oleanderledge::acceptance {
+
+/// Checks that hold only for a proxy: request ids, named sessions and refused settings.
+class ProxyAcceptanceRun
+{
+public:
+  /// `aSecond` is another proxy of the same fleet, or the same one again. The table of
+  /// AcceptanceRun exists.
+  ProxyAcceptanceRun(Checks& aChecks, PgTarget aFirst, PgTarget aSecond, std::string aRunName);
+
+  void RunAll();
+
+private:
+  void CheckRequestId();
+  void CheckRequestIdInTransaction();
+  void CheckReadYourWrites();
+  void CheckUnknownClass();
+
+  std::string CountOf(const std::string& aItem);
+
+  Checks& checks;
+  PgTarget first;
+  PgTarget second;
+  std::string runName;
+};
+
+} // namespace oleanderledge::acceptance
--- a/tests/standin/PgConnection.cpp
+++ b/tests/standin/PgConnection.cpp
@@ -46,14 +46,20 @@
   return result;
 }
 
-PgConnection::PgConnection(int aPort, const std::string& aOptions)
+PgConnection::PgConnection(const PgTarget& aTarget, const std::string& aOptions)
   : connection(nullptr, &PQfinish)
 {
-  const std::string port = std::to_string(aPort);
+  const std::string port = std::to_string(aTarget.port);
   const char* const names[] = { "host",    "port",       "dbname",          "user",
                                 "options", "gssencmode", "connect_timeout", nullptr };
-  const char* const values[] = { "127.0.0.1",      port.c_str(), "orders-1", "counter",
-                                 aOptions.c_str(), "disable",    "10",       nullptr };
+  const char* const values[] = { aTarget.host.c_str(),
+                                 port.c_str(),
+                                 aTarget.database.c_str(),
+                                 aTarget.user.c_str(),
+                                 aOptions.c_str(),
+                                 "disable",
+                                 "10",
+                                 nullptr };
   this->connection.reset(PQconnectdbParams(names, values, 0));
 }
 
--- a/tests/standin/PgConnection.hpp
+++ b/tests/standin/PgConnection.hpp
@@ -25,12 +25,26 @@
 
 PgResult ReadResult(const PGresult* aResult);
 
-/// A blocking libpq connection to a stand-in.
+/// Where and as whom to connect.
+struct PgTarget
+{
+  std::string host = "127.0.0.1";
+  int port = 0;
+  std::string database = "orders-1";
+  std::string user = "counter";
+};
+
+/// A blocking libpq connection.
 class PgConnection
 {
 public:
   /// `aOptions` is the start-up parameter `options`.
-  explicit PgConnection(int aPort, const std::string& aOptions = {});
+  explicit PgConnection(const PgTarget& aTarget, const std::string& aOptions = {});
+  /// Connects to the database "orders-1" of a stand-in.
+  explicit PgConnection(int aPort, const std::string& aOptions = {})
+    : PgConnection(PgTarget{ "127.0.0.1", aPort, "orders-1", "counter" }, aOptions)
+  {
+  }
 
   PgResult Query(const std::string& aSql);
   /// Runs one statement with text parameters through the extended protocol.
