Add the open-loop load tool

Cause: floods and read shares are judged by what callers see at a stated arrival rate; a closed loop would slow down with the system it measures.

Change: benchmarks/load_tool offers several classes at stated rates over non-blocking libpq connections, counts latency from the intended send time and prints share in target, goodput, p50, p99 and refusals by SQLSTATE, with separate figures before, during and after a flood.

--- /dev/null
+++ b/benchmarks/load_tool/PhaseCounters.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "LatencyHistogram.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace oleanderledge::load {
+
+/// What became of the requests of one class in one phase. Requests belong to the phase of their
+/// intended send time.
+struct PhaseCounters
+{
+  std::uint64_t offered = 0;
+  std::uint64_t served = 0;                      ///< Answered without an error.
+  std::uint64_t inTarget = 0;                    ///< Served within the target.
+  std::map<std::string, std::uint64_t> refusals; ///< By SQLSTATE.
+  LatencyHistogram latency;                      ///< Of served requests.
+
+  /// Prints lines "NAME<TAB>VALUE<TAB>UNIT" for a phase of `aSeconds`.
+  void Print(const std::string& aPrefix, double aSeconds) const;
+};
+
+} // namespace oleanderledge::load
