Refuse a full copy from an emptied primary of the same term

Cause: an initial primary that restarted while its replicas were cut off took term 1 again with an empty log; after the heal the replicas replaced their data by a copy of it.

Change: a replica follows a primary of its own term only if that primary has received at least as much. The group then waits for a promotion.

Conclusion: the stand-in keeps data in memory only, so a slot that restarts always returns empty.

--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -39,6 +39,7 @@
 DEFINE_int32(client_latency_us, 0, "emulated one-way latency to clients, in microseconds");
 DEFINE_int32(receive_lag_ms, 0, "time until a replicated record counts as received, in ms");
 DEFINE_int32(apply_lag_ms, 0, "further time until it is visible to reads, in ms");
+DEFINE_int32(announce_interval_ms, 200, "time between announcements, in ms; 0 turns them off");
 DEFINE_string(schema, "", "file with SQL that the first primary of an empty group runs");
 
 namespace {
@@ -84,6 +85,7 @@
   settings.clientLatencyUs = FLAGS_client_latency_us;
   settings.receiveLagMs = FLAGS_receive_lag_ms;
   settings.applyLagMs = FLAGS_apply_lag_ms;
+  settings.announceIntervalMs = FLAGS_announce_interval_ms;
   if (!FLAGS_schema.empty()) {
     settings.schema = ReadFile(FLAGS_schema);
   }
--- a/standin/Replication.cpp
+++ b/standin/Replication.cpp
@@ -116,7 +116,13 @@
   PeerLink* best = nullptr;
   for (PeerLink* peer : this->peers) {
     const PeerStatus& status = peer->Status();
-    if (!status.known || !status.primary || status.term < this->context.store.Term()) {
+    const SlotStore& store = this->context.store;
+    if (!status.known || !status.primary || status.term < store.Term()) {
+      continue;
+    }
+    if (status.term == store.Term() && status.received < store.Received()) {
+      // A primary that restarted without its data and took the same term again: a copy of it would
+      // erase the log here.
       continue;
     }
     if (best == nullptr || status.term > best->Status().term) {
--- a/tests/standin/ReplicationTests.cpp
+++ b/tests/standin/ReplicationTests.cpp
@@ -143,3 +143,22 @@
   REQUIRE(Promote(group, 1, 2).sqlstate.empty());
   CHECK(WaitUntil([&] { return Items(group, 0) == "a"; }));
 }
+
+// Guards against erasing the last copy of the data: the restarted primary cannot see its replica,
+// so it takes the first term again with an empty log.
+TEST_CASE("A replica takes no copy from an emptied primary of its own term")
+{
+  SlotGroup group(2);
+  REQUIRE(Insert(group, 0, "a").empty());
+  REQUIRE(WaitUntil([&] { return group.Applied(1) == 2; }));
+  group.On(1, [](DatabaseSlot& aSlot) { aSlot.Cut(CutScope::Replication); });
+  group.Restart(0);
+  REQUIRE(WaitUntil([&] { return group.IsPrimary(0); }));
+  REQUIRE(group.Term(0) == 1);
+  REQUIRE(group.Received(0) == 1);
+  group.On(1, [](DatabaseSlot& aSlot) { aSlot.Heal(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  CHECK(Items(group, 1) == "a");
+  REQUIRE(Promote(group, 1, 2).sqlstate.empty());
+  CHECK(WaitUntil([&] { return !group.IsPrimary(0) && Items(group, 0) == "a"; }));
+}
