--- a/src/oleanderledge/owner/internal/DatabaseOwner.cpp
+++ b/src/oleanderledge/owner/internal/DatabaseOwner.cpp
@@ -242,13 +242,7 @@
   const auto open = this->transactions.find(channel);
   if (unit.request.inTransaction) {
     if (open == this->transactions.end()) {
-      this->ReplyFailure(unit,
-                         ResultCode::BackendConnectionLost,
-                         RunState::NotRun,
-                         "the transaction was lost and rolled back",
-                         'E',
-                         Duration{ 0 },
-                         aNow);
+      this->AnswerLostTransaction(unit, aNow);
       return;
     }
     this->ContinueTransaction(std::move(unit), *this->pool.Find(open->second), aNow);
@@ -266,6 +260,28 @@
   this->Pump(aNow);
 }
 
+void DatabaseOwner::AnswerLostTransaction(const Unit& aUnit, Instant aNow)
+{
+  const std::string_view sql = FirstSqlOf(aUnit.request);
+  if (BeginsWithWord(sql, "ROLLBACK") || BeginsWithWord(sql, "ABORT")) {
+    StatementReply reply = this->MakeReply(aUnit);
+    reply.finalPiece = true;
+    reply.payload = BuildAnswerWithoutRun(aUnit.request.payload, "ROLLBACK");
+    this->Reply(aUnit.link, std::move(reply), aNow);
+    return;
+  }
+  // Until the caller ends the transaction it stays failed, so that none of its later statements
+  // runs outside.
+  const bool ends = BeginsWithWord(sql, "COMMIT") || BeginsWithWord(sql, "END");
+  this->ReplyFailure(aUnit,
+                     ResultCode::BackendConnectionLost,
+                     RunState::NotRun,
+                     "the transaction was lost and rolled back",
+                     ends ? 'I' : 'E',
+                     Duration{ 0 },
+                     aNow);
+}
+
 void DatabaseOwner::Enqueue(Unit&& aUnit, Instant aNow)
 {
   const ScheduledUnit scheduled{ aUnit.id,
--- a/src/oleanderledge/owner/internal/DatabaseOwner.hpp
+++ b/src/oleanderledge/owner/internal/DatabaseOwner.hpp
@@ -85,6 +85,7 @@
   };
 
   // Admission and dispatch.
+  void AnswerLostTransaction(const Unit& aUnit, Instant aNow);
   void Enqueue(Unit&& aUnit, Instant aNow);
   void Pump(Instant aNow);
   void ExpireQueued(Instant aNow);
--- a/src/oleanderledge/owner/internal/UnitExecution.cpp
+++ b/src/oleanderledge/owner/internal/UnitExecution.cpp
@@ -103,10 +103,9 @@
   return {};
 }
 
-std::string BuildRecordedAnswer(std::string_view aPayload, std::string_view aCommandTag)
+std::string BuildAnswerWithoutRun(std::string_view aPayload, std::string_view aCommandTag)
 {
-  std::string answer =
-    BuildNoticeResponse("00000", "the request id was already applied; nothing was run");
+  std::string answer;
   for (const MessageView& message : SplitMessages(aPayload)) {
     switch (message.type) {
       case 'Q':
@@ -239,6 +238,7 @@
     case 'C':
       aSession.NoteCommandTag(this->lastTag);
       this->payloadTag = this->lastTag;
+      ++this->payloadTags;
       this->writes = this->writes || IsWriteTag(this->lastTag);
       break;
     default:
@@ -390,7 +390,10 @@
   }
   const bool failed = this->error.has_value() || this->copyRefused;
   if (!this->records) {
-    return aStatus == 'I' && this->writes ? this->Enter(Step::Position, aSession) : this->Finish();
+    // A rollback alone leaves nothing to confirm.
+    const bool onlyRolledBack = this->payloadTags == 1 && this->payloadTag == "ROLLBACK";
+    return aStatus == 'I' && this->writes && !onlyRolledBack ? this->Enter(Step::Position, aSession)
+                                                             : this->Finish();
   }
   if (this->opensTransaction) {
     return aStatus == 'T' && !failed ? this->Enter(Step::Lookup, aSession) : this->Finish();
@@ -429,7 +432,9 @@
     this->result.message = InfoOf(ResultCode::RequestAlreadyApplied).text;
     return;
   }
-  this->answer = BuildRecordedAnswer(this->request.payload, this->payloadTag);
+  this->answer =
+    BuildNoticeResponse("00000", "the request id was already applied; nothing was run") +
+    BuildAnswerWithoutRun(this->request.payload, this->payloadTag);
 }
 
 std::string UnitExecution::AfterRollbackStep(BackendSession& aSession)
--- a/src/oleanderledge/owner/internal/UnitExecution.hpp
+++ b/src/oleanderledge/owner/internal/UnitExecution.hpp
@@ -120,7 +120,8 @@
   bool alreadyApplied = false;
   bool finished = false;
   std::string answer;
-  std::string payloadTag;
+  std::string payloadTag; ///< Of the last statement.
+  int payloadTags = 0;
   UnitResult result;
 };
 
@@ -140,8 +141,7 @@
 /// its first Bind refers to.
 std::string_view FirstSqlOf(const StatementRequest& aRequest);
 
-/// Answer for a unit whose request id was applied before: what its messages would have returned,
-/// without rows.
-std::string BuildRecordedAnswer(std::string_view aPayload, std::string_view aCommandTag);
+/// Answer for a unit that is not run: what its messages would have returned, without rows.
+std::string BuildAnswerWithoutRun(std::string_view aPayload, std::string_view aCommandTag);
 
 } // namespace oleanderledge
--- a/tests/owner/DatabaseOwnerTests.cpp
+++ b/tests/owner/DatabaseOwnerTests.cpp
@@ -62,7 +62,8 @@
   harness.Settle();
   REQUIRE(harness.FinalReply(2, 1) != nullptr);
   CHECK_FALSE(harness.FinalReply(2, 1)->fromReplica);
-  CHECK(harness.FinalReply(2, 1)->payload.find('7') != std::string::npos);
+  CHECK(harness.FinalReply(2, 1)->payload.starts_with(
+    BuildDataRow(std::array<std::optional<std::string>, 1>{ "1" })));
 }
 
 // Guards I3: the units of a transaction stay on their connection and nobody else uses it.
--- a/tests/owner/FakeGroup.hpp
+++ b/tests/owner/FakeGroup.hpp
@@ -3,6 +3,8 @@
 #include "oleanderledge/owner/internal/OwnerTypes.hpp"
 #include "oleanderledge/wire/wire.hpp"
 
+#include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <set>
@@ -46,13 +48,13 @@
     std::string transactionChannel; ///< Channel whose statements the open transaction contains.
     int statements = 0;             ///< Callers' statements executed.
     bool cancelled = false;
+    bool dead = false; ///< Executes nothing more.
   };
 
   std::map<std::string, Slot> slots;
   std::vector<Record> log;
   std::map<ConnectionId, Connection> connections;
   bool mixedTransactions = false;
-  bool duplicateRequest = false;
   std::set<std::string> executedStatements; ///< Every caller statement that any server received.
 
   void Open(ConnectionId aId, const std::string& aSlot) { this->connections[aId].slot = aSlot; }
@@ -60,7 +62,8 @@
   void Receive(ConnectionId aId, const std::string& aBytes)
   {
     for (const MessageView& message : SplitMessages(aBytes)) {
-      if (const auto found = this->connections.find(aId); found != this->connections.end()) {
+      const auto found = this->connections.find(aId);
+      if (found != this->connections.end() && !found->second.dead) {
         found->second.inbox.emplace_back(message.whole);
       }
     }
@@ -91,6 +94,27 @@
     return { aSlot, slot.isPrimary, slot.term, received, applied, aAskedAt };
   }
 
+  /// Makes another slot the primary. What it has not received is lost, everywhere.
+  void Promote(const std::string& aSlot, std::uint64_t aTerm)
+  {
+    this->log.resize(this->slots.at(aSlot).received);
+    for (auto& [name, slot] : this->slots) {
+      slot.isPrimary = name == aSlot;
+      slot.term = aTerm;
+      slot.received = std::min(slot.received, this->log.size());
+      slot.applied = std::min(slot.applied, slot.received);
+    }
+    // Servers end the sessions of a replaced primary; the owner learns of it later.
+    for (auto& [id, connection] : this->connections) {
+      connection.inbox.clear();
+      connection.uncommitted.clear();
+      connection.dead = true;
+    }
+  }
+
+  /// The connection breaks on the side of the server.
+  void Break(ConnectionId aId) { this->connections.erase(aId); }
+
 private:
   static std::vector<std::string> Words(const std::string& aSql)
   {
@@ -168,12 +192,13 @@
     }
     const Slot& slot = this->slots.at(aConnection.slot);
     if (aWords[0] == "READ") {
-      int newest = 0;
+      // The number of visible writes of the session never falls, unlike the last value.
       const std::size_t visible = slot.isPrimary ? this->log.size() : slot.applied;
-      for (std::size_t index = 0; index < visible; ++index) {
-        newest = this->log[index].session == aWords[1] ? this->log[index].value : newest;
-      }
-      const std::array<std::optional<std::string>, 1> row{ std::to_string(newest) };
+      const auto count =
+        std::count_if(this->log.begin(),
+                      this->log.begin() + static_cast<std::ptrdiff_t>(visible),
+                      [&](const Record& aRecord) { return aRecord.session == aWords[1]; });
+      const std::array<std::optional<std::string>, 1> row{ std::to_string(count) };
       aConnection.outbox.push_back(BuildDataRow(row));
       this->Complete(aConnection, "SELECT 1");
       return;
--- a/tests/scheduling/FloodSimulation.hpp
+++ b/tests/scheduling/FloodSimulation.hpp
@@ -180,8 +180,8 @@
     for (const ClassTarget& row : this->classes) {
       if (row.name == unit.stream->workClass && this->now - unit.arrival <= row.target) {
         ++this->CountsOf(unit).inTarget;
-        // Goodput belongs to the time of the answer: a queue that is worked off later does not count
-        // for the seconds in which it was filled.
+        // Goodput belongs to the time of the answer: a queue that is worked off later does not
+        // count for the seconds in which it was filled.
         this->CountsAt(this->now, unit).inTargetTime +=
           static_cast<double>(unit.service.count()) / 1e6;
       }
--- a/tests/scheduling/FloodTests.cpp
+++ b/tests/scheduling/FloodTests.cpp
@@ -46,8 +46,7 @@
 std::vector<Stream> WithFlood(const std::string& aClass, std::int64_t aServiceUs)
 {
   auto streams = NormalStreams();
-  streams.push_back(
-    StreamOf(aClass, "flooder", kFloodFactor, aServiceUs, kFloodStart, kFloodEnd));
+  streams.push_back(StreamOf(aClass, "flooder", kFloodFactor, aServiceUs, kFloodStart, kFloodEnd));
   return streams;
 }
 
