--- /dev/null
+++ b/tests/entry/ForwarderTests.cpp
@@ -0,0 +1,366 @@
+#include "oleanderledge/entry/internal/Forwarder.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace oleanderledge;
+
+namespace {
+
+constexpr auto kSecond = std::chrono::seconds(1);
+
+/// A forwarder with one caller (channel 1) and owners at "a" and "b".
+class ForwarderFixture
+{
+public:
+  ForwarderFixture()
+    : forwarder({}, 1)
+  {
+    this->Assign("a");
+    this->Take(this->forwarder.LinkReady("a", this->now));
+  }
+
+  void Assign(const std::string& aAddress)
+  {
+    DatabaseRow row;
+    row.name = "orders";
+    row.owner = aAddress;
+    row.ownerAddress = aAddress;
+    row.ownerEpoch = ++this->epoch;
+    row.version = this->epoch;
+    this->directory.Apply({ 0, this->epoch, {}, { row } });
+    this->Take(
+      this->forwarder.ApplyDirectory(std::make_shared<Directory>(this->directory), this->now));
+  }
+
+  void Submit(bool aMayResend = false, bool aInTransaction = false)
+  {
+    ForwardUnit unit;
+    unit.request.channel = 1;
+    unit.request.database = "orders";
+    unit.request.inTransaction = aInTransaction;
+    unit.arrived = this->now;
+    unit.mayResend = aMayResend;
+    this->Take(this->forwarder.Submit(std::move(unit), this->now));
+  }
+
+  StatementReply Answer(ResultCode aCode = ResultCode::Ok, RunState aRunState = RunState::Ran)
+  {
+    StatementReply reply;
+    reply.channel = 1;
+    reply.sequence = this->sent.back().sequence;
+    reply.finalPiece = true;
+    reply.code = aCode;
+    reply.runState = aRunState;
+    return reply;
+  }
+
+  void Reply(StatementReply aReply, const std::string& aAddress = "a")
+  {
+    this->Take(this->forwarder.Reply(aAddress, std::move(aReply), this->now));
+  }
+
+  void Lose(const std::string& aAddress)
+  {
+    this->Take(this->forwarder.LinkClosed(aAddress, this->now));
+  }
+  void Ready(const std::string& aAddress)
+  {
+    this->Take(this->forwarder.LinkReady(aAddress, this->now));
+  }
+
+  void Advance(Duration aTime)
+  {
+    this->now += aTime;
+    this->Take(this->forwarder.Tick(this->now));
+  }
+
+  /// Code and run state of the only delivered answer.
+  std::pair<ResultCode, RunState> Outcome() const
+  {
+    REQUIRE(this->delivered.size() == 1);
+    return { this->delivered[0].code, this->delivered[0].runState };
+  }
+
+  void Take(Forwarder::Actions&& aActions)
+  {
+    for (ForwardAction& action : aActions) {
+      if (auto* piece = std::get_if<DeliverPiece>(&action)) {
+        this->delivered.push_back(std::move(piece->reply));
+      } else if (auto* send = std::get_if<SendToOwner>(&action)) {
+        this->sentTo.push_back(send->address);
+        if (auto* request = std::get_if<StatementRequest>(&send->message)) {
+          this->sent.push_back(std::move(*request));
+        } else {
+          this->controls.push_back(std::move(send->message));
+        }
+      } else {
+        this->opened.push_back(std::get<OpenOwnerLink>(action).address);
+      }
+    }
+  }
+
+  Forwarder forwarder;
+  Directory directory;
+  std::uint64_t epoch = 0;
+  Instant now{ Duration{ 1'000'000'000 } };
+  std::vector<StatementRequest> sent;
+  std::vector<std::string> sentTo;
+  std::vector<Message> controls;
+  std::vector<std::string> opened;
+  std::vector<StatementReply> delivered;
+};
+
+using Outcome = std::pair<ResultCode, RunState>;
+const Outcome kOk{ ResultCode::Ok, RunState::Ran };
+const Outcome kUnknown{ ResultCode::OutcomeUnknown, RunState::Unknown };
+
+} // namespace
+
+TEST_CASE("A unit waits for an owner and its link and is then sent once")
+{
+  ForwarderFixture fixture;
+  fixture.Assign("");
+  fixture.Submit();
+  CHECK(fixture.sent.empty());
+  fixture.Advance(kSecond);
+  fixture.Assign("b");
+  CHECK(fixture.opened == std::vector<std::string>{ "b" });
+  fixture.Ready("b");
+  REQUIRE(fixture.sent.size() == 1);
+  CHECK(fixture.sent[0].ownerEpoch == 3);
+  CHECK(fixture.sent[0].waitedUs == 1'000'000);
+  CHECK(fixture.forwarder.WaitingUnits() == 0);
+}
+
+// I5: "not run" is right here, because nothing was ever sent.
+TEST_CASE("A unit without an owner until the deadline is refused as not run")
+{
+  ForwarderFixture fixture;
+  fixture.Assign("");
+  fixture.Submit();
+  fixture.Advance(EntryLimits{}.waitLimit);
+  CHECK(fixture.Outcome() == Outcome{ ResultCode::NoOwner, RunState::NotRun });
+  CHECK(!fixture.forwarder.NextTimer());
+}
+
+// I6: guards against a second run of an order whose first run may have succeeded.
+TEST_CASE("A write that was sent before the link was lost is unknown and never sent again")
+{
+  ForwarderFixture fixture;
+  fixture.Submit();
+  fixture.Lose("a");
+  CHECK(fixture.Outcome() == kUnknown);
+  fixture.Ready("a");
+  fixture.Advance(10 * kSecond);
+  CHECK(fixture.sent.size() == 1);
+}
+
+// I4: guards against an answer to an abandoned attempt that is taken for the present one.
+TEST_CASE("A read is sent again after a loss and answers to the lost attempt are ignored")
+{
+  ForwarderFixture fixture;
+  fixture.Submit(true);
+  const StatementReply late = fixture.Answer();
+  fixture.Lose("a");
+  fixture.Ready("a");
+  fixture.Advance(std::chrono::milliseconds(20));
+  REQUIRE(fixture.sent.size() == 2);
+  fixture.Reply(late);
+  fixture.Reply(fixture.Answer(), "b");
+  CHECK(fixture.delivered.empty());
+  fixture.Reply(fixture.Answer());
+  fixture.Reply(fixture.Answer());
+  CHECK(fixture.Outcome() == kOk);
+  CHECK(fixture.forwarder.Stats().repliesIgnored == 3);
+}
+
+// I5: guards against "not run" from the last attempt when an earlier one may have run.
+TEST_CASE("A refusal after an attempt that may have run is reported as unknown")
+{
+  ForwarderFixture fixture;
+  fixture.Submit(true);
+  fixture.Lose("a");
+  fixture.Ready("a");
+  fixture.Advance(kSecond);
+  REQUIRE(fixture.sent.size() == 2);
+  SECTION("refused by the owner")
+  {
+    fixture.Reply(fixture.Answer(ResultCode::Overloaded, RunState::NotRun));
+  }
+  SECTION("no owner until the deadline")
+  {
+    fixture.Reply(fixture.Answer(ResultCode::NotOwner, RunState::NotRun));
+    fixture.Assign("");
+    fixture.Advance(10 * kSecond);
+  }
+  CHECK(fixture.Outcome() == kUnknown);
+}
+
+// I4: guards against doubled rows.
+TEST_CASE("A read whose answer has begun is not sent again")
+{
+  ForwarderFixture fixture;
+  fixture.Submit(true);
+  StatementReply piece = fixture.Answer();
+  piece.finalPiece = false;
+  fixture.Reply(piece);
+  fixture.delivered.clear();
+  fixture.Lose("a");
+  CHECK(fixture.Outcome() == kUnknown);
+}
+
+// Planned change of the owner: no statement is rejected.
+TEST_CASE("A write that the former owner refused as not run goes to the next owner")
+{
+  ForwarderFixture fixture;
+  fixture.Ready("b");
+  fixture.Submit();
+  fixture.Reply(fixture.Answer(ResultCode::NotOwner, RunState::NotRun));
+  CHECK(fixture.delivered.empty());
+  fixture.Assign("b");
+  REQUIRE(fixture.sent.size() == 2);
+  CHECK(fixture.sentTo.back() == "b");
+  fixture.Reply(fixture.Answer(), "b");
+  CHECK(fixture.Outcome() == kOk);
+}
+
+TEST_CASE("A unit at a former owner is unknown when no answer follows the change")
+{
+  ForwarderFixture fixture;
+  fixture.Submit();
+  fixture.Assign("b");
+  fixture.Advance(std::chrono::milliseconds(900));
+  CHECK(fixture.delivered.empty());
+  fixture.Advance(std::chrono::milliseconds(100));
+  CHECK(fixture.Outcome() == kUnknown);
+  REQUIRE(fixture.controls.size() == 1);
+  CHECK(std::holds_alternative<CloseChannel>(fixture.controls[0]));
+}
+
+// I3: guards against a transaction that continues on another connection.
+TEST_CASE("A transaction stays with its owner and does not outlive the link")
+{
+  ForwarderFixture fixture;
+  fixture.Ready("b");
+  fixture.Submit();
+  StatementReply begun = fixture.Answer();
+  begun.transactionStatus = 'T';
+  fixture.Reply(begun);
+  fixture.Assign("b");
+  fixture.Submit(false, true);
+  CHECK(fixture.sentTo.back() == "a");
+  CHECK(fixture.sent.back().ownerEpoch == 1);
+  begun.sequence = fixture.sent.back().sequence;
+  fixture.Reply(begun);
+  fixture.Lose("a");
+  fixture.delivered.clear();
+  fixture.Submit(false, true);
+  CHECK(fixture.Outcome() == Outcome{ ResultCode::BackendConnectionLost, RunState::NotRun });
+  CHECK(fixture.sent.size() == 2);
+}
+
+// I2: guards against acknowledging a write of an owner that may have been replaced.
+TEST_CASE("A write acknowledgement is relayed only within the lease")
+{
+  ForwarderFixture fixture;
+  fixture.Submit();
+  StatementReply reply = fixture.Answer();
+  reply.isWriteAcknowledgement = true;
+  reply.pingEchoUs = ToMicroseconds(fixture.now);
+  reply.leaseLeftUs = 500'000;
+  SECTION("one microsecond before the end")
+  {
+    fixture.now += Duration{ 499'999 };
+    fixture.Reply(reply);
+    CHECK(fixture.Outcome() == kOk);
+  }
+  SECTION("at the end")
+  {
+    fixture.now += Duration{ 500'000 };
+    fixture.Reply(reply);
+    CHECK(fixture.Outcome() == Outcome{ ResultCode::LeaseExpired, RunState::Unknown });
+  }
+  SECTION("without an echoed ping or with one from the future")
+  {
+    reply.pingEchoUs = GENERATE(std::int64_t{ 0 }, std::int64_t{ 2'000'000'000'000 });
+    fixture.Reply(reply);
+    CHECK(fixture.Outcome() == Outcome{ ResultCode::LeaseExpired, RunState::Unknown });
+  }
+}
+
+TEST_CASE("Resends stop when the retry budget is spent")
+{
+  ForwarderFixture fixture;
+  std::size_t resent = 0;
+  for (int round = 0; round < 12; ++round) {
+    fixture.Ready("a");
+    fixture.delivered.clear();
+    fixture.Submit(true);
+    fixture.Lose("a");
+    resent += fixture.delivered.empty() ? 1 : 0;
+    fixture.Take(fixture.forwarder.CloseChannel(1));
+  }
+  CHECK(resent == 10);
+  fixture.Advance(11 * kSecond);
+  fixture.Ready("a");
+  fixture.delivered.clear();
+  fixture.Submit(true);
+  fixture.Lose("a");
+  CHECK(fixture.delivered.empty());
+}
+
+TEST_CASE("A cancel ends a waiting unit and is passed on for a sent one")
+{
+  ForwarderFixture fixture;
+  fixture.Submit(true);
+  fixture.Take(fixture.forwarder.Cancel(1, fixture.now));
+  REQUIRE(fixture.controls.size() == 1);
+  CHECK(std::get<CancelStatement>(fixture.controls[0]).sequence == fixture.sent[0].sequence);
+  fixture.Lose("a");
+  CHECK(fixture.Outcome() == kUnknown);
+  fixture.delivered.clear();
+  fixture.Submit();
+  fixture.Take(fixture.forwarder.Cancel(1, fixture.now));
+  CHECK(fixture.Outcome() == Outcome{ ResultCode::QueryCanceled, RunState::NotRun });
+}
+
+TEST_CASE("A send that failed before any byte is made again")
+{
+  ForwarderFixture fixture;
+  fixture.Submit();
+  fixture.Take(fixture.forwarder.SendFailed(1, fixture.sent[0].sequence, fixture.now));
+  fixture.Advance(kSecond);
+  CHECK(fixture.sent.size() == 2);
+  CHECK(fixture.delivered.empty());
+}
+
+TEST_CASE("A closed channel is closed at every owner that knows it")
+{
+  ForwarderFixture fixture;
+  fixture.Ready("b");
+  fixture.Submit();
+  fixture.Reply(fixture.Answer());
+  fixture.Assign("b");
+  fixture.Submit();
+  fixture.Take(fixture.forwarder.CloseChannel(1));
+  CHECK(fixture.controls.size() == 2);
+  fixture.Reply(fixture.Answer(), "b");
+  CHECK(fixture.delivered.size() == 1);
+}
+
+TEST_CASE("Unknown databases and too many waiting units are refused at once")
+{
+  ForwarderFixture fixture;
+  ForwardUnit unit;
+  unit.request.channel = 2;
+  unit.request.database = "missing";
+  unit.arrived = fixture.now;
+  fixture.Take(fixture.forwarder.Submit(std::move(unit), fixture.now));
+  CHECK(fixture.Outcome() == Outcome{ ResultCode::UnknownDatabase, RunState::NotRun });
+  EntryLimits limits;
+  limits.maxWaitingUnits = 0;
+  fixture.forwarder = Forwarder(limits, 1);
+  fixture.delivered.clear();
+  fixture.Submit();
+  CHECK(fixture.Outcome() == Outcome{ ResultCode::Overloaded, RunState::NotRun });
+}
