--- a/tests/entry/CallerSessionTests.cpp
+++ b/tests/entry/CallerSessionTests.cpp
@@ -72,7 +72,9 @@
   void Take(SessionOutput&& aOutput)
   {
     for (const MessageView& view : SplitMessages(aOutput.toCaller)) {
-      this->text += this->text.empty() ? "" : " ";
+      if (!this->text.empty()) {
+        this->text.push_back(' ');
+      }
       this->text.push_back(view.type);
       if (view.type == 'E') {
         this->text += ":" + ReadErrorFields(view.body).sqlstate;
