--- a/benchmarks/load_tool/PhaseCounters.cpp
+++ b/benchmarks/load_tool/PhaseCounters.cpp
@@ -31,8 +31,9 @@
   PrintLine(aPrefix + ".served", perSecond(this->served), "1/s");
   PrintLine(aPrefix + ".p50", this->latency.QuantileMs(0.5), "ms");
   PrintLine(aPrefix + ".p99", this->latency.QuantileMs(0.99), "ms");
+  const std::string refused = aPrefix + ".refused.";
   for (const auto& [sqlstate, count] : this->refusals) {
-    PrintLine(aPrefix + ".refused." + sqlstate, static_cast<double>(count), "requests");
+    PrintLine(refused + sqlstate, static_cast<double>(count), "requests");
   }
 }
 
--- a/tests/standin/FleetSettingsTests.cpp
+++ b/tests/standin/FleetSettingsTests.cpp
@@ -11,7 +11,8 @@
 // Guards against two slots on one port and groups without exactly one initial primary.
 TEST_CASE("The fleets of both users are consistent")
 {
-  for (const auto& [user, slotCount] : { std::pair{ "norrsten", 27U }, { "ramdeen", 18U } }) {
+  for (const auto& [user, slotCount] :
+       { std::pair{ "norrsten", std::size_t{ 27 } }, { "ramdeen", 18 } }) {
     const FleetSettings fleet =
       ReadFleetFile(std::string(OL_DEPLOY_FOLDER) + "/" + user + "/stand-ins.yaml");
     INFO(user << " " << fleet.error);
--- a/tests/standin/PgConnection.cpp
+++ b/tests/standin/PgConnection.cpp
@@ -31,12 +31,14 @@
     result.message = PQresultErrorMessage(aResult);
     return result;
   }
+  result.columns.reserve(static_cast<std::size_t>(PQnfields(aResult)));
   result.tag = PQcmdStatus(const_cast<PGresult*>(aResult));
   for (int column = 0; column < PQnfields(aResult); ++column) {
     result.columns.emplace_back(PQfname(aResult, column));
   }
   for (int row = 0; row < PQntuples(aResult); ++row) {
     std::vector<std::string> values;
+    values.reserve(static_cast<std::size_t>(PQnfields(aResult)));
     for (int column = 0; column < PQnfields(aResult); ++column) {
       values.emplace_back(
         PQgetisnull(aResult, row, column) != 0 ? "<null>" : PQgetvalue(aResult, row, column));
