Test the storage of control members

Cause: the write-ahead log must keep acknowledged records through crashes, full disks and sync errors.

--- /dev/null
+++ b/tests/storage/MemberStorageTests.cpp
@@ -0,0 +1,285 @@
+#include "tests/storage/MemoryFileSystem.hpp"
+
+#include "oleanderledge/consensus/consensus.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <cstdlib>
+#include <filesystem>
+
+using namespace oleanderledge;
+
+namespace {
+
+const std::string kFolder = "data";
+const std::string kLogPath = "data/log";
+
+PersistBatch BatchOf(std::uint64_t aTerm, std::vector<LogEntry> aEntries)
+{
+  PersistBatch batch;
+  batch.hardState = { aTerm, "voted-for" };
+  batch.entries = std::move(aEntries);
+  return batch;
+}
+
+PersistBatch SnapshotBatch(std::uint64_t aIndex, std::vector<LogEntry> aEntries)
+{
+  PersistBatch batch = BatchOf(2, std::move(aEntries));
+  batch.snapshot = RaftSnapshot{
+    aIndex, 1, std::make_shared<const std::string>(EncodeSnapshotContent({}, "state"))
+  };
+  return batch;
+}
+
+Result<void> PersistOne(MemberStorage& aStorage, const PersistBatch& aBatch)
+{
+  return aStorage.Persist(std::span(&aBatch, 1));
+}
+
+std::unique_ptr<MemberStorage> OpenStorage(FileSystem& aFiles)
+{
+  auto opened = MemberStorage::Open(aFiles, kFolder);
+  REQUIRE(opened);
+  return std::move(opened.value());
+}
+
+ResultCode OpenCode(FileSystem& aFiles)
+{
+  const auto opened = MemberStorage::Open(aFiles, kFolder);
+  return opened ? ResultCode::Ok : opened.error().code;
+}
+
+/// A folder with three records: entries 1, 2 and 3 of term 1.
+class WalWithThreeRecords
+{
+public:
+  WalWithThreeRecords()
+  {
+    const auto storage = OpenStorage(this->files);
+    for (std::uint64_t index = 1; index <= 3; ++index) {
+      this->starts.at(index - 1) = this->files.Bytes(kLogPath).size();
+      REQUIRE(PersistOne(*storage, BatchOf(1, { { 1, index, "command" } })));
+    }
+    this->bytes = this->files.Bytes(kLogPath);
+  }
+
+  MemoryFileSystem files;
+  std::array<std::size_t, 3> starts{}; ///< Where each record starts.
+  std::string bytes;
+};
+
+/// The writes of a member over some time, for crashes at each point. Returns how many succeeded.
+std::size_t WriteHistory(MemberStorage& aStorage)
+{
+  const std::vector<PersistBatch> batches{
+    BatchOf(1, { { 1, 1, "a" } }),
+    BatchOf(1, { { 1, 2, "b" }, { 1, 3, "c" } }),
+    SnapshotBatch(2, { { 1, 3, "c" } }),
+    BatchOf(2, { { 2, 3, "d" } }),
+    SnapshotBatch(9, {}),
+    BatchOf(3, { { 3, 10, "e" } }),
+  };
+  std::size_t written = 0;
+  for (const PersistBatch& batch : batches) {
+    if (!PersistOne(aStorage, batch)) {
+      break;
+    }
+    ++written;
+  }
+  return written;
+}
+
+std::uint64_t LastIndexOf(const PersistentState& aState)
+{
+  if (!aState.entries.empty()) {
+    return aState.entries.back().index;
+  }
+  return aState.snapshot ? aState.snapshot->lastIndex : 0;
+}
+
+} // namespace
+
+TEST_CASE("A reopened folder has its identity, hard state, snapshot and entries")
+{
+  MemoryFileSystem files;
+  auto storage = OpenStorage(files);
+  const std::string id = storage->MemberId();
+  CHECK(id.size() == 32);
+  CHECK(WriteHistory(*storage) == 6);
+  storage = OpenStorage(files);
+  CHECK(storage->MemberId() == id);
+  const PersistentState loaded = storage->TakeLoaded();
+  CHECK(loaded.hardState == HardState{ 3, "voted-for" });
+  REQUIRE(loaded.snapshot);
+  CHECK(loaded.snapshot->lastIndex == 9);
+  REQUIRE(loaded.entries.size() == 1);
+  CHECK(loaded.entries[0].command == "e");
+  MemoryFileSystem other;
+  CHECK(OpenStorage(other)->MemberId() != id);
+}
+
+// Guards against an entry that survives although the leader replaced it.
+TEST_CASE("A later entry replaces stored entries with the same or a higher index")
+{
+  MemoryFileSystem files;
+  const auto storage = OpenStorage(files);
+  REQUIRE(PersistOne(*storage, BatchOf(1, { { 1, 1, "a" }, { 1, 2, "b" }, { 1, 3, "c" } })));
+  REQUIRE(PersistOne(*storage, BatchOf(2, { { 2, 2, "d" } })));
+  const PersistentState loaded = OpenStorage(files)->TakeLoaded();
+  REQUIRE(loaded.entries.size() == 2);
+  CHECK(loaded.entries[1].command == "d");
+}
+
+// Guards against an instance that cannot start after a crash in the middle of a write.
+TEST_CASE_METHOD(WalWithThreeRecords, "WalTornLastRecordIsCut: only the last record is lost")
+{
+  for (std::size_t size = this->starts[2] + 1; size < this->bytes.size(); ++size) {
+    this->files.Bytes(kLogPath) = this->bytes.substr(0, size);
+    CHECK(OpenStorage(this->files)->TakeLoaded().entries.size() == 2);
+    CHECK(this->files.Bytes(kLogPath).size() == this->starts[2]);
+  }
+  // A file system may extend the file before the content arrives.
+  this->files.Bytes(kLogPath) = this->bytes + std::string(100, '\0');
+  CHECK(OpenStorage(this->files)->TakeLoaded().entries.size() == 3);
+}
+
+// Guards against silently dropping acknowledged records after a damaged one, also when the damage
+// makes the record look longer than the file.
+TEST_CASE_METHOD(WalWithThreeRecords,
+                 "WalDamageBeforeLastRecordIsReported: the folder fails and stays as it is")
+{
+  for (std::size_t at = 0; at < this->starts[2]; ++at) {
+    for (const unsigned mask : { 0x01U, 0x80U, 0xFFU }) {
+      std::string damaged = this->bytes;
+      damaged[at] = static_cast<char>(static_cast<unsigned char>(damaged[at]) ^ mask);
+      this->files.Bytes(kLogPath) = damaged;
+      CHECK(OpenCode(this->files) == ResultCode::StorageCorrupt);
+      CHECK(this->files.Bytes(kLogPath) == damaged);
+    }
+  }
+}
+
+TEST_CASE_METHOD(WalWithThreeRecords, "WalMissingRecordIsReported: numbers have no gap")
+{
+  this->files.Bytes(kLogPath) =
+    this->bytes.substr(0, this->starts[1]) + this->bytes.substr(this->starts[2]);
+  CHECK(OpenCode(this->files) == ResultCode::StorageCorrupt);
+}
+
+// Guards against an identity that votes a second time because its votes are gone.
+TEST_CASE_METHOD(WalWithThreeRecords, "FolderWithMissingFileIsReported: no new identity is made")
+{
+  SECTION("log")
+  {
+    this->files.Erase(kLogPath);
+  }
+  SECTION("identity")
+  {
+    this->files.Erase("data/identity");
+  }
+  CHECK(OpenCode(this->files) == ResultCode::StorageCorrupt);
+}
+
+TEST_CASE("A damaged snapshot or identity is reported")
+{
+  MemoryFileSystem files;
+  WriteHistory(*OpenStorage(files));
+  const std::string path = GENERATE(std::string("data/snapshot"), std::string("data/identity"));
+  const std::string intact = files.Bytes(path);
+  for (std::size_t at = 0; at < intact.size(); ++at) {
+    files.Bytes(path) = intact;
+    files.Bytes(path)[at] ^= 0x10;
+    CHECK(OpenCode(files) == ResultCode::StorageCorrupt);
+  }
+}
+
+// Guards against losing the rest of a record when the system writes less than asked for.
+TEST_CASE("Short writes are continued")
+{
+  MemoryFileSystem files;
+  files.maxAppend = 3;
+  CHECK(WriteHistory(*OpenStorage(files)) == 6);
+  CHECK(LastIndexOf(OpenStorage(files)->TakeLoaded()) == 10);
+}
+
+// Guards against acknowledging what is not durable: after an error the state of the file is
+// unknown, and a repeated sync may report success although pages were dropped.
+TEST_CASE("After a full disk or a failed sync nothing more is acknowledged")
+{
+  MemoryFileSystem files;
+  const auto storage = OpenStorage(files);
+  REQUIRE(PersistOne(*storage, BatchOf(1, { { 1, 1, "a" } })));
+  SECTION("full disk in the middle of a record")
+  {
+    files.freeBytes = 5;
+  }
+  SECTION("failed sync")
+  {
+    files.failSyncs = true;
+  }
+  const auto failed = PersistOne(*storage, BatchOf(1, { { 1, 2, "b" } }));
+  REQUIRE_FALSE(failed);
+  CHECK(failed.error().code == ResultCode::StorageWriteFailed);
+  files.freeBytes = SIZE_MAX;
+  files.failSyncs = false;
+  const std::string bytes = files.Bytes(kLogPath);
+  CHECK_FALSE(PersistOne(*storage, BatchOf(1, { { 1, 2, "b" } })));
+  CHECK(files.Bytes(kLogPath) == bytes);
+  std::mt19937_64 random(1);
+  files.Crash(random);
+  CHECK(OpenStorage(files)->TakeLoaded().entries.at(0).command == "a");
+}
+
+// Guards against a crash between any two file operations that loses an acknowledged batch or leaves
+// a folder that cannot be opened.
+TEST_CASE("A crash at any file operation keeps every acknowledged batch")
+{
+  // Last index after each acknowledged batch of WriteHistory().
+  constexpr std::array<std::uint64_t, 7> kLastIndexes{ 0, 1, 3, 3, 3, 9, 10 };
+  constexpr std::array<std::uint64_t, 7> kTerms{ 0, 1, 1, 2, 2, 2, 3 };
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937_64 random(seed);
+    bool hasCompleted = false;
+    for (std::size_t failFrom = 1; !hasCompleted; ++failFrom) {
+      MemoryFileSystem files;
+      files.failFrom = failFrom;
+      std::size_t written = 0;
+      {
+        auto opened = MemberStorage::Open(files, kFolder);
+        written = opened ? WriteHistory(*opened.value()) : 0;
+      }
+      hasCompleted = written == 6;
+      files.Crash(random);
+      const auto storage = OpenStorage(files);
+      const PersistentState loaded = storage->TakeLoaded();
+      INFO("seed " << seed << ", operation " << failFrom << ", acknowledged " << written);
+      CHECK(LastIndexOf(loaded) >= kLastIndexes.at(written));
+      CHECK(loaded.hardState.term >= kTerms.at(written));
+      // The folder can be written to again.
+      CHECK(PersistOne(*storage, BatchOf(9, {})));
+    }
+  }
+}
+
+TEST_CASE("A folder on the real file system can be written, reopened and is locked")
+{
+  std::string pattern = std::filesystem::temp_directory_path() / "ol_test_storage_XXXXXX";
+  REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+  const std::string folder = pattern + "/member";
+  {
+    PosixFileSystem files;
+    auto opened = MemberStorage::Open(files, folder);
+    REQUIRE(opened);
+    CHECK(WriteHistory(*opened.value()) == 6);
+    PosixFileSystem second;
+    const auto refused = MemberStorage::Open(second, folder);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().code == ResultCode::StorageOpenFailed);
+  }
+  PosixFileSystem files;
+  auto opened = MemberStorage::Open(files, folder);
+  REQUIRE(opened);
+  CHECK(LastIndexOf(opened.value()->TakeLoaded()) == 10);
+  std::filesystem::remove_all(pattern);
+}
