--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -72,7 +72,8 @@
   // The lost voter is removed before the learner is promoted. The other order would need the same
   // number of live members but would also make the commit depend on the newest copy.
   const ControlMember* lost = this->LostVoter(aNode, aNow);
-  if (learner != nullptr && lost != nullptr) {
+  const bool isReplaceable = CountVoters(members) <= this->settings.voterGoal;
+  if (learner != nullptr && lost != nullptr && isReplaceable) {
     return Without(members, lost->id);
   }
   for (const ControlMember& member : members) {
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -23,9 +23,9 @@
 struct ConsensusDriverSettings
 {
   std::string dataFolder;
-  /// The instances that form the group at its first start; the number of voters to keep. The same
-  /// list on all of them. Later it serves as a list of addresses at which the group can be found. A
-  /// spare or relay that is not in the list joins as a learner.
+  /// The instances that form the group at its first start; their number is the number of voters to
+  /// keep. All control instances have the same list, also spares and relays that are not in it: they
+  /// join as learners and may be promoted. Later the list says where the group can be found.
   std::vector<InitialMember> initialMembers;
   /// Further link addresses of control instances, "ip:port".
   std::vector<std::string> peerAddresses;
@@ -78,8 +78,8 @@
   void Stop();
 
   /// Uses an accepted link to a control instance. The driver handles the consensus messages that
-  /// arrive on it itself; the daemon may handle others, for example RelayedHeartbeats, with its own
-  /// connection to LinkConnection::Received.
+  /// arrive on it and emits OtherMessage for others, for example RelayedHeartbeats. The link stays
+  /// with its owner.
   void AddLink(LinkConnection* aLink);
 
   /// Handles a consensus message that arrived on a link which is not known to the driver. Returns
--- a/tests/storage/MemberStorageTests.cpp
+++ b/tests/storage/MemberStorageTests.cpp
@@ -262,6 +262,18 @@
   }
 }
 
+// Guards against a log that goes on after its snapshot could not be stored.
+TEST_CASE("After a failed snapshot nothing more is acknowledged")
+{
+  MemoryFileSystem files;
+  const auto storage = OpenStorage(files);
+  REQUIRE(PersistOne(*storage, BatchOf(1, { { 1, 1, "a" } })));
+  files.failSyncs = true;
+  REQUIRE_FALSE(PersistOne(*storage, SnapshotBatch(1, {})));
+  files.failSyncs = false;
+  CHECK_FALSE(PersistOne(*storage, BatchOf(1, { { 1, 2, "b" } })));
+}
+
 TEST_CASE("A folder on the real file system can be written, reopened and is locked")
 {
   std::string pattern = std::filesystem::temp_directory_path() / "ol_test_storage_XXXXXX";
