Run the control daemon on the consensus driver

Cause: the daemon used a log with one member and no storage. Change: DriverGroup runs ConsensusDriver with the data folder; heartbeats are relayed over its member links; the local log moves to the tests. The announcement monitor gets a name of its own.

--- a/src/oleanderledge/control/BackendMonitor.hpp
+++ b/src/oleanderledge/control/AnnouncementMonitor.hpp
@@ -11,7 +11,7 @@
 namespace oleanderledge {
 
 /// What this control member knows about one slot.
-struct BackendView
+struct SlotView
 {
   Announcement last;
   Instant announcedAt{};
@@ -27,10 +27,10 @@
 
 /// Announcements and call results of backend servers. Volatile. Every control member keeps it, as
 /// backend servers announce themselves to all of them, so a new leader knows the slots at once.
-class BackendMonitor
+class AnnouncementMonitor
 {
 public:
-  using BackendViews = std::map<std::string, BackendView, std::less<>>;
+  using SlotViews = std::map<std::string, SlotView, std::less<>>;
 
   /// A new leader counts silence from `aNow` for slots that it has not heard.
   void SetSince(Instant aNow) { this->since = aNow; }
@@ -47,10 +47,13 @@
                        Instant aNow);
   void Forget(std::string_view aDatabase, std::string_view aSlot);
 
-  const BackendView* Find(std::string_view aDatabase, std::string_view aSlot) const;
+  const SlotView* Find(std::string_view aDatabase, std::string_view aSlot) const;
   /// Slots of a database, or null.
-  const BackendViews* FindDatabase(std::string_view aDatabase) const;
-  const std::map<std::string, BackendViews, std::less<>>& Databases() const { return this->databases; }
+  const SlotViews* FindDatabase(std::string_view aDatabase) const;
+  const std::map<std::string, SlotViews, std::less<>>& Databases() const
+  {
+    return this->databases;
+  }
 
   /// Time since the slot was last announced at all.
   Duration Silence(std::string_view aDatabase, std::string_view aSlot, Instant aNow) const;
@@ -69,7 +72,7 @@
 
 private:
   Instant since{};
-  std::map<std::string, BackendViews, std::less<>> databases;
+  std::map<std::string, SlotViews, std::less<>> databases;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/ControlLeader.hpp
+++ b/src/oleanderledge/control/ControlLeader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderledge/control/AnnouncementMonitor.hpp"
 #include "oleanderledge/control/ControlAction.hpp"
 #include "oleanderledge/control/ControlState.hpp"
 #include "oleanderledge/control/ControlTimings.hpp"
@@ -7,7 +8,6 @@
 #include "oleanderledge/control/FleetMonitor.hpp"
 #include "oleanderledge/control/LeaseTable.hpp"
 #include "oleanderledge/control/OwnershipIndex.hpp"
-#include "oleanderledge/control/BackendMonitor.hpp"
 
 #include <cstdint>
 #include <map>
@@ -63,7 +63,7 @@
                        ControlActions& aActions);
 
   const FleetMonitor& Fleet() const { return this->fleet; }
-  const BackendMonitor& Slots() const { return this->slots; }
+  const AnnouncementMonitor& Slots() const { return this->slots; }
 
   /// Proxies that do not have a directory version in force: live ones that reported an older one,
   /// and registered ones that this leader has not heard yet.
@@ -91,7 +91,7 @@
   const ControlState& state;
   ControlTimings timings;
   FleetMonitor fleet;
-  BackendMonitor slots;
+  AnnouncementMonitor slots;
   LeaseTable leases;
   OwnershipIndex ownership;
   FailoverCoordinator coordinator;
--- a/src/oleanderledge/control/ControlSettings.hpp
+++ b/src/oleanderledge/control/ControlSettings.hpp
@@ -16,7 +16,8 @@
   InstanceInfo instance;
   /// Link addresses ("ip:port") of the other control processes.
   std::vector<std::string> peers;
-  /// Voting members that found the group. Used only if the data folder is empty.
+  /// Instances that found the group at its first start, the same list on all of them. Their member
+  /// ids are not known yet and ignored. Later the list serves to find the group.
   std::vector<ControlMember> initialMembers;
   std::string dataFolder;
 
--- a/src/oleanderledge/control/FailoverCoordinator.cpp
+++ b/src/oleanderledge/control/FailoverCoordinator.cpp
@@ -24,7 +24,7 @@
 
 FailoverCoordinator::FailoverCoordinator(const ControlState& aState,
                                          const FleetMonitor& aFleet,
-                                         const BackendMonitor& aSlots,
+                                         const AnnouncementMonitor& aSlots,
                                          const OwnershipIndex& aOwnership,
                                          LeaseTable& aLeases,
                                          const ControlTimings& aTimings)
@@ -160,9 +160,9 @@
   if (aNow - aProgress.firstSeen < this->timings.settleTime) {
     return false;
   }
-  const BackendView* best = nullptr;
+  const SlotView* best = nullptr;
   for (const SlotRow& slot : aRecord.row.slots) {
-    const BackendView* view = this->slots.Find(aRecord.row.name, slot.name);
+    const SlotView* view = this->slots.Find(aRecord.row.name, slot.name);
     if (view == nullptr || !view->last.isPrimary || slot.silent ||
         (best != nullptr && best->last.term >= view->last.term)) {
       continue;
@@ -203,7 +203,7 @@
 bool FailoverCoordinator::PrimaryStepsDown(const DatabaseRecord& aRecord, Instant aNow) const
 {
   const DatabaseRow& row = aRecord.row;
-  const BackendView* view = this->slots.Find(row.name, row.primary);
+  const SlotView* view = this->slots.Find(row.name, row.primary);
   return view != nullptr && view->announcedAt != Instant{} && !view->last.isPrimary &&
          aNow - view->announcedAt < this->timings.primarySilentAfter;
 }
@@ -538,7 +538,7 @@
                                             ControlActions& aActions)
 {
   const DatabaseRow& row = aRecord.row;
-  const BackendView* view = this->slots.Find(row.name, row.primary);
+  const SlotView* view = this->slots.Find(row.name, row.primary);
   const bool isAnnounced = view != nullptr && view->last.isPrimary && view->last.term == row.term;
   if (aProgress.confirmedTerm == row.term || isAnnounced) {
     if (aProgress.timeline && !aProgress.timeline->confirmed) {
--- a/src/oleanderledge/control/FailoverCoordinator.hpp
+++ b/src/oleanderledge/control/FailoverCoordinator.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderledge/control/AnnouncementMonitor.hpp"
 #include "oleanderledge/control/ControlAction.hpp"
 #include "oleanderledge/control/ControlState.hpp"
 #include "oleanderledge/control/ControlTimings.hpp"
@@ -9,7 +10,6 @@
 #include "oleanderledge/control/OwnerAssignment.hpp"
 #include "oleanderledge/control/OwnershipIndex.hpp"
 #include "oleanderledge/control/PacingBudget.hpp"
-#include "oleanderledge/control/BackendMonitor.hpp"
 
 #include <map>
 #include <set>
@@ -27,7 +27,7 @@
 public:
   FailoverCoordinator(const ControlState& aState,
                       const FleetMonitor& aFleet,
-                      const BackendMonitor& aSlots,
+                      const AnnouncementMonitor& aSlots,
                       const OwnershipIndex& aOwnership,
                       LeaseTable& aLeases,
                       const ControlTimings& aTimings);
@@ -171,7 +171,7 @@
 
   const ControlState& state;
   const FleetMonitor& fleet;
-  const BackendMonitor& slots;
+  const AnnouncementMonitor& slots;
   const OwnershipIndex& ownership;
   LeaseTable& leases;
   ControlTimings timings;
--- a/src/oleanderledge/control/SlotUpkeep.cpp
+++ b/src/oleanderledge/control/SlotUpkeep.cpp
@@ -35,7 +35,7 @@
 
 std::optional<ControlCommand> SlotUpkeep::NextChange(std::string_view aDatabase,
                                                      const DatabaseRecord* aRecord,
-                                                     const BackendMonitor& aSlots,
+                                                     const AnnouncementMonitor& aSlots,
                                                      const ControlTimings& aTimings,
                                                      Instant aNow)
 {
--- a/src/oleanderledge/control/SlotUpkeep.hpp
+++ b/src/oleanderledge/control/SlotUpkeep.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "oleanderledge/control/AnnouncementMonitor.hpp"
 #include "oleanderledge/control/ControlCommand.hpp"
 #include "oleanderledge/control/ControlTimings.hpp"
 #include "oleanderledge/control/DatabaseTable.hpp"
-#include "oleanderledge/control/BackendMonitor.hpp"
 
 #include <optional>
 
@@ -16,7 +16,7 @@
   /// The next change that the announcements call for. `aRecord` is null for an unknown database.
   static std::optional<ControlCommand> NextChange(std::string_view aDatabase,
                                                   const DatabaseRecord* aRecord,
-                                                  const BackendMonitor& aSlots,
+                                                  const AnnouncementMonitor& aSlots,
                                                   const ControlTimings& aTimings,
                                                   Instant aNow);
 };
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -1,10 +1,10 @@
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
 
 #include "oleanderledge/control/internal/ControlJson.hpp"
+#include "oleanderledge/control/internal/DirectoryPublisher.hpp"
+#include "oleanderledge/control/internal/DriverGroup.hpp"
 #include "oleanderledge/control/internal/HeartbeatRelay.hpp"
 #include "oleanderledge/control/internal/LibpqBackendAdmin.hpp"
-#include "oleanderledge/control/internal/LocalGroup.hpp"
-#include "oleanderledge/control/internal/DirectoryPublisher.hpp"
 
 #include <QJsonArray>
 
@@ -18,13 +18,10 @@
 constexpr Duration kOwnHeartbeatInterval = std::chrono::milliseconds(200);
 constexpr int kHttpUnavailable = 503;
 
-ControlDaemon::GroupFactory LocalGroupFactory(const ControlSettings& aSettings)
+ControlDaemon::GroupFactory DriverGroupFactory(const ControlSettings& aSettings)
 {
-  const ControlMember self{
-    aSettings.instance.id, aSettings.instance.id, aSettings.instance.linkAddress, true
-  };
-  return [self](ReplicatedState& aState, LeadershipListener& aListener) {
-    return std::make_unique<LocalGroup>(self, aState, aListener);
+  return [&aSettings](ReplicatedState& aState, LeadershipListener& aListener) {
+    return std::make_unique<DriverGroup>(aSettings, aState, aListener);
   };
 }
 
@@ -38,7 +35,7 @@
 ControlDaemon::ControlDaemon(const ControlSettings& aSettings, QObject* aParent)
   : ControlDaemon(
       aSettings,
-      LocalGroupFactory(aSettings),
+      DriverGroupFactory(aSettings),
       std::make_unique<LibpqBackendAdmin>(aSettings.backendUser, aSettings.backendTimeout, nullptr),
       aParent)
 {
@@ -142,8 +139,7 @@
 
 bool ControlDaemon::IsCurrentLeader() const
 {
-  return this->leader.IsLeading() &&
-         this->Log().HasLeaderLease(MonotonicNow());
+  return this->leader.IsLeading() && this->Log().HasLeaderLease(MonotonicNow());
 }
 
 std::string ControlDaemon::LeaderHttpAddress() const
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -5,8 +5,8 @@
 #include "oleanderledge/control/ControlSettings.hpp"
 #include "oleanderledge/control/ControlState.hpp"
 #include "oleanderledge/control/internal/BackendAdmin.hpp"
-#include "oleanderledge/control/internal/ControlHttp.hpp"
 #include "oleanderledge/control/internal/ControlGroup.hpp"
+#include "oleanderledge/control/internal/ControlHttp.hpp"
 #include "oleanderledge/control/internal/ObservedState.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
--- a/src/oleanderledge/control/internal/ControlJson.cpp
+++ b/src/oleanderledge/control/internal/ControlJson.cpp
@@ -139,7 +139,7 @@
   return "dead";
 }
 
-QJsonObject DatabaseToJson(const DatabaseRow& aRow, const BackendMonitor& aSlots)
+QJsonObject DatabaseToJson(const DatabaseRow& aRow, const AnnouncementMonitor& aSlots)
 {
   QJsonArray slotArray;
   for (const SlotRow& slot : aRow.slots) {
--- /dev/null
+++ b/src/oleanderledge/control/internal/DriverGroup.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "oleanderledge/consensus/internal/ConsensusDriver.hpp"
+#include "oleanderledge/control/ControlSettings.hpp"
+#include "oleanderledge/control/internal/ControlGroup.hpp"
+#include "oleanderledge/storage/storage.hpp"
+
+#include <memory>
+
+namespace oleanderledge {
+
+/// The control group on the replicated log of the consensus library, with the data folder of this
+/// instance.
+class DriverGroup : public ControlGroup
+{
+public:
+  DriverGroup(const ControlSettings& aSettings,
+              ReplicatedState& aState,
+              LeadershipListener& aListener);
+
+  Result<void> Start(MessageHandler aOnMessage, FailureHandler aOnFailure) override;
+  void Stop() override { this->driver.Stop(); }
+  ReplicatedLog& Log() override { return this->driver; }
+  const ReplicatedLog& Log() const override { return this->driver; }
+  void AddLink(LinkConnection* aLink) override { this->driver.AddLink(aLink); }
+  bool SendToInstance(const std::string& aInstance, const Message& aMessage) override
+  {
+    return this->driver.SendToInstance(aInstance, aMessage);
+  }
+
+private:
+  PosixFileSystem files;
+  ConsensusDriver driver;
+};
+
+} // namespace oleanderledge
--- a/tests/control/ControlDaemonTests.cpp
+++ b/tests/control/ControlDaemonTests.cpp
@@ -1,65 +1,18 @@
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
-#include "oleanderledge/control/internal/LocalGroup.hpp"
+#include "tests/control/LocalGroup.hpp"
 
 #include "tests/control/FakeBackends.hpp"
+#include "tests/control/HttpTestClient.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QEventLoop>
 #include <QJsonArray>
 #include <QJsonDocument>
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
-#include <QTcpServer>
 
 using namespace oleanderledge;
 
 namespace {
 
-void EnsureApplication()
-{
-  static int argumentCount = 1;
-  static char name[] = "test";
-  static char* arguments[] = { name, nullptr };
-  static QCoreApplication application(argumentCount, arguments);
-}
-
-/// Runs the event loop until a condition holds. Returns false after 5 s.
-bool WaitUntil(const std::function<bool()>& aCondition)
-{
-  QElapsedTimer timer;
-  timer.start();
-  while (!aCondition()) {
-    if (timer.elapsed() > 5000) {
-      return false;
-    }
-    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
-  }
-  return true;
-}
-
-std::string FreeAddress()
-{
-  QTcpServer server;
-  server.listen(QHostAddress::LocalHost);
-  return "127.0.0.1:" + std::to_string(server.serverPort());
-}
-
-struct HttpAnswer
-{
-  int status = 0;
-  QJsonObject body;
-};
-
-/// Created before the members of the fixture, some of which need it.
-class WithApplication
-{
-public:
-  WithApplication() { EnsureApplication(); }
-};
-
 /// A control daemon with one member, one proxy link and HTTP access.
 class DaemonFixture : private WithApplication
 {
@@ -84,17 +37,7 @@
 
   HttpAnswer Request(const std::string& aPath, const QByteArray& aBody = {})
   {
-    QNetworkRequest request(
-      QUrl(QString::fromStdString("http://" + this->settings.instance.httpAddress + aPath)));
-    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
-    QNetworkReply* reply =
-      aBody.isEmpty() ? this->network.get(request) : this->network.post(request, aBody);
-    WaitUntil([reply] { return reply->isFinished(); });
-    HttpAnswer answer;
-    answer.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    answer.body = QJsonDocument::fromJson(reply->readAll()).object();
-    reply->deleteLater();
-    return answer;
+    return this->http.Request(this->settings.instance.httpAddress, aPath, aBody);
   }
 
   /// Announces one slot with the next sequence number.
@@ -153,7 +96,7 @@
   ControlSettings settings;
   FakeBackends* backends = nullptr;
   std::unique_ptr<ControlDaemon> daemon;
-  QNetworkAccessManager network;
+  HttpTestClient http;
   int sequence = 0;
   InstanceInfo proxyInfo;
   std::unique_ptr<LinkConnection> link;
--- /dev/null
+++ b/tests/control/ControlGroupTests.cpp
@@ -0,0 +1,155 @@
+#include "oleanderledge/control/internal/ControlDaemon.hpp"
+
+#include "tests/control/HttpTestClient.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <QTemporaryDir>
+#include <QTimer>
+
+#include <array>
+
+using namespace oleanderledge;
+
+namespace {
+
+constexpr std::size_t kMembers = 3;
+
+/// Three control daemons on loopback with data folders, and one proxy link.
+class GroupFixture : private WithApplication
+{
+public:
+  GroupFixture()
+  {
+    for (std::size_t i = 0; i < kMembers; ++i) {
+      ControlSettings& own = this->settings[i];
+      own.instance = { "control-" + std::to_string(i + 1),
+                       i + 1,
+                       InstanceRole::Control,
+                       "dalarna/mora-1",
+                       FreeAddress(),
+                       FreeAddress(),
+                       false };
+      own.dataFolder = (this->folders[i].path() + "/data").toStdString();
+    }
+    for (ControlSettings& own : this->settings) {
+      for (const ControlSettings& other : this->settings) {
+        own.initialMembers.push_back({ "", other.instance.id, other.instance.linkAddress, true });
+        if (other.instance.id != own.instance.id) {
+          own.peers.push_back(other.instance.linkAddress);
+        }
+      }
+    }
+    for (std::size_t i = 0; i < kMembers; ++i) {
+      this->StartMember(i);
+    }
+  }
+
+  void StartMember(std::size_t aMember)
+  {
+    this->daemons[aMember] = std::make_unique<ControlDaemon>(this->settings[aMember], nullptr);
+    REQUIRE(this->daemons[aMember]->Start());
+  }
+
+  HttpAnswer Request(std::size_t aMember, const std::string& aPath, const QByteArray& aBody = {})
+  {
+    return this->http.Request(this->settings[aMember].instance.httpAddress, aPath, aBody);
+  }
+
+  /// Index of the leader according to a member, or kMembers.
+  std::size_t LeaderAsSeenBy(std::size_t aMember)
+  {
+    const QString leader = this->Request(aMember, "/v1/status").body["leader"].toString();
+    for (std::size_t i = 0; i < kMembers; ++i) {
+      if (leader.toStdString() == this->settings[i].instance.id) {
+        return i;
+      }
+    }
+    return kMembers;
+  }
+
+  std::array<QTemporaryDir, kMembers> folders;
+  std::array<ControlSettings, kMembers> settings;
+  std::array<std::unique_ptr<ControlDaemon>, kMembers> daemons;
+  HttpTestClient http;
+};
+
+QByteArray CreateClass(const char* aName, std::int64_t aVersion)
+{
+  return QByteArray(R"({"action":"create","target_ms":50,"name":")") + aName +
+         R"(","request_id":"id-)" + aName + R"(","version":)" +
+         QByteArray::number(qlonglong(aVersion)) + "}";
+}
+
+} // namespace
+
+// Guards 3.5: a request resent after the loss of the leader, or after a restart of all members,
+// gets its first response, and no accepted change is lost.
+TEST_CASE("A group answers a resent request alike after the loss of its leader and a restart")
+{
+  GroupFixture fixture;
+  REQUIRE(WaitUntil([&] { return fixture.LeaderAsSeenBy(0) < kMembers; }));
+  const std::size_t leader = fixture.LeaderAsSeenBy(0);
+  const std::size_t follower = (leader + 1) % kMembers;
+  REQUIRE(WaitUntil([&] { return fixture.LeaderAsSeenBy(follower) == leader; }));
+  const HttpAnswer first = fixture.Request(follower, "/v1/classes", CreateClass("bookings", 0));
+  REQUIRE(first.status == 200);
+
+  fixture.daemons[leader].reset();
+  REQUIRE(WaitUntil([&] {
+    const std::size_t next = fixture.LeaderAsSeenBy(follower);
+    return next < kMembers && next != leader;
+  }));
+  CHECK(fixture.Request(follower, "/v1/classes", CreateClass("bookings", 0)).body == first.body);
+  const HttpAnswer second = fixture.Request(
+    follower, "/v1/classes", CreateClass("reprints", first.body["version"].toInteger()));
+  REQUIRE(second.status == 200);
+
+  for (auto& daemon : fixture.daemons) {
+    daemon.reset();
+  }
+  for (std::size_t i = 0; i < kMembers; ++i) {
+    fixture.StartMember(i);
+  }
+  REQUIRE(WaitUntil([&] { return fixture.LeaderAsSeenBy(0) < kMembers; }));
+  CHECK(fixture.Request(0, "/v1/classes", CreateClass("reprints", 0)).status == 422);
+  CHECK(
+    fixture.Request(0, "/v1/classes", CreateClass("reprints", first.body["version"].toInteger()))
+      .body == second.body);
+  CHECK(fixture.Request(0, "/v1/classes").body["version"] == second.body["version"]);
+}
+
+// Guards the relay: a proxy that knows only a follower gets the leader's replies and new rows.
+TEST_CASE("A proxy connected to a follower gets accepted heartbeats and committed rows")
+{
+  GroupFixture fixture;
+  REQUIRE(WaitUntil([&] { return fixture.LeaderAsSeenBy(0) < kMembers; }));
+  const std::size_t follower = (fixture.LeaderAsSeenBy(0) + 1) % kMembers;
+  const InstanceInfo proxy{
+    "proxy-1", 7, InstanceRole::Proxy, "dalarna/mora-1", "127.0.0.1:1", "127.0.0.1:2", false
+  };
+  LinkConnection link(
+    proxy, fixture.settings[follower].instance.linkAddress, EmulatedLatency{}, nullptr);
+  Directory directory;
+  int acceptedReplies = 0;
+  QObject::connect(&link, &LinkConnection::Received, &link, [&](const Message& aMessage) {
+    if (const auto* update = std::get_if<DirectoryUpdate>(&aMessage)) {
+      directory.Apply(*update);
+    } else if (const auto* reply = std::get_if<HeartbeatReply>(&aMessage)) {
+      acceptedReplies += reply->accepted ? 1 : 0;
+    }
+  });
+  QTimer timer;
+  std::uint64_t sequence = 0;
+  QObject::connect(&timer, &QTimer::timeout, &link, [&] {
+    Heartbeat heartbeat;
+    heartbeat.instance = proxy;
+    heartbeat.sequence = ++sequence;
+    heartbeat.directoryVersion = directory.Version();
+    link.Send(heartbeat);
+  });
+  timer.start(50);
+  REQUIRE(WaitUntil([&] { return acceptedReplies >= 3; }));
+  REQUIRE(fixture.Request(follower, "/v1/classes", CreateClass("bookings", 0)).status == 200);
+  CHECK(WaitUntil([&] { return directory.FindClass("bookings") != nullptr; }));
+}
--- a/tests/control/ControlHarness.cpp
+++ b/tests/control/ControlHarness.cpp
@@ -341,11 +341,13 @@
   for (const SlotRow& row : aRow.slots) {
     const FakeSlot& slot = this->slots.at(row.name);
     Instant& reachedAt = aProxy.reachedAt[row.name];
-    const bool isReached = slot.alive && slot.answersCalls && !aProxy.unreachable.contains(row.name);
+    const bool isReached =
+      slot.alive && slot.answersCalls && !aProxy.unreachable.contains(row.name);
     if (isReached || reachedAt == Instant{}) {
       reachedAt = this->now;
     }
-    const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(this->now - reachedAt);
+    const auto silent =
+      std::chrono::duration_cast<std::chrono::milliseconds>(this->now - reachedAt);
     report.slots.push_back({ row.name,
                              isReached,
                              slot.isPrimary,
@@ -363,8 +365,8 @@
 
 void ControlHarness::ProposeInSync(FakeProxy& aProxy, const DatabaseRow& aRow, OwnerReport& aReport)
 {
-  const bool holdsLease = aProxy.lease.end > this->now &&
-                          aProxy.lease.epoch == aRow.ownerEpoch && aProxy.lease.term == aRow.term;
+  const bool holdsLease = aProxy.lease.end > this->now && aProxy.lease.epoch == aRow.ownerEpoch &&
+                          aProxy.lease.term == aRow.term;
   if (!holdsLease || aRow.phase != FailoverPhase::Steady || !FindSlot(aRow, aRow.primary)) {
     return;
   }
@@ -377,8 +379,8 @@
   std::set<std::string> members;
   for (const SlotRow& row : aRow.slots) {
     const FakeSlot& slot = this->slots.at(row.name);
-    const bool isCurrent = slot.alive && slot.term == aRow.term &&
-                           slot.received >= this->acknowledged;
+    const bool isCurrent =
+      slot.alive && slot.term == aRow.term && slot.received >= this->acknowledged;
     if (row.name == aRow.primary || isCurrent || aProxy.proposed.contains(row.name)) {
       members.insert(row.name);
     }
@@ -394,9 +396,7 @@
   }
 }
 
-void ControlHarness::Receive(const std::string& aProxy,
-                             const HeartbeatReply& aReply,
-                             Instant aSent)
+void ControlHarness::Receive(const std::string& aProxy, const HeartbeatReply& aReply, Instant aSent)
 {
   FakeProxy& proxy = this->proxies.at(aProxy);
   if (!proxy.alive || !proxy.connected || aReply.incarnation != proxy.instance.incarnation) {
--- a/tests/control/ControlInvariantTests.cpp
+++ b/tests/control/ControlInvariantTests.cpp
@@ -96,8 +96,7 @@
       const int event = *rc::gen::inRange(0, kEventCount);
       const bool flag = *rc::gen::arbitrary<bool>();
       const int pause = *rc::gen::element(10, 50, 200, 500, 1300, 3000);
-      harness.heartbeatDelay =
-        std::chrono::milliseconds(*rc::gen::element(1, 5, 40, 150));
+      harness.heartbeatDelay = std::chrono::milliseconds(*rc::gen::element(1, 5, 40, 150));
       RC_LOG() << "event " << event << " " << flag << " then " << pause << " ms\n";
       ApplyEvent(harness, event, flag);
       harness.Run(std::chrono::milliseconds(pause));
--- /dev/null
+++ b/tests/control/HttpTestClient.cpp
@@ -0,0 +1,57 @@
+#include "tests/control/HttpTestClient.hpp"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <QJsonDocument>
+#include <QNetworkReply>
+#include <QTcpServer>
+
+namespace oleanderledge {
+
+WithApplication::WithApplication()
+{
+  static int argumentCount = 1;
+  static char name[] = "test";
+  static char* arguments[] = { name, nullptr };
+  static QCoreApplication application(argumentCount, arguments);
+}
+
+bool WaitUntil(const std::function<bool()>& aCondition)
+{
+  constexpr int kLimitMs = 10'000;
+  QElapsedTimer timer;
+  timer.start();
+  while (!aCondition()) {
+    if (timer.elapsed() > kLimitMs) {
+      return false;
+    }
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+  return true;
+}
+
+std::string FreeAddress()
+{
+  QTcpServer server;
+  server.listen(QHostAddress::LocalHost);
+  return "127.0.0.1:" + std::to_string(server.serverPort());
+}
+
+HttpAnswer HttpTestClient::Request(const std::string& aAddress,
+                                   const std::string& aPath,
+                                   const QByteArray& aBody)
+{
+  QNetworkRequest request(QUrl(QString::fromStdString("http://" + aAddress + aPath)));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  QNetworkReply* reply =
+    aBody.isEmpty() ? this->network.get(request) : this->network.post(request, aBody);
+  WaitUntil([reply] { return reply->isFinished(); });
+  HttpAnswer answer;
+  answer.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  answer.body = QJsonDocument::fromJson(reply->readAll()).object();
+  reply->deleteLater();
+  return answer;
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/control/internal/LocalGroup.hpp
+++ b/tests/control/LocalGroup.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "oleanderledge/control/internal/ControlGroup.hpp"
-#include "oleanderledge/control/internal/LocalLog.hpp"
+#include "tests/control/LocalLog.hpp"
 
 namespace oleanderledge {
 
--- a/src/oleanderledge/control/internal/LocalLog.cpp
+++ b/tests/control/LocalLog.cpp
@@ -1,4 +1,4 @@
-#include "oleanderledge/control/internal/LocalLog.hpp"
+#include "tests/control/LocalLog.hpp"
 
 namespace oleanderledge {
 
