--- a/src/oleanderledge/control/AnnouncementMonitor.cpp
+++ b/src/oleanderledge/control/AnnouncementMonitor.cpp
@@ -27,9 +27,9 @@
 }
 
 void AnnouncementMonitor::NoteStatus(std::string_view aDatabase,
-                                std::string_view aSlot,
-                                const PlatformStatus& aStatus,
-                                Instant aNow)
+                                     std::string_view aSlot,
+                                     const PlatformStatus& aStatus,
+                                     Instant aNow)
 {
   SlotView& view = this->databases[std::string(aDatabase)][std::string(aSlot)];
   view.reachedAt = aNow;
@@ -37,8 +37,8 @@
 }
 
 void AnnouncementMonitor::NoteObservation(std::string_view aDatabase,
-                                     const SlotObservation& aObservation,
-                                     Instant aNow)
+                                          const SlotObservation& aObservation,
+                                          Instant aNow)
 {
   if (!aObservation.reachable) {
     return;
@@ -71,24 +71,25 @@
   return found == slots->end() ? nullptr : &found->second;
 }
 
-const AnnouncementMonitor::SlotViews* AnnouncementMonitor::FindDatabase(std::string_view aDatabase) const
+const AnnouncementMonitor::SlotViews* AnnouncementMonitor::FindDatabase(
+  std::string_view aDatabase) const
 {
   const auto found = this->databases.find(aDatabase);
   return found == this->databases.end() ? nullptr : &found->second;
 }
 
 Duration AnnouncementMonitor::Silence(std::string_view aDatabase,
-                                 std::string_view aSlot,
-                                 Instant aNow) const
+                                      std::string_view aSlot,
+                                      Instant aNow) const
 {
   const SlotView* view = this->Find(aDatabase, aSlot);
   return aNow - std::max(this->since, view == nullptr ? Instant{} : view->announcedAt);
 }
 
 Duration AnnouncementMonitor::PrimarySilence(std::string_view aDatabase,
-                                        std::string_view aSlot,
-                                        std::uint64_t aTerm,
-                                        Instant aNow) const
+                                             std::string_view aSlot,
+                                             std::uint64_t aTerm,
+                                             Instant aNow) const
 {
   const SlotView* view = this->Find(aDatabase, aSlot);
   const bool isKnown = view != nullptr && view->primaryTerm == aTerm;
@@ -96,9 +97,9 @@
 }
 
 bool AnnouncementMonitor::IsReachable(std::string_view aDatabase,
-                                 std::string_view aSlot,
-                                 Duration aWithin,
-                                 Instant aNow) const
+                                      std::string_view aSlot,
+                                      Duration aWithin,
+                                      Instant aNow) const
 {
   const SlotView* view = this->Find(aDatabase, aSlot);
   return view != nullptr && aNow - std::max(view->announcedAt, view->reachedAt) < aWithin;
--- a/src/oleanderledge/control/AnnouncementMonitor.hpp
+++ b/src/oleanderledge/control/AnnouncementMonitor.hpp
@@ -50,10 +50,7 @@
   const SlotView* Find(std::string_view aDatabase, std::string_view aSlot) const;
   /// Slots of a database, or null.
   const SlotViews* FindDatabase(std::string_view aDatabase) const;
-  const std::map<std::string, SlotViews, std::less<>>& Databases() const
-  {
-    return this->databases;
-  }
+  const std::map<std::string, SlotViews, std::less<>>& Databases() const { return this->databases; }
 
   /// Time since the slot was last announced at all.
   Duration Silence(std::string_view aDatabase, std::string_view aSlot, Instant aNow) const;
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -147,7 +147,13 @@
   if (!this->Log().HasCurrentLeader(MonotonicNow())) {
     return {};
   }
-  const auto found = this->state.Instances().find(this->Log().Leader().instance);
+  const std::string instance = this->Log().Leader().instance;
+  // A new leader may not have registered itself yet.
+  const auto peer = this->memberHttp.find(instance);
+  if (peer != this->memberHttp.end()) {
+    return peer->second;
+  }
+  const auto found = this->state.Instances().find(instance);
   return found == this->state.Instances().end() ? std::string{} : found->second.httpAddress;
 }
 
@@ -272,6 +278,7 @@
   if (this->isStopping) {
     return;
   }
+  this->memberHttp[aPeer.id] = aPeer.httpAddress;
   if (const auto* relayed = std::get_if<RelayedHeartbeats>(&aMessage)) {
     this->HandleRelayedHeartbeats(aPeer.id, *relayed);
   } else if (const auto* replies = std::get_if<RelayedReplies>(&aMessage)) {
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -110,6 +110,8 @@
   bool isStopping = false;
   /// Follower through which an instance's heartbeats arrive, by instance id.
   std::map<std::string, std::string> relayOf;
+  /// HTTP addresses of control instances that sent a message, by instance id.
+  std::map<std::string, std::string> memberHttp;
 };
 
 } // namespace oleanderledge
--- /dev/null
+++ b/tests/control/IncarnationTrackerTests.cpp
@@ -0,0 +1,23 @@
+#include "oleanderledge/control/IncarnationTracker.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace oleanderledge;
+using enum IncarnationVerdict;
+
+// Guards 3.3: each of these is logged as what it is, and none of them changes the slot.
+TEST_CASE("Duplicates, late messages, restarts and clones are told apart")
+{
+  IncarnationTracker tracker;
+  CHECK(tracker.Observe(1, 5) == First);
+  CHECK(tracker.Observe(1, 6) == Current);
+  CHECK(tracker.Observe(1, 6) == Duplicate);
+  CHECK(tracker.Observe(1, 4) == OldSequence);
+  CHECK(tracker.Observe(2, 1) == Restarted);
+  CHECK(tracker.Observe(1, 6) == OldIncarnation);
+  CHECK(tracker.Observe(1, 7) == OldIncarnation);
+  CHECK(tracker.Observe(2, 2) == Current);
+  CHECK(tracker.Observe(1, 8) == Clone);
+  CHECK(tracker.Observe(2, 3) == Current);
+  CHECK(tracker.Current() == 2);
+}
