--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -1,10 +1,10 @@
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
 
 #include "oleanderledge/control/internal/ControlJson.hpp"
+#include "oleanderledge/control/internal/DirectoryPublisher.hpp"
+#include "oleanderledge/control/internal/DriverGroup.hpp"
 #include "oleanderledge/control/internal/HeartbeatRelay.hpp"
 #include "oleanderledge/control/internal/LibpqBackendAdmin.hpp"
-#include "oleanderledge/control/internal/LocalGroup.hpp"
-#include "oleanderledge/control/internal/DirectoryPublisher.hpp"
 
 #include <QJsonArray>
 
@@ -18,13 +18,10 @@
 constexpr Duration kOwnHeartbeatInterval = std::chrono::milliseconds(200);
 constexpr int kHttpUnavailable = 503;
 
-ControlDaemon::GroupFactory LocalGroupFactory(const ControlSettings& aSettings)
+ControlDaemon::GroupFactory DriverGroupFactory(const ControlSettings& aSettings)
 {
-  const ControlMember self{
-    aSettings.instance.id, aSettings.instance.id, aSettings.instance.linkAddress, true
-  };
-  return [self](ReplicatedState& aState, LeadershipListener& aListener) {
-    return std::make_unique<LocalGroup>(self, aState, aListener);
+  return [&aSettings](ReplicatedState& aState, LeadershipListener& aListener) {
+    return std::make_unique<DriverGroup>(aSettings, aState, aListener);
   };
 }
 
@@ -38,7 +35,7 @@
 ControlDaemon::ControlDaemon(const ControlSettings& aSettings, QObject* aParent)
   : ControlDaemon(
       aSettings,
-      LocalGroupFactory(aSettings),
+      DriverGroupFactory(aSettings),
       std::make_unique<LibpqBackendAdmin>(aSettings.backendUser, aSettings.backendTimeout, nullptr),
       aParent)
 {
@@ -142,8 +139,7 @@
 
 bool ControlDaemon::IsCurrentLeader() const
 {
-  return this->leader.IsLeading() &&
-         this->Log().HasLeaderLease(MonotonicNow());
+  return this->leader.IsLeading() && this->Log().HasLeaderLease(MonotonicNow());
 }
 
 std::string ControlDaemon::LeaderHttpAddress() const
@@ -151,7 +147,13 @@
   if (!this->Log().HasCurrentLeader(MonotonicNow())) {
     return {};
   }
-  const auto found = this->state.Instances().find(this->Log().Leader().instance);
+  const std::string instance = this->Log().Leader().instance;
+  // A new leader may not have registered itself yet.
+  const auto peer = this->memberHttp.find(instance);
+  if (peer != this->memberHttp.end()) {
+    return peer->second;
+  }
+  const auto found = this->state.Instances().find(instance);
   return found == this->state.Instances().end() ? std::string{} : found->second.httpAddress;
 }
 
@@ -276,6 +278,7 @@
   if (this->isStopping) {
     return;
   }
+  this->memberHttp[aPeer.id] = aPeer.httpAddress;
   if (const auto* relayed = std::get_if<RelayedHeartbeats>(&aMessage)) {
     this->HandleRelayedHeartbeats(aPeer.id, *relayed);
   } else if (const auto* replies = std::get_if<RelayedReplies>(&aMessage)) {
