--- a/src/oleanderledge/owner/internal/DelayLine.cpp
+++ b/src/oleanderledge/owner/internal/BackendDelayLine.cpp
@@ -1,20 +1,20 @@
-#include "oleanderledge/owner/internal/DelayLine.hpp"
+#include "oleanderledge/owner/internal/BackendDelayLine.hpp"
 
 #include <algorithm>
 
 namespace oleanderledge {
 
-DelayLine::DelayLine(Duration aDelay, Sink aSink, QObject* aParent)
+BackendDelayLine::BackendDelayLine(Duration aDelay, Sink aSink, QObject* aParent)
   : QObject(aParent)
   , delay(aDelay)
   , sink(std::move(aSink))
 {
   this->timer.setSingleShot(true);
   this->timer.setTimerType(Qt::PreciseTimer);
-  QObject::connect(&this->timer, &QTimer::timeout, this, &DelayLine::Flush);
+  QObject::connect(&this->timer, &QTimer::timeout, this, &BackendDelayLine::Flush);
 }
 
-void DelayLine::Push(std::string aBytes)
+void BackendDelayLine::Push(std::string aBytes)
 {
   if (this->delay == Duration{ 0 }) {
     this->sink(aBytes);
@@ -24,7 +24,7 @@
   this->Flush();
 }
 
-void DelayLine::Flush()
+void BackendDelayLine::Flush()
 {
   while (!this->entries.empty() && this->entries.front().due <= MonotonicNow()) {
     const std::string bytes = std::move(this->entries.front().bytes);
--- a/src/oleanderledge/owner/internal/DelayLine.hpp
+++ b/src/oleanderledge/owner/internal/BackendDelayLine.hpp
@@ -12,14 +12,14 @@
 namespace oleanderledge {
 
 /// Hands bytes on after a fixed delay, in order. With a delay of 0 they are handed on at once.
-class DelayLine : public QObject
+class BackendDelayLine : public QObject
 {
   Q_OBJECT
 
 public:
   using Sink = std::function<void(const std::string&)>;
 
-  DelayLine(Duration aDelay, Sink aSink, QObject* aParent);
+  BackendDelayLine(Duration aDelay, Sink aSink, QObject* aParent);
 
   void Push(std::string aBytes);
 
--- a/src/oleanderledge/owner/internal/BackendMonitor.cpp
+++ b/src/oleanderledge/owner/internal/BackendMonitor.cpp
@@ -1,4 +1,4 @@
-#include "oleanderledge/owner/internal/SlotMonitor.hpp"
+#include "oleanderledge/owner/internal/BackendMonitor.hpp"
 
 namespace oleanderledge {
 
@@ -14,22 +14,22 @@
 
 } // namespace
 
-SlotMonitor::SlotMonitor(std::string aSlot,
-                         BackendEndpoint aEndpoint,
-                         Duration aInterval,
-                         QObject* aParent)
+BackendMonitor::BackendMonitor(std::string aSlot,
+                               BackendEndpoint aEndpoint,
+                               Duration aInterval,
+                               QObject* aParent)
   : QObject(aParent)
   , slot(std::move(aSlot))
   , endpoint(std::move(aEndpoint))
   , interval(aInterval)
 {
   this->timer.setTimerType(Qt::PreciseTimer);
-  QObject::connect(&this->timer, &QTimer::timeout, this, &SlotMonitor::Ask);
+  QObject::connect(&this->timer, &QTimer::timeout, this, &BackendMonitor::Ask);
   this->timer.start(std::chrono::ceil<std::chrono::milliseconds>(aInterval));
   this->Open();
 }
 
-void SlotMonitor::SetInterval(Duration aInterval)
+void BackendMonitor::SetInterval(Duration aInterval)
 {
   if (aInterval == this->interval) {
     return;
@@ -42,13 +42,13 @@
   }
 }
 
-void SlotMonitor::Open()
+void BackendMonitor::Open()
 {
   this->questions.clear();
   this->status.reset();
   this->socket = new BackendSocket(this->endpoint, this);
-  QObject::connect(this->socket, &BackendSocket::Ready, this, &SlotMonitor::Ask);
-  QObject::connect(this->socket, &BackendSocket::Received, this, &SlotMonitor::HandleMessage);
+  QObject::connect(this->socket, &BackendSocket::Ready, this, &BackendMonitor::Ask);
+  QObject::connect(this->socket, &BackendSocket::Received, this, &BackendMonitor::HandleMessage);
   // Queued, because the socket can fail inside its constructor. The call may arrive after the
   // socket was replaced.
   QObject::connect(
@@ -63,7 +63,7 @@
     Qt::QueuedConnection);
 }
 
-void SlotMonitor::HandleClosed()
+void BackendMonitor::HandleClosed()
 {
   if (this->socket == nullptr) {
     return;
@@ -72,10 +72,10 @@
   this->socket->deleteLater();
   this->socket = nullptr;
   Q_EMIT this->Unreachable();
-  QTimer::singleShot(kReopenDelayMs, this, &SlotMonitor::Open);
+  QTimer::singleShot(kReopenDelayMs, this, &BackendMonitor::Open);
 }
 
-void SlotMonitor::Ask()
+void BackendMonitor::Ask()
 {
   if (this->socket == nullptr || !this->socket->IsReady()) {
     return;
@@ -92,7 +92,7 @@
   this->socket->Send(BuildQuery(kStatusQuery));
 }
 
-void SlotMonitor::HandleMessage(const std::string& aMessage)
+void BackendMonitor::HandleMessage(const std::string& aMessage)
 {
   const auto views = SplitMessages(aMessage);
   if (views.empty()) {
@@ -110,7 +110,7 @@
   if (!this->status) {
     return;
   }
-  SlotStatus answer = *this->status;
+  SlotAnswer answer = *this->status;
   this->status.reset();
   answer.slot = this->slot;
   answer.askedAt = askedAt;
--- a/src/oleanderledge/owner/internal/BackendMonitor.hpp
+++ b/src/oleanderledge/owner/internal/BackendMonitor.hpp
@@ -14,12 +14,15 @@
 
 /// Asks one slot for its role and positions at an interval, over a connection of its own that it
 /// reopens when it is lost.
-class SlotMonitor : public QObject
+class BackendMonitor : public QObject
 {
   Q_OBJECT
 
 public:
-  SlotMonitor(std::string aSlot, BackendEndpoint aEndpoint, Duration aInterval, QObject* aParent);
+  BackendMonitor(std::string aSlot,
+                 BackendEndpoint aEndpoint,
+                 Duration aInterval,
+                 QObject* aParent);
 
   /// Changes the interval; a shorter one asks at once.
   void SetInterval(Duration aInterval);
@@ -27,7 +30,7 @@
   const std::string& Address() const { return this->endpoint.address; }
 
 Q_SIGNALS:
-  void Answered(const oleanderledge::SlotStatus& aStatus);
+  void Answered(const oleanderledge::SlotAnswer& aStatus);
   void Unreachable();
 
 private:
@@ -42,7 +45,7 @@
   QTimer timer;
   BackendSocket* socket = nullptr;
   std::deque<Instant> questions; ///< When each unanswered question was sent.
-  std::optional<SlotStatus> status;
+  std::optional<SlotAnswer> status;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/owner/internal/BackendSocket.hpp
+++ b/src/oleanderledge/owner/internal/BackendSocket.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oleanderledge/owner/internal/DelayLine.hpp"
+#include "oleanderledge/owner/internal/BackendDelayLine.hpp"
 #include "oleanderledge/wire/wire.hpp"
 
 #include <QObject>
@@ -54,8 +54,8 @@
 
   BackendEndpoint endpoint;
   QTcpSocket socket;
-  DelayLine outgoing;
-  DelayLine incoming;
+  BackendDelayLine outgoing;
+  BackendDelayLine incoming;
   MessageReader reader;
   std::uint32_t processId = 0;
   std::uint32_t secret = 0;
--- a/src/oleanderledge/owner/internal/DatabaseOwner.cpp
+++ b/src/oleanderledge/owner/internal/DatabaseOwner.cpp
@@ -829,7 +829,7 @@
   }
 }
 
-void DatabaseOwner::EstablishBase(const SlotStatus& aStatus)
+void DatabaseOwner::EstablishBase(const SlotAnswer& aStatus)
 {
   const bool isCurrentPrimary = aStatus.slot == this->row.primary && aStatus.isPrimary &&
                                 aStatus.term == this->row.term && HasPrimary(this->row);
@@ -851,7 +851,7 @@
   this->slots.NoteAcknowledged(position);
 }
 
-void DatabaseOwner::SlotAnswered(const SlotStatus& aStatus, Instant aNow)
+void DatabaseOwner::SlotAnswered(const SlotAnswer& aStatus, Instant aNow)
 {
   this->slots.NoteStatus(aStatus, aNow);
   this->EstablishBase(aStatus);
--- a/src/oleanderledge/owner/internal/DatabaseOwner.hpp
+++ b/src/oleanderledge/owner/internal/DatabaseOwner.hpp
@@ -47,7 +47,7 @@
   void ConnectionLost(ConnectionId aConnection, std::string_view aReason, Instant aNow);
   void BackendMessage(ConnectionId aConnection, const MessageView& aMessage, Instant aNow);
   void CancelFinished(ConnectionId aConnection, Instant aNow);
-  void SlotAnswered(const SlotStatus& aStatus, Instant aNow);
+  void SlotAnswered(const SlotAnswer& aStatus, Instant aNow);
   void SlotUnreachable(std::string_view aSlot, Instant aNow);
 
   /// Drives all time limits; call at least every 50 ms, and every 5 ms while HasWork().
@@ -122,7 +122,7 @@
   // Acknowledgement.
   void Acknowledge(Instant aNow);
   void FailHeld(ResultCode aCode, Instant aNow);
-  void EstablishBase(const SlotStatus& aStatus);
+  void EstablishBase(const SlotAnswer& aStatus);
   bool CoversWrites(Instant aNow) const;
 
   // Replies.
--- a/src/oleanderledge/owner/internal/OwnerTypes.hpp
+++ b/src/oleanderledge/owner/internal/OwnerTypes.hpp
@@ -31,7 +31,7 @@
 using ConnectionId = std::uint64_t;
 
 /// Answer of a slot to `SELECT * FROM platform_status()`.
-struct SlotStatus
+struct SlotAnswer
 {
   std::string slot;
   bool isPrimary = false;
--- a/src/oleanderledge/owner/internal/QtOwnerService.cpp
+++ b/src/oleanderledge/owner/internal/QtOwnerService.cpp
@@ -253,7 +253,7 @@
 
 void QtOwnerService::UpdateMonitors(OwnedDatabase& aOwned)
 {
-  std::map<std::string, SlotMonitor*> kept;
+  std::map<std::string, BackendMonitor*> kept;
   for (const SlotRow& slot : aOwned.owner->Row().slots) {
     const auto found = aOwned.monitors.find(slot.name);
     if (found != aOwned.monitors.end() && found->second->Address() == slot.address) {
@@ -261,17 +261,19 @@
       aOwned.monitors.erase(found);
       continue;
     }
-    auto* monitor = new SlotMonitor(
+    auto* monitor = new BackendMonitor(
       slot.name, this->EndpointOf(aOwned, slot.name), this->settings.statusInterval, this);
     kept[slot.name] = monitor;
-    QObject::connect(monitor, &SlotMonitor::Answered, this, [this, &aOwned](const auto& aStatus) {
-      aOwned.owner->SlotAnswered(aStatus, MonotonicNow());
-      this->CarryOut(aOwned);
-    });
-    QObject::connect(monitor, &SlotMonitor::Unreachable, this, [this, &aOwned, name = slot.name] {
-      aOwned.owner->SlotUnreachable(name, MonotonicNow());
-      this->CarryOut(aOwned);
-    });
+    QObject::connect(
+      monitor, &BackendMonitor::Answered, this, [this, &aOwned](const auto& aStatus) {
+        aOwned.owner->SlotAnswered(aStatus, MonotonicNow());
+        this->CarryOut(aOwned);
+      });
+    QObject::connect(
+      monitor, &BackendMonitor::Unreachable, this, [this, &aOwned, name = slot.name] {
+        aOwned.owner->SlotUnreachable(name, MonotonicNow());
+        this->CarryOut(aOwned);
+      });
   }
   for (auto& [name, monitor] : aOwned.monitors) {
     monitor->disconnect(this);
--- a/src/oleanderledge/owner/internal/QtOwnerService.hpp
+++ b/src/oleanderledge/owner/internal/QtOwnerService.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "oleanderledge/owner/OwnerFactory.hpp"
+#include "oleanderledge/owner/internal/BackendMonitor.hpp"
 #include "oleanderledge/owner/internal/DatabaseOwner.hpp"
-#include "oleanderledge/owner/internal/SlotMonitor.hpp"
 
 #include <QObject>
 #include <QTimer>
@@ -42,7 +42,7 @@
   {
     std::unique_ptr<DatabaseOwner> owner;
     std::map<ConnectionId, BackendSocket*> sockets;
-    std::map<std::string, SlotMonitor*> monitors;
+    std::map<std::string, BackendMonitor*> monitors;
     std::set<ConnectionId> paused;
     std::uint64_t rowVersion = 0;
     bool carryingOut = false;
--- a/src/oleanderledge/owner/internal/SlotTracker.cpp
+++ b/src/oleanderledge/owner/internal/SlotTracker.cpp
@@ -34,7 +34,7 @@
   this->slots = std::move(next);
 }
 
-void SlotTracker::NoteStatus(const SlotStatus& aStatus, Instant aNow)
+void SlotTracker::NoteStatus(const SlotAnswer& aStatus, Instant aNow)
 {
   const auto found = this->slots.find(aStatus.slot);
   if (found == this->slots.end()) {
--- a/src/oleanderledge/owner/internal/SlotTracker.hpp
+++ b/src/oleanderledge/owner/internal/SlotTracker.hpp
@@ -31,7 +31,7 @@
 public:
   /// Takes over the slots of the row; state of slots that remain is kept.
   void ApplyRow(const DatabaseRow& aRow, Instant aNow);
-  void NoteStatus(const SlotStatus& aStatus, Instant aNow);
+  void NoteStatus(const SlotAnswer& aStatus, Instant aNow);
   void NoteUnreachable(std::string_view aSlot);
 
   /// Remembers that the primary's log ended at or after `aPosition` at `aTime`.
--- a/src/oleanderledge/owner/internal/UnitExecution.cpp
+++ b/src/oleanderledge/owner/internal/UnitExecution.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-std::optional<SlotStatus> ParseStatusRow(const std::vector<std::optional<std::string>>& aRow)
+std::optional<SlotAnswer> ParseStatusRow(const std::vector<std::optional<std::string>>& aRow)
 {
   if (aRow.size() != 4 || !aRow[0]) {
     return std::nullopt;
@@ -48,7 +48,7 @@
   if (!term || !received || !applied || (*aRow[0] != "primary" && *aRow[0] != "replica")) {
     return std::nullopt;
   }
-  SlotStatus status;
+  SlotAnswer status;
   status.isPrimary = *aRow[0] == "primary";
   status.term = *term;
   status.received = *received;
--- a/src/oleanderledge/owner/internal/UnitExecution.hpp
+++ b/src/oleanderledge/owner/internal/UnitExecution.hpp
@@ -132,7 +132,7 @@
 constexpr std::string_view kStatusQuery = "SELECT * FROM platform_status()";
 
 /// Reads a row of kStatusQuery; nothing if it is malformed. `slot` and `askedAt` are not set.
-std::optional<SlotStatus> ParseStatusRow(const std::vector<std::optional<std::string>>& aRow);
+std::optional<SlotAnswer> ParseStatusRow(const std::vector<std::optional<std::string>>& aRow);
 
 /// True if the SQL begins with one of the words, which are in upper case.
 bool BeginsWithWord(std::string_view aSql, std::string_view aWord);
--- a/tests/owner/DatabaseOwnerTests.cpp
+++ b/tests/owner/DatabaseOwnerTests.cpp
@@ -115,3 +115,156 @@
   CHECK(harness.FinalReply(2, 1)->payload.find("INSERT 0 1") != std::string::npos);
   CHECK(harness.group.log.size() == 1);
 }
+
+// Guards I1 after a change of owner: the previous owner may have acknowledged writes until the
+// lease of the new one began.
+TEST_CASE("Reads go to the primary until the base position was asked for under the lease")
+{
+  OwnerHarness harness;
+  harness.ApplyRow();
+  const SlotAnswer early = harness.group.StatusOf("p", harness.now);
+  harness.now += std::chrono::milliseconds(5);
+  harness.GrantLease();
+  harness.owner.SlotAnswered(early, harness.now);
+  harness.AnswerStatus("q");
+  harness.Settle();
+  harness.Submit(OwnerHarness::Request(1, 1, "READ s 1"));
+  harness.Settle();
+  REQUIRE(harness.FinalReply(1, 1) != nullptr);
+  CHECK_FALSE(harness.FinalReply(1, 1)->fromReplica);
+  harness.AnswerStatuses();
+  harness.Submit(OwnerHarness::Request(1, 2, "READ s 1"));
+  harness.Settle();
+  REQUIRE(harness.FinalReply(1, 2) != nullptr);
+  CHECK(harness.FinalReply(1, 2)->fromReplica);
+}
+
+// Guards I4: a cancellation that arrives late must not hit the next unit of the connection.
+TEST_CASE("A connection with a cancellation on its way is not used for another unit")
+{
+  OwnerHarness harness;
+  harness.Start();
+  harness.Submit(OwnerHarness::Request(1, 1, "READ s 1"));
+  harness.Settle();
+  // The connection is in read-only mode now, so the next payload is sent at once.
+  harness.Submit(OwnerHarness::Request(1, 2, "READ s 1"));
+  harness.owner.Cancel(1, { 1, 2 }, harness.now);
+  harness.Collect();
+  REQUIRE(harness.cancels.size() == 1);
+  const ConnectionId cancelled = harness.cancels[0];
+  harness.Settle();
+  REQUIRE(harness.FinalReply(1, 2) != nullptr);
+  const int before = harness.group.connections.at(cancelled).statements;
+  for (std::uint64_t channel = 2; channel < 8; ++channel) {
+    harness.Submit(OwnerHarness::Request(channel, 1, "READ s " + std::to_string(channel)));
+  }
+  harness.Settle();
+  CHECK(harness.group.connections.at(cancelled).statements == before);
+  harness.owner.CancelFinished(cancelled, harness.now);
+  harness.Collect();
+  harness.Settle();
+  CHECK(harness.group.connections.at(cancelled).status == 'I');
+}
+
+// Guards I8 and the planned change: nothing new starts, running transactions finish.
+TEST_CASE("A draining database finishes its transactions before it reports drained")
+{
+  OwnerHarness harness;
+  harness.Start();
+  harness.Submit(OwnerHarness::Request(1, 1, "BEGIN"));
+  harness.Settle();
+  harness.row.phase = FailoverPhase::Draining;
+  harness.ApplyRow();
+  harness.Submit(OwnerHarness::Request(2, 1, "WRITE s 1 2"));
+  harness.Settle();
+  harness.Advance(5);
+  harness.AnswerStatuses();
+  CHECK_FALSE(harness.owner.Report(harness.now).drained);
+  auto write = OwnerHarness::Request(1, 2, "WRITE s 2 1");
+  write.inTransaction = true;
+  harness.Submit(write);
+  harness.Settle();
+  auto commit = OwnerHarness::Request(1, 3, "COMMIT");
+  commit.inTransaction = true;
+  harness.Submit(commit);
+  harness.Settle();
+  harness.ReplicateAll();
+  REQUIRE(harness.FinalReply(1, 3) != nullptr);
+  CHECK(harness.FinalReply(1, 3)->isWriteAcknowledgement);
+  harness.Advance(5);
+  harness.now += std::chrono::milliseconds(1);
+  harness.AnswerStatuses();
+  CHECK(harness.owner.Report(harness.now).drained);
+  CHECK(harness.owner.Report(harness.now).drainedOffset == 1);
+  // The queued unit continues after the change.
+  harness.row.phase = FailoverPhase::Steady;
+  harness.row.term = 2;
+  harness.row.primary = "q";
+  harness.row.inSync = { "q", "r" };
+  ++harness.row.ownerEpoch;
+  harness.group.Promote("q", 2);
+  harness.ApplyRow();
+  harness.GrantLease();
+  harness.AnswerStatuses();
+  harness.Settle();
+  harness.ReplicateAll();
+  REQUIRE(harness.FinalReply(2, 1) != nullptr);
+  CHECK(harness.FinalReply(2, 1)->code == ResultCode::Ok);
+}
+
+// Guards I7: a departing replica gets no new work.
+TEST_CASE("A departing replica serves no further reads and loses its idle connections")
+{
+  OwnerHarness harness;
+  harness.Start();
+  harness.row.slots[1].departing = true;
+  harness.row.slots[2].silent = true;
+  harness.ApplyRow();
+  harness.Advance(5);
+  harness.Submit(OwnerHarness::Request(1, 1, "READ s 1"));
+  harness.Settle();
+  REQUIRE(harness.FinalReply(1, 1) != nullptr);
+  CHECK_FALSE(harness.FinalReply(1, 1)->fromReplica);
+  for (const auto& [id, connection] : harness.group.connections) {
+    CHECK(connection.slot != "q");
+  }
+}
+
+// Guards section 1.3: stale lookups continue while no primary exists, within their accepted age.
+TEST_CASE("A read with an accepted age is served by a replica during a failover")
+{
+  OwnerHarness harness;
+  harness.Start();
+  harness.row.phase = FailoverPhase::Fencing;
+  harness.ApplyRow();
+  auto read = OwnerHarness::Request(1, 1, "READ s 1");
+  read.acceptedAgeMs = 5000;
+  harness.Submit(read);
+  harness.Settle();
+  REQUIRE(harness.FinalReply(1, 1) != nullptr);
+  CHECK(harness.FinalReply(1, 1)->fromReplica);
+  harness.Submit(OwnerHarness::Request(2, 1, "WRITE s 1 2"));
+  harness.Settle();
+  harness.Advance(500);
+  harness.GrantLease();
+  harness.Advance(501);
+  REQUIRE(harness.FinalReply(2, 1) != nullptr);
+  CHECK(harness.FinalReply(2, 1)->code == ResultCode::NoPrimary);
+  CHECK(harness.FinalReply(2, 1)->runState == RunState::NotRun);
+  CHECK(harness.group.log.empty());
+}
+
+// Guards the scarce connections: the limit of the row includes the monitoring connections.
+TEST_CASE("The connections of all slots stay within the limit of the database")
+{
+  OwnerHarness harness;
+  harness.Start();
+  for (std::uint64_t channel = 1; channel <= 40; ++channel) {
+    harness.Submit(OwnerHarness::Request(channel, 1, "BEGIN"));
+  }
+  for (int round = 0; round < 20; ++round) {
+    harness.Settle();
+    harness.Advance(5);
+    CHECK(harness.group.connections.size() + 3 <= harness.row.connectionLimit);
+  }
+}
--- a/tests/owner/FakeGroup.hpp
+++ b/tests/owner/FakeGroup.hpp
@@ -86,7 +86,7 @@
     slot.applied = std::max(slot.applied, std::min(aApplied, slot.received));
   }
 
-  SlotStatus StatusOf(const std::string& aSlot, Instant aAskedAt) const
+  SlotAnswer StatusOf(const std::string& aSlot, Instant aAskedAt) const
   {
     const Slot& slot = this->slots.at(aSlot);
     const std::size_t received = slot.isPrimary ? this->log.size() : slot.received;
@@ -104,11 +104,13 @@
       slot.received = std::min(slot.received, this->log.size());
       slot.applied = std::min(slot.applied, slot.received);
     }
-    // Servers end the sessions of a replaced primary; the owner learns of it later.
+    // The sessions of the replaced primary end; the owner learns of it later.
     for (auto& [id, connection] : this->connections) {
-      connection.inbox.clear();
-      connection.uncommitted.clear();
-      connection.dead = true;
+      if (connection.slot != aSlot) {
+        connection.inbox.clear();
+        connection.uncommitted.clear();
+        connection.dead = true;
+      }
     }
   }
 
@@ -149,7 +151,7 @@
   {
     const std::string& verb = aWords[0];
     if (aSql == "SELECT * FROM platform_status()") {
-      const SlotStatus status = this->StatusOf(aConnection.slot, {});
+      const SlotAnswer status = this->StatusOf(aConnection.slot, {});
       const std::array<std::optional<std::string>, 4> row{ status.isPrimary ? "primary" : "replica",
                                                            std::to_string(status.term),
                                                            std::to_string(status.received),
