Keep one connection per slot when connections move between slots

Cause: at the connection limit a slot without connections displaced the last one of another slot, which then displaced another in turn, at 12 ms per opening. Change: the last connection of a slot goes only to a slot with waiting units and none at all.

--- a/src/oleanderledge/owner/internal/ConnectionPool.cpp
+++ b/src/oleanderledge/owner/internal/ConnectionPool.cpp
@@ -121,12 +121,17 @@
 
 std::optional<ConnectionId> ConnectionPool::FindSurplus(
   const std::map<std::string, std::size_t>& aWanted,
-  const std::set<ConnectionId>& aTaken) const
+  const std::set<ConnectionId>& aTaken,
+  std::size_t aKeptPerSlot) const
 {
+  std::map<std::string_view, std::size_t> remaining;
+  for (const auto& [id, connection] : this->connections) {
+    remaining[connection.slot] += aTaken.contains(id) ? 0 : 1;
+  }
   const PooledConnection* oldest = nullptr;
   for (const auto& [id, connection] : this->connections) {
     if (connection.phase != ConnectionPhase::Idle || aWanted.contains(connection.slot) ||
-        aTaken.contains(id)) {
+        aTaken.contains(id) || remaining[connection.slot] <= aKeptPerSlot) {
       continue;
     }
     if (oldest == nullptr || connection.lastUsed < oldest->lastUsed) {
@@ -154,7 +159,10 @@
         return;
       }
       if (total >= this->limit) {
-        const auto surplus = aMayReplace ? this->FindSurplus(aWanted, closing) : std::nullopt;
+        // Only a slot with waiting units and no connection at all takes the last one of another
+        // slot. Otherwise two slots could take it from each other without end.
+        const std::size_t kept = aWanted.contains(aSlot) && this->CountOn(aSlot) == 0 ? 0 : 1;
+        const auto surplus = aMayReplace ? this->FindSurplus(aWanted, closing, kept) : std::nullopt;
         if (!surplus) {
           return;
         }
--- a/src/oleanderledge/owner/internal/ConnectionPool.hpp
+++ b/src/oleanderledge/owner/internal/ConnectionPool.hpp
@@ -93,7 +93,8 @@
   };
 
   std::optional<ConnectionId> FindSurplus(const std::map<std::string, std::size_t>& aWanted,
-                                          const std::set<ConnectionId>& aTaken) const;
+                                          const std::set<ConnectionId>& aTaken,
+                                          std::size_t aKeptPerSlot) const;
   bool MayOpen(const std::string& aSlot, Instant aNow) const;
 
   std::uint32_t limit = 1;
--- a/tests/owner/InSyncGateTests.cpp
+++ b/tests/owner/InSyncGateTests.cpp
@@ -75,10 +75,10 @@
 TEST_CASE("A slot that lacks an acknowledged write is not proposed")
 {
   GateFixture fixture;
-  fixture.slots.NoteAcknowledged({ 1, 12 });
-  fixture.primaryOffset = 12;
-  for (int round = 0; round < 20; ++round) {
-    fixture.Answer("r", 11);
+  fixture.slots.NoteAcknowledged({ 1, 100 });
+  fixture.primaryOffset = 100;
+  for (std::uint64_t round = 0; round < 20; ++round) {
+    fixture.Answer("r", 11 + round); // Progresses, so that it counts as keeping up.
     fixture.Review(100, 0);
   }
   CHECK(fixture.gate.Proposal().empty());
