--- a/src/oleanderledge/owner/internal/BackendMonitor.cpp
+++ b/src/oleanderledge/owner/internal/BackendMonitor.cpp
@@ -15,9 +15,9 @@
 } // namespace
 
 BackendMonitor::BackendMonitor(std::string aSlot,
-                         BackendEndpoint aEndpoint,
-                         Duration aInterval,
-                         QObject* aParent)
+                               BackendEndpoint aEndpoint,
+                               Duration aInterval,
+                               QObject* aParent)
   : QObject(aParent)
   , slot(std::move(aSlot))
   , endpoint(std::move(aEndpoint))
--- a/src/oleanderledge/owner/internal/BackendMonitor.hpp
+++ b/src/oleanderledge/owner/internal/BackendMonitor.hpp
@@ -19,7 +19,10 @@
   Q_OBJECT
 
 public:
-  BackendMonitor(std::string aSlot, BackendEndpoint aEndpoint, Duration aInterval, QObject* aParent);
+  BackendMonitor(std::string aSlot,
+                 BackendEndpoint aEndpoint,
+                 Duration aInterval,
+                 QObject* aParent);
 
   /// Changes the interval; a shorter one asks at once.
   void SetInterval(Duration aInterval);
--- a/src/oleanderledge/owner/internal/QtOwnerService.hpp
+++ b/src/oleanderledge/owner/internal/QtOwnerService.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "oleanderledge/owner/OwnerFactory.hpp"
-#include "oleanderledge/owner/internal/DatabaseOwner.hpp"
 #include "oleanderledge/owner/internal/BackendMonitor.hpp"
+#include "oleanderledge/owner/internal/DatabaseOwner.hpp"
 
 #include <QObject>
 #include <QTimer>
