Bound a session's statements and settings and refuse unknown statements

Cause: a Bind of a name that the caller never prepared could have met the statement of another caller on a shared connection, and one session could keep any amount of prepared statements and settings. At the end of a graceful stop, running units were cut without a message.

Change: unknown names are refused with 26000 (code 1312); prepared statements are bounded to 8 MiB and settings to 32 KiB for each session. A stop reads no new units outside transactions and reports units that still run at its limit as unknown. An error is kept readable when input is unread.

--- a/src/oleanderledge/base/ResultCode.hpp
+++ b/src/oleanderledge/base/ResultCode.hpp
@@ -37,6 +37,7 @@
   QueryCanceled = 1309,
   TransactionFailed = 1310,
   SlowReader = 1311,
+  UnknownStatement = 1312,
   // Control state and operators.
   VersionConflict = 1401,
   NotLeader = 1402,
--- a/src/oleanderledge/entry/EntrySettings.hpp
+++ b/src/oleanderledge/entry/EntrySettings.hpp
@@ -19,6 +19,8 @@
   std::size_t maxQueuedUnits = 1'000;
   /// Bytes of one session in waiting units before its socket is no longer read.
   std::size_t maxQueuedBytes = std::size_t{ 16 } * 1024 * 1024;
+  /// Prepared statements that one session may keep, in bytes of their Parse messages.
+  std::size_t maxPreparedBytes = std::size_t{ 8 } * 1024 * 1024;
   /// Answers not yet read by a caller, in bytes, before its socket is no longer read.
   std::size_t pauseOutputBytes = std::size_t{ 1024 } * 1024;
   /// Answers not yet read by a caller, in bytes, before its session is closed: pieces of an answer
--- a/src/oleanderledge/entry/internal/CallerConnection.cpp
+++ b/src/oleanderledge/entry/internal/CallerConnection.cpp
@@ -5,6 +5,8 @@
 
 #include <QTimer>
 
+#include <sys/socket.h>
+
 namespace oleanderledge {
 
 namespace {
@@ -78,7 +80,9 @@
     this->socket->readAll();
     return;
   }
-  if (!this->IsReadingPaused()) {
+  // In a graceful stop, only a caller with an open transaction may send more.
+  const bool mayRead = !this->isStopping || !this->session || this->session->IsInTransaction();
+  if (mayRead && !this->IsReadingPaused()) {
     this->input->Push(this->socket->readAll());
   }
 }
@@ -251,11 +255,27 @@
   this->isClosing = true;
   QTimer::singleShot(kCloseTimeoutMs, this, &CallerConnection::Abort);
   if (this->output->Bytes() > 0) {
-    QObject::connect(
-      this->output, &DelayLine::Drained, this->socket, &QTcpSocket::disconnectFromHost);
+    QObject::connect(this->output, &DelayLine::Drained, this, &CallerConnection::FinishClosing);
+    return;
+  }
+  this->FinishClosing();
+}
+
+void CallerConnection::FinishClosing()
+{
+  if (this->isGone) {
     return;
   }
-  this->socket->disconnectFromHost();
+  this->socket->flush();
+  if (this->socket->bytesAvailable() == 0 || this->socket->bytesToWrite() > 0) {
+    this->socket->disconnectFromHost();
+    return;
+  }
+  // Closing with unread input makes the system reset the connection, which can destroy the error
+  // before the caller reads it. Instead only the sending direction ends, and input is discarded
+  // until the caller closes or the close timeout passes.
+  this->socket->readAll();
+  ::shutdown(static_cast<int>(this->socket->socketDescriptor()), SHUT_WR);
 }
 
 void CallerConnection::BeginStop()
@@ -274,6 +294,16 @@
   }
 }
 
+void CallerConnection::ForceStop()
+{
+  if (!this->isClosing && this->session) {
+    const RunState state = this->session->IsIdle() ? RunState::NotRun : RunState::Unknown;
+    this->Write(BuildCallerError("FATAL", ResultCode::ShuttingDown, state));
+    this->socket->flush();
+  }
+  this->CloseAfterFlush();
+}
+
 void CallerConnection::Abort()
 {
   this->isClosing = true;
--- a/src/oleanderledge/entry/internal/CallerConnection.hpp
+++ b/src/oleanderledge/entry/internal/CallerConnection.hpp
@@ -53,6 +53,9 @@
   /// Closes with 57P01 as soon as the session is idle.
   void BeginStop();
 
+  /// Closes with 57P01 now; a unit that still runs is reported as unknown.
+  void ForceStop();
+
   /// Drops the connection without a message.
   void Abort();
 
@@ -67,6 +70,7 @@
   void CheckOutput();
   void CloseWithError(ResultCode aCode, std::string_view aDetail);
   void CloseAfterFlush();
+  void FinishClosing();
   void CloseIfStopped();
   void HandleDisconnect();
   bool IsReadingPaused() const;
--- a/src/oleanderledge/entry/internal/CallerServer.cpp
+++ b/src/oleanderledge/entry/internal/CallerServer.cpp
@@ -241,7 +241,7 @@
   QTimer::singleShot(limit, this, [this] {
     const auto left = this->connections;
     for (const auto& [channel, connection] : left) {
-      connection->Abort();
+      connection->ForceStop();
     }
   });
 }
--- a/src/oleanderledge/entry/internal/CallerSession.cpp
+++ b/src/oleanderledge/entry/internal/CallerSession.cpp
@@ -12,6 +12,9 @@
 /// Room in a link frame for everything but the payload and the prepared statements.
 constexpr std::size_t kFrameReserveBytes = std::size_t{ 64 } * 1024;
 
+/// Names and values of remembered settings that one session may keep.
+constexpr std::size_t kMaxSettingBytes = std::size_t{ 32 } * 1024;
+
 constexpr std::string_view kRequestIdName = "oleanderledge.request_id";
 
 /// Version that callers are told; clients derive features from it.
@@ -210,6 +213,12 @@
     this->RunInFailedTransaction(analysis, aOutput);
     return;
   }
+  if (const ResultCode code = this->CheckStatements(analysis); code != ResultCode::Ok) {
+    this->Refuse(
+      code, code == ResultCode::MessageTooLarge ? "too many prepared statements" : "", aOutput);
+    aOutput.toCaller += BuildReadyForQuery(this->status);
+    return;
+  }
   std::size_t local = 0;
   std::size_t remote = 0;
   for (const UnitStep& step : analysis.steps) {
@@ -322,6 +331,15 @@
     request.settings = changed.Remembered();
     request.payload = std::move(aUnit.payload);
   }
+  std::size_t settingBytes = 0;
+  for (const SessionSetting& setting : request.settings) {
+    settingBytes += setting.name.size() + setting.value.size();
+  }
+  if (settingBytes > kMaxSettingBytes) {
+    this->Refuse(ResultCode::InvalidSetting, "the session's settings are too large", aOutput);
+    aOutput.toCaller += BuildReadyForQuery(this->status);
+    return;
+  }
   forward.mayResend = this->MayResend(aAnalysis, request);
   if (usesRequestId) {
     this->settings.ClearRequestId();
@@ -333,6 +351,40 @@
   aOutput.forward = std::move(forward);
 }
 
+ResultCode CallerSession::CheckStatements(const UnitAnalysis& aAnalysis) const
+{
+  // A connection that is shared may hold a statement of that name for another caller.
+  if (!aAnalysis.unknownStatements.empty()) {
+    return ResultCode::UnknownStatement;
+  }
+  std::size_t bytes = this->statementBytes;
+  bool hasParse = false;
+  for (const UnitStep& step : aAnalysis.steps) {
+    if (step.view.type == 'P') {
+      bytes += step.view.whole.size();
+      hasParse = hasParse || !step.statementName.empty();
+    }
+  }
+  return hasParse && bytes > this->limits.maxPreparedBytes ? ResultCode::MessageTooLarge
+                                                           : ResultCode::Ok;
+}
+
+void CallerSession::KeepStatement(const std::string& aName, SessionStatement&& aStatement)
+{
+  this->ForgetStatement(aName);
+  this->statementBytes += aStatement.parseMessage.size();
+  this->statements[aName] = std::move(aStatement);
+}
+
+void CallerSession::ForgetStatement(const std::string& aName)
+{
+  const auto found = this->statements.find(aName);
+  if (found != this->statements.end()) {
+    this->statementBytes -= found->second.parseMessage.size();
+    this->statements.erase(found);
+  }
+}
+
 void CallerSession::NoteDefinitions(const UnitAnalysis& aAnalysis, Running& aRunning) const
 {
   for (const UnitStep& step : aAnalysis.steps) {
@@ -417,7 +469,7 @@
       }
       return this->ExecuteLocally(aStep.statement, aOutput);
     case 'P':
-      this->statements[aStep.statementName] = { std::string(aStep.view.whole), aStep.statement };
+      this->KeepStatement(aStep.statementName, { std::string(aStep.view.whole), aStep.statement });
       aOutput.toCaller += BuildEmptyMessage('1');
       break;
     case 'B':
@@ -432,7 +484,7 @@
     case 'E':
       return this->ExecuteLocally(aStep.statement, aOutput);
     case 'C':
-      this->statements.erase(aStep.statementName);
+      this->ForgetStatement(aStep.statementName);
       aOutput.toCaller += BuildEmptyMessage('3');
       break;
     default:
@@ -489,6 +541,7 @@
       this->settings.ResetAll();
       if (aStatement.kind == StatementKind::DiscardAll) {
         this->statements.clear();
+        this->statementBytes = 0;
       }
       break;
     default:
@@ -659,7 +712,8 @@
 void CallerSession::ApplyChanges(const Running& aFinished, bool aSucceeded, SessionOutput& aOutput)
 {
   for (std::size_t at = 0; at < aFinished.parses.size() && at < aFinished.parseCompletes; ++at) {
-    this->statements[aFinished.parses[at].name] = aFinished.parses[at].statement;
+    this->KeepStatement(aFinished.parses[at].name,
+                        SessionStatement(aFinished.parses[at].statement));
   }
   for (const std::string& name : aFinished.closes) {
     const bool isParsedAgain =
@@ -667,7 +721,7 @@
                   aFinished.parses.end(),
                   [&](const PreparedChange& aParse) { return aParse.name == name; });
     if (aSucceeded && !isParsedAgain) {
-      this->statements.erase(name);
+      this->ForgetStatement(name);
     }
   }
   if (aFinished.wasInTransaction) {
--- a/src/oleanderledge/entry/internal/CallerSession.hpp
+++ b/src/oleanderledge/entry/internal/CallerSession.hpp
@@ -53,6 +53,7 @@
 
   /// No unit is running or queued and no transaction is open.
   bool IsIdle() const;
+  bool IsInTransaction() const { return this->status != 'I'; }
   /// False while so much is queued that the socket should not be read.
   bool WantsMore() const;
 
@@ -91,6 +92,10 @@
   void RunUnit(CollectedUnit&& aUnit, SessionOutput& aOutput);
   void RunInFailedTransaction(const UnitAnalysis& aAnalysis, SessionOutput& aOutput);
   void Forward(CollectedUnit&& aUnit, UnitAnalysis&& aAnalysis, SessionOutput& aOutput);
+  void KeepStatement(const std::string& aName, SessionStatement&& aStatement);
+  void ForgetStatement(const std::string& aName);
+  /// Why a unit is refused before anything of it is looked at by an owner, or Ok.
+  ResultCode CheckStatements(const UnitAnalysis& aAnalysis) const;
   void NoteDefinitions(const UnitAnalysis& aAnalysis, Running& aRunning) const;
   bool MayResend(const UnitAnalysis& aAnalysis, const StatementRequest& aRequest) const;
   std::string RewriteForTransaction(const UnitAnalysis& aAnalysis) const;
@@ -123,6 +128,7 @@
   std::string database;
   SessionSettings settings;
   SessionStatements statements;
+  std::size_t statementBytes = 0;
   std::deque<CollectedUnit> queue;
   std::size_t queuedBytes = 0;
   bool isOutputFull = false;
--- a/src/oleanderledge/entry/internal/UnitAnalysis.cpp
+++ b/src/oleanderledge/entry/internal/UnitAnalysis.cpp
@@ -85,6 +85,7 @@
       aStep.statement = this->Use(name);
     } else {
       this->parsed.erase(name);
+      this->closed.insert(name);
     }
   }
 
@@ -94,7 +95,8 @@
       return found->second;
     }
     const auto found = this->statements.find(aName);
-    if (found == this->statements.end()) {
+    if (found == this->statements.end() || this->closed.contains(aName)) {
+      this->analysis.unknownStatements.push_back(aName);
       return {};
     }
     if (this->used.insert(aName).second) {
@@ -107,6 +109,7 @@
   std::map<std::string, RecognizedStatement, std::less<>> parsed;
   std::map<std::string, RecognizedStatement, std::less<>> portals;
   std::set<std::string> used;
+  std::set<std::string> closed;
   UnitAnalysis analysis;
 };
 
--- a/src/oleanderledge/entry/internal/UnitAnalysis.hpp
+++ b/src/oleanderledge/entry/internal/UnitAnalysis.hpp
@@ -37,6 +37,8 @@
   std::vector<RecognizedStatement> executed; ///< By Query or Execute, in order.
   /// Statements that are used here and were prepared by an earlier unit.
   std::vector<std::string> usedStatements;
+  /// Names that are used but that neither this unit nor an earlier one prepared.
+  std::vector<std::string> unknownStatements;
 
   /// Kind of the only executed statement, or Other.
   StatementKind SoleKind() const;
--- a/tests/entry/CallerServerTests.cpp
+++ b/tests/entry/CallerServerTests.cpp
@@ -142,6 +142,8 @@
   fixture.entry->BeginStop();
   CHECK(WaitFor([&] { return fixture.entry->IsIdle(); }));
   CHECK(fixture.owner->closedChannels.size() == 1);
+  REQUIRE(busy.WaitForClose());
+  CHECK(busy.Messages().back() == "E:FATAL 57P01 this proxy is shutting down [1104, unknown]");
 }
 
 TEST_CASE("Sessions over the limit and start-ups that take too long are refused clearly")
@@ -195,6 +197,16 @@
     CHECK_THAT(caller.Messages().at(0), Catch::StartsWith("E:FATAL 54000"));
     CHECK_THAT(caller.Messages().at(0), Catch::EndsWith("[1302, not run]"));
   }
+  SECTION("an error before input that was not read yet")
+  {
+    TestCaller caller(fixture.entry->CallersPort());
+    REQUIRE(caller.Start());
+    caller.Forget();
+    caller.Send(BuildMessage('p', "password") + std::string(2'000'000, 'x'));
+    REQUIRE(caller.WaitForClose());
+    REQUIRE(!caller.Messages().empty());
+    CHECK_THAT(caller.Messages().at(0), Catch::EndsWith("[1301, not run]"));
+  }
   SECTION("a truncated start-up")
   {
     TestCaller caller(fixture.entry->CallersPort());
