Test that a failed sync stops the consensus driver

Cause: an instance whose disk failed must neither lead nor acknowledge. Change: a driver test on the in-memory file system with a sync error.

--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -1,4 +1,5 @@
 #include "oleanderledge/consensus/internal/ConsensusDriver.hpp"
+#include "tests/storage/MemoryFileSystem.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -253,3 +254,36 @@
   CHECK(group.WaitFor([&group] { return !group.instances[0].leadership.isLeading; }));
   CHECK_FALSE(group.instances[0].driver->HasCurrentLeader(MonotonicNow()));
 }
+
+// Guards against an instance that goes on leading, or acknowledges, after its disk failed.
+TEST_CASE("A failed sync stops the driver and leaves the open proposal unknown")
+{
+  EnsureApplication();
+  DriverGroup group(1);
+  ControlInstance& instance = group.instances.front();
+  MemoryFileSystem files;
+  ConsensusDriverSettings settings;
+  settings.dataFolder = "data";
+  settings.initialMembers = group.initial;
+  instance.driver = std::make_unique<ConsensusDriver>(
+    instance.info, settings, files, instance.state, instance.leadership, nullptr);
+  std::optional<ResultCode> failure;
+  QObject::connect(instance.driver.get(),
+                   &ConsensusDriver::Failed,
+                   instance.driver.get(),
+                   [&failure](const Error& aError) { failure = aError.code; });
+  REQUIRE(instance.driver->Start());
+  REQUIRE(group.WaitForLeader());
+  REQUIRE(group.Commit("kept"));
+  files.failSyncs = true;
+  std::optional<ResultCode> outcome;
+  instance.driver->Propose("lost", [&outcome](const Result<std::uint64_t>& aResult) {
+    outcome = aResult ? ResultCode::Ok : aResult.error().code;
+  });
+  REQUIRE(group.WaitFor([&failure] { return failure.has_value(); }));
+  CHECK(*failure == ResultCode::StorageWriteFailed);
+  CHECK(outcome == ResultCode::OutcomeUnknown);
+  CHECK_FALSE(instance.driver->HasLeaderLease(MonotonicNow()));
+  CHECK_FALSE(instance.leadership.isLeading);
+  CHECK(instance.state.text == "kept;");
+}
