--- a/tests/owner/InterleavingTests.cpp
+++ b/tests/owner/InterleavingTests.cpp
@@ -313,7 +313,7 @@
       this->notRun.insert(aUnit.sql);
     }
     Channel& channel = this->channels[aReply.channel];
-    const bool failed = aReply.code != ResultCode::Ok || !SplitMessages(aReply.payload).size() ||
+    const bool failed = aReply.code != ResultCode::Ok || SplitMessages(aReply.payload).empty() ||
                         SplitMessages(aReply.payload).back().type == 'E';
     if (aUnit.sql.starts_with("READ") && !failed) {
       const auto row = ReadDataRow(SplitMessages(aReply.payload).front().body);
@@ -416,7 +416,6 @@
     for (const std::string& sql : this->notRun) {
       RC_ASSERT(!this->harness.group.executedStatements.contains(sql));
     }
-    std::set<std::string> ids;
     for (const auto& record : this->harness.group.log) {
       RC_ASSERT(record.requestId.empty() || this->OneTransactionPerId(record));
     }
--- a/tests/scheduling/SchedulerTests.cpp
+++ b/tests/scheduling/SchedulerTests.cpp
@@ -45,7 +45,9 @@
         const std::string caller = *rc::gen::elementOf(std::vector<std::string>{ "x", "y", "z" });
         const auto lane = static_cast<WorkLane>(*rc::gen::inRange(0, 2));
         const std::uint64_t id = ++lastId;
-        keys[id] = workClass + "/" + caller + "/" + std::to_string(static_cast<int>(lane));
+        std::string& key = keys[id];
+        key.append(workClass).append("/").append(caller).append("/");
+        key.append(lane == WorkLane::Primary ? "primary" : "any");
         if (!scheduler->Admit({ id, workClass, caller, lane, now, 10 }, now)) {
           queued.insert(id);
         }
