--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -5,8 +5,8 @@
 #include "oleanderledge/control/ControlSettings.hpp"
 #include "oleanderledge/control/ControlState.hpp"
 #include "oleanderledge/control/internal/BackendAdmin.hpp"
-#include "oleanderledge/control/internal/ControlHttp.hpp"
 #include "oleanderledge/control/internal/ControlGroup.hpp"
+#include "oleanderledge/control/internal/ControlHttp.hpp"
 #include "oleanderledge/control/internal/ObservedState.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
@@ -110,6 +110,8 @@
   bool isStopping = false;
   /// Follower through which an instance's heartbeats arrive, by instance id.
   std::map<std::string, std::string> relayOf;
+  /// HTTP addresses of control instances that sent a message, by instance id.
+  std::map<std::string, std::string> memberHttp;
 };
 
 } // namespace oleanderledge
