Answer HTTP requests later without writing to a deleted socket

Cause: with Qt 6.4, QHttpServerResponder and futures of responses write to a deleted socket if the client disconnects before the answer. Change: HttpReply in transport follows the lifetime of the socket; the control daemon uses it for all answers that may come later. A test disconnects clients before their answers. ProxyHttp has the same fault and is not changed here.

--- a/src/oleanderledge/control/internal/ControlHttp.cpp
+++ b/src/oleanderledge/control/internal/ControlHttp.cpp
@@ -7,6 +7,8 @@
 #include <QHostAddress>
 #include <QHttpServerResponder>
 #include <QHttpServerResponse>
+#include <QHttpServerRouter>
+#include <QHttpServerRouterRule>
 #include <QJsonDocument>
 #include <QUrlQuery>
 
@@ -64,34 +66,31 @@
     }
     return QHttpServerResponse(QJsonObject{ { "code", static_cast<int>(ResultCode::Ok) } });
   });
-  this->server.route("/v1/classes",
-                     Method::Post,
-                     [this](const QHttpServerRequest& aRequest, QHttpServerResponder&& aResponder) {
-                       auto change = ParseClassChange(aRequest.body());
-                       if (!change) {
-                         aResponder.write(
-                           ToBytes(ErrorToJson(change.error().code, change.error().message)),
-                           kJsonType,
-                           StatusCode::BadRequest);
-                         return;
-                       }
-                       this->Serve(aRequest,
-                                   std::move(aResponder),
-                                   [this, &change](ControlHttpHandler::OperatorCallback aDone) {
-                                     this->handler.ChangeClassNow(change.value(), std::move(aDone));
-                                   });
+  this->AddRoute("/v1/classes",
+                 Method::Post,
+                 [this](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
+                   auto change = ParseClassChange(aRequest.body());
+                   if (!change) {
+                     aReply.Send(static_cast<int>(StatusCode::BadRequest),
+                                 kJsonType,
+                                 ToBytes(ErrorToJson(change.error().code, change.error().message)));
+                     return;
+                   }
+                   this->Serve(
+                     aRequest, aReply, [this, &change](ControlHttpHandler::OperatorCallback aDone) {
+                       this->handler.ChangeClassNow(change.value(), std::move(aDone));
                      });
+                 });
   const auto addRead = [this](const char* aPath,
                               std::function<QJsonObject(const QHttpServerRequest&)> aRead) {
-    this->server.route(
+    this->AddRoute(
       aPath,
       Method::Get,
-      [this, aRead](const QHttpServerRequest& aRequest, QHttpServerResponder&& aResponder) {
-        this->Serve(aRequest,
-                    std::move(aResponder),
-                    [&aRead, &aRequest](const ControlHttpHandler::OperatorCallback& aDone) {
-                      aDone(static_cast<int>(StatusCode::Ok), aRead(aRequest));
-                    });
+      [this, aRead](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
+        this->Serve(
+          aRequest, aReply, [&aRead, &aRequest](const ControlHttpHandler::OperatorCallback& aDone) {
+            aDone(static_cast<int>(StatusCode::Ok), aRead(aRequest));
+          });
       });
   };
   addRead("/v1/classes", [this](const QHttpServerRequest&) { return this->handler.Classes(); });
@@ -111,35 +110,47 @@
   });
 }
 
+void ControlHttp::AddRoute(const char* aPath,
+                           QHttpServerRequest::Method aMethod,
+                           RouteHandler aHandler)
+{
+  // The rule's own handler gets the socket, whose lifetime the answer must follow.
+  auto rule = std::make_unique<QHttpServerRouterRule>(
+    QString::fromLatin1(aPath),
+    aMethod,
+    [handle = std::move(aHandler)](const QRegularExpressionMatch& /*aMatch*/,
+                                   const QHttpServerRequest& aRequest,
+                                   QTcpSocket* aSocket) { handle(aRequest, HttpReply(aSocket)); });
+  using ViewHandler = std::function<void(const QHttpServerRequest&)>;
+  this->server.router()->addRule<ViewHandler>(std::move(rule));
+}
+
 void ControlHttp::Serve(const QHttpServerRequest& aRequest,
-                        QHttpServerResponder&& aResponder,
+                        const HttpReply& aReply,
                         const std::function<void(ControlHttpHandler::OperatorCallback)>& aLocal)
 {
-  const auto responder = std::make_shared<QHttpServerResponder>(std::move(aResponder));
   if (this->handler.IsCurrentLeader()) {
-    aLocal([responder](int aStatus, const QJsonObject& aBody) {
-      responder->write(ToBytes(aBody), kJsonType, static_cast<StatusCode>(aStatus));
+    aLocal([aReply](int aStatus, const QJsonObject& aBody) {
+      aReply.Send(aStatus, kJsonType, ToBytes(aBody));
     });
     return;
   }
+  constexpr int kUnavailable = static_cast<int>(StatusCode::ServiceUnavailable);
   const std::string leader = this->handler.LeaderHttpAddress();
   const QByteArray noQuorum = ToBytes(ErrorToJson(ResultCode::NoQuorum, {}));
   if (leader.empty() || IsForwarded(aRequest)) {
-    responder->write(noQuorum, kJsonType, StatusCode::ServiceUnavailable);
+    aReply.Send(kUnavailable, kJsonType, noQuorum);
     return;
   }
-  this->forwarder->Forward(leader,
-                           aRequest.url().toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority),
-                           aRequest.method() == Method::Post ? aRequest.body() : QByteArray(),
-                           HttpForwarder::Hop::Final,
-                           [responder, noQuorum](int aStatus, const QByteArray& aBody) {
-                             if (aStatus == 0) {
-                               responder->write(
-                                 noQuorum, kJsonType, StatusCode::ServiceUnavailable);
-                               return;
-                             }
-                             responder->write(aBody, kJsonType, static_cast<StatusCode>(aStatus));
-                           });
+  this->forwarder->Forward(
+    leader,
+    aRequest.url().toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority),
+    aRequest.method() == Method::Post ? aRequest.body() : QByteArray(),
+    HttpForwarder::Hop::Final,
+    [aReply, noQuorum](int aStatus, const QByteArray& aBody) {
+      const bool isAnswered = aStatus != 0;
+      aReply.Send(isAnswered ? aStatus : kUnavailable, kJsonType, isAnswered ? aBody : noQuorum);
+    });
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/internal/ControlHttp.hpp
+++ b/src/oleanderledge/control/internal/ControlHttp.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/control/Announcement.hpp"
 #include "oleanderledge/control/ClassTable.hpp"
+#include "oleanderledge/transport/HttpReply.hpp"
 
 #include <QHttpServer>
 #include <QJsonObject>
@@ -48,10 +49,14 @@
   Result<void> Listen(const std::string& aAddress);
 
 private:
+  using RouteHandler = std::function<void(const QHttpServerRequest&, const HttpReply&)>;
+
   void AddRoutes();
+  /// Adds a route whose answer may come later.
+  void AddRoute(const char* aPath, QHttpServerRequest::Method aMethod, RouteHandler aHandler);
   /// Runs `aLocal` on the leader, or forwards the request to it.
   void Serve(const QHttpServerRequest& aRequest,
-             QHttpServerResponder&& aResponder,
+             const HttpReply& aReply,
              const std::function<void(ControlHttpHandler::OperatorCallback)>& aLocal);
 
   ControlHttpHandler& handler;
--- /dev/null
+++ b/src/oleanderledge/transport/HttpReply.cpp
@@ -0,0 +1,16 @@
+#include "oleanderledge/transport/HttpReply.hpp"
+
+namespace oleanderledge {
+
+void HttpReply::Send(int aStatus, const QByteArray& aContentType, const QByteArray& aBody) const
+{
+  if (this->socket.isNull() || this->socket->state() != QAbstractSocket::ConnectedState) {
+    return;
+  }
+  // Clients go by the number; the reason phrase may be empty (RFC 9112, section 4).
+  this->socket->write(
+    "HTTP/1.1 " + QByteArray::number(aStatus) + " \r\nContent-Type: " + aContentType +
+    "\r\nContent-Length: " + QByteArray::number(aBody.size()) + "\r\n\r\n" + aBody);
+}
+
+} // namespace oleanderledge
--- a/tests/control/ControlGroupTests.cpp
+++ b/tests/control/ControlGroupTests.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <QJsonArray>
+#include <QTcpSocket>
 #include <QTemporaryDir>
 #include <QTimer>
 
@@ -131,6 +133,26 @@
   CHECK(fixture.Request(0, "/v1/classes").body["version"] == second.body["version"]);
 }
 
+// Guards against a crash: a client that disconnects before its answer leaves no socket to write to.
+TEST_CASE("A client that disconnects before the answer does no harm")
+{
+  GroupFixture fixture;
+  REQUIRE(WaitUntil([&] { return fixture.LeaderAsSeenBy(0) < kMembers; }));
+  const QByteArray body = CreateClass("bookings", 0);
+  for (const ControlSettings& member : fixture.settings) {
+    const auto [host, port] = SplitAddress(member.instance.httpAddress);
+    QTcpSocket client;
+    client.connectToHost(QString::fromStdString(host), port);
+    REQUIRE(client.waitForConnected());
+    client.write("POST /v1/classes HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                 QByteArray::number(body.size()) + "\r\n\r\n" + body);
+    client.waitForBytesWritten();
+    client.abort();
+  }
+  CHECK(fixture.Change(0, body).status == 200);
+  CHECK(fixture.Request(0, "/v1/config/history").body["history"].toArray().size() == 1);
+}
+
 // Guards the relay: a proxy that knows only a follower gets the leader's replies and new rows.
 TEST_CASE("A proxy connected to a follower gets accepted heartbeats and committed rows")
 {
