--- a/src/oleanderledge/owner/internal/QtOwnerService.cpp
+++ b/src/oleanderledge/owner/internal/QtOwnerService.cpp
@@ -264,14 +264,16 @@
     auto* monitor = new BackendMonitor(
       slot.name, this->EndpointOf(aOwned, slot.name), this->settings.statusInterval, this);
     kept[slot.name] = monitor;
-    QObject::connect(monitor, &BackendMonitor::Answered, this, [this, &aOwned](const auto& aStatus) {
-      aOwned.owner->SlotAnswered(aStatus, MonotonicNow());
-      this->CarryOut(aOwned);
-    });
-    QObject::connect(monitor, &BackendMonitor::Unreachable, this, [this, &aOwned, name = slot.name] {
-      aOwned.owner->SlotUnreachable(name, MonotonicNow());
-      this->CarryOut(aOwned);
-    });
+    QObject::connect(
+      monitor, &BackendMonitor::Answered, this, [this, &aOwned](const auto& aStatus) {
+        aOwned.owner->SlotAnswered(aStatus, MonotonicNow());
+        this->CarryOut(aOwned);
+      });
+    QObject::connect(
+      monitor, &BackendMonitor::Unreachable, this, [this, &aOwned, name = slot.name] {
+        aOwned.owner->SlotUnreachable(name, MonotonicNow());
+        this->CarryOut(aOwned);
+      });
   }
   for (auto& [name, monitor] : aOwned.monitors) {
     monitor->disconnect(this);
