--- a/tests/control/FailoverCoordinatorTests.cpp
+++ b/tests/control/FailoverCoordinatorTests.cpp
@@ -5,6 +5,13 @@
 using namespace oleanderledge;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Matched against, so that a failure prints the violations.
+const std::vector<std::string> kNone;
+
+} // namespace
+
 // Guards the start of a database: nearest owner, committed in-sync set, lease.
 TEST_CASE("A new database gets the nearest owner and its replicas become in sync")
 {
@@ -12,7 +19,7 @@
   harness.RunUntilSteady();
   CHECK(harness.Row().owner == "p1");
   CHECK(harness.Row().primary == "a");
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards the order of the steps of 3.4 and the target of 3 s.
@@ -30,7 +37,7 @@
   const auto lines = harness.LinesOf(LogEvent::FailoverCompleted);
   REQUIRE(lines.size() == 1);
   CHECK(lines[0].find("kind=unplanned detection_ms=") != std::string::npos);
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 namespace {
@@ -69,7 +76,7 @@
   harness.Run(3s);
   CHECK(harness.promotions.size() == 1);
   CHECK(harness.Row().term == 2);
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards the planned change under the same interruption.
@@ -83,7 +90,7 @@
   LoseLeaderIn(harness, phase, keepProposals);
   REQUIRE(harness.RunUntil([&] { return harness.Row().term == 2 && harness.IsSteadyWith("b"); }));
   CHECK(harness.promotions.size() == 1);
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards 3.4: a departing primary is replaced quickly, by the same owner under the same epoch.
@@ -101,7 +108,7 @@
   const auto lines = harness.LinesOf(LogEvent::FailoverCompleted);
   REQUIRE(lines.size() == 1);
   CHECK(lines[0].find("kind=planned") != std::string::npos);
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards against a report that belongs to an earlier, abandoned planned change: the owner may write
@@ -133,7 +140,7 @@
   harness.ElectLeader();
   REQUIRE(harness.RunUntil([&] { return harness.Row().ownerEpoch > epoch; }));
   CHECK(harness.now >= end);
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards against slots that linger in the directory after they departed.
@@ -147,7 +154,7 @@
   REQUIRE(harness.RunUntil([&] { return FindSlot(harness.Row(), "c")->silent; }, 3s));
   CHECK(harness.RunUntil([&] { return FindSlot(harness.Row(), "c") == nullptr; }, 60s));
   CHECK(harness.Row().primary == "a");
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards 2.3: no order that was confirmed may be lost silently.
@@ -169,7 +176,7 @@
   CHECK(harness.OwnerHasLease());
   harness.Slot("a").alive = true;
   CHECK(harness.RunUntil([&] { return harness.IsSteadyWith("a"); }));
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards 3.4: ownership moves before a primary is replaced that only its owner cannot reach.
@@ -182,7 +189,7 @@
   harness.Run(5s);
   CHECK(harness.Row().owner == "p2");
   CHECK(harness.promotions.empty());
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards 3.4: a primary that announces itself but serves nobody is replaced.
@@ -196,7 +203,7 @@
   REQUIRE(harness.RunUntil([&] { return harness.Row().term == 2; }));
   CHECK(harness.RunUntil([&] { return harness.IsSteadyWith(harness.Row().primary); }));
   CHECK(harness.promotions.size() == 1);
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards the gap at the loss of a zone: owner and primary fail together.
@@ -210,7 +217,7 @@
   REQUIRE(harness.RunUntil([&] { return harness.IsSteadyWith("b"); }));
   CHECK(harness.now - lost < 3s);
   CHECK(harness.Row().owner == "p2");
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards 3.4: repeated failures must not make the database change its primary in a loop.
@@ -228,7 +235,7 @@
   REQUIRE(harness.RunUntil([&] { return harness.Row().term == 3; }));
   CHECK(harness.now - first >= 2s);
   CHECK(harness.RunUntil([&] { return harness.IsSteadyWith(harness.Row().primary); }));
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards the choice after a promotion that nobody confirms.
@@ -240,7 +247,7 @@
   harness.Slot("b").answersCalls = false;
   harness.Slot("a").alive = false;
   REQUIRE(harness.RunUntil([&] { return harness.IsSteadyWith("c"); }));
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards 2.2: a dead owner's lease is waited out, also by a leader that did not grant it.
@@ -259,7 +266,7 @@
   REQUIRE(harness.RunUntil([&] { return harness.Row().owner == "p2"; }));
   CHECK(harness.now >= end);
   CHECK(harness.RunUntil([&] { return harness.OwnerHasLease(); }));
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards 3.2: the lease of the old process is waited out although it is dead at once.
@@ -275,7 +282,7 @@
   CHECK(harness.now >= end);
   CHECK(harness.Row().ownerIncarnation == 2);
   CHECK(harness.RunUntil([&] { return harness.OwnerHasLease(); }));
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards I8: ownership moves before a proxy stops, faster than a lease runs out.
@@ -287,7 +294,7 @@
   const Instant start = harness.now;
   REQUIRE(harness.RunUntil([&] { return harness.Row().owner == "p2" && harness.OwnerHasLease(); }));
   CHECK(harness.now - start < 1s);
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards against a grant that a new leader cannot know of: the change of owner is committed, but
@@ -306,7 +313,7 @@
   harness.ElectLeader();
   harness.commitsPaused = false;
   CHECK(harness.RunUntil([&] { return harness.Row().owner == "p2" && harness.OwnerHasLease(); }));
-  CHECK(harness.violations == std::vector<std::string>{});
+  CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
 // Guards the start of failovers against a replaced primary that still announces itself.
