--- a/tests/entry/CallerSessionTests.cpp
+++ b/tests/entry/CallerSessionTests.cpp
@@ -77,9 +77,11 @@
       }
       this->text.push_back(view.type);
       if (view.type == 'E') {
-        this->text += ":" + ReadErrorFields(view.body).sqlstate;
+        this->text.push_back(':');
+        this->text += ReadErrorFields(view.body).sqlstate;
       } else if (view.type == 'C' || view.type == 'Z') {
-        this->text += ":" + std::string(view.body.substr(0, view.body.find('\0')));
+        this->text.push_back(':');
+        this->text += view.body.substr(0, view.body.find('\0'));
       }
     }
     if (aOutput.forward) {
