--- a/src/oleanderledge/control/internal/ControlHttp.cpp
+++ b/src/oleanderledge/control/internal/ControlHttp.cpp
@@ -1,6 +1,7 @@
 #include "oleanderledge/control/internal/ControlHttp.hpp"
 
 #include "oleanderledge/control/internal/ControlJson.hpp"
+#include "oleanderledge/transport/DeferredRoute.hpp"
 #include "oleanderledge/transport/HttpForwarder.hpp"
 #include "oleanderledge/transport/LinkConnection.hpp"
 
@@ -66,24 +67,26 @@
     }
     return QHttpServerResponse(QJsonObject{ { "code", static_cast<int>(ResultCode::Ok) } });
   });
-  this->AddRoute("/v1/classes",
-                 Method::Post,
-                 [this](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
-                   auto change = ParseClassChange(aRequest.body());
-                   if (!change) {
-                     aReply.Send(static_cast<int>(StatusCode::BadRequest),
-                                 kJsonType,
-                                 ToBytes(ErrorToJson(change.error().code, change.error().message)));
-                     return;
-                   }
-                   this->Serve(
-                     aRequest, aReply, [this, &change](ControlHttpHandler::OperatorCallback aDone) {
-                       this->handler.ChangeClassNow(change.value(), std::move(aDone));
-                     });
-                 });
+  AddDeferredRoute(
+    this->server,
+    "/v1/classes",
+    Method::Post,
+    [this](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
+      auto change = ParseClassChange(aRequest.body());
+      if (!change) {
+        aReply.Send(static_cast<int>(StatusCode::BadRequest),
+                    kJsonType,
+                    ToBytes(ErrorToJson(change.error().code, change.error().message)));
+        return;
+      }
+      this->Serve(aRequest, aReply, [this, &change](ControlHttpHandler::OperatorCallback aDone) {
+        this->handler.ChangeClassNow(change.value(), std::move(aDone));
+      });
+    });
   const auto addRead = [this](const char* aPath,
                               std::function<QJsonObject(const QHttpServerRequest&)> aRead) {
-    this->AddRoute(
+    AddDeferredRoute(
+      this->server,
       aPath,
       Method::Get,
       [this, aRead](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
@@ -110,21 +113,6 @@
   });
 }
 
-void ControlHttp::AddRoute(const char* aPath,
-                           QHttpServerRequest::Method aMethod,
-                           RouteHandler aHandler)
-{
-  // The rule's own handler gets the socket, whose lifetime the answer must follow.
-  auto rule = std::make_unique<QHttpServerRouterRule>(
-    QString::fromLatin1(aPath),
-    aMethod,
-    [handle = std::move(aHandler)](const QRegularExpressionMatch& /*aMatch*/,
-                                   const QHttpServerRequest& aRequest,
-                                   QTcpSocket* aSocket) { handle(aRequest, HttpReply(aSocket)); });
-  using ViewHandler = std::function<void(const QHttpServerRequest&)>;
-  this->server.router()->addRule<ViewHandler>(std::move(rule));
-}
-
 void ControlHttp::Serve(const QHttpServerRequest& aRequest,
                         const HttpReply& aReply,
                         const std::function<void(ControlHttpHandler::OperatorCallback)>& aLocal)
--- a/src/oleanderledge/control/internal/ControlHttp.hpp
+++ b/src/oleanderledge/control/internal/ControlHttp.hpp
@@ -49,11 +49,7 @@
   Result<void> Listen(const std::string& aAddress);
 
 private:
-  using RouteHandler = std::function<void(const QHttpServerRequest&, const HttpReply&)>;
-
   void AddRoutes();
-  /// Adds a route whose answer may come later.
-  void AddRoute(const char* aPath, QHttpServerRequest::Method aMethod, RouteHandler aHandler);
   /// Runs `aLocal` on the leader, or forwards the request to it.
   void Serve(const QHttpServerRequest& aRequest,
              const HttpReply& aReply,
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -17,15 +17,20 @@
 {
   StopSignals signals(nullptr);
   QObject::connect(&signals, &StopSignals::StopRequested, &aDaemon, &Daemon::BeginStop);
-  QObject::connect(
-    &aDaemon, &Daemon::Stopped, qApp, &QCoreApplication::quit, Qt::QueuedConnection);
+  Result<void> finished = boost::outcome_v2::success();
+  QObject::connect(&aDaemon, &Daemon::Stopped, qApp, [&finished](const Error& aError) {
+    if (aError.code != ResultCode::Ok) {
+      finished = Fail(aError.code, aError.message);
+    }
+    QCoreApplication::quit();
+  });
   auto started = aDaemon.Start();
   if (!started) {
     return started;
   }
   WriteLog(LogEvent::DaemonStarted, "instance=" + aInstance);
   QCoreApplication::exec();
-  return boost::outcome_v2::success();
+  return finished;
 }
 
 ControlSettings ToControlSettings(const Settings& aSettings)
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -43,12 +43,10 @@
   metrics.SetGauge("oleanderledge_directory_version", {}, ToDouble(aDirectory.Version()));
   metrics.SetGauge("oleanderledge_sessions", {}, ToDouble(aCounters.sessions));
   metrics.SetGauge("oleanderledge_waiting_units", {}, ToDouble(aCounters.waitingUnits));
-  metrics.SetCounter(
-    "oleanderledge_units_forwarded_total", {}, ToDouble(aCounters.unitsForwarded));
+  metrics.SetCounter("oleanderledge_units_forwarded_total", {}, ToDouble(aCounters.unitsForwarded));
   metrics.SetCounter("oleanderledge_units_answered_total", {}, ToDouble(aCounters.unitsAnswered));
   metrics.SetCounter("oleanderledge_resends_total", {}, ToDouble(aCounters.resends));
-  metrics.SetCounter(
-    "oleanderledge_replies_ignored_total", {}, ToDouble(aCounters.repliesIgnored));
+  metrics.SetCounter("oleanderledge_replies_ignored_total", {}, ToDouble(aCounters.repliesIgnored));
   metrics.SetCounter("oleanderledge_not_run_total", {}, ToDouble(aCounters.notRun));
   metrics.SetCounter("oleanderledge_unknown_total", {}, ToDouble(aCounters.unknown));
   for (const auto& [code, count] : aCounters.errors) {
@@ -77,10 +75,9 @@
   sample.incarnation = this->self.incarnation;
   for (const ClassService& service : aCounters.service) {
     const ClassRow* row = aDirectory.FindClass(service.workClass);
-    sample.classes[service.workClass] = { row == nullptr ? 0 : row->targetMs,
-                                          service.served,
-                                          service.servedInTarget,
-                                          service.refused };
+    sample.classes[service.workClass] = {
+      row == nullptr ? 0 : row->targetMs, service.served, service.servedInTarget, service.refused
+    };
   }
   for (const auto& [code, count] : aCounters.errors) {
     sample.refusals[static_cast<std::uint16_t>(code)] = count;
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -184,10 +184,10 @@
 void ProxyDaemon::FinishStop()
 {
   this->stopTimer.stop();
-  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicNow() -
-                                                                          this->stopStarted);
+  const auto took =
+    std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicNow() - this->stopStarted);
   WriteLog(LogEvent::DaemonStopped, "took_ms=" + std::to_string(took.count()));
-  Q_EMIT this->Stopped();
+  Q_EMIT this->Stopped(Error{});
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
@@ -37,7 +37,8 @@
   static constexpr std::chrono::milliseconds kStopLimit{ 10'000 };
 
 Q_SIGNALS:
-  void Stopped();
+  /// The code of the error is Ok after a graceful stop.
+  void Stopped(const oleanderledge::Error& aError);
 
 private:
   /// Runs a function in the traffic thread.
--- a/src/oleanderledge/daemon/internal/ProxyHttp.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyHttp.cpp
@@ -1,21 +1,19 @@
 #include "oleanderledge/daemon/internal/ProxyHttp.hpp"
 
 #include "oleanderledge/metrics/metrics.hpp"
+#include "oleanderledge/transport/DeferredRoute.hpp"
 #include "oleanderledge/transport/HttpForwarder.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
 #include <QHostAddress>
-#include <QHttpServerResponder>
 #include <QHttpServerResponse>
 
-#include <memory>
-
 namespace oleanderledge {
 
 namespace {
 
 using Method = QHttpServerRequest::Method;
-using StatusCode = QHttpServerResponder::StatusCode;
+using StatusCode = QHttpServerResponse::StatusCode;
 
 constexpr char kJsonType[] = "application/json";
 constexpr char kTextType[] = "text/plain; version=0.0.4; charset=utf-8";
@@ -48,12 +46,12 @@
     return QHttpServerResponse(kTextType, QByteArray::fromStdString(aMetrics.ToPrometheusText()));
   });
   for (const char* path : { "/v1/classes", "/v1/status", "/v1/config/history" }) {
-    this->server.route(
-      path,
-      Method::Get | Method::Post,
-      [this](const QHttpServerRequest& aRequest, QHttpServerResponder&& aResponder) {
-        this->PassOn(aRequest, std::move(aResponder));
-      });
+    AddDeferredRoute(this->server,
+                     path,
+                     Method::Get | Method::Post,
+                     [this](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
+                       this->PassOn(aRequest, aReply);
+                     });
   }
 }
 
@@ -66,12 +64,12 @@
   return boost::outcome_v2::success();
 }
 
-void ProxyHttp::PassOn(const QHttpServerRequest& aRequest, QHttpServerResponder&& aResponder)
+void ProxyHttp::PassOn(const QHttpServerRequest& aRequest, const HttpReply& aReply)
 {
-  const auto responder = std::make_shared<QHttpServerResponder>(std::move(aResponder));
+  constexpr int kUnavailable = static_cast<int>(StatusCode::ServiceUnavailable);
   const std::string address = this->controlAddress();
   if (address.empty()) {
-    responder->write(NoQuorumBody(), kJsonType, StatusCode::ServiceUnavailable);
+    aReply.Send(kUnavailable, kJsonType, NoQuorumBody());
     return;
   }
   this->forwarder->Forward(
@@ -79,12 +77,9 @@
     aRequest.url().toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority),
     aRequest.method() == Method::Post ? aRequest.body() : QByteArray(),
     HttpForwarder::Hop::First,
-    [responder](int aStatus, const QByteArray& aBody) {
+    [aReply](int aStatus, const QByteArray& aBody) {
       const bool answered = aStatus != 0;
-      responder->write(answered ? aBody : NoQuorumBody(),
-                       kJsonType,
-                       answered ? static_cast<StatusCode>(aStatus)
-                                : StatusCode::ServiceUnavailable);
+      aReply.Send(answered ? aStatus : kUnavailable, kJsonType, answered ? aBody : NoQuorumBody());
     });
 }
 
--- a/src/oleanderledge/daemon/internal/ProxyHttp.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyHttp.hpp
@@ -11,10 +11,11 @@
 namespace oleanderledge {
 
 class HttpForwarder;
+class HttpReply;
 class MetricsRegistry;
 
-/// HTTP interface of a proxy: health, readiness, metrics, and operator requests, which are passed on
-/// to a control instance.
+/// HTTP interface of a proxy: health, readiness, metrics, and operator requests, which are passed
+/// on to a control instance.
 class ProxyHttp : public QObject
 {
   Q_OBJECT
@@ -30,7 +31,7 @@
   Result<void> Listen(const std::string& aAddress);
 
 private:
-  void PassOn(const QHttpServerRequest& aRequest, QHttpServerResponder&& aResponder);
+  void PassOn(const QHttpServerRequest& aRequest, const HttpReply& aReply);
 
   std::function<std::string()> controlAddress;
   HttpForwarder* forwarder;
--- a/src/oleanderledge/daemon/internal/TrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.cpp
@@ -31,8 +31,7 @@
   this->owner = CreateOwnerService(this, *this->links.incoming, ownerSettings);
   this->links.incoming->SetOwner(this->owner.get());
   this->linkServer = std::make_unique<LinkServer>(this->self, latency, nullptr);
-  QObject::connect(
-    this->linkServer.get(), &LinkServer::Accepted, this, &TrafficWorker::AcceptLink);
+  QObject::connect(this->linkServer.get(), &LinkServer::Accepted, this, &TrafficWorker::AcceptLink);
   auto listening = this->linkServer->Listen(this->settings.linkAddress);
   if (!listening) {
     return listening;
--- /dev/null
+++ b/src/oleanderledge/transport/DeferredRoute.cpp
@@ -0,0 +1,25 @@
+#include "oleanderledge/transport/DeferredRoute.hpp"
+
+#include <QHttpServer>
+#include <QHttpServerRouter>
+#include <QHttpServerRouterRule>
+
+namespace oleanderledge {
+
+void AddDeferredRoute(QHttpServer& aServer,
+                      const char* aPath,
+                      QHttpServerRequest::Methods aMethods,
+                      DeferredHandler aHandler)
+{
+  // The rule's own handler gets the socket, whose lifetime the answer must follow.
+  auto rule = std::make_unique<QHttpServerRouterRule>(
+    QString::fromLatin1(aPath),
+    aMethods,
+    [handle = std::move(aHandler)](const QRegularExpressionMatch& /*aMatch*/,
+                                   const QHttpServerRequest& aRequest,
+                                   QTcpSocket* aSocket) { handle(aRequest, HttpReply(aSocket)); });
+  using ViewHandler = std::function<void(const QHttpServerRequest&)>;
+  aServer.router()->addRule<ViewHandler>(std::move(rule));
+}
+
+} // namespace oleanderledge
