Add scripts/bench.sh with failover, planned, config and rolling

Cause: the failover gap and its parts must be measured with real processes. Change: fleet functions shared by the demo and the benchmarks; bench.sh; the probe notices sessions that were closed while idle.

--- a/benchmarks/order_probe/OrderProbe.cpp
+++ b/benchmarks/order_probe/OrderProbe.cpp
@@ -37,7 +37,10 @@
 
 bool OrderProbe::EnsureConnected(pg_conn*& aConnection, const std::string& aOptions)
 {
-  if (aConnection != nullptr && PQstatus(aConnection) == CONNECTION_OK) {
+  // Reads what arrived meanwhile, so that a session that the proxy closed while it was idle is not
+  // used, and is not taken for a request that was cut.
+  if (aConnection != nullptr && PQconsumeInput(aConnection) == 1 &&
+      PQstatus(aConnection) == CONNECTION_OK) {
     return true;
   }
   this->Drop(aConnection);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,82 +26,12 @@
 
 scripts/setup.sh
 
-root=$PWD
-deploy=$root/deploy/$user
-run=$root/run/$user
-program=${OLEANDERLEDGE:-$root/build/src/oleanderledge/cli/oleanderledge}
-stand_in=$root/build/standin/backend_stand_in
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
 database=orders-1
 orders=${DEMO_ORDERS:-40}
-ready_timeout_s=30
 order_timeout_s=20 # four times the worst failover allowed
 
-declare -A process_of # name -> process id
-cleaned_up=false
-
-stop_all() {
-  $cleaned_up && return
-  cleaned_up=true
-  # Proxies first: they hand their work over while control and the servers are still there.
-  local name kind
-  for kind in proxy control slot; do
-    local stopping=()
-    for name in "${!process_of[@]}"; do
-      [[ $name == "$kind"* ]] || continue
-      kill -TERM "${process_of[$name]}" 2>/dev/null && stopping+=("${process_of[$name]}")
-    done
-    local id attempt
-    for id in "${stopping[@]}"; do
-      for ((attempt = 0; attempt < 120; ++attempt)); do
-        kill -0 "$id" 2>/dev/null || break
-        sleep 0.1
-      done
-      kill -KILL "$id" 2>/dev/null || true
-      wait "$id" 2>/dev/null || true
-    done
-  done
-}
-trap stop_all EXIT
-trap 'exit 130' INT TERM
-
-# start NAME COMMAND...: starts a process in the run folder with its own log.
-start() {
-  local name=$1
-  shift
-  (cd "$run" && exec "$@") >"$run/${name//\//-}.log" 2>&1 &
-  process_of[$name]=$!
-}
-
-# setting FILE KEY: the value of an address key of a settings file.
-setting() {
-  sed -n "s/^  $2: *//p" "$1" | head -1
-}
-
-wait_ready() {
-  local name=$1 address=$2 deadline=$((SECONDS + ready_timeout_s))
-  until curl -fs -o /dev/null --max-time 1 "http://$address/readyz"; do
-    if ! kill -0 "${process_of[$name]}" 2>/dev/null; then
-      echo "demo: $name ended, see $run/$name.log" >&2
-      exit 1
-    fi
-    if ((SECONDS >= deadline)); then
-      echo "demo: $name is not ready after $ready_timeout_s s, see $run/$name.log" >&2
-      exit 1
-    fi
-    sleep 0.1
-  done
-}
-
-create_class() {
-  local attempt
-  for attempt in 1 2 3 4 5; do
-    "$program" ctl --address="$http_address" class create "$1" "$2" && return
-    sleep 1
-  done
-  echo "demo: class $1 could not be created" >&2
-  exit 1
-}
-
 # query PROXY OPTIONS SQL: runs SQL through a proxy's callers port with start-up options.
 query() {
   local address=$1 options=$2 sql=$3
@@ -148,53 +78,11 @@
   fi
 }
 
-# http_of SLOT: the address for test commands that a stand-in printed.
-http_of() {
-  sed -n 's/.* http=//p' "$run/slot-$database-$1.log"
-}
-
-# find_primary: slot, term and dump file of the live primary with the highest term.
-find_primary() {
-  primary='' primary_term=0
-  local slot dump term
-  for slot in "${slots_of_database[@]}"; do
-    dump=$run/dump-$slot.json
-    curl -fs --max-time 5 -o "$dump" "http://$(http_of "$slot")/dump" || continue
-    grep -q '"role":"primary"' "$dump" || continue
-    term=$(grep -o '"term":[0-9]*' "$dump" | cut -d: -f2)
-    if ((term > primary_term)); then
-      primary=$slot primary_term=$term
-    fi
-  done
-}
-
 now_ms() {
   date +%s%3N
 }
 
-rm -rf "$run"
-mkdir -p "$run"
-
-mapfile -t slots < <(awk '/- database:/ {d = $3} /- slot:/ {print d "/" $3}' "$deploy/stand-ins.yaml")
-slots_of_database=()
-for slot in "${slots[@]}"; do
-  start "slot-$slot" "$stand_in" --fleet="$deploy/stand-ins.yaml" --only="$slot"
-  [ "${slot%/*}" = "$database" ] && slots_of_database+=("${slot#*/}")
-done
-for file in "$deploy"/control-*.yaml; do
-  start "$(basename "$file" .yaml)" "$program" control --settings="$file"
-done
-for file in "$deploy"/proxy-*.yaml; do
-  start "$(basename "$file" .yaml)" "$program" proxy --settings="$file"
-done
-echo "demo: started ${#slots[@]} stand-ins, 3 control instances and 6 proxies, logs in $run"
-for file in "$deploy"/control-*.yaml "$deploy"/proxy-*.yaml; do
-  wait_ready "$(basename "$file" .yaml)" "$(setting "$file" http)"
-done
-echo "demo: all instances are ready"
-
-proxies=("$deploy"/proxy-*.yaml)
-http_address=$(setting "${proxies[0]}" http)
+start_fleet
 write_address=$(setting "${proxies[0]}" callers)
 read_address=$(setting "${proxies[-1]}" callers)
 create_class bookings 50ms
