Return 1305 and 1306 for unknown databases and classes

Cause: the entry never compared names of classes and databases with its directory. A misspelt class was served as the default class without a word, and a caller of an unknown database waited for an owner.

Change: SET oleanderledge.class to a class that is not in the directory fails with 1306 (22023, not run). At start-up it gives a NOTICE only, because deleting a class must not stop callers; the owner serves such work as the class with the longest target. A start-up for a database that a non-empty directory lacks is refused with FATAL 1305 (3D000), after the checks for a stop and for the session limit, which keep their codes.

Without a directory, classes are not checked.

--- a/src/oleanderledge/entry/internal/CallerConnection.cpp
+++ b/src/oleanderledge/entry/internal/CallerConnection.cpp
@@ -131,13 +131,14 @@
 
 void CallerConnection::StartSession(const StartupMessage& aMessage)
 {
-  auto starting = std::make_unique<CallerSession>(this->channel, this->limits);
+  auto starting = std::make_unique<CallerSession>(
+    this->channel, this->limits, [this] { return this->events.CurrentDirectory(); });
   auto opening = starting->Start(aMessage);
   if (!opening) {
     this->CloseWithError(opening.error().code, opening.error().message);
     return;
   }
-  auto key = this->events.OnSessionStart(*this);
+  auto key = this->events.OnSessionStart(*this, aMessage.database);
   if (!key) {
     this->CloseWithError(key.error().code, key.error().message);
     return;
--- a/src/oleanderledge/entry/internal/CallerConnection.hpp
+++ b/src/oleanderledge/entry/internal/CallerConnection.hpp
@@ -22,7 +22,10 @@
   virtual ~CallerConnectionEvents() = default;
 
   /// A session wants to start. Returns the key for cancel requests, or why it is refused.
-  virtual Result<CancelRequest> OnSessionStart(CallerConnection& aConnection) = 0;
+  virtual Result<CancelRequest> OnSessionStart(CallerConnection& aConnection,
+                                               const std::string& aDatabase) = 0;
+  /// The directory in force, or null while there is none.
+  virtual const Directory* CurrentDirectory() const = 0;
   virtual void OnCancelRequest(const CancelRequest& aRequest) = 0;
   virtual void OnUnit(ForwardUnit&& aUnit) = 0;
   /// Counts what the session did.
--- a/src/oleanderledge/entry/internal/CallerServer.cpp
+++ b/src/oleanderledge/entry/internal/CallerServer.cpp
@@ -80,7 +80,8 @@
   }
 }
 
-Result<CancelRequest> CallerServer::OnSessionStart(CallerConnection& aConnection)
+Result<CancelRequest> CallerServer::OnSessionStart(CallerConnection& aConnection,
+                                                   const std::string& aDatabase)
 {
   if (this->isStopping) {
     return Fail(ResultCode::ShuttingDown, {});
@@ -89,6 +90,13 @@
     ++this->counters.sessionsRejected;
     return Fail(ResultCode::StartupRejected, "too many sessions on this proxy");
   }
+  // An empty directory has not been filled yet; units then wait for an owner.
+  if (this->directory && !this->directory->Databases().empty() &&
+      this->directory->FindDatabase(aDatabase) == nullptr) {
+    ++this->counters.sessionsRejected;
+    return Fail(ResultCode::UnknownDatabase,
+                "database \"" + aDatabase + "\" is not known to this proxy");
+  }
   CancelRequest key;
   do {
     // Random process ids too: proxies share no counter, and an id of another proxy must not hit a
@@ -143,6 +151,7 @@
 
 void CallerServer::ApplyDirectory(std::shared_ptr<const Directory> aDirectory)
 {
+  this->directory = aDirectory;
   this->Run(this->forwarder.ApplyDirectory(std::move(aDirectory), MonotonicNow()));
 }
 
--- a/src/oleanderledge/entry/internal/CallerServer.hpp
+++ b/src/oleanderledge/entry/internal/CallerServer.hpp
@@ -49,7 +49,9 @@
     std::uint32_t secret = 0;
   };
 
-  Result<CancelRequest> OnSessionStart(CallerConnection& aConnection) override;
+  Result<CancelRequest> OnSessionStart(CallerConnection& aConnection,
+                                       const std::string& aDatabase) override;
+  const Directory* CurrentDirectory() const override { return this->directory.get(); }
   void OnCancelRequest(const CancelRequest& aRequest) override;
   void OnUnit(ForwardUnit&& aUnit) override;
   void OnOutput(const SessionOutput& aOutput) override;
@@ -64,6 +66,7 @@
 
   EntrySettings settings;
   OwnerLinks* links; ///< Null once destroyed.
+  std::shared_ptr<const Directory> directory;
   Forwarder forwarder;
   QTcpServer server;
   QTimer timer;
--- a/src/oleanderledge/entry/internal/CallerSession.cpp
+++ b/src/oleanderledge/entry/internal/CallerSession.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMaxSettingBytes = std::size_t{ 32 } * 1024;
 
 constexpr std::string_view kRequestIdName = "oleanderledge.request_id";
+constexpr std::string_view kClassName = "oleanderledge.class";
 
 /// Version that callers are told; clients derive features from it.
 constexpr std::string_view kServerVersion = "15.0";
@@ -100,9 +101,12 @@
 
 } // namespace
 
-CallerSession::CallerSession(std::uint64_t aChannel, const EntryLimits& aLimits)
+CallerSession::CallerSession(std::uint64_t aChannel,
+                             const EntryLimits& aLimits,
+                             DirectorySource aDirectory)
   : channel(aChannel)
   , limits(aLimits)
+  , directory(std::move(aDirectory))
   , collector(std::min(aLimits.maxMessageBytes, kMaxFrameBytes) - kFrameReserveBytes)
 {
 }
@@ -134,9 +138,23 @@
   opening += BuildParameterStatus("session_authorization", this->user);
   opening +=
     BuildParameterStatus("default_transaction_read_only", this->settings.ReadOnly() ? "on" : "off");
+  // An operator who deletes a class must not stop callers that still name it at start-up. The owner
+  // serves such work as the class with the longest target.
+  const std::string stated = this->settings.ShowOwn(kClassName).value();
+  if (!this->IsKnownClass(stated)) {
+    opening += BuildNoticeResponse(InfoOf(ResultCode::UnknownClass).sqlstate,
+                                   "class \"" + stated +
+                                     "\" is not known; work is served as the least urgent class");
+  }
   return opening;
 }
 
+bool CallerSession::IsKnownClass(std::string_view aName) const
+{
+  const Directory* current = this->directory ? this->directory() : nullptr;
+  return aName.empty() || current == nullptr || current->FindClass(aName) != nullptr;
+}
+
 bool CallerSession::IsIdle() const
 {
   return !this->running && this->queue.empty() && this->status == 'I';
@@ -569,7 +587,15 @@
     return Fail(ResultCode::InvalidSetting,
                 "oleanderledge.request_id must be set before the transaction begins");
   }
-  return this->settings.SetOwn(name, aStatement.value);
+  SessionSettings changed = this->settings;
+  if (auto set = changed.SetOwn(name, aStatement.value); !set) {
+    return set;
+  }
+  if (name == kClassName && !this->IsKnownClass(aStatement.value)) {
+    return Fail(ResultCode::UnknownClass, "class \"" + aStatement.value + "\" is not known");
+  }
+  this->settings = std::move(changed);
+  return boost::outcome_v2::success();
 }
 
 void CallerSession::ReportSetting(std::string_view aName, SessionOutput& aOutput) const
--- a/src/oleanderledge/entry/internal/CallerSession.hpp
+++ b/src/oleanderledge/entry/internal/CallerSession.hpp
@@ -6,10 +6,12 @@
 #include "oleanderledge/entry/internal/SessionSettings.hpp"
 #include "oleanderledge/entry/internal/UnitAnalysis.hpp"
 #include "oleanderledge/entry/internal/UnitCollector.hpp"
+#include "oleanderledge/link/link.hpp"
 #include "oleanderledge/wire/wire.hpp"
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,6 +30,9 @@
   std::vector<std::pair<ResultCode, RunState>> errors;
 };
 
+/// Gives the directory in force, or null while the entry has none.
+using DirectorySource = std::function<const Directory*()>;
+
 /// State of one caller's connection after start-up. Pure.
 ///
 /// Units are answered in order, one at a time. While a transaction is open, a unit that is refused
@@ -36,7 +41,10 @@
 class CallerSession
 {
 public:
-  CallerSession(std::uint64_t aChannel, const EntryLimits& aLimits);
+  /// Without a source of the directory, class names are not checked.
+  CallerSession(std::uint64_t aChannel,
+                const EntryLimits& aLimits,
+                DirectorySource aDirectory = {});
 
   /// Takes the start-up message. Returns the messages that open the session, without
   /// BackendKeyData and ReadyForQuery. Fails with InvalidSetting.
@@ -105,6 +113,7 @@
   Result<void> AnswerStep(const UnitStep& aStep, SessionOutput& aOutput);
   Result<void> ExecuteLocally(const RecognizedStatement& aStatement, SessionOutput& aOutput);
   Result<void> ExecuteSet(const RecognizedStatement& aStatement);
+  bool IsKnownClass(std::string_view aName) const;
   std::string DescribeLocally(const RecognizedStatement& aStatement) const;
   void ReportSetting(std::string_view aName, SessionOutput& aOutput) const;
 
@@ -123,6 +132,7 @@
 
   std::uint64_t channel;
   EntryLimits limits;
+  DirectorySource directory;
   UnitCollector collector;
   std::string user;
   std::string database;
--- a/tests/entry/CallerServerTests.cpp
+++ b/tests/entry/CallerServerTests.cpp
@@ -75,6 +75,60 @@
   CHECK(fixture.owner->requests.back().prepared[0].name == "s1");
 }
 
+// Guards against work that runs under a misspelt class, and against a deleted class that keeps
+// callers from connecting.
+TEST_CASE("An unknown class is refused in SET and only noted at start-up")
+{
+  EntryFixture fixture;
+  ClassRow row;
+  row.name = "bookings";
+  row.targetMs = 50;
+  row.version = 2;
+  DatabaseRow database;
+  database.name = "orders";
+  database.owner = "proxy";
+  database.ownerAddress = "127.0.0.1:1";
+  database.ownerEpoch = 1;
+  database.version = 1;
+  auto directory = std::make_shared<Directory>();
+  REQUIRE(directory->Apply({ 0, 2, { row }, { database } }));
+  fixture.entry->ApplyDirectory(directory);
+  TestCaller caller(fixture.entry->CallersPort());
+  REQUIRE(caller.Start({ { "options", "-c oleanderledge.class=deleted" } }));
+  const Texts opening = caller.Messages();
+  CHECK(std::count(opening.begin(), opening.end(), "N") == 1);
+  CHECK(caller.Query("SELECT 1") == Texts{ "C:SELECT 1", "Z:I" });
+  const Texts refused = caller.Query("SET oleanderledge.class = 'boookings'");
+  REQUIRE(refused.size() == 2);
+  CHECK(refused[0] == "E:ERROR 22023 class \"boookings\" is not known [1306, not run]");
+  CHECK(refused[1] == "Z:I");
+  CHECK(fixture.owner->requests.size() == 1);
+  CHECK(caller.Query("SET oleanderledge.class = 'bookings'") == Texts{ "C:SET", "Z:I" });
+  TestCaller known(fixture.entry->CallersPort());
+  REQUIRE(known.Start({ { "options", "-c oleanderledge.class=bookings" } }));
+  const Texts quiet = known.Messages();
+  CHECK(std::count(quiet.begin(), quiet.end(), "N") == 0);
+}
+
+// Guards against callers of a misspelt database that wait for an owner until the limit, and against
+// an entry that refuses callers before it has received its directory.
+TEST_CASE("A start-up for an unknown database is refused once the directory is filled")
+{
+  EntryFixture fixture;
+  const std::vector<std::pair<std::string, std::string>> parameters = { { "user", "counter" },
+                                                                        { "database", "ordres" } };
+  const std::string startup = BuildStartup(parameters);
+  TestCaller caller(fixture.entry->CallersPort());
+  caller.Send(startup);
+  REQUIRE(caller.WaitForClose());
+  CHECK(caller.Messages() ==
+        Texts{ "E:FATAL 3D000 database \"ordres\" is not known to this proxy [1305, not run]" });
+  fixture.entry->ApplyDirectory(std::make_shared<Directory>());
+  TestCaller early(fixture.entry->CallersPort());
+  early.Send(startup);
+  CHECK(early.WaitForReady(1));
+}
+
 // I2: guards against relaying an acknowledgement of an owner whose lease ran out on the way.
 TEST_CASE("A write acknowledgement after the lease is answered as unknown")
 {
