Count reads by the kind of server that answered them

Cause: the report shows the share of reads that replicas answered, but no daemon filled MetricsSample.replicaReads and primaryReads.

Change: the forwarder counts read-only units by StatementReply.fromReplica of the final answer with code Ok. The counters go through EntryCounters and TrafficCounters to oleanderledge_replica_reads_total, oleanderledge_primary_reads_total and the metrics log.

Conclusion: the share of replica reads in the report has its inputs.

--- a/src/oleanderledge/daemon/TrafficCounters.hpp
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -18,6 +18,8 @@
   std::uint64_t unitsAnswered = 0;
   std::uint64_t resends = 0;
   std::uint64_t repliesIgnored = 0;
+  std::uint64_t replicaReads = 0;
+  std::uint64_t primaryReads = 0;
   std::uint64_t notRun = 0;
   std::uint64_t unknown = 0;
   std::map<ResultCode, std::uint64_t> errors;
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -47,6 +47,8 @@
   metrics.SetCounter("oleanderledge_units_answered_total", {}, ToDouble(aCounters.unitsAnswered));
   metrics.SetCounter("oleanderledge_resends_total", {}, ToDouble(aCounters.resends));
   metrics.SetCounter("oleanderledge_replies_ignored_total", {}, ToDouble(aCounters.repliesIgnored));
+  metrics.SetCounter("oleanderledge_replica_reads_total", {}, ToDouble(aCounters.replicaReads));
+  metrics.SetCounter("oleanderledge_primary_reads_total", {}, ToDouble(aCounters.primaryReads));
   metrics.SetCounter("oleanderledge_not_run_total", {}, ToDouble(aCounters.notRun));
   metrics.SetCounter("oleanderledge_unknown_total", {}, ToDouble(aCounters.unknown));
   for (const auto& [code, count] : aCounters.errors) {
@@ -82,6 +84,8 @@
   for (const auto& [code, count] : aCounters.errors) {
     sample.refusals[static_cast<std::uint16_t>(code)] = count;
   }
+  sample.replicaReads = aCounters.replicaReads;
+  sample.primaryReads = aCounters.primaryReads;
   this->log << EncodeSample(sample) << '\n' << std::flush;
 }
 
--- a/src/oleanderledge/daemon/internal/TrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.cpp
@@ -86,6 +86,8 @@
   collected.unitsAnswered = counters.unitsAnswered;
   collected.resends = counters.resends;
   collected.repliesIgnored = counters.repliesIgnored;
+  collected.replicaReads = counters.replicaReads;
+  collected.primaryReads = counters.primaryReads;
   collected.notRun = counters.notRun;
   collected.unknown = counters.unknown;
   collected.errors = counters.errors;
--- a/src/oleanderledge/entry/EntryService.hpp
+++ b/src/oleanderledge/entry/EntryService.hpp
@@ -22,6 +22,8 @@
   std::uint64_t unitsAnswered = 0;  ///< With the owner's own answer.
   std::uint64_t unitsLocal = 0;     ///< Answered by the entry without an owner.
   std::uint64_t resends = 0;
+  std::uint64_t replicaReads = 0;   ///< Read-only units that a replica answered.
+  std::uint64_t primaryReads = 0;   ///< Read-only units that the primary answered.
   std::uint64_t repliesIgnored = 0; ///< Late, duplicate or unknown replies.
   std::uint64_t cancels = 0;
   std::uint64_t notRun = 0;  ///< Errors to callers that say "not run".
--- a/src/oleanderledge/entry/internal/CallerServer.cpp
+++ b/src/oleanderledge/entry/internal/CallerServer.cpp
@@ -267,6 +267,8 @@
   this->counters.resends = statistics.resends;
   this->counters.repliesIgnored = statistics.repliesIgnored;
   this->counters.cancels = statistics.cancels;
+  this->counters.replicaReads = statistics.replicaReads;
+  this->counters.primaryReads = statistics.primaryReads;
   return this->counters;
 }
 
--- a/src/oleanderledge/entry/internal/Forwarder.cpp
+++ b/src/oleanderledge/entry/internal/Forwarder.cpp
@@ -255,6 +255,9 @@
   }
   if (aReply.code == ResultCode::Ok) {
     this->budget.NoteSuccess(aNow);
+    if (unit.forward.request.readOnly) {
+      ++(aReply.fromReplica ? this->statistics.replicaReads : this->statistics.primaryReads);
+    }
     this->Finish(aId, aChannel, std::move(aReply), aActions);
     return;
   }
--- a/src/oleanderledge/entry/internal/Forwarder.hpp
+++ b/src/oleanderledge/entry/internal/Forwarder.hpp
@@ -36,6 +36,8 @@
     std::uint64_t resends = 0;
     std::uint64_t repliesIgnored = 0;
     std::uint64_t cancels = 0;
+    std::uint64_t replicaReads = 0; ///< Read-only units that a replica answered.
+    std::uint64_t primaryReads = 0; ///< Read-only units that the primary answered.
   };
 
   Forwarder(const EntryLimits& aLimits, std::uint64_t aSeed);
--- a/tests/entry/ForwarderTests.cpp
+++ b/tests/entry/ForwarderTests.cpp
@@ -174,6 +174,31 @@
   CHECK(fixture.forwarder.Stats().repliesIgnored == 3);
 }
 
+// Guards against writes, refusals and ignored replies in the share of reads that replicas answer.
+TEST_CASE("Reads are counted by the kind of server that answered them")
+{
+  ForwarderFixture fixture;
+  const auto answer = [&](bool aReadOnly, bool aFromReplica, ResultCode aCode) {
+    ForwardUnit unit;
+    unit.request.channel = 1;
+    unit.request.database = "orders";
+    unit.request.readOnly = aReadOnly;
+    unit.arrived = fixture.now;
+    fixture.Take(fixture.forwarder.Submit(std::move(unit), fixture.now));
+    StatementReply reply = fixture.Answer(aCode);
+    reply.fromReplica = aFromReplica;
+    fixture.Reply(reply);
+    fixture.Reply(reply);
+  };
+  answer(true, true, ResultCode::Ok);
+  answer(true, true, ResultCode::Ok);
+  answer(true, false, ResultCode::Ok);
+  answer(false, false, ResultCode::Ok);
+  answer(true, true, ResultCode::QueryCanceled);
+  CHECK(fixture.forwarder.Stats().replicaReads == 2);
+  CHECK(fixture.forwarder.Stats().primaryReads == 1);
+}
+
 // I5: guards against "not run" from the last attempt when an earlier one may have run.
 TEST_CASE("A refusal after an attempt that may have run is reported as unknown")
 {
