Append failovers to the metrics log of control instances

ControlDaemon emits FailoverCompleted, and FailoverLog appends a MetricsSample line for it. Only the leader that reports the event writes one. A change of which an earlier leader did a part is left out, because its gap is not known. Planned changes are included; the format of the report does not mark them.

FailoverLog and the connection in RunControl were built but not run.

Conclusion: the report can show the failovers that one leader saw in full.

--- a/src/oleanderledge/control/ControlAction.hpp
+++ b/src/oleanderledge/control/ControlAction.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "oleanderledge/control/ControlCommand.hpp"
+#include "oleanderledge/control/FailoverTimeline.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -44,6 +46,8 @@
 {
   LogEvent event;
   std::string detail;
+  /// With FailoverCompleted, if all parts are known.
+  std::optional<FailoverDurations> failover = std::nullopt;
 };
 
 using ControlAction =
--- a/src/oleanderledge/control/FailoverCoordinator.cpp
+++ b/src/oleanderledge/control/FailoverCoordinator.cpp
@@ -599,7 +599,8 @@
   }
   aActions.emplace_back(LogAction{ LogEvent::FailoverCompleted,
                                    Detail(aRecord) + " primary=" + aRecord.row.primary + " " +
-                                     aProgress.timeline->Describe(aNow) });
+                                     aProgress.timeline->Describe(aNow),
+                                   aProgress.timeline->Durations(aRecord.row.name, aNow) });
   aProgress.timeline.reset();
 }
 
--- a/src/oleanderledge/control/FailoverTimeline.hpp
+++ b/src/oleanderledge/control/FailoverTimeline.hpp
@@ -8,6 +8,16 @@
 
 namespace oleanderledge {
 
+/// Durations of the parts of one complete change of primary, in milliseconds.
+struct FailoverDurations
+{
+  std::string database;
+  std::int64_t detectionMs = 0;
+  std::int64_t leaseMs = 0;
+  std::int64_t promotionMs = 0;
+  std::int64_t publicationMs = 0;
+};
+
 /// Times of the parts of one change of primary, as this control member saw them. Parts that an
 /// earlier leader did are unknown.
 struct FailoverTimeline
@@ -24,6 +34,10 @@
   /// "kind=unplanned detection_ms=.. lease_ms=.. promotion_ms=.. publication_ms=.. total_ms=..",
   /// with -1 for unknown parts. The parts follow each other without a gap.
   std::string Describe(Instant aPublished) const;
+
+  /// The same parts as numbers; none if a part is unknown.
+  std::optional<FailoverDurations> Durations(const std::string& aDatabase,
+                                             Instant aPublished) const;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -399,6 +399,9 @@
 void ControlDaemon::Execute(const LogAction& aAction)
 {
   WriteLog(aAction.event, aAction.detail);
+  if (aAction.failover) {
+    Q_EMIT FailoverCompleted(*aAction.failover);
+  }
 }
 
 BackendAdmin::Callback ControlDaemon::BackendCallback(const std::string& aDatabase,
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -56,6 +56,9 @@
   /// in the argument; the process should then exit with a failure.
   void Stopped(const oleanderledge::Error& aError);
 
+  /// This member led a change of primary that is complete.
+  void FailoverCompleted(const oleanderledge::FailoverDurations& aDurations);
+
 private:
   void OnLeadershipGained(std::uint64_t aTerm) override;
   void OnLeadershipLost() override;
@@ -84,7 +87,7 @@
   void Execute(const PromoteAction& aAction);
   void Execute(const QueryAction& aAction);
   void Execute(const PushReplyAction& aAction);
-  static void Execute(const LogAction& aAction);
+  void Execute(const LogAction& aAction);
   BackendAdmin::Callback BackendCallback(const std::string& aDatabase,
                                          const std::string& aSlot,
                                          const std::string& aCall);
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -1,6 +1,7 @@
 #include "oleanderledge/daemon/RunDaemon.hpp"
 
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
+#include "oleanderledge/daemon/internal/FailoverLog.hpp"
 #include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
 #include "oleanderledge/daemon/internal/StopSignals.hpp"
 
@@ -67,9 +68,15 @@
   return Run(daemon, aSettings.instance);
 }
 
-Result<void> RunControl(const Settings& aSettings, const DaemonOptions& /*aOptions*/)
+Result<void> RunControl(const Settings& aSettings, const DaemonOptions& aOptions)
 {
-  ControlDaemon daemon(ToControlSettings(aSettings), nullptr);
+  const ControlSettings settings = ToControlSettings(aSettings);
+  FailoverLog log(settings.instance, aOptions.metricsLog);
+  ControlDaemon daemon(settings, nullptr);
+  QObject::connect(&daemon,
+                   &ControlDaemon::FailoverCompleted,
+                   &daemon,
+                   [&log](const FailoverDurations& aDone) { log.Append(aDone); });
   return Run(daemon, aSettings.instance);
 }
 
--- a/tests/control/ControlHarness.cpp
+++ b/tests/control/ControlHarness.cpp
@@ -139,6 +139,17 @@
   return details;
 }
 
+std::vector<FailoverDurations> ControlHarness::Failovers() const
+{
+  std::vector<FailoverDurations> found;
+  for (const LogAction& line : this->lines) {
+    if (line.event == LogEvent::FailoverCompleted && line.failover) {
+      found.push_back(*line.failover);
+    }
+  }
+  return found;
+}
+
 void ControlHarness::Step()
 {
   this->now += kStep;
--- a/tests/control/ControlHarness.hpp
+++ b/tests/control/ControlHarness.hpp
@@ -94,6 +94,8 @@
 
   /// Log lines of an event since the start.
   std::vector<std::string> LinesOf(LogEvent aEvent) const;
+  /// Durations that came with FailoverCompleted.
+  std::vector<FailoverDurations> Failovers() const;
   /// Broken invariants, in the order of their detection.
   std::vector<std::string> violations;
 
--- a/tests/control/FailoverCoordinatorTests.cpp
+++ b/tests/control/FailoverCoordinatorTests.cpp
@@ -37,6 +37,15 @@
   const auto lines = harness.LinesOf(LogEvent::FailoverCompleted);
   REQUIRE(lines.size() == 1);
   CHECK(lines[0].find("kind=unplanned detection_ms=") != std::string::npos);
+  // Guards against a metrics log that shows other durations than the log line.
+  const auto failovers = harness.Failovers();
+  REQUIRE(failovers.size() == 1);
+  const FailoverDurations& parts = failovers[0];
+  CHECK(parts.database == harness.Row().name);
+  CHECK(lines[0].find(" detection_ms=" + std::to_string(parts.detectionMs) +
+                      " lease_ms=" + std::to_string(parts.leaseMs) +
+                      " promotion_ms=" + std::to_string(parts.promotionMs) + " publication_ms=" +
+                      std::to_string(parts.publicationMs) + " ") != std::string::npos);
   CHECK_THAT(harness.violations, Catch::Matchers::Equals(kNone));
 }
 
