Apply limits.queued_units_per_class in the scheduler of the owner

Cause: the setting was read and checked, but the owner did not use it.

Change: the traffic worker passes the setting to OwnerSettings, and the owner to DeadlineScheduler. A class then holds at most that many units at one database, and never more than its part of kMaxQueuedUnits. The baseline schedulers keep their own bound.

The test sets the limit on the scheduler; the path from the settings file was built but not run.

Conclusion: the setting is passed on to the scheduler.

--- a/src/oleanderledge/daemon/internal/TrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.cpp
@@ -28,6 +28,7 @@
   OwnerSettings ownerSettings;
   ownerSettings.self = this->self;
   ownerSettings.latency = latency;
+  ownerSettings.queuedUnitsPerClass = this->settings.limits.queuedUnitsPerClass;
   this->owner = CreateOwnerService(this, *this->links.incoming, ownerSettings);
   this->links.incoming->SetOwner(this->owner.get());
   this->linkServer = std::make_unique<LinkServer>(this->self, latency, nullptr);
--- a/src/oleanderledge/owner/OwnerFactory.hpp
+++ b/src/oleanderledge/owner/OwnerFactory.hpp
@@ -27,6 +27,8 @@
   /// User name for connections to backend servers, with trust authentication.
   std::string backendUser = "oleanderledge";
   SchedulerKind scheduler = SchedulerKind::Deadline;
+  /// Bound on the queue of one class at one database, for the deadline scheduler.
+  std::uint32_t queuedUnitsPerClass = 4096;
   Duration statusInterval{ 50'000 };    ///< Between two questions for the positions of a slot.
   Duration fastStatusInterval{ 5'000 }; ///< The same while writes wait for the in-sync set.
   std::int64_t linkQueueLimitBytes = std::int64_t{ 4 } * 1024 * 1024; ///< Pauses backend reads.
--- a/src/oleanderledge/owner/internal/QtOwnerService.cpp
+++ b/src/oleanderledge/owner/internal/QtOwnerService.cpp
@@ -59,7 +59,7 @@
     case SchedulerKind::Deadline:
       break;
   }
-  return std::make_unique<DeadlineScheduler>();
+  return std::make_unique<DeadlineScheduler>(this->settings.queuedUnitsPerClass);
 }
 
 // --- Entries
--- a/src/oleanderledge/scheduling/DeadlineScheduler.cpp
+++ b/src/oleanderledge/scheduling/DeadlineScheduler.cpp
@@ -50,7 +50,8 @@
   return this->deadline < aOther.deadline;
 }
 
-DeadlineScheduler::DeadlineScheduler()
+DeadlineScheduler::DeadlineScheduler(std::size_t aMaxUnitsPerClass)
+  : maxUnitsPerClass(aMaxUnitsPerClass)
 {
   this->Configure({});
 }
@@ -181,7 +182,8 @@
 bool DeadlineScheduler::MakeRoom(ClassState& aState, const ScheduledUnit& aUnit, Instant aNow)
 {
   // Each class has its part of the bounds, so that a flood cannot use up those of the others.
-  const std::size_t maxUnits = kMaxQueuedUnits / this->classes.size();
+  const std::size_t maxUnits =
+    std::min(this->maxUnitsPerClass, kMaxQueuedUnits / this->classes.size());
   const std::size_t maxBytes = kMaxQueuedBytes / this->classes.size();
   while (aState.queue.Size() >= maxUnits || aState.queue.Bytes() + aUnit.bytes > maxBytes) {
     // Within the class, the caller with the longest queue gives way to callers with short ones.
--- a/src/oleanderledge/scheduling/DeadlineScheduler.hpp
+++ b/src/oleanderledge/scheduling/DeadlineScheduler.hpp
@@ -17,7 +17,8 @@
 class DeadlineScheduler : public Scheduler
 {
 public:
-  DeadlineScheduler();
+  /// The queue of a class is bounded by `aMaxUnitsPerClass` and by its part of kMaxQueuedUnits.
+  explicit DeadlineScheduler(std::size_t aMaxUnitsPerClass = kMaxQueuedUnits);
 
   void Configure(std::span<const ClassTarget> aClasses) override;
   void SetCapacity(std::uint32_t aConnections) override;
@@ -73,6 +74,7 @@
                  Instant aNow);
   Candidate CandidateOf(ClassState& aState, Instant aNow, const IsRunnable& aIsRunnable);
 
+  std::size_t maxUnitsPerClass;
   Classes classes;
   std::string defaultClass; ///< The class with the longest target.
   double capacity = 1;
--- a/tests/scheduling/SchedulerTests.cpp
+++ b/tests/scheduling/SchedulerTests.cpp
@@ -99,6 +99,22 @@
   CHECK(scheduler.TakeNext(now, [](std::uint64_t) { return true; }) == 1);
 }
 
+// Guards the operator's limit against being ignored, and other classes against a full one.
+TEST_CASE("A class refuses units beyond the limit of units per class")
+{
+  DeadlineScheduler scheduler(2);
+  const std::vector<ClassTarget> classes{ { "a", Duration{ 50'000 } },
+                                          { "b", Duration{ 500'000 } } };
+  scheduler.Configure(classes);
+  const Instant now{ std::chrono::seconds(1) };
+  REQUIRE_FALSE(scheduler.Admit({ 1, "a", "x", WorkLane::Primary, now, 1 }, now));
+  REQUIRE_FALSE(scheduler.Admit({ 2, "a", "x", WorkLane::Primary, now, 1 }, now));
+  const auto refusal = scheduler.Admit({ 3, "a", "x", WorkLane::Primary, now, 1 }, now);
+  REQUIRE(refusal.has_value());
+  CHECK(refusal->code == ResultCode::Overloaded);
+  CHECK_FALSE(scheduler.Admit({ 4, "b", "x", WorkLane::Primary, now, 1 }, now));
+}
+
 // Guards memory: payloads of queued units are held by a small instance.
 TEST_CASE("A queue refuses units beyond its byte limit")
 {
