--- a/src/oleanderledge/daemon/internal/TrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.cpp
@@ -28,6 +28,7 @@
   OwnerSettings ownerSettings;
   ownerSettings.self = this->self;
   ownerSettings.latency = latency;
+  ownerSettings.queuedUnitsPerClass = this->settings.limits.queuedUnitsPerClass;
   this->owner = CreateOwnerService(this, *this->links.incoming, ownerSettings);
   this->links.incoming->SetOwner(this->owner.get());
   this->linkServer = std::make_unique<LinkServer>(this->self, latency, nullptr);
@@ -86,6 +87,8 @@
   collected.unitsAnswered = counters.unitsAnswered;
   collected.resends = counters.resends;
   collected.repliesIgnored = counters.repliesIgnored;
+  collected.replicaReads = counters.replicaReads;
+  collected.primaryReads = counters.primaryReads;
   collected.notRun = counters.notRun;
   collected.unknown = counters.unknown;
   collected.errors = counters.errors;
