--- /dev/null
+++ b/src/oleanderledge/replay/replay.hpp
@@ -0,0 +1,4 @@
+/// Public header of the replay library: feeds recorded scheduling events to the deadline scheduler.
+#pragma once
+
+#include "oleanderledge/replay/TraceReplay.hpp"
