Add the replay subcommand

Change: ExpectedOutcome reads and writes the stated outcomes as YAML and finds the first event where the decisions part; oleanderledge replay exits with 0, 1 or 2. Measured: ol_test_replay passes, 3 test cases; the subcommand has not been run on a trace yet. Conclusion: committed traces can be checked once they exist.

--- a/src/oleanderledge/cli/Commands.hpp
+++ b/src/oleanderledge/cli/Commands.hpp
@@ -29,6 +29,8 @@
 ExitCode RunCtl(Arguments aArguments);
 /// `report FILE...`
 ExitCode RunReport(Arguments aArguments);
+/// `replay TRACE --expect=FILE`
+ExitCode RunReplay(Arguments aArguments);
 
 /// Help text of a subcommand with an example; the general help for an unknown name.
 std::string_view HelpOf(std::string_view aSubcommand);
--- a/src/oleanderledge/cli/Main.cpp
+++ b/src/oleanderledge/cli/Main.cpp
@@ -51,6 +51,9 @@
   if (aName == "report") {
     return RunReport(aArguments);
   }
+  if (aName == "replay") {
+    return RunReplay(aArguments);
+  }
   if (aName == "check-settings") {
     return RunCheckSettings(aArguments);
   }
--- a/src/oleanderledge/cli/internal/CommandLine.cpp
+++ b/src/oleanderledge/cli/internal/CommandLine.cpp
@@ -91,10 +91,11 @@
 
 constexpr std::string_view kReplayHelp = R"(usage: oleanderledge replay TRACE --expect=OUTCOMES.yaml
 
-Feeds recorded decision events to the same decision logic and checks the stated outcomes. Prints the
-first event where the decisions part and exits with 1 if an outcome differs.
+Feeds recorded scheduling events to the deadline scheduler and checks the stated outcomes. Prints the
+first event where the decisions part and exits with 1 if an outcome differs, and with 2 if a file is
+damaged.
 
-Example: oleanderledge replay tests/traces/norrsten-failover.trace --expect=tests/traces/norrsten-failover.yaml
+Example: oleanderledge replay tests/traces/norrsten-normal.trace --expect=tests/traces/norrsten-normal.yaml
 )";
 
 } // namespace
--- a/tests/replay/TraceReplayTests.cpp
+++ b/tests/replay/TraceReplayTests.cpp
@@ -67,3 +67,26 @@
   }
   CHECK_FALSE(ReplayText(""));
 }
+
+// Guards against an expectation file that loses part of an outcome.
+TEST_CASE("An outcome is the same after it is written and read")
+{
+  ReplayOutcome outcome;
+  outcome.classes["bookings"] = { 2, 1, { { ResultCode::TargetUnreachable, 1 } } };
+  outcome.decisions = { { 4, 2, ResultCode::Ok }, { 6, 1, ResultCode::TargetUnreachable } };
+  const auto path =
+    std::filesystem::temp_directory_path() / ("ol_replay_" + std::to_string(getpid()) + ".yaml");
+  const std::string text = FormatExpectedOutcome(outcome);
+  std::ofstream(path) << text;
+  const auto loaded = LoadExpectedOutcome(path.string());
+  std::string damaged = text;
+  damaged.replace(damaged.find("6:1:1102"), 3, "6:2");
+  std::ofstream(path) << damaged;
+  const auto refused = LoadExpectedOutcome(path.string());
+  std::filesystem::remove(path);
+  REQUIRE(loaded);
+  CHECK(loaded.value().classes == outcome.classes);
+  CHECK(loaded.value().decisions == outcome.decisions);
+  // The digest no longer matches the decisions.
+  CHECK_FALSE(refused);
+}
