--- a/src/oleanderledge/owner/internal/DatabaseOwner.cpp
+++ b/src/oleanderledge/owner/internal/DatabaseOwner.cpp
@@ -33,8 +33,8 @@
 /// the 3 s that invariant I7 allows.
 constexpr Duration kDepartingPrimaryLimit{ 2'500'000 };
 
-/// Longest part of a planned change that does not count against targets; after it something is wrong
-/// and callers need an answer.
+/// Longest part of a planned change that does not count against targets; after it something is
+/// wrong and callers need an answer.
 constexpr Duration kMaxExcludedPause{ 3'000'000 };
 
 constexpr Duration kNoPrimaryRetryAfter{ 500'000 };
--- a/src/oleanderledge/scheduling/DeadlineScheduler.cpp
+++ b/src/oleanderledge/scheduling/DeadlineScheduler.cpp
@@ -208,8 +208,8 @@
   }
   const double target = static_cast<double>(state.target.count());
   const auto waited = static_cast<double>((aNow - aUnit.arrival).count());
-  // A service time above the target alone does not refuse a unit: if servers are slow, a late answer
-  // is better than refusing the whole class.
+  // A service time above the target alone does not refuse a unit: if servers are slow, a late
+  // answer is better than refusing the whole class.
   if (waited + std::min(state.serviceTime, target / 2) > target) {
     return this->Refuse(state, aUnit, ResultCode::TargetUnreachable, Duration{ 0 }, aNow);
   }
--- a/src/oleanderledge/scheduling/Scheduler.hpp
+++ b/src/oleanderledge/scheduling/Scheduler.hpp
@@ -35,9 +35,9 @@
   /// units of callers with shorter queues.
   virtual std::vector<Refusal> TakeExpired(Instant aNow) = 0;
 
-  /// Does not count a pause of the primary against the targets of units that are queued for it. Used
-  /// in a planned change of primary, which must refuse nothing. Schedulers that refuse no late units
-  /// have nothing to do.
+  /// Does not count a pause of the primary against the targets of units that are queued for it.
+  /// Used in a planned change of primary, which must refuse nothing. Schedulers that refuse no late
+  /// units have nothing to do.
   virtual void ExcludePause(Duration /*aPause*/) {}
 
   /// Removes a queued unit. Returns false if it is not queued.
