--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -186,7 +186,7 @@
       kill -TERM "${process_of[$name]}"
       wait "${process_of[$name]}" || echo "$name ended with $?" >&2
       echo $(($(date +%s%3N) - started)) >>"$run/stop_time"
-      start "$name" "$program" "$kind" --settings="$file"
+      start_daemon "$kind" "$name"
       wait_ready "$name" "$(setting "$file" http)"
       sleep 1
     done
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -99,13 +99,18 @@
   start "slot-$1" "$stand_in" --fleet="$deploy/stand-ins.yaml" --only="$1"
 }
 
+# start_daemon KIND NAME: starts one daemon with a metrics log for the report.
+start_daemon() {
+  start "$2" "$program" "$1" --settings="$deploy/$2.yaml" --metrics_log="$run/$2.metrics"
+}
+
 # start_daemons: starts the control instances and proxies and waits until they are ready.
 start_daemons() {
   for file in "$deploy"/control-*.yaml; do
-    start "$(basename "$file" .yaml)" "$program" control --settings="$file"
+    start_daemon control "$(basename "$file" .yaml)"
   done
   for file in "$deploy"/proxy-*.yaml; do
-    start "$(basename "$file" .yaml)" "$program" proxy --settings="$file"
+    start_daemon proxy "$(basename "$file" .yaml)"
   done
   echo "fleet: started 3 control instances and 6 proxies, logs in $run"
   for file in "$deploy"/control-*.yaml "$deploy"/proxy-*.yaml; do
--- a/src/oleanderledge/cli/internal/StatusScreen.cpp
+++ b/src/oleanderledge/cli/internal/StatusScreen.cpp
@@ -41,11 +41,11 @@
 std::string FormatInstances(const QJsonArray& aInstances, bool aColour)
 {
   std::string text =
-    Format("%-18s %-8s %-30s %-22s %-9s\n", "INSTANCE", "ROLE", "ZONE", "HTTP", "HEALTH");
+    Format("%-22s %-8s %-30s %-22s %-9s\n", "INSTANCE", "ROLE", "ZONE", "HTTP", "HEALTH");
   for (const auto& element : aInstances) {
     const QJsonObject instance = element.toObject();
     const std::string health = Text(instance, "health");
-    text += Format("%-18s %-8s %-30s %-22s ",
+    text += Format("%-22s %-8s %-30s %-22s ",
                    Text(instance, "id").c_str(),
                    Text(instance, "role").c_str(),
                    Text(instance, "zone").c_str(),
@@ -70,7 +70,7 @@
 
 std::string FormatDatabases(const QJsonArray& aDatabases, bool aColour)
 {
-  std::string text = Format("%-16s %5s %-14s %-28s %6s %5s %-18s %s\n",
+  std::string text = Format("%-16s %5s %-14s %-28s %6s %5s %-22s %s\n",
                             "DATABASE",
                             "TERM",
                             "PRIMARY",
@@ -82,7 +82,7 @@
   for (const auto& element : aDatabases) {
     const QJsonObject database = element.toObject();
     const std::string phase = Text(database, "phase");
-    text += Format("%-16s %5s %-14s %-28s %6lld %5s %-18s ",
+    text += Format("%-16s %5s %-14s %-28s %6lld %5s %-22s ",
                    Text(database, "name").c_str(),
                    Text(database, "term").c_str(),
                    Text(database, "primary").c_str(),
