--- a/benchmarks/load_tool/ClassLoad.cpp
+++ b/benchmarks/load_tool/ClassLoad.cpp
@@ -40,9 +40,12 @@
 void ClassLoad::OpenConnections(Pool& aPool, bool aReadOnly)
 {
   for (int index = 0; index < this->settings.connections; ++index) {
-    ConnectionTarget target =
-      this->run.targets[static_cast<std::size_t>(index) % this->run.targets.size()];
-    target.options = "-c oleanderledge.class=" + this->settings.name;
+    // Reads and writes with the same number share a session, through different proxies.
+    const std::size_t number = static_cast<std::size_t>(index) + (aReadOnly ? 1 : 0);
+    ConnectionTarget target = this->run.targets[number % this->run.targets.size()];
+    target.options = "-c oleanderledge.class=" + this->settings.name +
+                     " -c oleanderledge.session=load-" + this->settings.name + "-" +
+                     std::to_string(index);
     if (aReadOnly) {
       target.options += " -c default_transaction_read_only=on";
     }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Runs a benchmark and prints lines of name<TAB>value<TAB>unit.
 #
-# usage: scripts/bench.sh failover|planned|config|rolling|floods|scale [norrsten|ramdeen]
+# usage: scripts/bench.sh failover|planned|config|rolling|reads|floods|scale [norrsten|ramdeen]
 #
-# failover, planned, config and rolling start a whole fleet with real processes; floods and scale run
+# failover, planned, config, rolling and reads start a whole fleet with real processes; floods and scale run
 # the pure decision logic in one process. ROUNDS sets the number of failovers or planned changes
 # (default 20), CHANGES that of configuration changes (default 200).
 set -euo pipefail
@@ -202,8 +202,38 @@
   emit stop_time_p99 "$(quantile 0.99 <"$run/stop_time")" ms
 }
 
+# metric NAME: the sum of a metric over all proxies.
+metric() {
+  local file
+  for file in "${proxies[@]}"; do
+    curl -fs "http://$(setting "$file" http)/metrics" | awk -v name="$1" '$1 == name {print $2}'
+  done | sum
+}
+
+# Reads of many sessions of which each writes now and then, while replicas apply 200 ms late.
+bench_reads() {
+  start_fleet >&2
+  create_classes
+  mapfile -t names < <(databases_of_fleet)
+  database=${names[0]}
+  local slot
+  for slot in $(slots_of "$database"); do
+    curl -fs -X POST "http://$(http_of "$slot")/lag?receive_ms=0&apply_ms=200" >/dev/null
+  done
+  "$root/build/benchmarks/load_tool/load_tool" --targets="$(callers_of_all)" --database="$database" \
+    --classes=lookups:200:0.9:500:100 --duration_s=15 >"$run/load"
+  sleep 2
+  local replica primary
+  replica=$(metric oleanderledge_replica_reads_total)
+  primary=$(metric oleanderledge_primary_reads_total)
+  cat "$run/load" >&2
+  emit replica_reads "$replica" reads
+  emit primary_reads "$primary" reads
+  emit replica_share "$(awk -v r="$replica" -v p="$primary" 'BEGIN {printf "%.1f", 100 * r / (r + p)}')" %
+}
+
 case "$mode" in
-  failover | planned | config | rolling) "bench_$mode" ;;
+  failover | planned | config | rolling | reads) "bench_$mode" ;;
   floods) "$root/build/benchmarks/flood_simulation/flood_simulation" ;;
   scale) "$root/build/benchmarks/control_scale/control_scale" ;;
   *)
