Add bench.sh faults: freezes, cuts and kills with real processes

Cause: several faults were proved only in the pure logic. Change: seven faults on the path of a database while orders are placed with request ids.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Runs a benchmark and prints lines of name<TAB>value<TAB>unit.
 #
-# usage: scripts/bench.sh failover|planned|config|rolling|reads|floods|scale [norrsten|ramdeen]
+# usage: scripts/bench.sh failover|planned|config|rolling|reads|faults|floods|scale [norrsten|ramdeen]
 #
-# failover, planned, config, rolling and reads start a whole fleet with real processes; floods and scale run
+# failover, planned, config, rolling, reads and faults start a whole fleet with real processes; floods and scale run
 # the pure decision logic in one process. ROUNDS sets the number of failovers or planned changes
 # (default 20), CHANGES that of configuration changes (default 200).
 set -euo pipefail
@@ -232,8 +232,91 @@
   emit replica_share "$(awk -v r="$replica" -v p="$primary" 'BEGIN {printf "%.1f", 100 * r / (r + p)}')" %
 }
 
+# owner_of DATABASE and leader: process names, from the control leader's status.
+owner_of() {
+  "$program" ctl --address="$http_address" status | awk -v name="$1" '$1 == name {print $7}'
+}
+leader() {
+  grep -lE 'E150[12]' "$run"/control-*.log | while read -r log; do
+    if [ "$(grep -hE 'E150[12]' "$log" | tail -1 | grep -c 'E1501')" = 1 ]; then
+      echo "$(grep -h 'E1501' "$log" | tail -1 | cut -d' ' -f1) $(basename "$log" .log)"
+    fi
+  done | sort | tail -1 | cut -d' ' -f2
+}
+
+# Faults on the path of `database`. Each one ends within the probe's time.
+fault_freeze_primary() {
+  curl -fs -X POST "http://$(http_of "$primary")/freeze" >/dev/null
+  sleep 4
+  curl -fs -X POST "http://$(http_of "$primary")/thaw" >/dev/null
+}
+fault_cut_primary() {
+  curl -fs -X POST "http://$(http_of "$primary")/cut" >/dev/null
+  sleep 4
+  curl -fs -X POST "http://$(http_of "$primary")/heal" >/dev/null
+}
+fault_kill_owner() {
+  local name
+  name=$(owner_of "$database")
+  kill -KILL "${process_of[$name]}"
+  wait "${process_of[$name]}" 2>/dev/null || true
+  sleep 4
+  start_daemon proxy "$name"
+}
+fault_freeze_owner() {
+  local name
+  name=$(owner_of "$database")
+  kill -STOP "${process_of[$name]}"
+  sleep 4
+  kill -CONT "${process_of[$name]}"
+}
+fault_kill_leader() {
+  local name
+  name=$(leader)
+  kill -KILL "${process_of[$name]}"
+  wait "${process_of[$name]}" 2>/dev/null || true
+  sleep 4
+  start_daemon control "$name"
+}
+fault_freeze_leader() {
+  local name
+  name=$(leader)
+  kill -STOP "${process_of[$name]}"
+  sleep 4
+  kill -CONT "${process_of[$name]}"
+}
+fault_kill_primary_and_leader() {
+  kill_slot "$primary"
+  fault_kill_leader
+  restart_slot "$primary"
+}
+
+bench_faults() {
+  start_fleet >&2
+  create_classes
+  mapfile -t names < <(databases_of_fleet)
+  local fault number=0
+  for fault in freeze_primary cut_primary kill_owner freeze_owner kill_leader freeze_leader \
+    kill_primary_and_leader; do
+    database=${names[number++ % ${#names[@]}]}
+    find_primary
+    start_probe "$fault" "$database" 9
+    sleep 1.5
+    "fault_$fault"
+    wait "$probe_id"
+    count_orders "$fault"
+    emit "${fault}_gap" "$(value "$run/$fault.probe" longest_gap)" ms
+    emit "${fault}_unknown" "$(value "$run/$fault.probe" unknown)" units
+    emit "${fault}_orders_confirmed" "$(value "$run/$fault.probe" confirmed)" orders
+    emit "${fault}_orders_lost" "$lost" orders
+    emit "${fault}_orders_doubled" "$doubled" orders
+    emit "${fault}_reads_failed" "$(value "$run/$fault.probe" failed_reads)" reads
+    sleep 2
+  done
+}
+
 case "$mode" in
-  failover | planned | config | rolling | reads) "bench_$mode" ;;
+  failover | planned | config | rolling | reads | faults) "bench_$mode" ;;
   floods) "$root/build/benchmarks/flood_simulation/flood_simulation" ;;
   scale) "$root/build/benchmarks/control_scale/control_scale" ;;
   *)
