Share the assignment of owners and the checks of followers' replies

Cause: two steps of the failover proposed an owner with the same ten lines, and both kinds of replies repeated the checks of term and role. Change: FailoverCoordinator::ProposeOwner and RaftNode::ProgressOfReply; behaviour is the same. Before and after: control, consensus and consensus_histories pass. Conclusion: each rule stands once.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -541,16 +541,22 @@
   }
 }
 
-void RaftNode::Handle(const AppendReply& aReply, Instant aNow)
+template<class Reply>
+MemberProgress* RaftNode::ProgressOfReply(const Reply& aReply, Instant aNow)
 {
   if (aReply.term > this->hardState.term) {
     this->BecomeFollower(aReply.term, {}, aNow);
-    return;
+    return nullptr;
   }
   if (this->role != RaftRole::Leader || aReply.term != this->hardState.term) {
-    return;
+    return nullptr;
   }
-  MemberProgress* member = this->ConfirmedProgress(aReply.follower, aReply.round, aNow);
+  return this->ConfirmedProgress(aReply.follower, aReply.round, aNow);
+}
+
+void RaftNode::Handle(const AppendReply& aReply, Instant aNow)
+{
+  MemberProgress* member = this->ProgressOfReply(aReply, aNow);
   if (member == nullptr) {
     return;
   }
@@ -567,14 +573,7 @@
 
 void RaftNode::Handle(const SnapshotReply& aReply, Instant aNow)
 {
-  if (aReply.term > this->hardState.term) {
-    this->BecomeFollower(aReply.term, {}, aNow);
-    return;
-  }
-  if (this->role != RaftRole::Leader || aReply.term != this->hardState.term) {
-    return;
-  }
-  MemberProgress* member = this->ConfirmedProgress(aReply.follower, aReply.round, aNow);
+  MemberProgress* member = this->ProgressOfReply(aReply, aNow);
   if (member == nullptr) {
     return;
   }
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -147,6 +147,9 @@
   Instant QuorumContact(Instant aNow) const;
   void CheckQuorum(Instant aNow);
   void UpdateProgressMembers();
+  /// Progress of the follower that sent a reply; null if the reply is not for this leader's term.
+  template<class Reply>
+  MemberProgress* ProgressOfReply(const Reply& aReply, Instant aNow);
   MemberProgress* ConfirmedProgress(const std::string& aMember, std::uint64_t aRound, Instant aNow);
   void Broadcast(bool aHeartbeat, Instant aNow);
   void Replicate(const std::string& aMember,
--- a/src/oleanderledge/control/FailoverCoordinator.cpp
+++ b/src/oleanderledge/control/FailoverCoordinator.cpp
@@ -266,6 +266,22 @@
   return true;
 }
 
+void FailoverCoordinator::ProposeOwner(const DatabaseRecord& aRecord,
+                                       Progress& aProgress,
+                                       const InstanceInfo& aOwner,
+                                       ControlActions& aActions)
+{
+  const DatabaseRow& row = aRecord.row;
+  aProgress.grantsEndedAt = row.version;
+  aProgress.pendingOwner = aOwner.id;
+  Propose(aRecord,
+          aProgress,
+          AssignOwner{ row.name, row.version, aOwner.id, aOwner.incarnation, aOwner.linkAddress },
+          aActions);
+  aActions.emplace_back(
+    LogAction{ LogEvent::OwnerAssigned, Detail(aRecord) + " owner=" + aOwner.id });
+}
+
 bool FailoverCoordinator::KeepOwner(const DatabaseRecord& aRecord,
                                     Progress& aProgress,
                                     Instant aNow,
@@ -294,18 +310,7 @@
   if (!chosen || !this->budget.Take(aNow)) {
     return false;
   }
-  aProgress.grantsEndedAt = row.version;
-  aProgress.pendingOwner = chosen->instance.id;
-  Propose(aRecord,
-          aProgress,
-          AssignOwner{ row.name,
-                       row.version,
-                       chosen->instance.id,
-                       chosen->instance.incarnation,
-                       chosen->instance.linkAddress },
-          aActions);
-  aActions.emplace_back(
-    LogAction{ LogEvent::OwnerAssigned, Detail(aRecord) + " owner=" + chosen->instance.id });
+  ProposeOwner(aRecord, aProgress, chosen->instance, aActions);
   return true;
 }
 
@@ -479,18 +484,7 @@
   if (!chosen) {
     return;
   }
-  aProgress.grantsEndedAt = row.version;
-  aProgress.pendingOwner = chosen->instance.id;
-  Propose(aRecord,
-          aProgress,
-          AssignOwner{ row.name,
-                       row.version,
-                       chosen->instance.id,
-                       chosen->instance.incarnation,
-                       chosen->instance.linkAddress },
-          aActions);
-  aActions.emplace_back(
-    LogAction{ LogEvent::OwnerAssigned, Detail(aRecord) + " owner=" + chosen->instance.id });
+  ProposeOwner(aRecord, aProgress, chosen->instance, aActions);
 }
 
 void FailoverCoordinator::PromoteSuccessor(const DatabaseRecord& aRecord,
--- a/src/oleanderledge/control/FailoverCoordinator.hpp
+++ b/src/oleanderledge/control/FailoverCoordinator.hpp
@@ -96,6 +96,11 @@
                      Progress& aProgress,
                      Instant aNow,
                      ControlActions& aActions);
+  /// Proposes an owner. From here on no lease of the present epoch is renewed.
+  static void ProposeOwner(const DatabaseRecord& aRecord,
+                           Progress& aProgress,
+                           const InstanceInfo& aOwner,
+                           ControlActions& aActions);
   bool KeepOwner(const DatabaseRecord& aRecord,
                  Progress& aProgress,
                  Instant aNow,
