Convert the emulated latency once in a proxy

Cause: ProxyDaemon and TrafficWorker each converted the same settings with the same function. Change: ProxyDaemon passes the result to TrafficWorker; behaviour is the same. Conclusion: the conversion stands once.

--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -85,7 +85,8 @@
 
 Result<void> ProxyDaemon::Start()
 {
-  this->traffic = new TrafficWorker(this->contact.Self(), this->settings);
+  this->traffic = new TrafficWorker(
+    this->contact.Self(), this->settings, LatencyOf(this->settings.emulatedLatency));
   this->traffic->moveToThread(&this->trafficThread);
   this->trafficThread.start();
   Result<void> started = boost::outcome_v2::success();
--- a/src/oleanderledge/daemon/internal/TrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.cpp
@@ -2,20 +2,12 @@
 
 namespace oleanderledge {
 
-namespace {
-
-EmulatedLatency LatencyOf(const LatencySettings& aSettings)
-{
-  return { Duration{ aSettings.betweenZones },
-           Duration{ aSettings.betweenRegions },
-           Duration{ aSettings.toClients } };
-}
-
-} // namespace
-
-TrafficWorker::TrafficWorker(InstanceInfo aSelf, Settings aSettings)
+TrafficWorker::TrafficWorker(InstanceInfo aSelf,
+                             Settings aSettings,
+                             const EmulatedLatency& aLatency)
   : self(std::move(aSelf))
   , settings(std::move(aSettings))
+  , latency(aLatency)
 {
 }
 
@@ -23,15 +15,14 @@
 
 Result<void> TrafficWorker::Start()
 {
-  const EmulatedLatency latency = LatencyOf(this->settings.emulatedLatency);
-  this->links = CreateProxyLinks(this, this->self, latency, this->self.incarnation);
+  this->links = CreateProxyLinks(this, this->self, this->latency, this->self.incarnation);
   OwnerSettings ownerSettings;
   ownerSettings.self = this->self;
-  ownerSettings.latency = latency;
+  ownerSettings.latency = this->latency;
   ownerSettings.queuedUnitsPerClass = this->settings.limits.queuedUnitsPerClass;
   this->owner = CreateOwnerService(this, *this->links.incoming, ownerSettings);
   this->links.incoming->SetOwner(this->owner.get());
-  this->linkServer = std::make_unique<LinkServer>(this->self, latency, nullptr);
+  this->linkServer = std::make_unique<LinkServer>(this->self, this->latency, nullptr);
   QObject::connect(this->linkServer.get(), &LinkServer::Accepted, this, &TrafficWorker::AcceptLink);
   auto listening = this->linkServer->Listen(this->settings.linkAddress);
   if (!listening) {
@@ -42,7 +33,7 @@
   entrySettings.callersAddress = this->settings.callersAddress;
   entrySettings.limits.maxMessageBytes = this->settings.limits.messageBytes;
   entrySettings.limits.maxSessions = this->settings.limits.maxCallers;
-  entrySettings.latencyToClients = latency.toClients;
+  entrySettings.latencyToClients = this->latency.toClients;
   entrySettings.seed = this->self.incarnation;
   auto created = CreateEntryService(this, entrySettings, *this->links.outgoing);
   if (!created) {
--- a/src/oleanderledge/daemon/internal/TrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.hpp
@@ -19,7 +19,7 @@
   Q_OBJECT
 
 public:
-  TrafficWorker(InstanceInfo aSelf, Settings aSettings);
+  TrafficWorker(InstanceInfo aSelf, Settings aSettings, const EmulatedLatency& aLatency);
   ~TrafficWorker() override;
 
   /// Opens the ports. Fails with ListenFailed.
@@ -39,6 +39,7 @@
 
   InstanceInfo self;
   Settings settings;
+  EmulatedLatency latency;
   std::unique_ptr<LinkServer> linkServer;
   ProxyLinks links;
   std::unique_ptr<OwnerService> owner;
