--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -52,6 +52,12 @@
   BackendCallFailed = 1515,
   OperatorChange = 1516,
   AnnouncementRejected = 1517,
+  BackendRegistered = 1518,
+  BackendRemoved = 1519,
+  RoutesStored = 1520,
+  RoutesRejected = 1521,
+  ServicePrimaryDecided = 1522,
+  ServicePromotionAnswered = 1523,
   // 1600: owner.
   OwnershipChanged = 1601,
   OwnershipReleased = 1602,
@@ -64,6 +70,7 @@
   OwnerLinkSilent = 1703,
   OwnerLinkRejected = 1704,
   EntryStopping = 1705,
+  StatementFailed = 1706,
   // 1800: daemons.
   DaemonStarted = 1801,
   DaemonStopping = 1802,
--- a/src/oleanderledge/base/ResultCode.hpp
+++ b/src/oleanderledge/base/ResultCode.hpp
@@ -46,6 +46,7 @@
   ClassExists = 1405,
   ClassNotFound = 1406,
   RequestIdReused = 1407,
+  InvalidRoutes = 1408,
   InvalidMembershipChange = 1450,
   MembershipChangePending = 1451,
   // Durable state.
--- a/src/oleanderledge/base/Time.hpp
+++ b/src/oleanderledge/base/Time.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace oleanderledge {
 
@@ -13,9 +14,14 @@
 
 /// Reads the monotonic clock. Only adapters call this; decision logic receives the time as an
 /// argument.
+///
+/// CLOCK_BOOTTIME also counts the time for which the instance was suspended; a lease must not outlive
+/// a suspension.
 inline Instant MonotonicNow()
 {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant{ Duration{ std::int64_t{ now.tv_sec } * 1'000'000 + now.tv_nsec / 1000 } };
 }
 
 /// Microseconds since the epoch of the monotonic clock, for messages.
--- a/src/oleanderledge/cli/DaemonCommand.cpp
+++ b/src/oleanderledge/cli/DaemonCommand.cpp
@@ -3,6 +3,8 @@
 #include "oleanderledge/daemon/daemon.hpp"
 #include "oleanderledge/settings/settings.hpp"
 
+#include <cstdlib>
+
 namespace oleanderledge {
 
 namespace {
@@ -11,13 +13,17 @@
 
 ExitCode RunDaemonCommand(DaemonKind aKind, RunFunction aRun)
 {
-  if (FLAGS_settings.empty()) {
-    return ReportFailure(
-      ExitCode::Usage, "--settings is missing", "See oleanderledge proxy --help.");
+  const char* fromEnvironment = std::getenv("OLEANDERLEDGE_CONFIG");
+  const std::string path =
+    FLAGS_settings.empty() && fromEnvironment != nullptr ? fromEnvironment : FLAGS_settings;
+  if (path.empty()) {
+    return ReportFailure(ExitCode::Usage,
+                         "--settings is missing and OLEANDERLEDGE_CONFIG is not set",
+                         "See oleanderledge proxy --help.");
   }
-  const auto settings = LoadSettings(FLAGS_settings, aKind);
+  const auto settings = LoadSettings(path, aKind);
   if (!settings) {
-    WriteLog(LogEvent::SettingsRejected, "file=" + FLAGS_settings);
+    WriteLog(LogEvent::SettingsRejected, "file=" + path);
     return ReportFailure(ExitCode::Usage, settings.error().message, "");
   }
   const auto finished = aRun(settings.value(), { FLAGS_metrics_log });
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -69,11 +69,7 @@
   , listener(aListener)
   , links(aSelf, this->settings.latency, this)
   , founding(aSelf.id, this->settings.initialMembers)
-  , maintenance([this] {
-    GroupMaintenanceSettings goal = this->settings.maintenance;
-    goal.voterGoal = this->settings.initialMembers.size();
-    return goal;
-  }())
+  , maintenance(this->settings.maintenance)
 {
   this->electionTimer.setSingleShot(true);
   this->electionTimer.setTimerType(Qt::PreciseTimer);
--- /dev/null
+++ b/src/oleanderledge/control/BackendTable.cpp
@@ -0,0 +1,163 @@
+#include "oleanderledge/control/BackendTable.hpp"
+
+#include "oleanderledge/link/internal/StructCodec.hpp"
+
+#include <tuple>
+
+namespace oleanderledge {
+
+namespace {
+
+struct BackendTableSnapshot
+{
+  std::vector<BackendRow> backends;
+  std::vector<PrimaryRow> primaries;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->backends, this->primaries);
+  }
+};
+
+} // namespace
+
+bool IsNewerRegistration(const BackendRow& aNew, const BackendRow& aKnown)
+{
+  return std::tie(aNew.startedUnixMs, aNew.sequence) >
+         std::tie(aKnown.startedUnixMs, aKnown.sequence);
+}
+
+bool IsSameRegistration(const BackendRow& aLeft, const BackendRow& aRight)
+{
+  const auto content = [](const BackendRow& aRow) {
+    return std::tie(aRow.service,
+                    aRow.address,
+                    aRow.zone,
+                    aRow.slots,
+                    aRow.claimsPrimary,
+                    aRow.draining,
+                    aRow.startedUnixMs,
+                    aRow.deleted);
+  };
+  return content(aLeft) == content(aRight);
+}
+
+bool BackendTable::Apply(std::uint64_t aIndex, const UpdateBackend& aCommand)
+{
+  auto [position, inserted] = this->backends.try_emplace(aCommand.backend.name, aCommand.backend);
+  BackendRow& row = position->second;
+  if (!inserted && !IsNewerRegistration(aCommand.backend, row)) {
+    return false;
+  }
+  // A server that said good-bye never returns in the same start; this message was delayed.
+  if (!inserted && row.deleted && row.startedUnixMs == aCommand.backend.startedUnixMs) {
+    return false;
+  }
+  row = aCommand.backend;
+  row.deleted = false;
+  row.version = aIndex;
+  // A new server at an address proves that the earlier one there has ended.
+  for (auto& [name, other] : this->backends) {
+    if (&other == &row || other.deleted || other.address != row.address ||
+        other.startedUnixMs > row.startedUnixMs) {
+      continue;
+    }
+    other.deleted = true;
+    other.version = aIndex;
+  }
+  return true;
+}
+
+bool BackendTable::Apply(std::uint64_t aIndex, const RemoveBackend& aCommand)
+{
+  const auto found = this->backends.find(aCommand.backend);
+  if (found == this->backends.end() || found->second.deleted ||
+      found->second.startedUnixMs != aCommand.startedUnixMs) {
+    return false;
+  }
+  found->second.deleted = true;
+  found->second.version = aIndex;
+  return true;
+}
+
+bool BackendTable::Apply(std::uint64_t aIndex, const AdoptServicePrimary& aCommand)
+{
+  PrimaryRow& row = this->primaries[aCommand.service];
+  if (row.version != aCommand.expectedVersion) {
+    return false;
+  }
+  row = { aCommand.service, aCommand.backend, PrimaryPhase::Steady, row.fence, {}, aIndex };
+  return true;
+}
+
+bool BackendTable::Apply(std::uint64_t aIndex, const DecideServicePrimary& aCommand)
+{
+  PrimaryRow& row = this->primaries[aCommand.service];
+  if (row.version != aCommand.expectedVersion) {
+    return false;
+  }
+  // The log index grows with every decision, whoever leads, so it serves as the fence.
+  row = { aCommand.service, aCommand.backend, PrimaryPhase::Promoting, aIndex, aCommand.holder,
+          aIndex };
+  return true;
+}
+
+bool BackendTable::Apply(std::uint64_t aIndex, const ConfirmServicePrimary& aCommand)
+{
+  const auto found = this->primaries.find(aCommand.service);
+  if (found == this->primaries.end() || found->second.fence != aCommand.fence ||
+      found->second.phase != PrimaryPhase::Promoting) {
+    return false;
+  }
+  found->second.phase = PrimaryPhase::Steady;
+  found->second.version = aIndex;
+  return true;
+}
+
+const BackendRow* BackendTable::Find(std::string_view aBackend) const
+{
+  const auto found = this->backends.find(aBackend);
+  return found == this->backends.end() || found->second.deleted ? nullptr : &found->second;
+}
+
+const PrimaryRow* BackendTable::FindPrimary(std::string_view aService) const
+{
+  const auto found = this->primaries.find(aService);
+  return found == this->primaries.end() ? nullptr : &found->second;
+}
+
+std::string BackendTable::Serialize() const
+{
+  BackendTableSnapshot snapshot;
+  for (const auto& [name, row] : this->backends) {
+    snapshot.backends.push_back(row);
+  }
+  for (const auto& [name, row] : this->primaries) {
+    snapshot.primaries.push_back(row);
+  }
+  return EncodeStruct(snapshot);
+}
+
+Result<void> BackendTable::Restore(std::string_view aBytes)
+{
+  if (aBytes.empty()) {
+    *this = BackendTable{};
+    return boost::outcome_v2::success();
+  }
+  auto decoded = DecodeStruct<BackendTableSnapshot>(aBytes);
+  if (!decoded) {
+    return Fail(decoded.error().code, decoded.error().message);
+  }
+  BackendTable restored;
+  for (const BackendRow& row : decoded.value().backends) {
+    restored.backends[row.name] = row;
+  }
+  for (const PrimaryRow& row : decoded.value().primaries) {
+    restored.primaries[row.name] = row;
+  }
+  *this = std::move(restored);
+  return boost::outcome_v2::success();
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/control/ControlAction.hpp
+++ b/src/oleanderledge/control/ControlAction.hpp
@@ -41,6 +41,14 @@
   HeartbeatReply reply;
 };
 
+/// Ask the platform to make a registered backend server the primary of its service.
+struct PromoteBackendAction
+{
+  std::string service;
+  std::string backend;
+  std::uint64_t fence = 0;
+};
+
 /// Write a log line.
 struct LogAction
 {
@@ -50,8 +58,12 @@
   std::optional<FailoverDurations> failover = std::nullopt;
 };
 
-using ControlAction =
-  std::variant<ProposeAction, PromoteAction, QueryAction, PushReplyAction, LogAction>;
+using ControlAction = std::variant<ProposeAction,
+                                   PromoteAction,
+                                   QueryAction,
+                                   PushReplyAction,
+                                   PromoteBackendAction,
+                                   LogAction>;
 using ControlActions = std::vector<ControlAction>;
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/ControlCommand.hpp
+++ b/src/oleanderledge/control/ControlCommand.hpp
@@ -241,6 +241,85 @@
   }
 };
 
+/// Replaces routes and services, unless a configuration with the same or a higher number is held.
+struct StoreRouteConfiguration
+{
+  RouteConfiguration configuration;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->configuration);
+  }
+};
+
+/// Records a registration of a backend server, unless a newer one is held.
+struct UpdateBackend
+{
+  BackendRow backend;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->backend);
+  }
+};
+
+/// Removes a backend server, unless it was started again since.
+struct RemoveBackend
+{
+  std::string backend;
+  std::int64_t startedUnixMs = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->backend, this->startedUnixMs);
+  }
+};
+
+/// Accepts a backend server that is known to lead its service.
+struct AdoptServicePrimary
+{
+  std::string service;
+  std::uint64_t expectedVersion = 0; ///< 0: the service has no primary yet.
+  std::string backend;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->service, this->expectedVersion, this->backend);
+  }
+};
+
+/// Decides the next primary of a service. The log index becomes the fence of the promotion.
+struct DecideServicePrimary
+{
+  std::string service;
+  std::uint64_t expectedVersion = 0;
+  std::string backend;
+  std::string holder; ///< Control instance that carries the promotion out.
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->service, this->expectedVersion, this->backend, this->holder);
+  }
+};
+
+/// The decided backend server was promoted.
+struct ConfirmServicePrimary
+{
+  std::string service;
+  std::uint64_t fence = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->service, this->fence);
+  }
+};
+
 /// Every command. The index is the type number in the log, so new types go at the end.
 using ControlCommand = std::variant<ChangeClass,
                                     RegisterInstance,
@@ -254,7 +333,13 @@
                                     ChangeDraining,
                                     DecidePromotion,
                                     CompletePromotion,
-                                    ChangeInSync>;
+                                    ChangeInSync,
+                                    StoreRouteConfiguration,
+                                    UpdateBackend,
+                                    RemoveBackend,
+                                    AdoptServicePrimary,
+                                    DecideServicePrimary,
+                                    ConfirmServicePrimary>;
 
 /// Encodes a command for the log.
 std::string EncodeCommand(const ControlCommand& aCommand);
--- a/src/oleanderledge/control/ControlSettings.hpp
+++ b/src/oleanderledge/control/ControlSettings.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/consensus/ReplicatedLog.hpp"
 #include "oleanderledge/control/ControlTimings.hpp"
+#include "oleanderledge/control/ServiceCoordinator.hpp"
 #include "oleanderledge/link/Messages.hpp"
 
 #include <string>
@@ -20,8 +21,17 @@
   /// ids are not known yet and ignored. Later the list serves to find the group.
   std::vector<ControlMember> initialMembers;
   std::string dataFolder;
+  /// Name by which the platform knows this instance.
+  std::string nodeName;
+  /// Voters to keep; 0: as many as there are initial members.
+  std::size_t voterGoal = 0;
+  /// False: the group exists already, so that this instance only joins it.
+  bool mayFoundGroup = true;
+  /// A silent voter is replaced after this time if a learner has caught up.
+  Duration voterLostAfter = std::chrono::seconds(10);
 
   ControlTimings timings;
+  ServiceTimings serviceTimings;
   /// Interval of the heartbeats between control members.
   Duration memberHeartbeat = std::chrono::milliseconds(50);
   /// Election time-outs are drawn from this range.
--- a/src/oleanderledge/control/ControlState.cpp
+++ b/src/oleanderledge/control/ControlState.cpp
@@ -12,14 +12,33 @@
   std::string classes;
   std::string databases;
   std::vector<InstanceInfo> instances;
+  std::string routes;   ///< Empty in snapshots of earlier versions.
+  std::string backends; ///< Empty in snapshots of earlier versions.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->directoryVersion, this->classes, this->databases, this->instances);
+    aVisitor(this->directoryVersion,
+             this->classes,
+             this->databases,
+             this->instances,
+             this->routes,
+             this->backends);
   }
 };
 
+template<class Row>
+void CollectChanged(const std::map<std::string, Row, std::less<>>& aTable,
+                    std::uint64_t aFromVersion,
+                    std::vector<Row>& aChanged)
+{
+  for (const auto& [name, row] : aTable) {
+    if (row.version > aFromVersion) {
+      aChanged.push_back(row);
+    }
+  }
+}
+
 } // namespace
 
 void ControlState::Apply(std::uint64_t aIndex, std::string_view aCommand)
@@ -45,6 +64,14 @@
       } else if constexpr (std::is_same_v<Command, RegisterInstance> ||
                            std::is_same_v<Command, ForgetInstance>) {
         this->ApplyToInstances(aValue);
+      } else if constexpr (std::is_same_v<Command, StoreRouteConfiguration>) {
+        if (this->routes.Apply(aIndex, aValue)) {
+          this->directoryVersion = aIndex;
+        }
+      } else if constexpr (requires { this->backends.Apply(aIndex, aValue); }) {
+        if (this->backends.Apply(aIndex, aValue)) {
+          this->directoryVersion = aIndex;
+        }
       } else if (this->databases.Apply(aIndex, aValue)) {
         this->directoryVersion = aIndex;
       }
@@ -67,25 +94,32 @@
 
 DirectoryUpdate ControlState::ChangesSince(std::uint64_t aFromVersion) const
 {
-  DirectoryUpdate update{ aFromVersion, this->directoryVersion, {}, {} };
-  for (const auto& [name, row] : this->classes.Rows()) {
-    if (row.version > aFromVersion) {
-      update.classes.push_back(row);
-    }
-  }
+  DirectoryUpdate update;
+  update.fromVersion = aFromVersion;
+  update.version = this->directoryVersion;
+  CollectChanged(this->classes.Rows(), aFromVersion, update.classes);
   for (const auto& [name, record] : this->databases.Records()) {
     if (record.row.version > aFromVersion) {
       update.databases.push_back(record.row);
     }
   }
+  CollectChanged(this->routes.Routes(), aFromVersion, update.routes);
+  CollectChanged(this->routes.Services(), aFromVersion, update.services);
+  CollectChanged(this->backends.Backends(), aFromVersion, update.backends);
+  CollectChanged(this->backends.Primaries(), aFromVersion, update.primaries);
+  update.configurationNumber = this->routes.Number();
+  update.transactionIdleMs = this->routes.TransactionIdleMs();
   return update;
 }
 
 std::string ControlState::Serialize() const
 {
-  StateSnapshot snapshot{
-    this->directoryVersion, this->classes.Serialize(), this->databases.Serialize(), {}
-  };
+  StateSnapshot snapshot;
+  snapshot.directoryVersion = this->directoryVersion;
+  snapshot.classes = this->classes.Serialize();
+  snapshot.databases = this->databases.Serialize();
+  snapshot.routes = this->routes.Serialize();
+  snapshot.backends = this->backends.Serialize();
   for (const auto& [id, instance] : this->instances) {
     snapshot.instances.push_back(instance);
   }
@@ -101,7 +135,9 @@
   const StateSnapshot& snapshot = decoded.value();
   ControlState restored;
   for (const auto& part : { restored.classes.Restore(snapshot.classes),
-                            restored.databases.Restore(snapshot.databases) }) {
+                            restored.databases.Restore(snapshot.databases),
+                            restored.routes.Restore(snapshot.routes),
+                            restored.backends.Restore(snapshot.backends) }) {
     if (!part) {
       return Fail(part.error().code, part.error().message);
     }
@@ -110,10 +146,7 @@
     restored.instances[instance.id] = instance;
   }
   restored.directoryVersion = snapshot.directoryVersion;
-  this->classes = std::move(restored.classes);
-  this->databases = std::move(restored.databases);
-  this->instances = std::move(restored.instances);
-  this->directoryVersion = restored.directoryVersion;
+  *this = std::move(restored);
   return boost::outcome_v2::success();
 }
 
--- a/src/oleanderledge/control/ControlState.hpp
+++ b/src/oleanderledge/control/ControlState.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "oleanderledge/consensus/ReplicatedLog.hpp"
+#include "oleanderledge/control/BackendTable.hpp"
 #include "oleanderledge/control/ClassTable.hpp"
 #include "oleanderledge/control/DatabaseTable.hpp"
+#include "oleanderledge/control/RouteTable.hpp"
 
 #include <cstdint>
 #include <map>
@@ -20,6 +22,8 @@
 
   const ClassTable& Classes() const { return this->classes; }
   const DatabaseTable& Databases() const { return this->databases; }
+  const RouteTable& Routes() const { return this->routes; }
+  const BackendTable& Backends() const { return this->backends; }
   /// Processes by instance id.
   const std::map<std::string, InstanceInfo, std::less<>>& Instances() const
   {
@@ -38,6 +42,8 @@
 
   ClassTable classes;
   DatabaseTable databases;
+  RouteTable routes;
+  BackendTable backends;
   std::map<std::string, InstanceInfo, std::less<>> instances;
   std::uint64_t directoryVersion = 0;
 };
--- /dev/null
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -0,0 +1,337 @@
+#include "oleanderledge/control/ServiceCoordinator.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace oleanderledge {
+
+std::string_view ToString(PromotionOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case PromotionOutcome::Confirmed:
+      return "confirmed";
+    case PromotionOutcome::Refused:
+      return "refused";
+    case PromotionOutcome::Unanswered:
+      break;
+  }
+  return "unanswered";
+}
+
+ServiceCoordinator::ServiceCoordinator(const ControlState& aState,
+                                       std::string aSelf,
+                                       ServiceTimings aTimings)
+  : state(aState)
+  , self(std::move(aSelf))
+  , timings(aTimings)
+{
+}
+
+void ServiceCoordinator::OnLeadershipGained(Instant aNow)
+{
+  this->isLeading = true;
+  this->leaderSince = aNow;
+  this->progress.clear();
+  this->pendingKeys.clear();
+}
+
+void ServiceCoordinator::OnLeadershipLost()
+{
+  this->isLeading = false;
+}
+
+void ServiceCoordinator::OnRegistration(const BackendRow& aBackend, Instant aNow)
+{
+  Heard& known = this->heard[aBackend.name];
+  // A delayed registration of an earlier start or moment is no sign of life.
+  if (std::tie(aBackend.startedUnixMs, aBackend.sequence) <=
+      std::tie(known.startedUnixMs, known.sequence)) {
+    return;
+  }
+  known = { aBackend.startedUnixMs, aBackend.sequence, aNow };
+}
+
+void ServiceCoordinator::OnReports(const std::string& aProxy,
+                                   const std::vector<BackendReport>& aReports,
+                                   Instant aNow)
+{
+  ReportSet& set = this->reports[aProxy];
+  set.at = aNow;
+  set.byBackend.clear();
+  for (const BackendReport& report : aReports) {
+    set.byBackend[report.backend] = report;
+  }
+}
+
+void ServiceCoordinator::OnTick(Instant aNow, ControlActions& aActions)
+{
+  if (!this->isLeading) {
+    return;
+  }
+  std::set<std::string> services;
+  for (const auto& [name, backend] : this->state.Backends().Backends()) {
+    services.insert(backend.service);
+  }
+  for (const std::string& service : services) {
+    this->StepService(service, aNow, aActions);
+  }
+}
+
+void ServiceCoordinator::StepService(const std::string& aService,
+                                     Instant aNow,
+                                     ControlActions& aActions)
+{
+  if (this->IsPending(aService)) {
+    return;
+  }
+  Progress& stage = this->progress[aService];
+  const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
+  if (row != nullptr && row->phase == PrimaryPhase::Promoting) {
+    this->StepPromotion(*row, stage, aNow, aActions);
+    return;
+  }
+  const BackendRow* claiming = this->ClaimingPrimary(aService);
+  const BackendRow* current =
+    row == nullptr ? nullptr : this->state.Backends().Find(row->backend);
+  const bool isLost = current == nullptr || !current->claimsPrimary;
+  if (isLost && claiming != nullptr && (row == nullptr || claiming->name != row->backend)) {
+    // Found leading: at the start, or after a promotion whose answer was lost.
+    this->Propose(
+      aService,
+      AdoptServicePrimary{ aService, row == nullptr ? 0 : row->version, claiming->name },
+      aActions);
+    return;
+  }
+  if (row == nullptr || row->backend.empty()) {
+    if (stage.leaderlessSince == Instant{}) {
+      stage.leaderlessSince = aNow;
+    }
+    if (aNow - stage.leaderlessSince > this->timings.leaderlessAfter) {
+      this->Decide(aService, row == nullptr ? 0 : row->version, "no_primary", aNow, aActions);
+    }
+    return;
+  }
+  if (aNow - stage.confirmedAt < this->timings.settleTime) {
+    return;
+  }
+  const std::string_view reason = this->ReplacementReason(*row, aNow);
+  if (!reason.empty()) {
+    this->Decide(aService, row->version, reason, aNow, aActions);
+  }
+}
+
+std::string_view ServiceCoordinator::ReplacementReason(const PrimaryRow& aRow, Instant aNow) const
+{
+  const BackendRow* primary = this->state.Backends().Find(aRow.backend);
+  if (primary == nullptr) {
+    return "left";
+  }
+  if (primary->draining) {
+    return "draining";
+  }
+  if (!primary->claimsPrimary && aRow.fence == 0) {
+    return "demoted";
+  }
+  // A new leader knows neither registrations nor reports yet.
+  if (aNow - this->leaderSince < this->timings.registrationInterval) {
+    return {};
+  }
+  const Opinion opinion = this->OpinionOf(aRow.backend, aNow);
+  if (opinion.answering > 0) {
+    return {};
+  }
+  const Duration silence = this->SilenceOf(aRow.backend, aNow);
+  if (silence > this->timings.SilentAfter()) {
+    return "silent";
+  }
+  if (opinion.failing == 0) {
+    return {};
+  }
+  if (opinion.failingFor > this->timings.unreachableAfter &&
+      silence > this->timings.unreachableAfter) {
+    return "unreachable";
+  }
+  return opinion.failingFor > this->timings.isolatedAfter ? "isolated" : "";
+}
+
+void ServiceCoordinator::StepPromotion(const PrimaryRow& aRow,
+                                       Progress& aProgress,
+                                       Instant aNow,
+                                       ControlActions& aActions)
+{
+  if (aProgress.fence != aRow.fence) {
+    aProgress = {};
+    aProgress.fence = aRow.fence;
+    aProgress.decidedAt = aNow;
+  }
+  const BackendRow* decided = this->state.Backends().Find(aRow.backend);
+  // Another holder's fence is never used again, so its decision is taken anew.
+  const bool isOwn = aRow.holder == this->self;
+  if (!isOwn || decided == nullptr) {
+    this->Decide(aRow.name, aRow.version, isOwn ? "left" : "new_holder", aNow, aActions);
+    return;
+  }
+  const auto refused = this->refusedAt.find(aRow.backend);
+  const bool wasRefused =
+    refused != this->refusedAt.end() && refused->second > aProgress.decidedAt;
+  if (wasRefused || aNow - aProgress.decidedAt > this->timings.promotionTimeout) {
+    this->Decide(
+      aRow.name, aRow.version, wasRefused ? "refused" : "promotion_timeout", aNow, aActions);
+    return;
+  }
+  if (aProgress.callRunning || aNow - aProgress.calledAt < this->timings.callRetry) {
+    return;
+  }
+  aProgress.callRunning = true;
+  aProgress.calledAt = aNow;
+  aActions.push_back(PromoteBackendAction{ aRow.name, aRow.backend, aRow.fence });
+}
+
+void ServiceCoordinator::OnPromotionAnswer(const std::string& aService,
+                                           std::uint64_t aFence,
+                                           PromotionOutcome aOutcome,
+                                           Instant aNow,
+                                           ControlActions& aActions)
+{
+  Progress& stage = this->progress[aService];
+  const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
+  if (!this->isLeading || row == nullptr || row->fence != aFence || stage.fence != aFence) {
+    return;
+  }
+  stage.callRunning = false;
+  if (aOutcome == PromotionOutcome::Refused) {
+    this->refusedAt[row->backend] = aNow;
+  }
+  if (aOutcome == PromotionOutcome::Confirmed && row->phase == PrimaryPhase::Promoting &&
+      !this->IsPending(aService)) {
+    stage.confirmedAt = aNow;
+    this->Propose(aService, ConfirmServicePrimary{ aService, aFence }, aActions);
+  }
+}
+
+void ServiceCoordinator::Decide(const std::string& aService,
+                                std::uint64_t aVersion,
+                                std::string_view aReason,
+                                Instant aNow,
+                                ControlActions& aActions)
+{
+  const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
+  const std::string replaced = row == nullptr ? "" : row->backend;
+  // A decision that is only taken over, or not yet carried out, keeps its server if it is usable.
+  const bool mayKeep = aReason == "new_holder";
+  const BackendRow* candidate = this->BestCandidate(aService, mayKeep ? "" : replaced, aNow);
+  if (candidate == nullptr && aReason == "promotion_timeout") {
+    candidate = this->state.Backends().Find(replaced);
+  }
+  if (candidate == nullptr) {
+    return;
+  }
+  aActions.push_back(LogAction{ LogEvent::ServicePrimaryDecided,
+                                "service=" + aService + " backend=" + candidate->name +
+                                  " replaces=" + replaced + " reason=" + std::string(aReason) +
+                                  " version=" + std::to_string(aVersion) });
+  this->Propose(aService,
+                DecideServicePrimary{ aService, aVersion, candidate->name, this->self },
+                aActions);
+}
+
+const BackendRow* ServiceCoordinator::ClaimingPrimary(std::string_view aService) const
+{
+  const BackendRow* claiming = nullptr;
+  for (const auto& [name, backend] : this->state.Backends().Backends()) {
+    if (backend.deleted || backend.service != aService || !backend.claimsPrimary ||
+        backend.draining) {
+      continue;
+    }
+    claiming = &backend;
+  }
+  return claiming;
+}
+
+const BackendRow* ServiceCoordinator::BestCandidate(std::string_view aService,
+                                                    std::string_view aExcluded,
+                                                    Instant aNow) const
+{
+  const BackendRow* best = nullptr;
+  std::tuple<bool, bool, Duration> bestRank;
+  for (const auto& [name, backend] : this->state.Backends().Backends()) {
+    if (backend.deleted || backend.service != aService || backend.draining ||
+        name == aExcluded) {
+      continue;
+    }
+    const auto refused = this->refusedAt.find(name);
+    if (refused != this->refusedAt.end() && aNow - refused->second < this->timings.refusalMemory) {
+      continue;
+    }
+    const Duration silence = this->SilenceOf(name, aNow);
+    if (silence > this->timings.SilentAfter()) {
+      continue;
+    }
+    const Opinion opinion = this->OpinionOf(name, aNow);
+    const std::tuple rank(opinion.answering > 0, opinion.failing == 0, -silence);
+    if (best == nullptr || rank > bestRank) {
+      best = &backend;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+Duration ServiceCoordinator::SilenceOf(const std::string& aBackend, Instant aNow) const
+{
+  const auto found = this->heard.find(aBackend);
+  const Instant since =
+    found == this->heard.end() ? this->leaderSince : std::max(found->second.at, this->leaderSince);
+  return aNow - since;
+}
+
+ServiceCoordinator::Opinion ServiceCoordinator::OpinionOf(std::string_view aBackend,
+                                                          Instant aNow) const
+{
+  Opinion opinion;
+  for (const auto& [proxy, set] : this->reports) {
+    const Duration age = aNow - set.at;
+    if (age > this->timings.reportLifetime) {
+      continue;
+    }
+    const auto found = set.byBackend.find(aBackend);
+    if (found == set.byBackend.end()) {
+      continue;
+    }
+    const BackendReport& report = found->second;
+    if (report.failingMs == 0) {
+      const Duration answered = std::chrono::milliseconds(report.answeredMsAgo) + age;
+      opinion.answering += report.answeredMsAgo >= 0 && answered < this->timings.reportLifetime;
+      continue;
+    }
+    const Duration failingFor = std::chrono::milliseconds(report.failingMs);
+    opinion.failingFor =
+      opinion.failing == 0 ? failingFor : std::min(opinion.failingFor, failingFor);
+    ++opinion.failing;
+  }
+  return opinion;
+}
+
+bool ServiceCoordinator::IsPending(const std::string& aService) const
+{
+  return this->pendingKeys.contains(std::string(kKeyPrefix) + aService);
+}
+
+void ServiceCoordinator::Propose(const std::string& aService,
+                                 ControlCommand aCommand,
+                                 ControlActions& aActions)
+{
+  std::string key = std::string(kKeyPrefix) + aService;
+  this->pendingKeys.insert(key);
+  aActions.push_back(ProposeAction{ std::move(key), std::move(aCommand) });
+}
+
+void ServiceCoordinator::OnProposalDone(std::string_view aKey)
+{
+  const auto found = this->pendingKeys.find(aKey);
+  if (found != this->pendingKeys.end()) {
+    this->pendingKeys.erase(found);
+  }
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -17,6 +17,8 @@
 /// Same as that of proxies (section 2.2).
 constexpr Duration kOwnHeartbeatInterval = std::chrono::milliseconds(200);
 constexpr int kHttpUnavailable = 503;
+/// Proxies use their number only to share connection limits.
+constexpr Duration kProxyCountInterval = std::chrono::seconds(1);
 
 ControlDaemon::GroupFactory DriverGroupFactory(const ControlSettings& aSettings)
 {
@@ -50,6 +52,7 @@
   , latency{ aSettings.latencyBetweenZones, aSettings.latencyBetweenRegions, Duration{ 0 } }
   , observedState(this->state, [this] { this->publisher->SchedulePublish(); })
   , leader(this->state, aSettings.timings)
+  , services(this->state, aSettings.nodeName, aSettings.serviceTimings)
   , group(aGroupFactory(this->observedState, *this))
   , backends(std::move(aBackends))
   , linkServer(aSettings.instance, this->latency, nullptr)
@@ -111,13 +114,16 @@
 void ControlDaemon::OnLeadershipGained(std::uint64_t /*aTerm*/)
 {
   ControlActions actions;
-  this->leader.OnLeadershipGained(MonotonicNow(), actions);
+  const Instant now = MonotonicNow();
+  this->services.OnLeadershipGained(now);
+  this->leader.OnLeadershipGained(now, actions);
   this->Execute(actions);
 }
 
 void ControlDaemon::OnLeadershipLost()
 {
   this->leader.OnLeadershipLost();
+  this->services.OnLeadershipLost();
   WriteLog(LogEvent::ControlNotLeading, "instance=" + this->settings.instance.id);
 }
 
@@ -269,7 +275,7 @@
   }
   ControlActions actions;
   this->relayOf.erase(aHeartbeat.instance.id);
-  aLink->Send(this->leader.OnHeartbeat(aHeartbeat, this->Log().HasLeaderLease(now), now, actions));
+  aLink->Send(this->AnswerHeartbeat(aHeartbeat, this->Log().HasLeaderLease(now), now, actions));
   this->Execute(actions);
 }
 
@@ -298,12 +304,29 @@
   for (const Heartbeat& heartbeat : aRelayed.heartbeats) {
     ++this->heartbeatCount;
     this->relayOf[heartbeat.instance.id] = aPeer;
-    replies.replies.push_back(this->leader.OnHeartbeat(heartbeat, hasLease, now, actions));
+    replies.replies.push_back(this->AnswerHeartbeat(heartbeat, hasLease, now, actions));
   }
   this->group->SendToInstance(aPeer, replies);
   this->Execute(actions);
 }
 
+HeartbeatReply ControlDaemon::AnswerHeartbeat(const Heartbeat& aHeartbeat,
+                                              bool aHasLease,
+                                              Instant aNow,
+                                              ControlActions& aActions)
+{
+  HeartbeatReply reply = this->leader.OnHeartbeat(aHeartbeat, aHasLease, aNow, aActions);
+  if (aHeartbeat.instance.role != InstanceRole::Proxy) {
+    return reply;
+  }
+  this->services.OnReports(aHeartbeat.instance.id, aHeartbeat.backends, aNow);
+  for (const ControlMember& member : this->Log().Members()) {
+    reply.controlAddresses.push_back(member.linkAddress);
+  }
+  reply.proxyCount = this->proxyCount;
+  return reply;
+}
+
 Heartbeat ControlDaemon::OwnHeartbeat()
 {
   Heartbeat heartbeat;
@@ -331,10 +354,26 @@
   // Without the leader lease another member may lead already; its decisions count.
   if (!isLeading || this->Log().HasLeaderLease(now)) {
     this->leader.OnTick(now, actions);
+    this->services.OnTick(now, actions);
+  }
+  if (isLeading && now - this->proxiesCountedAt >= kProxyCountInterval) {
+    this->CountProxies(now);
   }
   this->Execute(actions);
 }
 
+void ControlDaemon::CountProxies(Instant aNow)
+{
+  this->proxiesCountedAt = aNow;
+  this->proxyCount = 0;
+  const FleetMonitor& fleet = this->leader.Fleet();
+  for (const auto& [id, view] : fleet.Views()) {
+    const InstanceInfo& instance = view.last.instance;
+    const bool isProxy = instance.role == InstanceRole::Proxy;
+    this->proxyCount += isProxy && fleet.IsUsable(id, instance.incarnation, aNow) ? 1 : 0;
+  }
+}
+
 void ControlDaemon::Execute(const ControlActions& aActions)
 {
   for (const ControlAction& action : aActions) {
@@ -352,7 +391,11 @@
         this,
         [this, key, isDefinite] {
           ControlActions actions;
-          this->leader.OnProposalDone(key, isDefinite, MonotonicNow(), actions);
+          if (key.starts_with(ServiceCoordinator::kKeyPrefix)) {
+            this->services.OnProposalDone(key);
+          } else {
+            this->leader.OnProposalDone(key, isDefinite, MonotonicNow(), actions);
+          }
           this->Execute(actions);
         },
         Qt::QueuedConnection);
@@ -396,6 +439,28 @@
   this->publisher->SendTo(instance, aAction.reply);
 }
 
+void ControlDaemon::Execute(const PromoteBackendAction& aAction)
+{
+  const auto answer = [this, aAction](PromotionOutcome aOutcome) {
+    WriteLog(LogEvent::ServicePromotionAnswered,
+             "service=" + aAction.service + " backend=" + aAction.backend +
+               " fence=" + std::to_string(aAction.fence) +
+               " outcome=" + std::string(ToString(aOutcome)));
+    ControlActions actions;
+    this->services.OnPromotionAnswer(
+      aAction.service, aAction.fence, aOutcome, MonotonicNow(), actions);
+    this->Execute(actions);
+  };
+  // A leader that was replaced meanwhile leaves the promotion to its successor.
+  if (this->promotions == nullptr || !this->IsCurrentLeader()) {
+    QMetaObject::invokeMethod(
+      this, [answer] { answer(PromotionOutcome::Unanswered); }, Qt::QueuedConnection);
+    return;
+  }
+  this->promotions->Promote(
+    aAction.service, aAction.backend, this->settings.nodeName, aAction.fence, answer);
+}
+
 void ControlDaemon::Execute(const LogAction& aAction)
 {
   WriteLog(aAction.event, aAction.detail);
@@ -404,6 +469,100 @@
   }
 }
 
+void ControlDaemon::SetPromotionService(std::unique_ptr<PromotionService> aService)
+{
+  this->promotions = std::move(aService);
+}
+
+void ControlDaemon::ProposeFor(const ControlCommand& aCommand, Callback aCallback)
+{
+  this->Log().Propose(EncodeCommand(aCommand),
+                      [callback = std::move(aCallback)](const Result<std::uint64_t>& aIndex) {
+                        callback(aIndex ? Outcome::Done : Outcome::Unavailable);
+                      });
+}
+
+void ControlDaemon::RegisterBackend(const BackendRow& aBackend, Callback aCallback)
+{
+  if (!this->IsCurrentLeader()) {
+    aCallback(Outcome::NotLeading);
+    return;
+  }
+  this->services.OnRegistration(aBackend, MonotonicNow());
+  const auto known = this->state.Backends().Backends().find(aBackend.name);
+  const bool isKnown = known != this->state.Backends().Backends().end();
+  if (isKnown && (IsSameRegistration(known->second, aBackend) ||
+                  !IsNewerRegistration(aBackend, known->second))) {
+    aCallback(Outcome::Done);
+    return;
+  }
+  WriteLog(LogEvent::BackendRegistered,
+           "backend=" + aBackend.name + " service=" + aBackend.service +
+             " address=" + aBackend.address + " zone=" + aBackend.zone +
+             " primary=" + (aBackend.claimsPrimary ? "yes" : "no") +
+             " draining=" + (aBackend.draining ? "yes" : "no") +
+             " started_ms=" + std::to_string(aBackend.startedUnixMs) +
+             " sequence=" + std::to_string(aBackend.sequence));
+  this->ProposeFor(UpdateBackend{ aBackend }, std::move(aCallback));
+}
+
+void ControlDaemon::RemoveBackend(const std::string& aBackend, Callback aCallback)
+{
+  if (!this->IsCurrentLeader()) {
+    aCallback(Outcome::NotLeading);
+    return;
+  }
+  const BackendRow* known = this->state.Backends().Find(aBackend);
+  if (known == nullptr) {
+    aCallback(Outcome::Done);
+    return;
+  }
+  WriteLog(LogEvent::BackendRemoved, "backend=" + aBackend + " service=" + known->service);
+  this->ProposeFor(oleanderledge::RemoveBackend{ aBackend, known->startedUnixMs },
+                   std::move(aCallback));
+}
+
+void ControlDaemon::StoreConfiguration(RouteConfiguration aConfiguration, Callback aCallback)
+{
+  // What this member has applied is committed, also if another member leads.
+  if (aConfiguration.number <= this->state.Routes().Number()) {
+    aCallback(Outcome::Done);
+    return;
+  }
+  if (!this->IsCurrentLeader()) {
+    aCallback(Outcome::NotLeading);
+    return;
+  }
+  const std::uint64_t number = aConfiguration.number;
+  this->ProposeFor(StoreRouteConfiguration{ std::move(aConfiguration) },
+                   [this, number, callback = std::move(aCallback)](Outcome aOutcome) {
+                     WriteLog(LogEvent::RoutesStored,
+                              "number=" + std::to_string(number) +
+                                " held=" + std::to_string(this->state.Routes().Number()) +
+                                " outcome=" + (aOutcome == Outcome::Done ? "done" : "unknown"));
+                     callback(aOutcome);
+                   });
+}
+
+Result<std::string> ControlDaemon::ReadConfiguration() const
+{
+  if (!this->IsCurrentLeader()) {
+    return Fail(ResultCode::NotLeader, "another control instance leads");
+  }
+  if (this->state.Routes().Number() == 0) {
+    return Fail(ResultCode::NoQuorum, "no configuration was stored yet");
+  }
+  return this->state.Routes().Document();
+}
+
+std::string ControlDaemon::LeaderHost() const
+{
+  if (!this->Log().HasCurrentLeader(MonotonicNow())) {
+    return {};
+  }
+  return SplitAddress(this->Log().Leader().linkAddress).first;
+}
+
 BackendAdmin::Callback ControlDaemon::BackendCallback(const std::string& aDatabase,
                                                       const std::string& aSlot,
                                                       const std::string& aCall)
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -4,6 +4,9 @@
 #include "oleanderledge/control/ControlLeader.hpp"
 #include "oleanderledge/control/ControlSettings.hpp"
 #include "oleanderledge/control/ControlState.hpp"
+#include "oleanderledge/control/FleetControl.hpp"
+#include "oleanderledge/control/PromotionService.hpp"
+#include "oleanderledge/control/ServiceCoordinator.hpp"
 #include "oleanderledge/control/internal/BackendAdmin.hpp"
 #include "oleanderledge/control/internal/ControlGroup.hpp"
 #include "oleanderledge/control/internal/ControlHttp.hpp"
@@ -27,6 +30,7 @@
 /// and backend servers. Lives in one thread.
 class ControlDaemon
   : public QObject
+  , public FleetControl
   , private LeadershipListener
   , private ControlHttpHandler
 {
@@ -45,6 +49,16 @@
                 QObject* aParent);
   ~ControlDaemon() override;
 
+  /// Who carries out promotions of registered backend servers. Call before Start().
+  void SetPromotionService(std::unique_ptr<PromotionService> aService);
+
+  // FleetControl
+  void RegisterBackend(const BackendRow& aBackend, Callback aCallback) override;
+  void RemoveBackend(const std::string& aBackend, Callback aCallback) override;
+  void StoreConfiguration(RouteConfiguration aConfiguration, Callback aCallback) override;
+  Result<std::string> ReadConfiguration() const override;
+  std::string LeaderHost() const override;
+
   /// Opens the ports and starts the log. Fails with ListenFailed or a code of the storage.
   Result<void> Start();
 
@@ -78,7 +92,13 @@
   void HandleMemberMessage(const InstanceInfo& aPeer, const Message& aMessage);
   void HandleRelayedHeartbeats(const std::string& aPeer, const RelayedHeartbeats& aRelayed);
   void Tick();
+  /// Counts the live proxies at the leader.
+  void CountProxies(Instant aNow);
   ReplicatedLog& Log() const { return this->group->Log(); }
+  HeartbeatReply AnswerHeartbeat(const Heartbeat& aHeartbeat,
+                                 bool aHasLease,
+                                 Instant aNow,
+                                 ControlActions& aActions);
   Heartbeat OwnHeartbeat();
 
   /// Executes actions. Those that follow from them are queued behind.
@@ -87,7 +107,10 @@
   void Execute(const PromoteAction& aAction);
   void Execute(const QueryAction& aAction);
   void Execute(const PushReplyAction& aAction);
+  void Execute(const PromoteBackendAction& aAction);
   void Execute(const LogAction& aAction);
+  /// Replicates a command for a caller of FleetControl.
+  void ProposeFor(const ControlCommand& aCommand, Callback aCallback);
   BackendAdmin::Callback BackendCallback(const std::string& aDatabase,
                                          const std::string& aSlot,
                                          const std::string& aCall);
@@ -99,6 +122,8 @@
   ControlState state;
   ObservedState observedState;
   ControlLeader leader;
+  ServiceCoordinator services;
+  std::unique_ptr<PromotionService> promotions;
   std::unique_ptr<ControlGroup> group;
   std::unique_ptr<BackendAdmin> backends;
   LinkServer linkServer;
@@ -108,6 +133,8 @@
   QTimer tickTimer;
   Instant ownHeartbeatAt{};
   std::uint64_t ownHeartbeatSequence = 0;
+  std::uint32_t proxyCount = 0;
+  Instant proxiesCountedAt{};
   std::uint64_t announcementCount = 0;
   std::uint64_t heartbeatCount = 0;
   bool isStopping = false;
--- a/src/oleanderledge/control/internal/DriverGroup.cpp
+++ b/src/oleanderledge/control/internal/DriverGroup.cpp
@@ -8,10 +8,17 @@
 {
   ConsensusDriverSettings driver;
   driver.dataFolder = aSettings.dataFolder;
+  driver.peerAddresses = aSettings.peers;
   for (const ControlMember& member : aSettings.initialMembers) {
-    driver.initialMembers.push_back({ member.instance, member.linkAddress });
+    if (aSettings.mayFoundGroup) {
+      driver.initialMembers.push_back({ member.instance, member.linkAddress });
+    } else {
+      driver.peerAddresses.push_back(member.linkAddress);
+    }
   }
-  driver.peerAddresses = aSettings.peers;
+  driver.maintenance.voterGoal =
+    aSettings.voterGoal == 0 ? aSettings.initialMembers.size() : aSettings.voterGoal;
+  driver.maintenance.lostAfter = aSettings.voterLostAfter;
   driver.raft.heartbeatInterval = aSettings.memberHeartbeat;
   driver.raft.electionTimeoutMin = aSettings.electionTimeoutMin;
   driver.raft.electionTimeoutMax = aSettings.electionTimeoutMax;
--- a/src/oleanderledge/daemon/ControlContact.cpp
+++ b/src/oleanderledge/daemon/ControlContact.cpp
@@ -20,6 +20,7 @@
                                ContactTiming aTiming)
   : self(std::move(aSelf))
   , addresses(std::move(aAddresses))
+  , firstAddresses(this->addresses)
   , timing(aTiming)
   , directory(std::make_shared<Directory>())
   , addressIndex(FirstAddress(this->self, this->addresses.size()))
@@ -51,6 +52,10 @@
   this->lastAcceptedSent = std::max(this->lastAcceptedSent, FromMicroseconds(aReply.sentUs));
   this->hasContact = true;
   this->committedVersion = std::max(this->committedVersion, aReply.committedVersion);
+  this->proxyCount = aReply.proxyCount;
+  if (!aReply.controlAddresses.empty() && aReply.controlAddresses != this->learnedAddresses) {
+    this->LearnAddresses(aReply.controlAddresses);
+  }
   return true;
 }
 
@@ -88,6 +93,26 @@
   return this->addresses[this->addressIndex];
 }
 
+void ControlContact::LearnAddresses(const std::vector<std::string>& aAddresses)
+{
+  this->learnedAddresses = aAddresses;
+  const std::string present = this->addresses[this->addressIndex];
+  this->addresses = aAddresses;
+  for (const std::string& address : this->firstAddresses) {
+    if (std::ranges::find(this->addresses, address) == this->addresses.end()) {
+      this->addresses.push_back(address);
+    }
+  }
+  const auto found = std::ranges::find(this->addresses, present);
+  if (found == this->addresses.end()) {
+    // The present link still works although its member has left the group.
+    this->addresses.push_back(present);
+    this->addressIndex = this->addresses.size() - 1;
+    return;
+  }
+  this->addressIndex = static_cast<std::size_t>(found - this->addresses.begin());
+}
+
 void ControlContact::NoteLinkClosed(Instant aNow)
 {
   this->UseNextAddress(aNow);
--- a/src/oleanderledge/daemon/ControlContact.hpp
+++ b/src/oleanderledge/daemon/ControlContact.hpp
@@ -58,15 +58,22 @@
   /// When the newest heartbeat was sent that the leader has answered.
   Instant LastAcceptedSent() const { return this->lastAcceptedSent; }
 
+  /// Number of live proxies as the leader counts them; 0 if not known.
+  std::uint32_t ProxyCount() const { return this->proxyCount; }
+
   void SetLeaving() { this->self.leaving = true; }
   std::shared_ptr<const Directory> CurrentDirectory() const { return this->directory; }
   const InstanceInfo& Self() const { return this->self; }
 
 private:
   void UseNextAddress(Instant aNow);
+  /// Adds the addresses that the leader named in front of those from the settings.
+  void LearnAddresses(const std::vector<std::string>& aAddresses);
 
   InstanceInfo self;
   std::vector<std::string> addresses;
+  std::vector<std::string> firstAddresses; ///< From the settings.
+  std::vector<std::string> learnedAddresses;
   ContactTiming timing;
   std::shared_ptr<const Directory> directory;
   std::size_t addressIndex = 0;
@@ -75,6 +82,7 @@
   bool hasContact = false;
   std::uint64_t sequence = 0;
   std::uint64_t committedVersion = 0;
+  std::uint32_t proxyCount = 0;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -4,9 +4,11 @@
 #include "oleanderledge/daemon/internal/FailoverLog.hpp"
 #include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
 #include "oleanderledge/daemon/internal/StopSignals.hpp"
+#include "oleanderledge/platform/platform.hpp"
 
 #include <QCoreApplication>
 
+#include <optional>
 #include <random>
 
 namespace oleanderledge {
@@ -34,6 +36,20 @@
   return finished;
 }
 
+/// A voter that came back empty or is gone must be replaced within the few seconds after which the
+/// platform counts its loss as over.
+constexpr Duration kFleetVoterLostAfter = std::chrono::milliseconds(1500);
+
+void UseFleetSettings(const FleetSettings& aFleet, ControlSettings& aControl)
+{
+  aControl.nodeName = aFleet.nodeName;
+  aControl.voterGoal = std::size_t{ aFleet.toleratedLosses } * 2 + 1;
+  aControl.mayFoundGroup = aFleet.mayFoundGroup;
+  aControl.voterLostAfter = kFleetVoterLostAfter;
+  aControl.serviceTimings.registrationInterval =
+    std::chrono::milliseconds(aFleet.registrationIntervalMs);
+}
+
 ControlSettings ToControlSettings(const Settings& aSettings)
 {
   ControlSettings control;
@@ -57,6 +73,10 @@
   control.electionTimeoutMax = control.electionTimeoutMin * 2;
   control.latencyBetweenZones = Duration{ aSettings.emulatedLatency.betweenZones };
   control.latencyBetweenRegions = Duration{ aSettings.emulatedLatency.betweenRegions };
+  control.nodeName = aSettings.instance;
+  if (aSettings.fleet.enabled) {
+    UseFleetSettings(aSettings.fleet, control);
+  }
   return control;
 }
 
@@ -73,6 +93,16 @@
   const ControlSettings settings = ToControlSettings(aSettings);
   FailoverLog log(settings.instance, aOptions.metricsLog);
   ControlDaemon daemon(settings, nullptr);
+  std::optional<platform::ControlPlaneServer> controlPlane;
+  if (aSettings.fleet.enabled) {
+    daemon.SetPromotionService(
+      std::make_unique<platform::PromotionClient>(aSettings.fleet.promotionAddress));
+    controlPlane.emplace(daemon, nullptr);
+    auto listening = controlPlane->Listen(aSettings.fleet.controlPlaneAddress);
+    if (!listening) {
+      return listening;
+    }
+  }
   QObject::connect(&daemon,
                    &ControlDaemon::FailoverCompleted,
                    &daemon,
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -81,8 +81,10 @@
   }
   // The state was collected before this moment, so a lease counted from here covers what it
   // reports.
-  this->link->Send(this->contact.MakeHeartbeat(
-    std::move(aState.owned), std::move(aState.service), MonotonicNow()));
+  Heartbeat heartbeat = this->contact.MakeHeartbeat(
+    std::move(aState.owned), std::move(aState.service), MonotonicNow());
+  heartbeat.backends = std::move(aState.backends);
+  this->link->Send(heartbeat);
 }
 
 void ControlClient::HandleMessage(const Message& aMessage)
@@ -96,7 +98,11 @@
     return;
   }
   if (const auto* reply = std::get_if<HeartbeatReply>(&aMessage)) {
+    const std::uint32_t countBefore = this->contact.ProxyCount();
     if (this->contact.HandleReply(*reply, MonotonicNow())) {
+      if (this->contact.ProxyCount() != countBefore) {
+        Q_EMIT this->ProxyCountChanged(this->contact.ProxyCount());
+      }
       Q_EMIT this->LeasesGranted(reply->leases, FromMicroseconds(reply->sentUs));
     }
   }
--- a/src/oleanderledge/daemon/internal/ControlClient.hpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.hpp
@@ -17,6 +17,7 @@
 {
   std::vector<OwnerReport> owned;
   std::vector<ClassService> service;
+  std::vector<BackendReport> backends;
 };
 
 /// Keeps the link to the control group in the control thread and sends heartbeats over it.
@@ -42,6 +43,8 @@
 
 Q_SIGNALS:
   void DirectoryChanged();
+  /// The leader counted the live proxies anew.
+  void ProxyCountChanged(std::uint32_t aCount);
   void LeasesGranted(std::vector<oleanderledge::LeaseGrant> aLeases,
                      oleanderledge::Instant aHeartbeatSent);
 
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -1,7 +1,9 @@
 #include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
 
 #include "oleanderledge/daemon/internal/ProxyHttp.hpp"
+#include "oleanderledge/daemon/internal/StatementTraffic.hpp"
 #include "oleanderledge/daemon/internal/TrafficWorker.hpp"
+#include "oleanderledge/platform/platform.hpp"
 
 #include <random>
 
@@ -52,19 +54,26 @@
     this);
   this->http = new ProxyHttp(
     this->metrics,
-    [this] { return !this->isStopping && this->contact.IsReady(MonotonicNow()); },
+    [this] { return this->IsReady(); },
     [this] { return this->client->Peer().httpAddress; },
     this);
   QObject::connect(this->client, &ControlClient::DirectoryChanged, this, [this] {
-    this->InTraffic([directory = this->contact.CurrentDirectory()](TrafficWorker& aWorker) {
+    this->InTraffic([directory = this->contact.CurrentDirectory()](Traffic& aWorker) {
       aWorker.ApplyDirectory(directory);
     });
   });
+  QObject::connect(
+    this->client, &ControlClient::ProxyCountChanged, this, [this](std::uint32_t aCount) {
+      this->InTraffic([aCount](Traffic& aTraffic) { aTraffic.SetProxyCount(aCount); });
+    });
+  if (aSettings.fleet.enabled) {
+    this->readiness = new platform::ReadinessServer([this] { return this->IsReady(); }, this);
+  }
   QObject::connect(this->client,
                    &ControlClient::LeasesGranted,
                    this,
                    [this](const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent) {
-                     this->InTraffic([aLeases, aHeartbeatSent](TrafficWorker& aWorker) {
+                     this->InTraffic([aLeases, aHeartbeatSent](Traffic& aWorker) {
                        aWorker.ApplyLeases(aLeases, aHeartbeatSent);
                      });
                    });
@@ -85,8 +94,13 @@
 
 Result<void> ProxyDaemon::Start()
 {
-  this->traffic = new TrafficWorker(
-    this->contact.Self(), this->settings, LatencyOf(this->settings.emulatedLatency));
+  if (this->settings.fleet.enabled) {
+    this->traffic =
+      new StatementTraffic(std::make_unique<platform::WireProtocol>(), this->settings);
+  } else {
+    this->traffic = new TrafficWorker(
+      this->contact.Self(), this->settings, LatencyOf(this->settings.emulatedLatency));
+  }
   this->traffic->moveToThread(&this->trafficThread);
   this->trafficThread.start();
   Result<void> started = boost::outcome_v2::success();
@@ -101,12 +115,30 @@
   if (!listening) {
     return listening;
   }
+  if (this->readiness != nullptr) {
+    auto asked = this->readiness->Listen(this->settings.fleet.readinessAddress);
+    if (!asked) {
+      return asked;
+    }
+  }
   this->client->Start();
   this->metricsTimer.start(kMetricsInterval);
   return boost::outcome_v2::success();
 }
 
-void ProxyDaemon::InTraffic(std::function<void(TrafficWorker&)> aFunction)
+/// A proxy that serves routes goes on without contact to the control group: backend servers refuse
+/// what a stale directory would do wrong. It must know a configuration, though.
+bool ProxyDaemon::IsReady() const
+{
+  if (this->isStopping) {
+    return false;
+  }
+  return this->settings.fleet.enabled
+           ? this->contact.CurrentDirectory()->ConfigurationNumber() > 0
+           : this->contact.IsReady(MonotonicNow());
+}
+
+void ProxyDaemon::InTraffic(std::function<void(Traffic&)> aFunction)
 {
   QMetaObject::invokeMethod(
     this->traffic,
@@ -116,7 +148,7 @@
 
 void ProxyDaemon::RequestState(std::function<void(TrafficState)> aDone)
 {
-  this->InTraffic([this, done = std::move(aDone)](TrafficWorker& aWorker) {
+  this->InTraffic([this, done = std::move(aDone)](Traffic& aWorker) {
     QMetaObject::invokeMethod(
       this,
       [done, state = aWorker.CollectState()]() mutable { done(std::move(state)); },
@@ -126,7 +158,7 @@
 
 void ProxyDaemon::PublishMetrics()
 {
-  this->InTraffic([this](TrafficWorker& aWorker) {
+  this->InTraffic([this](Traffic& aWorker) {
     QMetaObject::invokeMethod(
       this,
       [this, counters = aWorker.CollectCounters()] {
@@ -150,14 +182,14 @@
   WriteLog(LogEvent::DaemonStopping, "instance=" + this->settings.instance);
   this->contact.SetLeaving();
   this->client->SendNow();
-  this->InTraffic([](TrafficWorker& aWorker) { aWorker.BeginStop(); });
+  this->InTraffic([](Traffic& aWorker) { aWorker.BeginStop(); });
   this->stopTimer.start(kStopPollInterval);
 }
 
 void ProxyDaemon::CheckStopped()
 {
   const Instant now = MonotonicNow();
-  if (now - this->stopStarted >= kStopLimit) {
+  if (now - this->stopStarted >= std::chrono::milliseconds(this->settings.fleet.stopLimitMs)) {
     this->FinishStop();
     return;
   }
@@ -166,7 +198,7 @@
     this->FinishStop();
     return;
   }
-  this->InTraffic([this](TrafficWorker& aWorker) {
+  this->InTraffic([this](Traffic& aWorker) {
     const bool isIdle = aWorker.IsIdle();
     QMetaObject::invokeMethod(
       this,
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
@@ -16,7 +16,11 @@
 namespace oleanderledge {
 
 class ProxyHttp;
-class TrafficWorker;
+class Traffic;
+
+namespace platform {
+class ReadinessServer;
+}
 
 /// A proxy process. This object lives in the control thread; callers, links and the owner role live
 /// in the traffic thread.
@@ -31,20 +35,19 @@
   /// Opens the ports and contacts the control group. Fails with ListenFailed.
   Result<void> Start();
 
-  /// Starts a graceful stop; `Stopped` follows within kStopLimit.
+  /// Starts a graceful stop; `Stopped` follows within the limit of the settings.
   void BeginStop();
 
-  static constexpr std::chrono::milliseconds kStopLimit{ 10'000 };
-
 Q_SIGNALS:
   /// The code of the error is Ok after a graceful stop.
   void Stopped(const oleanderledge::Error& aError);
 
 private:
   /// Runs a function in the traffic thread.
-  void InTraffic(std::function<void(TrafficWorker&)> aFunction);
+  void InTraffic(std::function<void(Traffic&)> aFunction);
   void RequestState(std::function<void(TrafficState)> aDone);
   void PublishMetrics();
+  bool IsReady() const;
   void CheckStopped();
   void FinishStop();
 
@@ -54,8 +57,9 @@
   MetricsPublisher publisher;
   ControlClient* client = nullptr;
   ProxyHttp* http = nullptr;
+  platform::ReadinessServer* readiness = nullptr;
   QThread trafficThread;
-  TrafficWorker* traffic = nullptr;
+  Traffic* traffic = nullptr;
   QTimer metricsTimer;
   QTimer stopTimer;
   std::uint64_t metricsRounds = 0;
--- /dev/null
+++ b/src/oleanderledge/daemon/internal/StatementTraffic.cpp
@@ -0,0 +1,63 @@
+#include "oleanderledge/daemon/internal/StatementTraffic.hpp"
+
+namespace oleanderledge {
+
+StatementTraffic::StatementTraffic(std::unique_ptr<StatementProtocol> aProtocol, Settings aSettings)
+  : protocol(std::move(aProtocol))
+  , settings(std::move(aSettings))
+{
+}
+
+Result<void> StatementTraffic::Start()
+{
+  StatementServiceSettings serviceSettings;
+  serviceSettings.callersAddress = this->settings.callersAddress;
+  serviceSettings.zone = this->settings.zone;
+  serviceSettings.regionOfZone = this->settings.fleet.regionOfZone;
+  auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
+  if (!created) {
+    return Fail(created.error().code, created.error().message);
+  }
+  this->service = std::move(created.value());
+  return boost::outcome_v2::success();
+}
+
+void StatementTraffic::ApplyDirectory(std::shared_ptr<const Directory> aDirectory)
+{
+  this->service->ApplyDirectory(std::move(aDirectory));
+}
+
+void StatementTraffic::SetProxyCount(std::uint32_t aCount)
+{
+  this->service->SetProxyCount(aCount);
+}
+
+TrafficState StatementTraffic::CollectState()
+{
+  return { {}, {}, this->service->Reports(MonotonicNow()) };
+}
+
+TrafficCounters StatementTraffic::CollectCounters() const
+{
+  const StatementCounters counters = this->service->Counters();
+  TrafficCounters collected;
+  collected.sessions = counters.sessions;
+  collected.waitingUnits = counters.waiting;
+  collected.unitsAnswered = counters.answered;
+  for (const auto& [name, count] : counters.failures) {
+    collected.notRun += count;
+  }
+  return collected;
+}
+
+void StatementTraffic::BeginStop()
+{
+  this->service->BeginStop();
+}
+
+bool StatementTraffic::IsIdle() const
+{
+  return this->service->IsIdle();
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/TrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "oleanderledge/daemon/TrafficCounters.hpp"
-#include "oleanderledge/daemon/internal/ControlClient.hpp"
+#include "oleanderledge/daemon/internal/Traffic.hpp"
 #include "oleanderledge/entry/entry.hpp"
 #include "oleanderledge/owner/owner.hpp"
 #include "oleanderledge/settings/settings.hpp"
@@ -12,9 +11,9 @@
 
 namespace oleanderledge {
 
-/// The traffic thread of a proxy: callers, links between proxies, and the owner role. Every method
-/// is called in the traffic thread.
-class TrafficWorker : public QObject
+/// The traffic thread of a proxy that serves PostgreSQL callers: callers, links between proxies, and
+/// the owner role.
+class TrafficWorker : public Traffic
 {
   Q_OBJECT
 
@@ -22,17 +21,17 @@
   TrafficWorker(InstanceInfo aSelf, Settings aSettings, const EmulatedLatency& aLatency);
   ~TrafficWorker() override;
 
-  /// Opens the ports. Fails with ListenFailed.
-  Result<void> Start();
+  Result<void> Start() override;
 
-  void ApplyDirectory(std::shared_ptr<const Directory> aDirectory);
-  void ApplyLeases(const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent);
-  TrafficState CollectState();
-  TrafficCounters CollectCounters() const;
+  void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
+  void ApplyLeases(const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent) override;
+  /// Owners hold all connections to their databases, so there is nothing to share.
+  void SetProxyCount(std::uint32_t /*aCount*/) override {}
+  TrafficState CollectState() override;
+  TrafficCounters CollectCounters() const override;
 
-  void BeginStop();
-  /// True once no caller is connected, nothing is owned and no unit runs.
-  bool IsIdle() const;
+  void BeginStop() override;
+  bool IsIdle() const override;
 
 private:
   void AcceptLink(LinkConnection* aLink);
--- a/src/oleanderledge/link/Directory.cpp
+++ b/src/oleanderledge/link/Directory.cpp
@@ -22,6 +22,14 @@
   return found == aTable.end() ? nullptr : &found->second;
 }
 
+/// The row unless it is a tombstone.
+template<class Row>
+const Row* FindLive(const std::map<std::string, Row, std::less<>>& aTable, std::string_view aName)
+{
+  const Row* row = FindRow(aTable, aName);
+  return row != nullptr && !row->deleted ? row : nullptr;
+}
+
 template<class Row>
 std::vector<Row> RowsSince(const std::map<std::string, Row, std::less<>>& aTable,
                            std::uint64_t aFromVersion)
@@ -44,6 +52,22 @@
   }
   ApplyRows(this->classes, aUpdate.classes);
   ApplyRows(this->databases, aUpdate.databases);
+  ApplyRows(this->routes, aUpdate.routes);
+  ApplyRows(this->services, aUpdate.services);
+  ApplyRows(this->backends, aUpdate.backends);
+  ApplyRows(this->primaries, aUpdate.primaries);
+  if (aUpdate.configurationNumber > this->configurationNumber) {
+    this->configurationNumber = aUpdate.configurationNumber;
+    this->transactionIdleMs = aUpdate.transactionIdleMs;
+  }
+  if (!aUpdate.routes.empty()) {
+    this->routeOfDatabase.clear();
+    for (const auto& [name, row] : this->routes) {
+      if (!row.deleted) {
+        this->routeOfDatabase.try_emplace(row.database, name);
+      }
+    }
+  }
   this->version = aUpdate.version;
   return true;
 }
@@ -53,7 +77,13 @@
   return { aFromVersion,
            this->version,
            RowsSince(this->classes, aFromVersion),
-           RowsSince(this->databases, aFromVersion) };
+           RowsSince(this->databases, aFromVersion),
+           RowsSince(this->routes, aFromVersion),
+           RowsSince(this->services, aFromVersion),
+           RowsSince(this->backends, aFromVersion),
+           RowsSince(this->primaries, aFromVersion),
+           this->configurationNumber,
+           this->transactionIdleMs };
 }
 
 const DatabaseRow* Directory::FindDatabase(std::string_view aName) const
@@ -63,8 +93,28 @@
 
 const ClassRow* Directory::FindClass(std::string_view aName) const
 {
-  const ClassRow* row = FindRow(this->classes, aName);
-  return row != nullptr && !row->deleted ? row : nullptr;
+  return FindLive(this->classes, aName);
+}
+
+const RouteRow* Directory::FindRoute(std::string_view aDatabase) const
+{
+  const auto found = this->routeOfDatabase.find(aDatabase);
+  return found == this->routeOfDatabase.end() ? nullptr : FindLive(this->routes, found->second);
+}
+
+const ServiceRow* Directory::FindService(std::string_view aName) const
+{
+  return FindLive(this->services, aName);
+}
+
+const BackendRow* Directory::FindBackend(std::string_view aName) const
+{
+  return FindLive(this->backends, aName);
+}
+
+const PrimaryRow* Directory::FindPrimary(std::string_view aService) const
+{
+  return FindRow(this->primaries, aService);
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/link/Directory.hpp
+++ b/src/oleanderledge/link/Directory.hpp
@@ -10,7 +10,7 @@
 
 namespace oleanderledge {
 
-/// The part of the control state that proxies use: classes and databases, as of one version.
+/// The part of the control state that proxies use, as of one version.
 ///
 /// Rows only move forward: an update with an older row or an older version changes nothing.
 class Directory
@@ -29,6 +29,20 @@
   /// The row of a class that is not deleted, or null.
   const ClassRow* FindClass(std::string_view aName) const;
 
+  /// The route of a caller's database name, or null.
+  const RouteRow* FindRoute(std::string_view aDatabase) const;
+  /// The row of a service that is not deleted, or null.
+  const ServiceRow* FindService(std::string_view aName) const;
+  /// The row of a backend server that is not deleted, or null.
+  const BackendRow* FindBackend(std::string_view aName) const;
+  /// The row that names the primary of a service, or null.
+  const PrimaryRow* FindPrimary(std::string_view aService) const;
+  /// Includes tombstones.
+  const std::map<std::string, BackendRow, std::less<>>& Backends() const { return this->backends; }
+  /// The operator's version of the routes; 0 before the first configuration.
+  std::uint64_t ConfigurationNumber() const { return this->configurationNumber; }
+  std::uint32_t TransactionIdleMs() const { return this->transactionIdleMs; }
+
   std::uint64_t Version() const { return this->version; }
   const std::map<std::string, DatabaseRow, std::less<>>& Databases() const
   {
@@ -41,6 +55,13 @@
   std::uint64_t version = 0;
   std::map<std::string, DatabaseRow, std::less<>> databases;
   std::map<std::string, ClassRow, std::less<>> classes;
+  std::map<std::string, RouteRow, std::less<>> routes;
+  std::map<std::string, std::string, std::less<>> routeOfDatabase;
+  std::map<std::string, ServiceRow, std::less<>> services;
+  std::map<std::string, BackendRow, std::less<>> backends;
+  std::map<std::string, PrimaryRow, std::less<>> primaries;
+  std::uint64_t configurationNumber = 0;
+  std::uint32_t transactionIdleMs = 0;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/base/base.hpp"
+#include "oleanderledge/link/RouteRows.hpp"
 
 #include <cstdint>
 #include <string>
@@ -295,6 +296,7 @@
   std::uint64_t directoryVersion = 0; ///< Version the proxy has in force.
   std::vector<OwnerReport> owned;
   std::vector<ClassService> service;
+  std::vector<BackendReport> backends;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -304,7 +306,8 @@
              this->sentUs,
              this->directoryVersion,
              this->owned,
-             this->service);
+             this->service,
+             this->backends);
   }
 };
 
@@ -333,6 +336,9 @@
   bool accepted = false;              ///< False: the control group has no leader at present.
   std::uint64_t committedVersion = 0; ///< Leader's version; the proxy is ready once it has it.
   std::vector<LeaseGrant> leases;
+  /// Link addresses of the control group's members.
+  std::vector<std::string> controlAddresses;
+  std::uint32_t proxyCount = 0; ///< Live proxies; 0 if not known.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -343,7 +349,9 @@
              this->sentUs,
              this->accepted,
              this->committedVersion,
-             this->leases);
+             this->leases,
+             this->controlAddresses,
+             this->proxyCount);
   }
 };
 
@@ -430,11 +438,26 @@
   std::uint64_t version = 0;
   std::vector<ClassRow> classes;
   std::vector<DatabaseRow> databases;
+  std::vector<RouteRow> routes;
+  std::vector<ServiceRow> services;
+  std::vector<BackendRow> backends;
+  std::vector<PrimaryRow> primaries;
+  std::uint64_t configurationNumber = 0; ///< The operator's version of routes and services.
+  std::uint32_t transactionIdleMs = 0;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->fromVersion, this->version, this->classes, this->databases);
+    aVisitor(this->fromVersion,
+             this->version,
+             this->classes,
+             this->databases,
+             this->routes,
+             this->services,
+             this->backends,
+             this->primaries,
+             this->configurationNumber,
+             this->transactionIdleMs);
   }
 };
 
--- /dev/null
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace oleanderledge {
+
+/// Which commits a read on a route must see.
+enum class ReadConsistency : std::uint8_t
+{
+  Primary = 0,          ///< All commits that were acknowledged before the read.
+  BoundedStaleness = 1, ///< Those older than the accepted age.
+  ReadYourWrites = 2,   ///< Those older than the accepted age, and all of the same session.
+};
+
+/// How statements for one database name are served. `deleted` rows are tombstones.
+struct RouteRow
+{
+  std::string name;
+  std::string database;   ///< Database name that callers give at start-up.
+  std::string pathPrefix; ///< Part of the route's identity; statements have no path.
+  ReadConsistency consistency = ReadConsistency::Primary;
+  std::uint32_t statementTimeoutMs = 0;
+  std::uint32_t targetLatencyMs = 0; ///< For a whole operation of a caller.
+  std::uint32_t priority = 0;        ///< 0 is the most urgent.
+  std::string service;
+  std::uint32_t maxAttempts = 1;
+  std::uint32_t acceptedAgeMs = 0;
+  std::uint64_t version = 0;
+  bool deleted = false;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->name,
+             this->database,
+             this->pathPrefix,
+             this->consistency,
+             this->statementTimeoutMs,
+             this->targetLatencyMs,
+             this->priority,
+             this->service,
+             this->maxAttempts,
+             this->acceptedAgeMs,
+             this->version,
+             this->deleted);
+  }
+};
+
+/// A group of one primary and its replicas. `deleted` rows are tombstones.
+struct ServiceRow
+{
+  std::string name;
+  std::uint32_t connectionLimit = 0; ///< At one backend server, for all callers together.
+  std::uint32_t syncReplicas = 0;    ///< Replicas that receive a commit before it is acknowledged.
+  std::uint64_t version = 0;
+  bool deleted = false;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->name, this->connectionLimit, this->syncReplicas, this->version, this->deleted);
+  }
+};
+
+/// A registered backend server. `deleted` rows are tombstones.
+struct BackendRow
+{
+  std::string name; ///< Id that the server chose; unique among all services.
+  std::string service;
+  std::string address;           ///< "ip:port".
+  std::string zone;              ///< Name of the availability zone, without its region.
+  std::uint32_t slots = 0;       ///< Statements that run at the same time.
+  bool claimsPrimary = false;    ///< The role as the server sees itself.
+  bool draining = false;         ///< Leaves: no new work.
+  std::int64_t startedUnixMs = 0; ///< Tells the starts of one id apart; 0 if not stated.
+  std::uint64_t sequence = 0;    ///< Of the newest registration that changed the row.
+  std::uint64_t version = 0;
+  bool deleted = false;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->name,
+             this->service,
+             this->address,
+             this->zone,
+             this->slots,
+             this->claimsPrimary,
+             this->draining,
+             this->startedUnixMs,
+             this->sequence,
+             this->version,
+             this->deleted);
+  }
+};
+
+enum class PrimaryPhase : std::uint8_t
+{
+  Steady = 0,
+  Promoting = 1, ///< `backend` is decided and its promotion is not confirmed.
+};
+
+/// Which backend server leads a service.
+struct PrimaryRow
+{
+  std::string name;    ///< Name of the service.
+  std::string backend; ///< Empty before the first primary was seen.
+  PrimaryPhase phase = PrimaryPhase::Steady;
+  std::uint64_t fence = 0; ///< Log index of the decision; 0 for a primary that was found leading.
+  std::string holder;      ///< Control instance that carries the promotion out.
+  std::uint64_t version = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(
+      this->name, this->backend, this->phase, this->fence, this->holder, this->version);
+  }
+};
+
+/// What a proxy found out about a backend server by its own work.
+struct BackendReport
+{
+  std::string backend;
+  std::int64_t failingMs = 0; ///< Time since the first failure after the last success.
+  std::int64_t answeredMsAgo = -1; ///< Time since the last answer; -1: none yet.
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->backend, this->failingMs, this->answeredMsAgo);
+  }
+};
+
+/// Routes and services as one operator change states them.
+struct RouteConfiguration
+{
+  std::uint64_t number = 0; ///< The operator's version; the highest one counts.
+  std::vector<RouteRow> routes;
+  std::vector<ServiceRow> services;
+  std::uint32_t transactionIdleMs = 0; ///< A transaction idle for longer may be ended; 0: no limit.
+  std::string document;                ///< As the operator sent it, for reading back.
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(
+      this->number, this->routes, this->services, this->transactionIdleMs, this->document);
+  }
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/platform/ControlPlaneServer.cpp
@@ -0,0 +1,161 @@
+#include "oleanderledge/platform/ControlPlaneServer.hpp"
+
+#include "oleanderledge/control/RouteValidation.hpp"
+#include "oleanderledge/platform/ControlMessages.hpp"
+#include "oleanderledge/transport/DeferredRoute.hpp"
+#include "oleanderledge/transport/transport.hpp"
+
+#include <QHostAddress>
+
+namespace oleanderledge::platform {
+
+namespace {
+
+using Method = QHttpServerRequest::Method;
+
+constexpr char kJsonType[] = "application/json";
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+constexpr char kInstancesPath[] = "/api/instances/";
+constexpr char kConfigurationPath[] = "/api/configuration";
+
+std::string BackendOf(const QHttpServerRequest& aRequest)
+{
+  return aRequest.url().path().mid(static_cast<qsizetype>(sizeof(kInstancesPath)) - 1).toStdString();
+}
+
+std::string_view BodyOf(const QByteArray& aBody)
+{
+  return { aBody.constData(), static_cast<std::size_t>(aBody.size()) };
+}
+
+} // namespace
+
+ControlPlaneServer::ControlPlaneServer(FleetControl& aControl, QObject* aParent)
+  : QObject(aParent)
+  , control(aControl)
+{
+  const auto add = [this](const char* aPath,
+                          Method aMethod,
+                          void (ControlPlaneServer::*aHandler)(const QHttpServerRequest&,
+                                                               const HttpReply&)) {
+    AddDeferredRoute(this->server,
+                     aPath,
+                     aMethod,
+                     [this, aHandler](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
+                       (this->*aHandler)(aRequest, aReply);
+                     });
+  };
+  add("/api/instances/[^/]+", Method::Put, &ControlPlaneServer::HandleRegistration);
+  add("/api/instances/[^/]+", Method::Delete, &ControlPlaneServer::HandleDeparture);
+  add(kConfigurationPath, Method::Put, &ControlPlaneServer::HandleConfiguration);
+  add(kConfigurationPath, Method::Get, &ControlPlaneServer::HandleConfigurationRead);
+}
+
+Result<void> ControlPlaneServer::Listen(const std::string& aAddress)
+{
+  this->ownAddress = aAddress;
+  const auto [host, port] = SplitAddress(aAddress);
+  if (this->server.listen(QHostAddress(QString::fromStdString(host)), port) == 0) {
+    return Fail(ResultCode::ListenFailed, aAddress + ": the HTTP port cannot be opened");
+  }
+  return boost::outcome_v2::success();
+}
+
+void ControlPlaneServer::HandleRegistration(const QHttpServerRequest& aRequest,
+                                            const HttpReply& aReply)
+{
+  const QByteArray body = aRequest.body();
+  const auto backend = DecodeRegistration(BackendOf(aRequest), BodyOf(body));
+  if (!backend) {
+    WriteLog(LogEvent::AnnouncementRejected,
+             "backend=" + BackendOf(aRequest) + " reason=" + backend.error().message);
+    aReply.Send(kBadRequest, kJsonType, "{}");
+    return;
+  }
+  this->control.RegisterBackend(
+    backend.value(),
+    [this, aReply, path = aRequest.url().path()](FleetControl::Outcome aOutcome) {
+      this->Reply(aReply, path, aOutcome, EncodeRegistrationAnswer(this->ownAddress));
+    });
+}
+
+void ControlPlaneServer::HandleDeparture(const QHttpServerRequest& aRequest, const HttpReply& aReply)
+{
+  this->control.RemoveBackend(
+    BackendOf(aRequest),
+    [this, aReply, path = aRequest.url().path()](FleetControl::Outcome aOutcome) {
+      this->Reply(aReply, path, aOutcome, "{}");
+    });
+}
+
+void ControlPlaneServer::HandleConfiguration(const QHttpServerRequest& aRequest,
+                                             const HttpReply& aReply)
+{
+  const QByteArray body = aRequest.body();
+  auto configuration = DecodeConfiguration(BodyOf(body));
+  const Result<void> checked =
+    configuration ? ValidateRoutes(configuration.value())
+                  : Result<void>(Fail(configuration.error().code, configuration.error().message));
+  if (!checked) {
+    WriteLog(LogEvent::RoutesRejected, "reason=" + checked.error().message);
+    aReply.Send(kBadRequest,
+                kJsonType,
+                "{\"error\":\"" + QByteArray::fromStdString(checked.error().message) + "\"}");
+    return;
+  }
+  this->control.StoreConfiguration(
+    std::move(configuration.value()),
+    [this, aReply, path = aRequest.url().path()](FleetControl::Outcome aOutcome) {
+      this->Reply(aReply, path, aOutcome, "{}");
+    });
+}
+
+void ControlPlaneServer::HandleConfigurationRead(const QHttpServerRequest& aRequest,
+                                                 const HttpReply& aReply)
+{
+  const auto document = this->control.ReadConfiguration();
+  if (document) {
+    aReply.Send(kOk, kJsonType, QByteArray::fromStdString(document.value()));
+    return;
+  }
+  if (document.error().code == ResultCode::NotLeader) {
+    this->Redirect(aReply, aRequest.url().path());
+    return;
+  }
+  aReply.Send(kUnavailable, kJsonType, "{}");
+}
+
+void ControlPlaneServer::Reply(const HttpReply& aReply,
+                               const QString& aPath,
+                               FleetControl::Outcome aOutcome,
+                               const std::string& aBody) const
+{
+  switch (aOutcome) {
+    case FleetControl::Outcome::Done:
+      aReply.Send(kOk, kJsonType, QByteArray::fromStdString(aBody));
+      return;
+    case FleetControl::Outcome::NotLeading:
+      this->Redirect(aReply, aPath);
+      return;
+    case FleetControl::Outcome::Unavailable:
+      aReply.Send(kUnavailable, kJsonType, "{}");
+      return;
+  }
+}
+
+void ControlPlaneServer::Redirect(const HttpReply& aReply, const QString& aPath) const
+{
+  const std::string leader = this->control.LeaderHost();
+  const auto [ownHost, port] = SplitAddress(this->ownAddress);
+  if (leader.empty() || leader == ownHost) {
+    aReply.Send(kUnavailable, kJsonType, "{}");
+    return;
+  }
+  // All instances that serve this interface use the same port.
+  aReply.SendRedirect("http://" + QByteArray::fromStdString(leader) + ":" +
+                      QByteArray::number(port) + aPath.toUtf8());
+}
+
+} // namespace oleanderledge::platform
--- a/src/oleanderledge/settings/Settings.cpp
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -42,6 +42,49 @@
   latency.ReportUnknownKeys();
 }
 
+void ReadFleet(CheckedNode& aRoot, FleetSettings& aFleet, DaemonKind aKind)
+{
+  CheckedNode fleet = aRoot.ReadMapping("fleet", true);
+  aFleet.enabled = true;
+  fleet.ReadText("node_name", aFleet.nodeName, true);
+  fleet.ReadAddresses("seeds", aFleet.seeds, true);
+  for (CheckedNode& zone : fleet.ReadMappings("zones", false)) {
+    std::string name;
+    std::string region;
+    zone.ReadText("name", name, true);
+    zone.ReadText("region", region, true);
+    zone.ReportUnknownKeys();
+    aFleet.regionOfZone[name] = region;
+  }
+  fleet.ReadNumber("stop_limit_ms", aFleet.stopLimitMs, 1'000, 600'000);
+  if (aKind == DaemonKind::Proxy) {
+    fleet.ReadAddress("readiness", aFleet.readinessAddress, true);
+  } else {
+    fleet.ReadAddress("control_plane", aFleet.controlPlaneAddress, true);
+    fleet.ReadAddress("promotion", aFleet.promotionAddress, true);
+    fleet.ReadNumber("registration_interval_ms", aFleet.registrationIntervalMs, 50, 600'000);
+    fleet.ReadNumber("tolerated_losses", aFleet.toleratedLosses, 0, 10);
+    fleet.ReadFlag("may_found_group", aFleet.mayFoundGroup);
+  }
+  fleet.ReportUnknownKeys();
+}
+
+/// Control instances at the seeds: their links have the same port on every instance.
+void UseSeeds(Settings& aSettings)
+{
+  const auto portOf = [](const std::string& aAddress) {
+    return aAddress.substr(std::min(aAddress.rfind(':'), aAddress.size()));
+  };
+  const auto hostOf = [](const std::string& aAddress) {
+    return aAddress.substr(0, aAddress.rfind(':'));
+  };
+  for (const std::string& seed : aSettings.fleet.seeds) {
+    const std::string link = hostOf(seed) + portOf(aSettings.linkAddress);
+    aSettings.controlAddresses.push_back(link);
+    aSettings.initialMembers.push_back({ hostOf(seed), link });
+  }
+}
+
 void ReadInitialMembers(CheckedNode& aRoot,
                         Settings& aSettings,
                         const YAML::Mark& aMark,
@@ -86,11 +129,19 @@
   root.ReadText("instance", settings.instance, true);
   root.ReadZone("zone", settings.zone);
   ReadListen(root, settings, aKind);
-  root.ReadAddresses("control_addresses", settings.controlAddresses, true);
+  const bool isFleet = document["fleet"].IsDefined();
+  if (isFleet) {
+    ReadFleet(root, settings.fleet, aKind);
+    UseSeeds(settings);
+  } else {
+    root.ReadAddresses("control_addresses", settings.controlAddresses, true);
+  }
   ReadLatency(root, settings.emulatedLatency);
   if (aKind == DaemonKind::Control) {
     root.ReadText("data_folder", settings.dataFolder, true);
-    ReadInitialMembers(root, settings, document.Mark(), problems);
+    if (!isFleet) {
+      ReadInitialMembers(root, settings, document.Mark(), problems);
+    }
     root.ReadNumber("election_timeout_ms", settings.electionTimeoutMs, 100, 10'000);
   } else {
     ReadLimits(root, settings.limits);
--- a/src/oleanderledge/settings/Settings.hpp
+++ b/src/oleanderledge/settings/Settings.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/base/base.hpp"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,24 @@
   std::uint32_t toClients = 0;
 };
 
+/// Settings of a daemon that serves registered backend servers and routes. All lists may be empty.
+struct FleetSettings
+{
+  bool enabled = false;
+  std::string nodeName;           ///< Name by which the platform knows this instance.
+  std::string readinessAddress;   ///< "ip:port"; proxies only.
+  std::string controlPlaneAddress; ///< "ip:port"; control only.
+  std::string promotionAddress;   ///< "ip:port" of the platform; control only.
+  /// Addresses ("ip:port") of control instances; their links have the port of `listen.link`.
+  std::vector<std::string> seeds;
+  /// Region of each availability zone.
+  std::map<std::string, std::string, std::less<>> regionOfZone;
+  std::uint32_t registrationIntervalMs = 1200;
+  std::uint32_t toleratedLosses = 1; ///< Control instances that may be lost at once.
+  bool mayFoundGroup = false;        ///< True only at the first start of the whole fleet.
+  std::uint32_t stopLimitMs = 10'000; ///< Longest graceful stop.
+};
+
 /// Settings of one daemon.
 struct Settings
 {
@@ -53,6 +72,7 @@
   std::uint32_t electionTimeoutMs = 300;     ///< Shortest election timeout; control only.
   ProxyLimits limits;
   LatencySettings emulatedLatency;
+  FleetSettings fleet;
 };
 
 /// Reads and checks a settings file. Fails with SettingsInvalid; the message has one line for each
--- a/src/oleanderledge/settings/internal/CheckedNode.cpp
+++ b/src/oleanderledge/settings/internal/CheckedNode.cpp
@@ -146,6 +146,20 @@
   aTarget = *number;
 }
 
+void CheckedNode::ReadFlag(std::string_view aKey, bool& aTarget)
+{
+  const YAML::Node value = this->Find(aKey, false);
+  if (!value.IsDefined()) {
+    return;
+  }
+  const std::string text = value.IsScalar() ? value.Scalar() : "";
+  if (text != "true" && text != "false") {
+    this->problems->Add(value.Mark(), this->FullKey(aKey), "expected true or false");
+    return;
+  }
+  aTarget = text == "true";
+}
+
 void CheckedNode::ReadZone(std::string_view aKey, std::string& aTarget)
 {
   this->ReadText(aKey, aTarget, true);
--- a/src/oleanderledge/settings/internal/CheckedNode.hpp
+++ b/src/oleanderledge/settings/internal/CheckedNode.hpp
@@ -36,6 +36,8 @@
                   std::uint32_t& aTarget,
                   std::uint32_t aLeast,
                   std::uint32_t aMost);
+  /// `true` or `false`.
+  void ReadFlag(std::string_view aKey, bool& aTarget);
   /// "region/zone".
   void ReadZone(std::string_view aKey, std::string& aTarget);
   /// A mapping, empty if the key is missing.
--- /dev/null
+++ b/src/oleanderledge/statements/BackendHealth.cpp
@@ -0,0 +1,50 @@
+#include "oleanderledge/statements/BackendHealth.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+/// First pause after a failure, and the longest one. The longest is below the 2 s for which a
+/// caller waits for a connection, so a server that returns is used again soon.
+constexpr Duration kFirstPause = std::chrono::milliseconds(100);
+constexpr Duration kLongestPause = std::chrono::milliseconds(800);
+/// Weight of a new answer in the moving average, 1 in so many.
+constexpr int kAverageOver = 16;
+
+} // namespace
+
+void BackendHealth::OnAnswer(Duration aTook, Instant aNow)
+{
+  this->failingSince.reset();
+  this->pause = Duration{ 0 };
+  this->lastAnswer = aNow;
+  this->answerTime =
+    this->answerTime == Duration{ 0 } ? aTook : this->answerTime + (aTook - this->answerTime) / kAverageOver;
+}
+
+void BackendHealth::OnFailure(Instant aNow)
+{
+  if (!this->failingSince) {
+    this->failingSince = aNow;
+  }
+  // Several connections that fail at once are one failure.
+  if (aNow < this->retryAt) {
+    return;
+  }
+  this->pause = std::clamp(this->pause * 2, kFirstPause, kLongestPause);
+  this->retryAt = aNow + this->pause;
+}
+
+bool BackendHealth::MayTry(Instant aNow) const
+{
+  return !this->failingSince || aNow >= this->retryAt;
+}
+
+Duration BackendHealth::FailingFor(Instant aNow) const
+{
+  return this->failingSince ? aNow - *this->failingSince : Duration{ 0 };
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/BackendHealth.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "oleanderledge/base/base.hpp"
+
+#include <optional>
+
+namespace oleanderledge {
+
+/// What a proxy knows of one backend server from its own work. Pure.
+class BackendHealth
+{
+public:
+  /// A statement or start-up was answered after `aTook`.
+  void OnAnswer(Duration aTook, Instant aNow);
+  /// A connection could not be opened, was lost or fell silent.
+  void OnFailure(Instant aNow);
+
+  /// False for a pause after a failure, so that a dead server costs few attempts.
+  bool MayTry(Instant aNow) const;
+  bool IsFailing() const { return this->failingSince.has_value(); }
+  /// Time since the first failure after the last answer.
+  Duration FailingFor(Instant aNow) const;
+  std::optional<Instant> LastAnswer() const { return this->lastAnswer; }
+  /// Moving average of the time of an answer.
+  Duration AnswerTime() const { return this->answerTime; }
+
+private:
+  std::optional<Instant> failingSince;
+  std::optional<Instant> lastAnswer;
+  Instant retryAt{};
+  Duration pause{ 0 };
+  Duration answerTime{ 0 };
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "oleanderledge/link/link.hpp"
+#include "oleanderledge/statements/StatementProtocol.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+class QObject;
+
+namespace oleanderledge {
+
+struct StatementServiceSettings
+{
+  std::string callersAddress; ///< "ip:port".
+  std::string zone;           ///< Of this proxy, "region/zone".
+  /// Region of each availability zone.
+  std::map<std::string, std::string, std::less<>> regionOfZone;
+  /// Time after the start of a stop from which idle sessions are closed. The load balancer has
+  /// noticed by then.
+  Duration closeSessionsAfter = std::chrono::milliseconds(2500);
+  /// Time after the start of a stop at which open transactions end.
+  Duration endTransactionsAfter = std::chrono::milliseconds(3000);
+};
+
+/// Totals since the start.
+struct StatementCounters
+{
+  std::size_t sessions = 0;
+  std::size_t waiting = 0; ///< Statements that wait for a connection.
+  std::uint64_t answered = 0;
+  std::uint64_t connectionsOpened = 0;
+  std::map<std::string, std::uint64_t> failures; ///< By name of the error.
+};
+
+/// Serves callers that send one statement at a time, on pooled connections to registered backend
+/// servers. Lives in the thread that created it.
+class StatementService
+{
+public:
+  virtual ~StatementService() = default;
+
+  virtual void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) = 0;
+  /// Number of proxies that share the connection limits of the backend servers.
+  virtual void SetProxyCount(std::uint32_t aCount) = 0;
+  /// How the backend servers answered.
+  virtual std::vector<BackendReport> Reports(Instant aNow) const = 0;
+  virtual StatementCounters Counters() const = 0;
+
+  /// Starts a graceful stop.
+  virtual void BeginStop() = 0;
+  /// True once no session is open.
+  virtual bool IsIdle() const = 0;
+};
+
+/// Opens the callers' port. Fails with ListenFailed.
+Result<std::unique_ptr<StatementService>> CreateStatementService(
+  std::unique_ptr<StatementProtocol> aProtocol,
+  const StatementServiceSettings& aSettings);
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -0,0 +1,169 @@
+#include "oleanderledge/statements/internal/BackendPool.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Pause after the server refused a connection for its limit; other proxies hold the rest.
+constexpr Duration kRefusedPause = std::chrono::milliseconds(250);
+/// Reads avoid a replica for this time after it lacked a position.
+constexpr Duration kLaggingPause = std::chrono::milliseconds(100);
+/// A connection that is idle for longer is closed, so that other proxies may use the share.
+constexpr Duration kIdleLimit = std::chrono::seconds(10);
+
+} // namespace
+
+BackendPool::BackendPool(const StatementProtocol& aProtocol,
+                         const BackendRow& aRow,
+                         QObject* aParent)
+  : QObject(aParent)
+  , protocol(aProtocol)
+  , row(aRow)
+{
+}
+
+void BackendPool::Update(const BackendRow& aRow)
+{
+  const bool isOther =
+    aRow.address != this->row.address || aRow.startedUnixMs != this->row.startedUnixMs;
+  this->row = aRow;
+  if (isOther) {
+    this->health = BackendHealth{};
+    for (BackendConnection* connection : std::vector(this->idle)) {
+      this->Drop(connection, false);
+    }
+  }
+}
+
+bool BackendPool::MayOpen(Instant aNow) const
+{
+  return this->connections.size() < this->limit && this->health.MayTry(aNow) &&
+         aNow >= this->refusedUntil;
+}
+
+void BackendPool::Open()
+{
+  auto* connection = new BackendConnection(this->protocol, this->row.name, this);
+  this->connections.push_back(connection);
+  ++this->opening;
+  ++this->openedCount;
+  const Instant startedAt = MonotonicNow();
+  QObject::connect(connection, &BackendConnection::Opened, this, [this, connection] {
+    --this->opening;
+    this->idle.push_back(connection);
+    Q_EMIT this->Changed();
+  });
+  QObject::connect(connection, &BackendConnection::Closed, this, [this, connection, startedAt] {
+    const Instant now = MonotonicNow();
+    const auto& refusal = connection->StartUpError();
+    if (refusal && refusal->error == StatementError::Overloaded) {
+      this->refusedUntil = now + kRefusedPause;
+      this->health.OnAnswer(now - startedAt, now);
+    } else {
+      this->health.OnFailure(now);
+    }
+    this->Forget(connection);
+    Q_EMIT this->Changed();
+  });
+  connection->Open(this->row.address, this->row.service);
+}
+
+BackendConnection* BackendPool::Take(const SettingMap& aSettings)
+{
+  if (this->idle.empty()) {
+    return nullptr;
+  }
+  // The most recently used one otherwise, so that the rest become idle for long and close.
+  auto best = std::prev(this->idle.end());
+  int bestRank = -1;
+  for (auto each = this->idle.begin(); each != this->idle.end(); ++each) {
+    const SettingMap& settings = (*each)->settings;
+    const bool isEqual = (*each)->settingsKnown && settings == aSettings;
+    const int rank = isEqual ? 2 : (settings.empty() ? 1 : 0);
+    if (rank >= bestRank) {
+      bestRank = rank;
+      best = each;
+    }
+  }
+  BackendConnection* connection = *best;
+  this->idle.erase(best);
+  return connection;
+}
+
+void BackendPool::Release(BackendConnection* aConnection, bool aInTransaction)
+{
+  if (aInTransaction) {
+    aConnection->Run(this->protocol.Rollback(), [this, aConnection](const StatementResult& aResult) {
+      if (aResult.lost) {
+        return;
+      }
+      if (aResult.ready.state != TransactionState::Idle) {
+        this->Drop(aConnection, false);
+        return;
+      }
+      this->Release(aConnection, false);
+    });
+    return;
+  }
+  if (this->row.deleted) {
+    this->Drop(aConnection, false);
+    return;
+  }
+  this->idle.push_back(aConnection);
+  Q_EMIT this->Changed();
+}
+
+void BackendPool::Drop(BackendConnection* aConnection, bool aIsFailure)
+{
+  if (aIsFailure) {
+    this->health.OnFailure(MonotonicNow());
+  }
+  aConnection->Close();
+  this->Forget(aConnection);
+  Q_EMIT this->Changed();
+}
+
+void BackendPool::ReleaseWhenDone(BackendConnection* aConnection)
+{
+  aConnection->ReplaceCallback([this, aConnection](const StatementResult& aResult) {
+    if (!aResult.lost) {
+      this->Release(aConnection, aResult.ready.state != TransactionState::Idle);
+    }
+  });
+}
+
+void BackendPool::NoteLagging(Instant aNow)
+{
+  this->laggingUntil = aNow + kLaggingPause;
+}
+
+void BackendPool::CloseIdle(Instant aNow)
+{
+  for (BackendConnection* connection : std::vector(this->idle)) {
+    if (this->idle.size() <= 1 || aNow - connection->idleSince < kIdleLimit) {
+      continue;
+    }
+    this->Drop(connection, false);
+  }
+}
+
+void BackendPool::CloseAll()
+{
+  for (BackendConnection* connection : std::vector(this->idle)) {
+    this->Drop(connection, false);
+  }
+}
+
+void BackendPool::Forget(BackendConnection* aConnection)
+{
+  if (std::erase(this->connections, aConnection) == 0) {
+    return;
+  }
+  if (std::erase(this->idle, aConnection) == 0 && aConnection->idleSince == Instant{}) {
+    --this->opening;
+  }
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "oleanderledge/link/RouteRows.hpp"
+#include "oleanderledge/statements/BackendHealth.hpp"
+#include "oleanderledge/statements/internal/BackendConnection.hpp"
+
+#include <QObject>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace oleanderledge {
+
+using SettingMap = std::map<std::string, std::string, std::less<>>;
+
+/// The connections of this proxy to one backend server.
+class BackendPool : public QObject
+{
+  Q_OBJECT
+
+public:
+  BackendPool(const StatementProtocol& aProtocol, const BackendRow& aRow, QObject* aParent);
+
+  /// Takes a newer row. Connections to a server at another address or of a later start are dropped.
+  void Update(const BackendRow& aRow);
+  /// Largest number of connections that this proxy may hold.
+  void SetLimit(std::uint32_t aLimit) { this->limit = aLimit; }
+
+  const BackendRow& Row() const { return this->row; }
+  const BackendHealth& Health() const { return this->health; }
+
+  bool HasIdle() const { return !this->idle.empty(); }
+  bool MayOpen(Instant aNow) const;
+  std::size_t OpeningCount() const { return this->opening; }
+  /// Connections that callers hold.
+  std::size_t InUse() const { return this->connections.size() - this->opening - this->idle.size(); }
+  std::size_t ConnectionCount() const { return this->connections.size(); }
+  std::uint64_t OpenedCount() const { return this->openedCount; }
+
+  void Open();
+  /// An idle connection, preferably one with these settings in force; null if there is none.
+  BackendConnection* Take(const SettingMap& aSettings);
+  /// Gives a connection back. One that is in a transaction is rolled back first.
+  void Release(BackendConnection* aConnection, bool aInTransaction);
+  /// Gives a connection back once its statement has ended, because the caller has left.
+  void ReleaseWhenDone(BackendConnection* aConnection);
+  /// Drops a connection whose answer can no longer be used.
+  void Drop(BackendConnection* aConnection, bool aIsFailure);
+  /// Records an answer of the server.
+  void NoteAnswer(Duration aTook, Instant aNow) { this->health.OnAnswer(aTook, aNow); }
+  /// Steers reads away for a short time, because the server lags.
+  void NoteLagging(Instant aNow);
+  bool IsLagging(Instant aNow) const { return aNow < this->laggingUntil; }
+  /// Closes connections that are idle for long.
+  void CloseIdle(Instant aNow);
+  void CloseAll();
+
+Q_SIGNALS:
+  /// A connection became idle, or a waiting statement may be placed otherwise.
+  void Changed();
+
+private:
+  void Forget(BackendConnection* aConnection);
+
+  const StatementProtocol& protocol;
+  BackendRow row;
+  BackendHealth health;
+  std::vector<BackendConnection*> connections;
+  std::vector<BackendConnection*> idle;
+  std::size_t opening = 0;
+  std::uint32_t limit = 1;
+  std::uint64_t openedCount = 0;
+  Instant refusedUntil{};
+  Instant laggingUntil{};
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -0,0 +1,274 @@
+#include "oleanderledge/statements/internal/ServiceDispatcher.hpp"
+
+#include <algorithm>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Interval at which waiting statements are checked for having waited too long, or for a pause of a
+/// pool that has ended.
+constexpr std::chrono::milliseconds kExpiryInterval(20);
+/// A server that denied to lead is not asked again for this time, unless control names it anew.
+constexpr Duration kNotLeadingPause = std::chrono::milliseconds(300);
+/// A proxy may hold this multiple of an equal share of a server's connections, because callers do
+/// not spread evenly over proxies.
+constexpr std::uint32_t kShareFactor = 2;
+
+} // namespace
+
+ServiceDispatcher::ServiceDispatcher(const StatementProtocol& aProtocol,
+                                     std::string aService,
+                                     std::string aOwnZone,
+                                     QObject* aParent)
+  : QObject(aParent)
+  , protocol(aProtocol)
+  , service(std::move(aService))
+  , ownZone(std::move(aOwnZone))
+{
+  QObject::connect(&this->expiryTimer, &QTimer::timeout, this, &ServiceDispatcher::Expire);
+}
+
+void ServiceDispatcher::ApplyDirectory(
+  const Directory& aDirectory,
+  const std::map<std::string, std::string, std::less<>>& aRegionOfZone,
+  std::uint32_t aProxyCount)
+{
+  const auto fullZone = [&aRegionOfZone](const std::string& aZone) {
+    const auto found = aRegionOfZone.find(aZone);
+    return (found == aRegionOfZone.end() ? std::string{} : found->second) + "/" + aZone;
+  };
+  const ServiceRow* row = aDirectory.FindService(this->service);
+  const std::uint32_t connectionLimit = row == nullptr ? 1 : row->connectionLimit;
+  const std::uint32_t share = connectionLimit * kShareFactor / std::max(1U, aProxyCount);
+  for (const auto& [name, backend] : aDirectory.Backends()) {
+    if (backend.service != this->service) {
+      continue;
+    }
+    const auto found = this->pools.find(name);
+    if (found == this->pools.end()) {
+      if (backend.deleted) {
+        continue;
+      }
+      auto* created = new BackendPool(this->protocol, backend, this);
+      QObject::connect(created, &BackendPool::Changed, this, &ServiceDispatcher::SchedulePump);
+      this->pools.emplace(name, created);
+    } else if (found->second->Row().version != backend.version) {
+      found->second->Update(backend);
+    }
+    BackendPool& pool = *this->pools.find(name)->second;
+    pool.SetLimit(std::clamp(share, 1U, connectionLimit));
+    if (backend.deleted) {
+      pool.CloseAll();
+    }
+    this->distances[name] = DistanceBetween(this->ownZone, fullZone(backend.zone));
+  }
+  const PrimaryRow* primaryRow = aDirectory.FindPrimary(this->service);
+  if (primaryRow != nullptr && primaryRow->version != this->primaryVersion) {
+    this->primaryVersion = primaryRow->version;
+    this->isPromoting = primaryRow->phase == PrimaryPhase::Promoting;
+    if (this->primary != primaryRow->backend) {
+      this->primary = primaryRow->backend;
+      this->positions.Clear();
+    }
+    this->notLeading.clear();
+  }
+  this->SchedulePump();
+}
+
+ServiceDispatcher::Ticket ServiceDispatcher::Request(PlacementRequest aRequest, Callback aCallback)
+{
+  const Ticket ticket = ++this->lastTicket;
+  const auto position = std::ranges::upper_bound(
+    this->waiting, aRequest.priority, {}, [](const Waiter& aEach) { return aEach.request.priority; });
+  this->waiting.insert(position, { ticket, std::move(aRequest), std::move(aCallback) });
+  if (!this->expiryTimer.isActive()) {
+    this->expiryTimer.start(kExpiryInterval);
+  }
+  this->Pump();
+  return ticket;
+}
+
+void ServiceDispatcher::Cancel(Ticket aTicket)
+{
+  std::erase_if(this->waiting, [aTicket](const Waiter& aEach) { return aEach.ticket == aTicket; });
+}
+
+void ServiceDispatcher::NotePrimaryPosition(Instant aSentAt, const LogPosition& aPosition)
+{
+  this->positions.Add(aSentAt, aPosition);
+}
+
+void ServiceDispatcher::NoteNotLeading(const std::string& aBackend, Instant aNow)
+{
+  if (aBackend != this->primary) {
+    return;
+  }
+  this->notLeading = aBackend;
+  this->notLeadingUntil = aNow + kNotLeadingPause;
+}
+
+std::vector<BackendReport> ServiceDispatcher::Reports(Instant aNow) const
+{
+  const auto milliseconds = [](Duration aDuration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+  };
+  std::vector<BackendReport> reports;
+  for (const auto& [name, pool] : this->pools) {
+    const BackendHealth& health = pool->Health();
+    if (pool->Row().deleted || (!health.LastAnswer() && !health.IsFailing())) {
+      continue;
+    }
+    BackendReport report{ name, milliseconds(health.FailingFor(aNow)), -1 };
+    if (health.IsFailing()) {
+      report.failingMs = std::max<std::int64_t>(report.failingMs, 1);
+    }
+    if (health.LastAnswer()) {
+      report.answeredMsAgo = milliseconds(aNow - *health.LastAnswer());
+    }
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+void ServiceDispatcher::CloseIdle(Instant aNow)
+{
+  for (const auto& [name, pool] : this->pools) {
+    pool->CloseIdle(aNow);
+  }
+}
+
+void ServiceDispatcher::SchedulePump()
+{
+  if (this->isPumpScheduled) {
+    return;
+  }
+  this->isPumpScheduled = true;
+  QMetaObject::invokeMethod(
+    this,
+    [this] {
+      this->isPumpScheduled = false;
+      this->Pump();
+    },
+    Qt::QueuedConnection);
+}
+
+void ServiceDispatcher::Pump()
+{
+  // A callback may ask for its next connection at once; the outer call goes on with it.
+  if (this->isPumping) {
+    this->SchedulePump();
+    return;
+  }
+  this->isPumping = true;
+  const Instant now = MonotonicNow();
+  std::map<BackendPool*, std::size_t> wanted;
+  for (std::size_t index = 0; index < this->waiting.size();) {
+    const Choice choice = this->Choose(this->waiting[index].request, now);
+    if (choice.pool == nullptr) {
+      ++index;
+      continue;
+    }
+    if (!choice.pool->HasIdle()) {
+      ++wanted[choice.pool];
+      ++index;
+      continue;
+    }
+    Waiter waiter = std::move(this->waiting[index]);
+    this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
+    Placement placement = choice.placement;
+    placement.pool = choice.pool;
+    placement.connection = choice.pool->Take(*waiter.request.settings);
+    waiter.callback(std::move(placement), {});
+  }
+  for (const auto& [pool, count] : wanted) {
+    while (pool->OpeningCount() < count && pool->MayOpen(now)) {
+      pool->Open();
+    }
+  }
+  this->isPumping = false;
+}
+
+void ServiceDispatcher::Expire()
+{
+  const Instant now = MonotonicNow();
+  std::vector<Waiter> expired;
+  std::erase_if(this->waiting, [now, &expired](Waiter& aEach) {
+    if (now < aEach.request.giveUpAt) {
+      return false;
+    }
+    expired.push_back(std::move(aEach));
+    return true;
+  });
+  for (const Waiter& waiter : expired) {
+    const bool isUnreachable = waiter.request.needsPrimary && this->PrimaryPool(now) == nullptr;
+    waiter.callback(std::nullopt,
+                    isUnreachable ? StatementError::Unavailable : StatementError::Overloaded);
+  }
+  if (this->waiting.empty()) {
+    this->expiryTimer.stop();
+    return;
+  }
+  this->Pump();
+}
+
+ServiceDispatcher::Choice ServiceDispatcher::Choose(const PlacementRequest& aRequest,
+                                                    Instant aNow) const
+{
+  if (!aRequest.needsPrimary) {
+    auto await = this->positions.CoveringSince(aRequest.arrivedAt - aRequest.acceptedAge);
+    if (await) {
+      if (aRequest.ownCommit) {
+        await = std::max(*await, *aRequest.ownCommit);
+      }
+      BackendPool* pool = this->PoolOfRead(aRequest, aNow);
+      // With no other server left, the primary serves the read by proving that it leads.
+      if (pool != nullptr) {
+        return { pool, { nullptr, nullptr, false, await } };
+      }
+    }
+  }
+  return { this->PrimaryPool(aNow), { nullptr, nullptr, true, std::nullopt } };
+}
+
+BackendPool* ServiceDispatcher::PrimaryPool(Instant aNow) const
+{
+  const auto found = this->pools.find(this->primary);
+  if (found == this->pools.end() || found->second->Row().deleted || this->isPromoting) {
+    return nullptr;
+  }
+  BackendPool* pool = found->second;
+  const bool isDenied = this->notLeading == this->primary && aNow < this->notLeadingUntil;
+  return isDenied || !(pool->HasIdle() || pool->OpeningCount() > 0 || pool->MayOpen(aNow) ||
+                       !pool->Health().IsFailing())
+           ? nullptr
+           : pool;
+}
+
+BackendPool* ServiceDispatcher::PoolOfRead(const PlacementRequest& aRequest, Instant aNow) const
+{
+  std::vector<ReadCandidate> candidates;
+  std::vector<BackendPool*> candidatePools;
+  for (const auto& [name, pool] : this->pools) {
+    const BackendRow& row = pool->Row();
+    if (row.deleted || row.draining || aRequest.excluded.contains(name)) {
+      continue;
+    }
+    const auto distance = this->distances.find(name);
+    candidates.push_back({ name == this->primary,
+                           distance == this->distances.end() ? ZoneDistance::OtherRegion
+                                                             : distance->second,
+                           pool->HasIdle(),
+                           pool->MayOpen(aNow) || pool->OpeningCount() > 0,
+                           pool->Health().IsFailing(),
+                           pool->IsLagging(aNow),
+                           pool->InUse(),
+                           row.slots,
+                           pool->Health().AnswerTime() });
+    candidatePools.push_back(pool);
+  }
+  const auto chosen = ChooseForRead(candidates);
+  return chosen ? candidatePools[*chosen] : nullptr;
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "oleanderledge/link/link.hpp"
+#include "oleanderledge/statements/PositionHistory.hpp"
+#include "oleanderledge/statements/ReadPlacement.hpp"
+#include "oleanderledge/statements/internal/BackendPool.hpp"
+
+#include <QObject>
+#include <QTimer>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oleanderledge {
+
+/// What a statement or transaction needs of the connection that it runs on.
+struct PlacementRequest
+{
+  bool needsPrimary = false;
+  /// For reads elsewhere: commits acknowledged this long before `arrivedAt` must be visible.
+  Duration acceptedAge{ 0 };
+  /// For reads elsewhere: a commit of the same session, which must be visible too.
+  std::optional<LogPosition> ownCommit;
+  Instant arrivedAt{};
+  Instant giveUpAt{};
+  std::uint32_t priority = 0;
+  const SettingMap* settings = nullptr; ///< Of the session.
+  std::set<std::string, std::less<>> excluded; ///< Backend servers that could not run it.
+};
+
+/// A connection to run on.
+struct Placement
+{
+  BackendPool* pool = nullptr;
+  BackendConnection* connection = nullptr;
+  /// True: the connection leads to the primary, which must prove by a plain BEGIN that it leads
+  /// before it runs a read.
+  bool onPrimary = false;
+  /// Elsewhere: the position that the server's log must have.
+  std::optional<LogPosition> await;
+};
+
+/// Places the statements of one service on connections to its backend servers. Waiting ones are
+/// served by priority, then in order of arrival.
+class ServiceDispatcher : public QObject
+{
+  Q_OBJECT
+
+public:
+  /// Gets a connection, or the reason why there is none.
+  using Callback = std::function<void(std::optional<Placement>, StatementError)>;
+  using Ticket = std::uint64_t;
+
+  ServiceDispatcher(const StatementProtocol& aProtocol,
+                    std::string aService,
+                    std::string aOwnZone, ///< "region/zone".
+                    QObject* aParent);
+
+  void ApplyDirectory(const Directory& aDirectory,
+                      const std::map<std::string, std::string, std::less<>>& aRegionOfZone,
+                      std::uint32_t aProxyCount);
+
+  /// The callback comes once, possibly before this returns, unless Cancel() comes first.
+  Ticket Request(PlacementRequest aRequest, Callback aCallback);
+  void Cancel(Ticket aTicket);
+
+  /// The primary proved that it led when it answered a request that was sent at `aSentAt`.
+  void NotePrimaryPosition(Instant aSentAt, const LogPosition& aPosition);
+  /// A server answered that it does not lead.
+  void NoteNotLeading(const std::string& aBackend, Instant aNow);
+
+  std::vector<BackendReport> Reports(Instant aNow) const;
+  void CloseIdle(Instant aNow);
+  std::size_t WaitingCount() const { return this->waiting.size(); }
+  const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
+
+private:
+  struct Waiter
+  {
+    Ticket ticket = 0;
+    PlacementRequest request;
+    Callback callback;
+  };
+  struct Choice
+  {
+    BackendPool* pool = nullptr;
+    Placement placement;
+  };
+
+  void SchedulePump();
+  void Pump();
+  void Expire();
+  Choice Choose(const PlacementRequest& aRequest, Instant aNow) const;
+  BackendPool* PrimaryPool(Instant aNow) const;
+  BackendPool* PoolOfRead(const PlacementRequest& aRequest, Instant aNow) const;
+
+  const StatementProtocol& protocol;
+  std::string service;
+  std::string ownZone;
+  std::map<std::string, BackendPool*, std::less<>> pools;
+  std::map<std::string, ZoneDistance, std::less<>> distances;
+  std::string primary;
+  std::uint64_t primaryVersion = 0;
+  bool isPromoting = false;
+  std::string notLeading;
+  Instant notLeadingUntil{};
+  PositionHistory positions;
+  std::vector<Waiter> waiting; ///< By priority, then arrival.
+  Ticket lastTicket = 0;
+  bool isPumping = false;
+  bool isPumpScheduled = false;
+  QTimer expiryTimer;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -0,0 +1,184 @@
+#include "oleanderledge/statements/internal/StatementServer.hpp"
+
+#include "oleanderledge/transport/transport.hpp"
+
+#include <QHostAddress>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Resolution of the time limits of statements and transactions.
+constexpr std::chrono::milliseconds kCheckInterval(50);
+constexpr Duration kIdleCheckInterval = std::chrono::seconds(1);
+/// Queue of connections that the kernel has accepted and the program has not; a whole zone's
+/// sessions may reconnect at once.
+constexpr int kListenBacklog = 1024;
+
+} // namespace
+
+StatementServer::StatementServer(std::unique_ptr<StatementProtocol> aProtocol,
+                                 StatementServiceSettings aSettings)
+  : protocol(std::move(aProtocol))
+  , settings(std::move(aSettings))
+  , directory(std::make_shared<Directory>())
+{
+  QObject::connect(
+    &this->server, &QTcpServer::newConnection, this, &StatementServer::AcceptPending);
+  QObject::connect(&this->checkTimer, &QTimer::timeout, this, &StatementServer::CheckTime);
+  this->server.setMaxPendingConnections(kListenBacklog);
+}
+
+StatementServer::~StatementServer()
+{
+  // Sessions give their connections back to the dispatchers' pools.
+  for (StatementSession* session : std::set(this->sessions)) {
+    delete session;
+  }
+}
+
+Result<void> StatementServer::Listen()
+{
+  const auto [host, port] = SplitAddress(this->settings.callersAddress);
+  if (!this->server.listen(QHostAddress(QString::fromStdString(host)), port)) {
+    return Fail(ResultCode::ListenFailed,
+                this->settings.callersAddress + ": " + this->server.errorString().toStdString());
+  }
+  this->checkTimer.start(kCheckInterval);
+  return boost::outcome_v2::success();
+}
+
+void StatementServer::AcceptPending()
+{
+  while (QTcpSocket* socket = this->server.nextPendingConnection()) {
+    auto* session = new StatementSession(*this->protocol, *this, socket, this);
+    this->sessions.insert(session);
+    QObject::connect(session, &StatementSession::Closed, this, [this, session] {
+      this->sessions.erase(session);
+      session->deleteLater();
+    });
+  }
+}
+
+void StatementServer::ApplyDirectory(std::shared_ptr<const Directory> aDirectory)
+{
+  this->directory = std::move(aDirectory);
+  for (const auto& [name, backend] : this->directory->Backends()) {
+    this->DispatcherOf(backend.service);
+  }
+  for (const auto& [name, dispatcher] : this->dispatchers) {
+    dispatcher->ApplyDirectory(*this->directory, this->settings.regionOfZone, this->proxyCount);
+  }
+}
+
+void StatementServer::SetProxyCount(std::uint32_t aCount)
+{
+  if (aCount == 0 || aCount == this->proxyCount) {
+    return;
+  }
+  this->proxyCount = aCount;
+  this->ApplyDirectory(this->directory);
+}
+
+ServiceDispatcher& StatementServer::DispatcherOf(const std::string& aService)
+{
+  const auto found = this->dispatchers.find(aService);
+  if (found != this->dispatchers.end()) {
+    return *found->second;
+  }
+  auto* created = new ServiceDispatcher(*this->protocol, aService, this->settings.zone, this);
+  created->ApplyDirectory(*this->directory, this->settings.regionOfZone, this->proxyCount);
+  this->dispatchers.emplace(aService, created);
+  return *created;
+}
+
+void StatementServer::CountOutcome(const RouteRow* /*aRoute*/, std::optional<StatementError> aError)
+{
+  ++this->answered;
+  if (aError) {
+    ++this->failures[*aError];
+  }
+}
+
+std::vector<BackendReport> StatementServer::Reports(Instant aNow) const
+{
+  std::vector<BackendReport> reports;
+  for (const auto& [name, dispatcher] : this->dispatchers) {
+    std::ranges::move(dispatcher->Reports(aNow), std::back_inserter(reports));
+  }
+  return reports;
+}
+
+StatementCounters StatementServer::Counters() const
+{
+  StatementCounters counters;
+  counters.sessions = this->sessions.size();
+  counters.answered = this->answered;
+  for (const auto& [name, dispatcher] : this->dispatchers) {
+    counters.waiting += dispatcher->WaitingCount();
+    for (const auto& [backend, pool] : dispatcher->Pools()) {
+      counters.connectionsOpened += pool->OpenedCount();
+    }
+  }
+  for (const auto& [error, count] : this->failures) {
+    counters.failures[std::string(ToString(error))] = count;
+  }
+  return counters;
+}
+
+void StatementServer::CheckTime()
+{
+  const Instant now = MonotonicNow();
+  for (StatementSession* session : std::set(this->sessions)) {
+    session->CheckTime(now);
+  }
+  if (now - this->idleClosedAt >= kIdleCheckInterval) {
+    this->idleClosedAt = now;
+    for (const auto& [name, dispatcher] : this->dispatchers) {
+      dispatcher->CloseIdle(now);
+    }
+  }
+  this->CheckStop(now);
+}
+
+void StatementServer::BeginStop()
+{
+  this->isStopping = true;
+  this->stopStarted = MonotonicNow();
+  WriteLog(LogEvent::EntryStopping, "sessions=" + std::to_string(this->sessions.size()));
+}
+
+void StatementServer::CheckStop(Instant aNow)
+{
+  if (!this->isStopping || aNow - this->stopStarted < this->settings.closeSessionsAfter) {
+    return;
+  }
+  this->server.close();
+  const bool endsTransactions = aNow - this->stopStarted >= this->settings.endTransactionsAfter;
+  for (StatementSession* session : std::set(this->sessions)) {
+    if (session->IsIdle()) {
+      session->Close();
+    } else if (endsTransactions) {
+      session->AbortTransaction("the proxy is stopping");
+    }
+  }
+}
+
+bool StatementServer::IsIdle() const
+{
+  return this->sessions.empty();
+}
+
+Result<std::unique_ptr<StatementService>> CreateStatementService(
+  std::unique_ptr<StatementProtocol> aProtocol,
+  const StatementServiceSettings& aSettings)
+{
+  auto server = std::make_unique<StatementServer>(std::move(aProtocol), aSettings);
+  auto listening = server->Listen();
+  if (!listening) {
+    return Fail(listening.error().code, listening.error().message);
+  }
+  return std::unique_ptr<StatementService>(std::move(server));
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "oleanderledge/statements/StatementService.hpp"
+#include "oleanderledge/statements/internal/ServiceDispatcher.hpp"
+#include "oleanderledge/statements/internal/StatementSession.hpp"
+
+#include <QObject>
+#include <QTcpServer>
+#include <QTimer>
+
+#include <set>
+
+namespace oleanderledge {
+
+/// Accepts callers and owns their sessions and the dispatchers of the services.
+class StatementServer
+  : public QObject
+  , public StatementService
+  , private SessionHost
+{
+  Q_OBJECT
+
+public:
+  StatementServer(std::unique_ptr<StatementProtocol> aProtocol, StatementServiceSettings aSettings);
+  ~StatementServer() override;
+
+  Result<void> Listen();
+
+  void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
+  void SetProxyCount(std::uint32_t aCount) override;
+  std::vector<BackendReport> Reports(Instant aNow) const override;
+  StatementCounters Counters() const override;
+  void BeginStop() override;
+  bool IsIdle() const override;
+
+private:
+  const Directory& CurrentDirectory() const override { return *this->directory; }
+  ServiceDispatcher& DispatcherOf(const std::string& aService) override;
+  bool IsStopping() const override { return this->isStopping; }
+  void CountOutcome(const RouteRow* aRoute, std::optional<StatementError> aError) override;
+
+  void AcceptPending();
+  void CheckTime();
+  void CheckStop(Instant aNow);
+
+  std::unique_ptr<StatementProtocol> protocol;
+  StatementServiceSettings settings;
+  std::shared_ptr<const Directory> directory;
+  std::uint32_t proxyCount = 1;
+  QTcpServer server;
+  QTimer checkTimer;
+  std::set<StatementSession*> sessions;
+  std::map<std::string, ServiceDispatcher*, std::less<>> dispatchers;
+  std::uint64_t answered = 0;
+  std::map<StatementError, std::uint64_t> failures;
+  Instant idleClosedAt{};
+  Instant stopStarted{};
+  bool isStopping = false;
+};
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/statements.hpp
@@ -0,0 +1,10 @@
+/// Public header of the statements library: sessions of callers that send one statement at a time,
+/// served on pooled connections to registered backend servers.
+#pragma once
+
+#include "oleanderledge/statements/BackendHealth.hpp"
+#include "oleanderledge/statements/PositionHistory.hpp"
+#include "oleanderledge/statements/ReadPlacement.hpp"
+#include "oleanderledge/statements/StatementProtocol.hpp"
+#include "oleanderledge/statements/StatementService.hpp"
+#include "oleanderledge/statements/StatementTypes.hpp"
--- a/src/oleanderledge/transport/HttpReply.cpp
+++ b/src/oleanderledge/transport/HttpReply.cpp
@@ -4,7 +4,7 @@
 
 void HttpReply::Send(int aStatus, const QByteArray& aContentType, const QByteArray& aBody) const
 {
-  if (this->socket.isNull() || this->socket->state() != QAbstractSocket::ConnectedState) {
+  if (!this->CanSend()) {
     return;
   }
   // Clients go by the number; the reason phrase may be empty (RFC 9112, section 4).
@@ -13,4 +13,17 @@
     "\r\nContent-Length: " + QByteArray::number(aBody.size()) + "\r\n\r\n" + aBody);
 }
 
+void HttpReply::SendRedirect(const QByteArray& aLocation) const
+{
+  if (!this->CanSend()) {
+    return;
+  }
+  this->socket->write("HTTP/1.1 307 \r\nLocation: " + aLocation + "\r\nContent-Length: 0\r\n\r\n");
+}
+
+bool HttpReply::CanSend() const
+{
+  return !this->socket.isNull() && this->socket->state() == QAbstractSocket::ConnectedState;
+}
+
 } // namespace oleanderledge
--- a/src/oleanderledge/transport/HttpReply.hpp
+++ b/src/oleanderledge/transport/HttpReply.hpp
@@ -21,7 +21,12 @@
   /// Sends status and body. Call once.
   void Send(int aStatus, const QByteArray& aContentType, const QByteArray& aBody) const;
 
+  /// Sends the caller on to another URL, to be asked with the same method and body.
+  void SendRedirect(const QByteArray& aLocation) const;
+
 private:
+  bool CanSend() const;
+
   QPointer<QTcpSocket> socket;
 };
 
