--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -76,17 +76,15 @@
   this->SchedulePump();
 }
 
-ServiceDispatcher::Ticket ServiceDispatcher::Request(PlacementRequest aRequest, Callback aCallback)
+void ServiceDispatcher::Request(Ticket aTicket, PlacementRequest aRequest, Callback aCallback)
 {
-  const Ticket ticket = ++this->lastTicket;
   const auto position = std::ranges::upper_bound(
     this->waiting, aRequest.priority, {}, [](const Waiter& aEach) { return aEach.request.priority; });
-  this->waiting.insert(position, { ticket, std::move(aRequest), std::move(aCallback) });
+  this->waiting.insert(position, { aTicket, std::move(aRequest), std::move(aCallback) });
   if (!this->expiryTimer.isActive()) {
     this->expiryTimer.start(kExpiryInterval);
   }
   this->Pump();
-  return ticket;
 }
 
 void ServiceDispatcher::Cancel(Ticket aTicket)
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -66,8 +66,10 @@
                       const std::map<std::string, std::string, std::less<>>& aRegionOfZone,
                       std::uint32_t aProxyCount);
 
+  /// A name for the next request, with which it can be cancelled.
+  Ticket NewTicket() { return ++this->lastTicket; }
   /// The callback comes once, possibly before this returns, unless Cancel() comes first.
-  Ticket Request(PlacementRequest aRequest, Callback aCallback);
+  void Request(Ticket aTicket, PlacementRequest aRequest, Callback aCallback);
   void Cancel(Ticket aTicket);
 
   /// The primary proved that it led when it answered a request that was sent at `aSentAt`.
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -263,25 +263,13 @@
                             this->route->consistency == ReadConsistency::Primary;
   PlacementRequest request = this->RequestFor(this->transaction.arrivedAt, needsPrimary);
   request.excluded = this->transaction.excluded;
-  bool isDone = false;
-  const auto requested = this->Dispatcher()->Request(
-    std::move(request),
-    [this, &isDone, self = QPointer(this)](std::optional<Placement> aPlacement,
-                                           StatementError aError) {
-      if (self.isNull()) {
-        return;
-      }
-      isDone = true;
-      this->ticket.reset();
-      if (!aPlacement) {
-        this->FailTransaction(aError, RefusalText(aError));
-        return;
-      }
-      this->StartTransactionOn(*aPlacement);
-    });
-  if (!isDone) {
-    this->ticket = requested;
-  }
+  this->Place(std::move(request), [this](std::optional<Placement> aPlacement, StatementError aError) {
+    if (!aPlacement) {
+      this->FailTransaction(aError, RefusalText(aError));
+      return;
+    }
+    this->StartTransactionOn(*aPlacement);
+  });
 }
 
 void StatementSession::StartTransactionOn(const Placement& aPlacement)
@@ -431,26 +419,14 @@
                             this->route->consistency == ReadConsistency::Primary;
   PlacementRequest request = this->RequestFor(this->running->arrivedAt, needsPrimary);
   request.excluded = this->running->excluded;
-  bool isDone = false;
-  const auto requested = this->Dispatcher()->Request(
-    std::move(request),
-    [this, &isDone, self = QPointer(this)](std::optional<Placement> aPlacement,
-                                           StatementError aError) {
-      if (self.isNull()) {
-        return;
-      }
-      isDone = true;
-      this->ticket.reset();
-      if (!aPlacement) {
-        this->AnswerError(aError, RefusalText(aError));
-        return;
-      }
-      this->placement = *aPlacement;
-      this->StartSingleOn();
-    });
-  if (!isDone) {
-    this->ticket = requested;
-  }
+  this->Place(std::move(request), [this](std::optional<Placement> aPlacement, StatementError aError) {
+    if (!aPlacement) {
+      this->AnswerError(aError, RefusalText(aError));
+      return;
+    }
+    this->placement = *aPlacement;
+    this->StartSingleOn();
+  });
 }
 
 void StatementSession::StartSingleOn()
@@ -735,6 +711,20 @@
   return request;
 }
 
+void StatementSession::Place(PlacementRequest aRequest, ServiceDispatcher::Callback aDone)
+{
+  ServiceDispatcher* dispatcher = this->Dispatcher();
+  const ServiceDispatcher::Ticket requested = dispatcher->NewTicket();
+  this->ticket = requested;
+  dispatcher->Request(requested,
+                      std::move(aRequest),
+                      [this, done = std::move(aDone)](std::optional<Placement> aPlacement,
+                                                      StatementError aError) {
+                        this->ticket.reset();
+                        done(std::move(aPlacement), aError);
+                      });
+}
+
 ServiceDispatcher* StatementSession::Dispatcher()
 {
   return &this->host.DispatcherOf(this->route->service);
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -114,6 +114,8 @@
   void OnPreparationLost(const StatementResult& aResult);
 
   bool IsWrite(const Statement& aStatement) const;
+  /// Asks the dispatcher for a connection; Disconnect() cancels.
+  void Place(PlacementRequest aRequest, ServiceDispatcher::Callback aDone);
   PlacementRequest RequestFor(Instant aArrivedAt, bool aNeedsPrimary) const;
   ServiceDispatcher* Dispatcher();
   void ReleaseConnection(bool aInTransaction);
