--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::array kLogEvents = {
   LogEventInfo{ LogEvent::SettingsRejected, "settings_rejected", Error },
+  LogEventInfo{ LogEvent::SettingsReloaded, "settings_reloaded", Info },
   LogEventInfo{ LogEvent::LinkConnected, "link_connected", Info },
   LogEventInfo{ LogEvent::LinkClosed, "link_closed", Info },
   LogEventInfo{ LogEvent::LinkRejected, "link_rejected", Warning },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -18,6 +18,7 @@
 {
   // 1100: settings and command line.
   SettingsRejected = 1101,
+  SettingsReloaded = 1102,
   // 1200: links.
   LinkConnected = 1201,
   LinkClosed = 1202,
--- a/src/oleanderledge/cli/DaemonCommand.cpp
+++ b/src/oleanderledge/cli/DaemonCommand.cpp
@@ -26,7 +26,7 @@
     WriteLog(LogEvent::SettingsRejected, "file=" + path);
     return ReportFailure(ExitCode::Usage, settings.error().message, "");
   }
-  const auto finished = aRun(settings.value(), { FLAGS_metrics_log });
+  const auto finished = aRun(settings.value(), { FLAGS_metrics_log, path });
   if (finished) {
     return ExitCode::Ok;
   }
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -75,6 +75,12 @@
   /// OutcomeUnknown.
   void Stop();
 
+  /// Replaces the further addresses of control instances.
+  void SetPeers(std::vector<std::string> aAddresses)
+  {
+    this->settings.peerAddresses = std::move(aAddresses);
+  }
+
   /// Uses an accepted link to a control instance. The driver handles the consensus messages that
   /// arrive on it and emits OtherMessage for others, for example RelayedHeartbeats. The link stays
   /// with its owner.
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -469,6 +469,11 @@
   }
 }
 
+void ControlDaemon::SetPeers(std::vector<std::string> aAddresses)
+{
+  this->group->SetPeers(std::move(aAddresses));
+}
+
 void ControlDaemon::SetPromotionService(std::unique_ptr<PromotionService> aService)
 {
   this->promotions = std::move(aService);
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -52,6 +52,9 @@
   /// Who carries out promotions of registered backend servers. Call before Start().
   void SetPromotionService(std::unique_ptr<PromotionService> aService);
 
+  /// Replaces the link addresses at which other control instances may be found.
+  void SetPeers(std::vector<std::string> aAddresses);
+
   // FleetControl
   void RegisterBackend(const BackendRow& aBackend, Callback aCallback) override;
   void RemoveBackend(const std::string& aBackend, Callback aCallback) override;
--- a/src/oleanderledge/control/internal/ControlGroup.hpp
+++ b/src/oleanderledge/control/internal/ControlGroup.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace oleanderledge {
 
@@ -25,6 +26,8 @@
   virtual void Stop() = 0;
   virtual ReplicatedLog& Log() = 0;
   virtual const ReplicatedLog& Log() const = 0;
+  /// Replaces the link addresses at which other control instances may be found.
+  virtual void SetPeers(std::vector<std::string> aAddresses) = 0;
   /// Uses a link that another control instance opened.
   virtual void AddLink(LinkConnection* aLink) = 0;
   /// Sends to another control instance. Returns false if there is no ready link.
--- a/src/oleanderledge/control/internal/DriverGroup.hpp
+++ b/src/oleanderledge/control/internal/DriverGroup.hpp
@@ -22,6 +22,10 @@
   void Stop() override { this->driver.Stop(); }
   ReplicatedLog& Log() override { return this->driver; }
   const ReplicatedLog& Log() const override { return this->driver; }
+  void SetPeers(std::vector<std::string> aAddresses) override
+  {
+    this->driver.SetPeers(std::move(aAddresses));
+  }
   void AddLink(LinkConnection* aLink) override { this->driver.AddLink(aLink); }
   bool SendToInstance(const std::string& aInstance, const Message& aMessage) override
   {
--- a/src/oleanderledge/daemon/ControlContact.cpp
+++ b/src/oleanderledge/daemon/ControlContact.cpp
@@ -54,7 +54,8 @@
   this->committedVersion = std::max(this->committedVersion, aReply.committedVersion);
   this->proxyCount = aReply.proxyCount;
   if (!aReply.controlAddresses.empty() && aReply.controlAddresses != this->learnedAddresses) {
-    this->LearnAddresses(aReply.controlAddresses);
+    this->learnedAddresses = aReply.controlAddresses;
+    this->MergeAddresses();
   }
   return true;
 }
@@ -93,11 +94,16 @@
   return this->addresses[this->addressIndex];
 }
 
-void ControlContact::LearnAddresses(const std::vector<std::string>& aAddresses)
+void ControlContact::SetFirstAddresses(std::vector<std::string> aAddresses)
+{
+  this->firstAddresses = std::move(aAddresses);
+  this->MergeAddresses();
+}
+
+void ControlContact::MergeAddresses()
 {
-  this->learnedAddresses = aAddresses;
   const std::string present = this->addresses[this->addressIndex];
-  this->addresses = aAddresses;
+  this->addresses = this->learnedAddresses;
   for (const std::string& address : this->firstAddresses) {
     if (std::ranges::find(this->addresses, address) == this->addresses.end()) {
       this->addresses.push_back(address);
--- a/src/oleanderledge/daemon/ControlContact.hpp
+++ b/src/oleanderledge/daemon/ControlContact.hpp
@@ -61,14 +61,17 @@
   /// Number of live proxies as the leader counts them; 0 if not known.
   std::uint32_t ProxyCount() const { return this->proxyCount; }
 
+  /// Replaces the addresses from the settings.
+  void SetFirstAddresses(std::vector<std::string> aAddresses);
+
   void SetLeaving() { this->self.leaving = true; }
   std::shared_ptr<const Directory> CurrentDirectory() const { return this->directory; }
   const InstanceInfo& Self() const { return this->self; }
 
 private:
   void UseNextAddress(Instant aNow);
-  /// Adds the addresses that the leader named in front of those from the settings.
-  void LearnAddresses(const std::vector<std::string>& aAddresses);
+  /// Lists the addresses that the leader named, then those from the settings.
+  void MergeAddresses();
 
   InstanceInfo self;
   std::vector<std::string> addresses;
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -3,7 +3,8 @@
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
 #include "oleanderledge/daemon/internal/FailoverLog.hpp"
 #include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
-#include "oleanderledge/daemon/internal/StopSignals.hpp"
+#include "oleanderledge/daemon/internal/ProcessSignals.hpp"
+#include "oleanderledge/daemon/internal/SettingsWatcher.hpp"
 #include "oleanderledge/platform/platform.hpp"
 
 #include <QCoreApplication>
@@ -16,10 +17,12 @@
 namespace {
 
 template<class Daemon>
-Result<void> Run(Daemon& aDaemon, const std::string& aInstance)
+Result<void> Run(Daemon& aDaemon, const std::string& aInstance, SettingsWatcher& aWatcher)
 {
-  StopSignals signals(nullptr);
-  QObject::connect(&signals, &StopSignals::StopRequested, &aDaemon, &Daemon::BeginStop);
+  ProcessSignals signals(nullptr);
+  QObject::connect(&signals, &ProcessSignals::StopRequested, &aDaemon, &Daemon::BeginStop);
+  QObject::connect(
+    &signals, &ProcessSignals::ReloadRequested, &aWatcher, &SettingsWatcher::Check);
   Result<void> finished = boost::outcome_v2::success();
   QObject::connect(&aDaemon, &Daemon::Stopped, qApp, [&finished](const Error& aError) {
     if (aError.code != ResultCode::Ok) {
@@ -85,7 +88,9 @@
 Result<void> RunProxy(const Settings& aSettings, const DaemonOptions& aOptions)
 {
   ProxyDaemon daemon(aSettings, aOptions.metricsLog, nullptr);
-  return Run(daemon, aSettings.instance);
+  SettingsWatcher watcher(aOptions.settingsPath, DaemonKind::Proxy, nullptr);
+  QObject::connect(&watcher, &SettingsWatcher::Changed, &daemon, &ProxyDaemon::Reload);
+  return Run(daemon, aSettings.instance, watcher);
 }
 
 Result<void> RunControl(const Settings& aSettings, const DaemonOptions& aOptions)
@@ -107,7 +112,12 @@
                    &ControlDaemon::FailoverCompleted,
                    &daemon,
                    [&log](const FailoverDurations& aDone) { log.Append(aDone); });
-  return Run(daemon, aSettings.instance);
+  SettingsWatcher watcher(aOptions.settingsPath, DaemonKind::Control, nullptr);
+  QObject::connect(
+    &watcher, &SettingsWatcher::Changed, &daemon, [&daemon](const Settings& aChanged) {
+      daemon.SetPeers(aChanged.controlAddresses);
+    });
+  return Run(daemon, aSettings.instance, watcher);
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/RunDaemon.hpp
+++ b/src/oleanderledge/daemon/RunDaemon.hpp
@@ -10,7 +10,8 @@
 /// Options of a daemon from the command line.
 struct DaemonOptions
 {
-  std::string metricsLog; ///< Empty: no metrics log.
+  std::string metricsLog;   ///< Empty: no metrics log.
+  std::string settingsPath; ///< Read again when it changes.
 };
 
 /// Runs a proxy in the calling thread until it is stopped by SIGTERM or SIGINT. Needs a
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -172,6 +172,11 @@
   });
 }
 
+void ProxyDaemon::Reload(const Settings& aSettings)
+{
+  this->contact.SetFirstAddresses(aSettings.controlAddresses);
+}
+
 void ProxyDaemon::BeginStop()
 {
   if (this->isStopping) {
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
@@ -35,6 +35,9 @@
   /// Opens the ports and contacts the control group. Fails with ListenFailed.
   Result<void> Start();
 
+  /// Uses what may change while the proxy runs: the control addresses.
+  void Reload(const Settings& aSettings);
+
   /// Starts a graceful stop; `Stopped` follows within the limit of the settings.
   void BeginStop();
 
