--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -324,6 +324,7 @@
     reply.controlAddresses.push_back(member.linkAddress);
   }
   reply.proxyCount = this->proxyCount;
+  reply.connections = this->services.GrantsFor(aHeartbeat.instance.id, aNow);
   return reply;
 }
 
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -103,6 +103,9 @@
       if (this->contact.ProxyCount() != countBefore) {
         Q_EMIT this->ProxyCountChanged(this->contact.ProxyCount());
       }
+      if (!reply->connections.empty()) {
+        Q_EMIT this->ConnectionsGranted(reply->connections);
+      }
       Q_EMIT this->LeasesGranted(reply->leases, FromMicroseconds(reply->sentUs));
     }
   }
--- a/src/oleanderledge/daemon/internal/ControlClient.hpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.hpp
@@ -43,6 +43,7 @@
 
 Q_SIGNALS:
   void DirectoryChanged();
+  void ConnectionsGranted(std::vector<oleanderledge::ConnectionGrant> aGrants);
   /// The leader counted the live proxies anew.
   void ProxyCountChanged(std::uint32_t aCount);
   void LeasesGranted(std::vector<oleanderledge::LeaseGrant> aLeases,
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -66,6 +66,13 @@
     this->client, &ControlClient::ProxyCountChanged, this, [this](std::uint32_t aCount) {
       this->InTraffic([aCount](Traffic& aTraffic) { aTraffic.SetProxyCount(aCount); });
     });
+  QObject::connect(this->client,
+                   &ControlClient::ConnectionsGranted,
+                   this,
+                   [this](const std::vector<ConnectionGrant>& aGrants) {
+                     this->InTraffic(
+                       [aGrants](Traffic& aTraffic) { aTraffic.ApplyConnectionGrants(aGrants); });
+                   });
   if (aSettings.fleet.enabled) {
     this->readiness = new platform::ReadinessServer([this] { return this->IsReady(); }, this);
   }
--- a/src/oleanderledge/daemon/internal/StatementTraffic.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTraffic.cpp
@@ -32,6 +32,11 @@
   this->service->SetProxyCount(aCount);
 }
 
+void StatementTraffic::ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants)
+{
+  this->service->ApplyConnectionGrants(aGrants);
+}
+
 TrafficState StatementTraffic::CollectState()
 {
   return { {}, {}, this->service->Reports(MonotonicNow()) };
--- a/src/oleanderledge/daemon/internal/StatementTraffic.hpp
+++ b/src/oleanderledge/daemon/internal/StatementTraffic.hpp
@@ -21,6 +21,7 @@
   {
   }
   void SetProxyCount(std::uint32_t aCount) override;
+  void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) override;
   TrafficState CollectState() override;
   TrafficCounters CollectCounters() const override;
   void BeginStop() override;
--- a/src/oleanderledge/daemon/internal/Traffic.hpp
+++ b/src/oleanderledge/daemon/internal/Traffic.hpp
@@ -23,6 +23,8 @@
   virtual void ApplyLeases(const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent) = 0;
   /// Number of live proxies, this one included.
   virtual void SetProxyCount(std::uint32_t aCount) = 0;
+  /// Connections to backend servers that this proxy may hold.
+  virtual void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) = 0;
   virtual TrafficState CollectState() = 0;
   virtual TrafficCounters CollectCounters() const = 0;
 
--- a/src/oleanderledge/daemon/internal/TrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.hpp
@@ -27,6 +27,7 @@
   void ApplyLeases(const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent) override;
   /// Owners hold all connections to their databases, so there is nothing to share.
   void SetProxyCount(std::uint32_t /*aCount*/) override {}
+  void ApplyConnectionGrants(const std::vector<ConnectionGrant>& /*aGrants*/) override {}
   TrafficState CollectState() override;
   TrafficCounters CollectCounters() const override;
 
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -339,6 +339,8 @@
   /// Link addresses of the control group's members.
   std::vector<std::string> controlAddresses;
   std::uint32_t proxyCount = 0; ///< Live proxies; 0 if not known.
+  /// Empty: as before.
+  std::vector<ConnectionGrant> connections;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -351,7 +353,8 @@
              this->committedVersion,
              this->leases,
              this->controlAddresses,
-             this->proxyCount);
+             this->proxyCount,
+             this->connections);
   }
 };
 
--- a/src/oleanderledge/link/RouteRows.hpp
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -126,11 +126,27 @@
   std::string backend;
   std::int64_t failingMs = 0; ///< Time since the first failure after the last success.
   std::int64_t answeredMsAgo = -1; ///< Time since the last answer; -1: none yet.
+  std::uint32_t demand = 0; ///< Most connections in use or waited for since the last report.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->backend, this->failingMs, this->answeredMsAgo);
+    aVisitor(this->backend, this->failingMs, this->answeredMsAgo, this->demand);
+  }
+};
+
+/// Connections to a backend server that a proxy may hold.
+struct ConnectionGrant
+{
+  std::string backend;
+  std::uint32_t connections = 0;
+
+  bool operator==(const ConnectionGrant&) const = default;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->backend, this->connections);
   }
 };
 
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -46,8 +46,11 @@
   virtual void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) = 0;
   /// Number of proxies that share the connection limits of the backend servers.
   virtual void SetProxyCount(std::uint32_t aCount) = 0;
-  /// How the backend servers answered.
-  virtual std::vector<BackendReport> Reports(Instant aNow) const = 0;
+  /// Connections to backend servers that this proxy may hold. Until granted, it uses less than an
+  /// equal share.
+  virtual void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) = 0;
+  /// How the backend servers answered, and the demand since the last call.
+  virtual std::vector<BackendReport> Reports(Instant aNow) = 0;
   virtual StatementCounters Counters() const = 0;
 
   /// Starts a graceful stop.
--- a/src/oleanderledge/statements/internal/BackendConnection.cpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.cpp
@@ -146,6 +146,7 @@
   }
   const bool wasOpen = this->isOpen;
   const Callback done = std::exchange(this->callback, nullptr);
+  const auto holder = std::exchange(this->lostWhileIdle, nullptr);
   this->Close();
   WriteLog(wasOpen ? LogEvent::BackendConnectionLost : LogEvent::BackendRefusedConnection,
            "backend=" + this->backend + " reason=" + aReason +
@@ -159,6 +160,8 @@
     lost.sentAt = this->result.sentAt;
     lost.took = MonotonicNow() - this->result.sentAt;
     done(std::move(lost));
+  } else if (holder) {
+    holder();
   }
 }
 
--- a/src/oleanderledge/statements/internal/BackendConnection.hpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.hpp
@@ -48,6 +48,9 @@
   /// Hands the answer of the running statement to another receiver.
   void ReplaceCallback(Callback aCallback) { this->callback = std::move(aCallback); }
 
+  /// Told if the connection is lost while it is held and no statement runs. Empty: nobody holds it.
+  void SetLostWhileIdle(std::function<void()> aCallback) { this->lostWhileIdle = std::move(aCallback); }
+
   /// Closes without calling back. `Closed` does not follow.
   void Close();
 
@@ -81,6 +84,7 @@
   QTimer openTimer;
   std::unique_ptr<BackendDecoder> decoder;
   Callback callback;
+  std::function<void()> lostWhileIdle;
   StatementResult result;
   std::optional<ErrorAnswer> startUpError;
   std::string startUp;
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -37,6 +37,32 @@
   }
 }
 
+void BackendPool::SetFirstLimit(std::uint32_t aLimit)
+{
+  if (!this->isGranted) {
+    this->limit = aLimit;
+  }
+}
+
+void BackendPool::SetGrant(std::uint32_t aConnections)
+{
+  this->isGranted = true;
+  this->limit = aConnections;
+  while (this->connections.size() > this->limit && !this->idle.empty()) {
+    this->Drop(this->idle.front(), false);
+  }
+}
+
+void BackendPool::NoteDemand(std::size_t aConnections)
+{
+  this->demand = std::max(this->demand, static_cast<std::uint32_t>(aConnections));
+}
+
+std::uint32_t BackendPool::TakeDemand()
+{
+  return std::exchange(this->demand, static_cast<std::uint32_t>(this->InUse()));
+}
+
 bool BackendPool::MayOpen(Instant aNow) const
 {
   return this->connections.size() < this->limit && this->health.MayTry(aNow) &&
@@ -89,11 +115,13 @@
   }
   BackendConnection* connection = *best;
   this->idle.erase(best);
+  this->NoteDemand(this->InUse());
   return connection;
 }
 
 void BackendPool::Release(BackendConnection* aConnection, bool aInTransaction)
 {
+  aConnection->SetLostWhileIdle(nullptr);
   if (aInTransaction) {
     aConnection->Run(this->protocol.Rollback(), [this, aConnection](const StatementResult& aResult) {
       if (aResult.lost) {
@@ -107,7 +135,7 @@
     });
     return;
   }
-  if (this->row.deleted) {
+  if (this->row.deleted || this->connections.size() > this->limit) {
     this->Drop(aConnection, false);
     return;
   }
@@ -127,6 +155,7 @@
 
 void BackendPool::ReleaseWhenDone(BackendConnection* aConnection)
 {
+  aConnection->SetLostWhileIdle(nullptr);
   aConnection->ReplaceCallback([this, aConnection](const StatementResult& aResult) {
     if (!aResult.lost) {
       this->Release(aConnection, aResult.ready.state != TransactionState::Idle);
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -24,8 +24,14 @@
 
   /// Takes a newer row. Connections to a server at another address or of a later start are dropped.
   void Update(const BackendRow& aRow);
-  /// Largest number of connections that this proxy may hold.
-  void SetLimit(std::uint32_t aLimit) { this->limit = aLimit; }
+  /// Connections that this proxy may hold until it is granted a number.
+  void SetFirstLimit(std::uint32_t aLimit);
+  /// Connections that this proxy may hold from now on. Those beyond it close when they are idle.
+  void SetGrant(std::uint32_t aConnections);
+  /// Records that so many connections are in use or waited for.
+  void NoteDemand(std::size_t aConnections);
+  /// The highest demand since the last call.
+  std::uint32_t TakeDemand();
 
   const BackendRow& Row() const { return this->row; }
   const BackendHealth& Health() const { return this->health; }
@@ -70,6 +76,8 @@
   std::vector<BackendConnection*> idle;
   std::size_t opening = 0;
   std::uint32_t limit = 1;
+  bool isGranted = false;
+  std::uint32_t demand = 0;
   std::uint64_t openedCount = 0;
   Instant refusedUntil{};
   Instant laggingUntil{};
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -11,9 +11,9 @@
 constexpr std::chrono::milliseconds kExpiryInterval(20);
 /// A server that denied to lead is not asked again for this time, unless control names it anew.
 constexpr Duration kNotLeadingPause = std::chrono::milliseconds(300);
-/// A proxy may hold this multiple of an equal share of a server's connections, because callers do
-/// not spread evenly over proxies.
-constexpr std::uint32_t kShareFactor = 2;
+/// Until connections are granted, a proxy holds at most this part of an equal share, 1 in so many,
+/// since the others may hold more than theirs.
+constexpr std::uint32_t kFirstSharePart = 2;
 
 } // namespace
 
@@ -40,7 +40,7 @@
   };
   const ServiceRow* row = aDirectory.FindService(this->service);
   const std::uint32_t connectionLimit = row == nullptr ? 1 : row->connectionLimit;
-  const std::uint32_t share = connectionLimit * kShareFactor / std::max(1U, aProxyCount);
+  const std::uint32_t share = connectionLimit / kFirstSharePart / std::max(1U, aProxyCount);
   for (const auto& [name, backend] : aDirectory.Backends()) {
     if (backend.service != this->service) {
       continue;
@@ -57,7 +57,7 @@
       found->second->Update(backend);
     }
     BackendPool& pool = *this->pools.find(name)->second;
-    pool.SetLimit(std::clamp(share, 1U, connectionLimit));
+    pool.SetFirstLimit(std::clamp(share, 1U, std::max(1U, connectionLimit)));
     if (backend.deleted) {
       pool.CloseAll();
     }
@@ -106,7 +106,16 @@
   this->notLeadingUntil = aNow + kNotLeadingPause;
 }
 
-std::vector<BackendReport> ServiceDispatcher::Reports(Instant aNow) const
+void ServiceDispatcher::ApplyGrant(const ConnectionGrant& aGrant)
+{
+  const auto found = this->pools.find(aGrant.backend);
+  if (found != this->pools.end()) {
+    found->second->SetGrant(aGrant.connections);
+    this->SchedulePump();
+  }
+}
+
+std::vector<BackendReport> ServiceDispatcher::Reports(Instant aNow)
 {
   const auto milliseconds = [](Duration aDuration) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
@@ -114,10 +123,10 @@
   std::vector<BackendReport> reports;
   for (const auto& [name, pool] : this->pools) {
     const BackendHealth& health = pool->Health();
-    if (pool->Row().deleted || (!health.LastAnswer() && !health.IsFailing())) {
+    if (pool->Row().deleted) {
       continue;
     }
-    BackendReport report{ name, milliseconds(health.FailingFor(aNow)), -1 };
+    BackendReport report{ name, milliseconds(health.FailingFor(aNow)), -1, pool->TakeDemand() };
     if (health.IsFailing()) {
       report.failingMs = std::max<std::int64_t>(report.failingMs, 1);
     }
@@ -169,6 +178,7 @@
     }
     if (!choice.pool->HasIdle()) {
       ++wanted[choice.pool];
+      choice.pool->NoteDemand(choice.pool->InUse() + wanted[choice.pool]);
       ++index;
       continue;
     }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -77,7 +77,8 @@
   /// A server answered that it does not lead.
   void NoteNotLeading(const std::string& aBackend, Instant aNow);
 
-  std::vector<BackendReport> Reports(Instant aNow) const;
+  void ApplyGrant(const ConnectionGrant& aGrant);
+  std::vector<BackendReport> Reports(Instant aNow);
   void CloseIdle(Instant aNow);
   std::size_t WaitingCount() const { return this->waiting.size(); }
   const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -100,7 +100,17 @@
   }
 }
 
-std::vector<BackendReport> StatementServer::Reports(Instant aNow) const
+void StatementServer::ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants)
+{
+  for (const ConnectionGrant& grant : aGrants) {
+    const BackendRow* backend = this->directory->FindBackend(grant.backend);
+    if (backend != nullptr) {
+      this->DispatcherOf(backend->service).ApplyGrant(grant);
+    }
+  }
+}
+
+std::vector<BackendReport> StatementServer::Reports(Instant aNow)
 {
   std::vector<BackendReport> reports;
   for (const auto& [name, dispatcher] : this->dispatchers) {
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -28,7 +28,8 @@
 
   void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
   void SetProxyCount(std::uint32_t aCount) override;
-  std::vector<BackendReport> Reports(Instant aNow) const override;
+  void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) override;
+  std::vector<BackendReport> Reports(Instant aNow) override;
   StatementCounters Counters() const override;
   void BeginStop() override;
   bool IsIdle() const override;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -277,6 +277,7 @@
   this->placement = aPlacement;
   this->transaction.onPrimary = aPlacement.onPrimary;
   ++this->transaction.attempts;
+  aPlacement.connection->SetLostWhileIdle([this] { this->OnPreparationLost({}); });
   this->ApplySettings([this] {
     const Statement& begin = this->transaction.begin;
     // The caller's own begin is passed on, unless the primary must prove that it leads.
--- /dev/null
+++ b/tests/control/ConnectionAllotmentTests.cpp
@@ -0,0 +1,62 @@
+#include "oleanderledge/control/ConnectionAllotment.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <numeric>
+
+using namespace oleanderledge;
+
+namespace {
+
+std::uint32_t SumOf(const std::vector<std::uint32_t>& aValues)
+{
+  return std::accumulate(aValues.begin(), aValues.end(), 0U);
+}
+
+} // namespace
+
+TEST_CASE("A proxy with more callers gets the connections that others do not need", "[allotment]")
+{
+  CHECK(AllotConnections(23, std::vector<std::uint32_t>{ 1, 1, 1, 1, 1, 1, 1, 15 }) ==
+        std::vector<std::uint32_t>{ 1, 1, 1, 1, 1, 1, 1, 16 });
+}
+
+// Guards against one busy proxy that leaves the others without any connection.
+TEST_CASE("Proxies with equal demand beyond the limit get equal shares", "[allotment]")
+{
+  CHECK(AllotConnections(24, std::vector<std::uint32_t>{ 90, 90, 90 }) ==
+        std::vector<std::uint32_t>{ 8, 8, 8 });
+}
+
+TEST_CASE("With fewer connections than proxies the busiest get one each", "[allotment]")
+{
+  CHECK(AllotConnections(2, std::vector<std::uint32_t>{ 0, 3, 1 }) ==
+        std::vector<std::uint32_t>{ 0, 1, 1 });
+}
+
+TEST_CASE("Allotments use the limit fully and are max-min fair", "[allotment]")
+{
+  rc::prop("for any limit and demands", [] {
+    const auto count = *rc::gen::inRange<std::size_t>(1, 90);
+    const auto limit = *rc::gen::inRange<std::uint32_t>(0, 200);
+    const auto demands =
+      *rc::gen::container<std::vector<std::uint32_t>>(count, rc::gen::inRange<std::uint32_t>(0, 60));
+    const auto allotted = AllotConnections(limit, demands);
+    RC_ASSERT(allotted.size() == count);
+    RC_ASSERT(SumOf(allotted) <= limit);
+    if (limit < count) {
+      return;
+    }
+    RC_ASSERT(SumOf(allotted) == limit);
+    for (std::size_t index = 0; index < count; ++index) {
+      RC_ASSERT(allotted[index] >= 1);
+      if (allotted[index] >= demands[index]) {
+        continue;
+      }
+      // Whoever is short gets no less than anybody else, but for rounding.
+      RC_ASSERT(allotted[index] + 1 >= std::ranges::max(allotted));
+    }
+  });
+}
