Test sessions, codecs and placement; notice silent servers and old claims

A claim counts only if it was registered after the last decision. (2) A server that goes dark was noticed only when its statements timed out (800 ms); it now counts as failing after 300 ms without any answer, and single reads leave it. (3) Sockets signalled into connections that were being destroyed; found by the new tests under valgrind. Ruled out for (1): a second crash of the new primary (its answers went on).

--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -150,8 +150,12 @@
   const BackendRow* current =
     row == nullptr ? nullptr : this->state.Backends().Find(row->backend);
   const bool isLost = current == nullptr || !current->claimsPrimary;
-  if (isLost && claiming != nullptr && (row == nullptr || claiming->name != row->backend)) {
-    // Found leading: at the start, or after a promotion whose answer was lost.
+  // Found leading: at the start, or after a promotion whose answer was lost. A claim from before the
+  // last decision is that of the primary which was replaced.
+  const bool isNews = claiming != nullptr &&
+                      (row == nullptr ||
+                       (claiming->name != row->backend && claiming->version > row->version));
+  if (isLost && isNews) {
     this->Propose(
       aService,
       AdoptServicePrimary{ aService, row == nullptr ? 0 : row->version, claiming->name },
@@ -296,7 +300,7 @@
   const BackendRow* claiming = nullptr;
   for (const auto& [name, backend] : this->state.Backends().Backends()) {
     if (backend.deleted || backend.service != aService || !backend.claimsPrimary ||
-        backend.draining) {
+        backend.draining || (claiming != nullptr && backend.version < claiming->version)) {
       continue;
     }
     claiming = &backend;
--- a/src/oleanderledge/statements/BackendHealth.cpp
+++ b/src/oleanderledge/statements/BackendHealth.cpp
@@ -15,11 +15,16 @@
 
 } // namespace
 
-void BackendHealth::OnAnswer(Duration aTook, Instant aNow)
+void BackendHealth::OnReachable(Instant aNow)
 {
   this->failingSince.reset();
   this->pause = Duration{ 0 };
   this->lastAnswer = aNow;
+}
+
+void BackendHealth::OnAnswer(Duration aTook, Instant aNow)
+{
+  this->OnReachable(aNow);
   this->answerTime =
     this->answerTime == Duration{ 0 } ? aTook : this->answerTime + (aTook - this->answerTime) / kAverageOver;
 }
@@ -37,6 +42,12 @@
   this->retryAt = aNow + this->pause;
 }
 
+void BackendHealth::OnSilence(Instant aSince, Instant aNow)
+{
+  this->OnFailure(aNow);
+  this->failingSince = std::min(*this->failingSince, aSince);
+}
+
 bool BackendHealth::MayTry(Instant aNow) const
 {
   return !this->failingSince || aNow >= this->retryAt;
--- a/src/oleanderledge/statements/BackendHealth.hpp
+++ b/src/oleanderledge/statements/BackendHealth.hpp
@@ -12,8 +12,12 @@
 public:
   /// A statement or start-up was answered after `aTook`.
   void OnAnswer(Duration aTook, Instant aNow);
+  /// A connection was opened, which says nothing of the time of answers.
+  void OnReachable(Instant aNow);
   /// A connection could not be opened, was lost or fell silent.
   void OnFailure(Instant aNow);
+  /// Requests sent at `aSince` or later have not been answered, nor has any other since.
+  void OnSilence(Instant aSince, Instant aNow);
 
   /// False for a pause after a failure, so that a dead server costs few attempts.
   bool MayTry(Instant aNow) const;
--- a/src/oleanderledge/statements/internal/BackendConnection.cpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.cpp
@@ -52,6 +52,13 @@
     &this->openTimer, &QTimer::timeout, this, [this] { this->Finish("open_timeout"); });
 }
 
+BackendConnection::~BackendConnection()
+{
+  // The socket signals once more when it is destroyed.
+  this->isClosed = true;
+  this->socket.disconnect(this);
+}
+
 void BackendConnection::Open(const std::string& aAddress, std::string_view aService)
 {
   const auto [host, port] = SplitAddress(aAddress);
--- a/src/oleanderledge/statements/internal/BackendConnection.hpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.hpp
@@ -39,6 +39,8 @@
 
   BackendConnection(const StatementProtocol& aProtocol, std::string aBackend, QObject* aParent);
 
+  ~BackendConnection() override;
+
   /// Connects to "ip:port" and starts up at a service. `Opened` or `Closed` follows.
   void Open(const std::string& aAddress, std::string_view aService);
 
@@ -56,6 +58,8 @@
 
   bool IsBusy() const { return this->callback != nullptr; }
   bool IsOpen() const { return this->isOpen; }
+  /// When the running statement was sent.
+  Instant SentAt() const { return this->result.sentAt; }
   const std::string& Backend() const { return this->backend; }
   /// Error of the start-up, if the server answered with one.
   const std::optional<ErrorAnswer>& StartUpError() const { return this->startUpError; }
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -1,6 +1,7 @@
 #include "oleanderledge/statements/internal/BackendPool.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace oleanderledge {
 
@@ -12,6 +13,9 @@
 constexpr Duration kLaggingPause = std::chrono::milliseconds(100);
 /// A connection that is idle for longer is closed, so that other proxies may use the share.
 constexpr Duration kIdleLimit = std::chrono::seconds(10);
+/// A server that answers nothing for this time, while statements run on it, counts as failing. Ten
+/// times the mean work of a read.
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -78,6 +82,7 @@
   const Instant startedAt = MonotonicNow();
   QObject::connect(connection, &BackendConnection::Opened, this, [this, connection] {
     --this->opening;
+    this->health.OnReachable(MonotonicNow());
     this->idle.push_back(connection);
     Q_EMIT this->Changed();
   });
@@ -163,6 +168,25 @@
   });
 }
 
+bool BackendPool::CheckSilence(Instant aNow)
+{
+  std::optional<Instant> oldest;
+  for (const BackendConnection* connection : this->connections) {
+    if (connection->IsBusy() && (!oldest || connection->SentAt() < *oldest)) {
+      oldest = connection->SentAt();
+    }
+  }
+  if (!oldest) {
+    return false;
+  }
+  const Instant since = std::max(*oldest, this->health.LastAnswer().value_or(*oldest));
+  if (aNow - since < kSilenceLimit) {
+    return false;
+  }
+  this->health.OnSilence(since, aNow);
+  return true;
+}
+
 void BackendPool::NoteLagging(Instant aNow)
 {
   this->laggingUntil = aNow + kLaggingPause;
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -55,6 +55,8 @@
   void Drop(BackendConnection* aConnection, bool aIsFailure);
   /// Records an answer of the server.
   void NoteAnswer(Duration aTook, Instant aNow) { this->health.OnAnswer(aTook, aNow); }
+  /// Notes if the server has left all running statements unanswered for long. Returns true if so.
+  bool CheckSilence(Instant aNow);
   /// Steers reads away for a short time, because the server lags.
   void NoteLagging(Instant aNow);
   bool IsLagging(Instant aNow) const { return aNow < this->laggingUntil; }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -145,6 +145,13 @@
   }
 }
 
+void ServiceDispatcher::CheckSilence(Instant aNow)
+{
+  for (const auto& [name, pool] : this->pools) {
+    pool->CheckSilence(aNow);
+  }
+}
+
 void ServiceDispatcher::SchedulePump()
 {
   if (this->isPumpScheduled) {
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -80,6 +80,7 @@
   void ApplyGrant(const ConnectionGrant& aGrant);
   std::vector<BackendReport> Reports(Instant aNow);
   void CloseIdle(Instant aNow);
+  void CheckSilence(Instant aNow);
   std::size_t WaitingCount() const { return this->waiting.size(); }
   const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
 
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -139,6 +139,9 @@
 void StatementServer::CheckTime()
 {
   const Instant now = MonotonicNow();
+  for (const auto& [name, dispatcher] : this->dispatchers) {
+    dispatcher->CheckSilence(now);
+  }
   for (StatementSession* session : std::set(this->sessions)) {
     session->CheckTime(now);
   }
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -13,6 +13,9 @@
 constexpr int kWaitPartOfTarget = 4;
 constexpr Duration kShortestWait = std::chrono::milliseconds(50);
 
+/// A read leaves a server that is silent, after this time without an answer.
+constexpr Duration kSilentReadLimit = std::chrono::milliseconds(200);
+
 /// Names of prepared statements on backend connections follow the shape, so that all sessions share
 /// them and names of different sessions cannot collide.
 std::string SharedName(bool aWrites, std::string_view aShape)
@@ -58,6 +61,7 @@
 StatementSession::~StatementSession()
 {
   this->isClosing = true;
+  this->socket->disconnect(this);
   this->Disconnect();
 }
 
@@ -656,6 +660,7 @@
     this->AbortTransaction("the transaction was idle for too long");
     return;
   }
+  this->LeaveSilentServer(aNow);
   if (!this->running ||
       aNow - this->running->arrivedAt < std::chrono::milliseconds(this->route->statementTimeoutMs)) {
     return;
@@ -686,6 +691,22 @@
                     "the statement timed out");
 }
 
+/// A single read is run again elsewhere if its server is silent; a read may run twice.
+void StatementSession::LeaveSilentServer(Instant aNow)
+{
+  const bool isRead = this->running && this->transaction.state == TransactionState::Idle &&
+                      !this->IsWrite(this->running->statement);
+  if (!isRead || !this->placement || this->placement->onPrimary ||
+      !this->placement->pool->Health().IsFailing() || !this->placement->connection->IsBusy() ||
+      aNow - this->placement->connection->SentAt() < kSilentReadLimit) {
+    return;
+  }
+  this->running->excluded.insert(this->placement->pool->Row().name);
+  this->placement->pool->Drop(this->placement->connection, false);
+  this->placement.reset();
+  this->RetrySingle(StatementError::Unknown, "the backend server is silent");
+}
+
 bool StatementSession::IsWrite(const Statement& aStatement) const
 {
   if (aStatement.kind != StatementKind::Execute) {
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -113,6 +113,7 @@
   void SendRunning(const std::optional<LogPosition>& aAwait);
   void OnPreparationLost(const StatementResult& aResult);
 
+  void LeaveSilentServer(Instant aNow);
   bool IsWrite(const Statement& aStatement) const;
   /// Asks the dispatcher for a connection; Disconnect() cancels.
   void Place(PlacementRequest aRequest, ServiceDispatcher::Callback aDone);
--- /dev/null
+++ b/tests/statements/StatementServiceTests.cpp
@@ -0,0 +1,339 @@
+#include "oleanderledge/platform/WireProtocol.hpp"
+#include "oleanderledge/statements/statements.hpp"
+#include "standin/platform/PlatformDatabase.hpp"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace oleanderledge;
+using standin::PlatformDatabase;
+using standin::PlatformGroup;
+
+namespace {
+
+bool RunUntil(const std::function<bool()>& aCondition)
+{
+  QElapsedTimer elapsed;
+  elapsed.start();
+  while (!aCondition() && elapsed.elapsed() < 10'000) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+  }
+  return aCondition();
+}
+
+std::string FreeAddress()
+{
+  QTcpServer probe;
+  probe.listen(QHostAddress::LocalHost, 0);
+  return "127.0.0.1:" + std::to_string(probe.serverPort());
+}
+
+/// A caller that sends a line and waits for the answer that ends with READY.
+class Caller
+{
+public:
+  Caller(const std::string& aAddress, const std::string& aDatabase)
+  {
+    const auto colon = aAddress.find(':');
+    this->socket.connectToHost(QHostAddress::LocalHost,
+                               static_cast<quint16>(std::stoi(aAddress.substr(colon + 1))));
+    this->started = this->Send("STARTUP " + aDatabase + " tester");
+  }
+
+  std::string Send(const std::string& aLine)
+  {
+    const std::string line = aLine + "\r\n";
+    this->socket.write(line.data(), static_cast<qint64>(line.size()));
+    std::string answer;
+    RunUntil([this, &answer] {
+      answer += this->socket.readAll().toStdString();
+      const bool isClosed = this->socket.state() == QAbstractSocket::UnconnectedState &&
+                            answer.size() > 1;
+      const std::size_t ready = answer.rfind("READY ");
+      const bool isWhole = ready != std::string::npos && answer.ends_with("\r\n") &&
+                           (ready == 0 || answer[ready - 1] == '\n');
+      return isWhole || isClosed;
+    });
+    return answer;
+  }
+
+  std::string started;
+  QTcpSocket socket;
+};
+
+/// One primary and two replicas behind one proxy, with a route of each kind.
+class ServiceWithReplicas
+{
+public:
+  ServiceWithReplicas()
+    : primary(this->group, "i-primary")
+    , near(this->group, "i-near")
+    , far(this->group, "i-far")
+  {
+    this->group.service = "ledger";
+    this->group.primary = "i-primary";
+    this->group.items["a"] = "first";
+    StatementServiceSettings settings;
+    settings.callersAddress = FreeAddress();
+    settings.zone = "east/near-zone";
+    settings.regionOfZone = { { "near-zone", "east" }, { "far-zone", "west" } };
+    this->address = settings.callersAddress;
+    auto created = CreateStatementService(std::make_unique<platform::WireProtocol>(), settings);
+    REQUIRE(created);
+    this->service = std::move(created.value());
+    this->update.services = { { "ledger", 10, 0, 1, false } };
+    this->update.configurationNumber = 1;
+    this->AddRoute("orders", ReadConsistency::Primary);
+    this->AddRoute("catalogue", ReadConsistency::BoundedStaleness);
+    this->AddRoute("glaze", ReadConsistency::ReadYourWrites);
+    this->AddBackend(this->primary, "far-zone", true);
+    this->AddBackend(this->near, "near-zone", false);
+    this->AddBackend(this->far, "far-zone", false);
+    this->SetPrimary("i-primary");
+  }
+
+  void AddRoute(const std::string& aDatabase, ReadConsistency aConsistency)
+  {
+    RouteRow row;
+    row.name = aDatabase + "/";
+    row.database = aDatabase;
+    row.consistency = aConsistency;
+    row.statementTimeoutMs = 2000;
+    row.targetLatencyMs = 4000;
+    row.service = "ledger";
+    row.acceptedAgeMs = 3000;
+    row.version = 1;
+    this->update.routes.push_back(row);
+  }
+
+  void AddBackend(PlatformDatabase& aDatabase, const std::string& aZone, bool aLeads)
+  {
+    this->update.backends.push_back(
+      { aDatabase.Id(), "ledger", aDatabase.Listen(), aZone, 3, aLeads, false, 1, 1, 1, false });
+  }
+
+  void SetPrimary(const std::string& aBackend)
+  {
+    this->group.primary = aBackend;
+    ++this->version;
+    this->update.primaries = { { "ledger", aBackend, PrimaryPhase::Steady, this->version, "",
+                                 this->version } };
+    this->Publish();
+  }
+
+  void Publish()
+  {
+    this->update.version = this->version;
+    this->update.fromVersion = 0;
+    this->directory.Apply(this->update);
+    this->service->ApplyDirectory(std::make_shared<Directory>(this->directory));
+  }
+
+  /// The database that ran the statement last, or nothing.
+  std::string RanOn(const std::string& aStatement) const
+  {
+    for (auto each = this->group.runs.rbegin(); each != this->group.runs.rend(); ++each) {
+      if (each->first == aStatement) {
+        return each->second;
+      }
+    }
+    return "nowhere";
+  }
+
+  std::size_t RunsOf(const std::string& aStatement) const
+  {
+    return static_cast<std::size_t>(std::ranges::count(
+      this->group.runs, aStatement, [](const auto& aRun) { return aRun.first; }));
+  }
+
+  PlatformGroup group;
+  PlatformDatabase primary;
+  PlatformDatabase near;
+  PlatformDatabase far;
+  std::string address;
+  std::unique_ptr<StatementService> service;
+  Directory directory;
+  DirectoryUpdate update;
+  std::uint64_t version = 1;
+};
+
+struct Application
+{
+  int argumentCount = 0;
+  QCoreApplication application{ argumentCount, nullptr };
+};
+
+} // namespace
+
+TEST_CASE("A session reads its own write from a replica that has it", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "glaze");
+  REQUIRE(caller.started == "READY I -\r\n");
+  CHECK(caller.Send("QUERY w1 WRITE a second") == "COMPLETE signature-i-primary\r\nREADY I -\r\n");
+  CHECK(caller.Send("QUERY r1 READ a") ==
+        "DATAROW second\r\nCOMPLETE signature-i-near\r\nREADY I -\r\n");
+  CHECK(fleet.RanOn("r1") == "i-near");
+}
+
+// Guards against stale reads: a replica that lacks the session's write must not serve it.
+TEST_CASE("A replica that lags is passed over", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "glaze");
+  caller.Send("QUERY w1 WRITE a second");
+  fleet.near.behind = 1;
+  caller.Send("QUERY r1 READ a");
+  CHECK(fleet.RanOn("r1") != "i-near");
+  fleet.far.behind = 1;
+  CHECK(caller.Send("QUERY r2 READ a") ==
+        "DATAROW second\r\nCOMPLETE signature-i-primary\r\nREADY I -\r\n");
+}
+
+// Guards against a read on a primary that was replaced without this proxy knowing.
+TEST_CASE("A primary that lost the lead serves no read of a primary route", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "orders");
+  caller.Send("QUERY r1 READ a");
+  CHECK(fleet.RanOn("r1") == "i-primary");
+  fleet.group.primary = "i-near";
+  const std::string answer = caller.Send("QUERY r2 READ a");
+  CHECK(fleet.RanOn("r2") == "nowhere");
+  CHECK(answer.starts_with("ERROR "));
+  fleet.SetPrimary("i-near");
+  caller.Send("QUERY r3 READ a");
+  CHECK(fleet.RanOn("r3") == "i-near");
+}
+
+TEST_CASE("A transaction runs on one connection and its begin is confirmed at once", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "orders");
+  CHECK(caller.Send("QUERY b1 BEGIN") == "COMPLETE -\r\nREADY T -\r\n");
+  CHECK(caller.Send("QUERY w1 WRITE a third").ends_with("READY T -\r\n"));
+  CHECK(fleet.group.items["a"] == "first");
+  CHECK(caller.Send("QUERY c1 COMMIT") == "COMPLETE signature-i-primary\r\nREADY I -\r\n");
+  CHECK(fleet.group.items["a"] == "third");
+}
+
+TEST_CASE("A lost connection ends an open transaction with a true promise", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "orders");
+  caller.Send("QUERY b1 BEGIN");
+  caller.Send("QUERY w1 WRITE a third");
+  fleet.primary.Crash();
+  const std::string answer = caller.Send("QUERY w2 WRITE a fourth");
+  CHECK(answer.starts_with("ERROR ABORTED "));
+  CHECK(answer.ends_with("READY E -\r\n"));
+  CHECK(caller.Send("QUERY x ROLLBACK") == "COMPLETE -\r\nREADY I -\r\n");
+  CHECK(fleet.group.items["a"] == "first");
+}
+
+// Guards against the use of a connection that was lost while its transaction rested, which ended the
+// process.
+TEST_CASE("A connection lost while a transaction rests fails its next statement", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "orders");
+  caller.Send("QUERY b1 BEGIN");
+  caller.Send("QUERY r1 READ a");
+  fleet.primary.Crash();
+  RunUntil([&fleet] { return fleet.primary.ConnectionCount() == 0; });
+  for (int round = 0; round < 20; ++round) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+  }
+  CHECK(caller.Send("QUERY r2 READ a").starts_with("ERROR ABORTED "));
+}
+
+// Guards against a doubled order: a write whose answer was lost must not be sent again.
+TEST_CASE("A write whose answer is lost is unknown and runs once", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "orders");
+  fleet.primary.losesNextAnswer = true;
+  CHECK(caller.Send("QUERY w1 WRITE a second").starts_with("ERROR UNKNOWN "));
+  CHECK(fleet.RunsOf("w1") == 1);
+  CHECK(fleet.group.items["a"] == "second");
+}
+
+TEST_CASE("Settings and prepared statements follow their session across connections", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller first(fleet.address, "orders");
+  Caller second(fleet.address, "orders");
+  first.Send("QUERY s1 SET colour red");
+  second.Send("QUERY s2 SET size big");
+  first.Send("QUERY p1 PREPARE s READ q1");
+  second.Send("QUERY p2 PREPARE s WRITE q2");
+  for (int round = 0; round < 3; ++round) {
+    CHECK(first.Send("QUERY r1 EXECUTE s a").starts_with("DATAROW first colour=red\r\n"));
+    CHECK(second.Send("QUERY r2 READ a").starts_with("DATAROW first size=big\r\n"));
+  }
+  CHECK(second.Send("QUERY w1 EXECUTE s a second").starts_with("COMPLETE signature-i-primary"));
+  CHECK(first.Send("QUERY r3 EXECUTE other a").starts_with("ERROR NOSTMT "));
+}
+
+TEST_CASE("A read leaves a silent replica well before its time limit", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "glaze");
+  caller.Send("QUERY w1 WRITE a second");
+  caller.Send("QUERY r1 READ a");
+  REQUIRE(fleet.RanOn("r1") == "i-near");
+  fleet.near.silent = true;
+  CHECK(caller.Send("QUERY r2 READ a").starts_with("DATAROW second\r\n"));
+}
+
+TEST_CASE("A proxy holds no more connections than it was granted", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  fleet.service->ApplyConnectionGrants({ { "i-primary", 2 } });
+  Caller first(fleet.address, "orders");
+  Caller second(fleet.address, "orders");
+  Caller third(fleet.address, "orders");
+  first.Send("QUERY b1 BEGIN");
+  second.Send("QUERY b2 BEGIN");
+  first.Send("QUERY r1 READ a");
+  second.Send("QUERY r2 READ a");
+  CHECK(third.Send("QUERY r3 READ a").starts_with("ERROR OVERLOAD "));
+  CHECK(fleet.primary.MostConnections() == 2);
+}
+
+TEST_CASE("An unknown database is refused and the session closed", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  const Caller caller(fleet.address, "elsewhere");
+  CHECK(caller.started.starts_with("ERROR NODB "));
+}
+
+TEST_CASE("A graceful stop lets an open transaction end and then closes its session", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "orders");
+  caller.Send("QUERY b1 BEGIN");
+  caller.Send("QUERY w1 WRITE a third");
+  fleet.service->BeginStop();
+  CHECK(caller.Send("QUERY c1 COMMIT").starts_with("COMPLETE signature-i-primary"));
+  CHECK(RunUntil([&fleet] { return fleet.service->IsIdle(); }));
+  CHECK(fleet.group.items["a"] == "third");
+}
