--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -1,9 +1,13 @@
 #include "oleanderledge/base/LogEvent.hpp"
 
+#include "oleanderledge/base/LogLimiter.hpp"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <array>
+#include <mutex>
+#include <string>
 
 namespace oleanderledge {
 
@@ -67,6 +71,10 @@
   LogEventInfo{ LogEvent::ListenFailed, "listen_failed", Error },
 };
 
+/// Lines come from the control thread and from traffic threads.
+std::mutex limiterMutex;
+LogLimiter limiter;
+
 spdlog::level::level_enum ToLibraryLevel(LogLevel aLevel)
 {
   switch (aLevel) {
@@ -97,8 +105,21 @@
     spdlog::error("E{} unregistered log event: {}", static_cast<unsigned>(aEvent), aDetail);
     return;
   }
-  spdlog::log(
-    ToLibraryLevel(found->level), "E{} {} {}", static_cast<unsigned>(aEvent), found->name, aDetail);
+  std::optional<std::uint64_t> leftOut;
+  {
+    const std::lock_guard lock(limiterMutex);
+    leftOut = limiter.Admit(aEvent, MonotonicNow());
+  }
+  if (!leftOut) {
+    return;
+  }
+  const std::string suffix = *leftOut == 0 ? "" : " left_out=" + std::to_string(*leftOut);
+  spdlog::log(ToLibraryLevel(found->level),
+              "E{} {} {}{}",
+              static_cast<unsigned>(aEvent),
+              found->name,
+              aDetail,
+              suffix);
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -90,7 +90,8 @@
 /// All log events in ascending order.
 std::span<const LogEventInfo> AllLogEvents();
 
-/// Writes one line "E<number> <name> <detail>" at the level of the event.
+/// Writes one line "E<number> <name> <detail>" at the level of the event. Lines beyond the bound of
+/// LogLimiter are left out; the next line of the event ends with their number.
 void WriteLog(LogEvent aEvent, std::string_view aDetail);
 
 } // namespace oleanderledge
--- a/src/oleanderledge/cli/Main.cpp
+++ b/src/oleanderledge/cli/Main.cpp
@@ -3,6 +3,7 @@
 #include <QCoreApplication>
 
 #include <gflags/gflags.h>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -18,10 +19,25 @@
 
 constexpr char kVersion[] = "0.1.0";
 
-/// Logs go to standard error, so that the output of subcommands can be piped.
-void SetUpLogging()
+/// Lines that wait for standard output. If nobody reads it, the oldest are dropped.
+constexpr std::size_t kLogQueueLines = 512;
+
+bool IsDaemon(const std::string& aSubcommand)
 {
-  spdlog::set_default_logger(spdlog::stderr_logger_mt("oleanderledge"));
+  return aSubcommand == "proxy" || aSubcommand == "control";
+}
+
+/// Daemons write their log to standard output and never wait for its reader. Logs of other
+/// subcommands go to standard error, so that their output can be piped.
+void SetUpLogging(bool aIsDaemon)
+{
+  if (aIsDaemon) {
+    spdlog::init_thread_pool(kLogQueueLines, 1);
+    spdlog::set_default_logger(
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("oleanderledge"));
+  } else {
+    spdlog::set_default_logger(spdlog::stderr_logger_mt("oleanderledge"));
+  }
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
   spdlog::set_level(spdlog::level::from_str(FLAGS_log_level));
   spdlog::flush_on(spdlog::level::info);
@@ -77,7 +93,10 @@
     std::fputs(HelpOf("").data(), stderr);
     return static_cast<int>(ExitCode::Usage);
   }
-  SetUpLogging();
+  SetUpLogging(IsDaemon(arguments.front()));
   const QCoreApplication application(aCount, aValues);
-  return static_cast<int>(RunSubcommand(arguments.front(), Arguments(arguments).subspan(1)));
+  const ExitCode code = RunSubcommand(arguments.front(), Arguments(arguments).subspan(1));
+  // Writes what still waits, as far as the reader takes it.
+  spdlog::shutdown();
+  return static_cast<int>(code);
 }
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -233,7 +233,7 @@
   }
   const auto refused = this->refusedAt.find(aRow.backend);
   const bool wasRefused =
-    refused != this->refusedAt.end() && refused->second > aProgress.decidedAt;
+    refused != this->refusedAt.end() && refused->second >= aProgress.decidedAt;
   if (wasRefused || aNow - aProgress.decidedAt > this->timings.promotionTimeout) {
     this->Decide(
       aRow.name, aRow.version, wasRefused ? "refused" : "promotion_timeout", aNow, aActions);
--- /dev/null
+++ b/tests/control/RouteTableTests.cpp
@@ -0,0 +1,131 @@
+#include "oleanderledge/control/ControlState.hpp"
+#include "oleanderledge/link/link.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace oleanderledge;
+
+namespace {
+
+RouteRow Route(const std::string& aDatabase, std::uint32_t aTimeoutMs)
+{
+  RouteRow row;
+  row.name = aDatabase;
+  row.database = aDatabase;
+  row.statementTimeoutMs = aTimeoutMs;
+  row.service = "ledger";
+  return row;
+}
+
+StoreRouteConfiguration Configuration(std::uint64_t aNumber, std::vector<RouteRow> aRoutes)
+{
+  RouteConfiguration configuration;
+  configuration.number = aNumber;
+  configuration.routes = std::move(aRoutes);
+  configuration.document = "document " + std::to_string(aNumber);
+  return { std::move(configuration) };
+}
+
+BackendRow Registration(const std::string& aName,
+                        const std::string& aAddress,
+                        std::int64_t aStarted,
+                        std::uint64_t aSequence)
+{
+  BackendRow row;
+  row.name = aName;
+  row.service = "ledger";
+  row.address = aAddress;
+  row.startedUnixMs = aStarted;
+  row.sequence = aSequence;
+  return row;
+}
+
+class StateWithLog
+{
+public:
+  void Commit(const ControlCommand& aCommand)
+  {
+    this->state.Apply(++this->index, EncodeCommand(aCommand));
+  }
+
+  ControlState state;
+  std::uint64_t index = 0;
+};
+
+} // namespace
+
+TEST_CASE("The highest configuration is in force and others change nothing", "[routes]")
+{
+  StateWithLog log;
+  log.Commit(Configuration(7, { Route("a", 800) }));
+  log.Commit(Configuration(5, { Route("b", 800) }));
+  log.Commit(Configuration(7, { Route("c", 800) }));
+  CHECK(log.state.Routes().Number() == 7);
+  CHECK(log.state.Routes().Document() == "document 7");
+  CHECK(log.state.Routes().Routes().size() == 1);
+}
+
+// Guards against configurations that send every route to every proxy.
+TEST_CASE("Proxies receive only the routes that changed", "[routes]")
+{
+  StateWithLog log;
+  log.Commit(Configuration(1, { Route("a", 800), Route("b", 800) }));
+  const std::uint64_t before = log.state.DirectoryVersion();
+  log.Commit(Configuration(2, { Route("a", 900), Route("b", 800), Route("c", 800) }));
+  const DirectoryUpdate update = log.state.ChangesSince(before);
+  REQUIRE(update.routes.size() == 2);
+  CHECK(update.routes[0].name == "a");
+  CHECK(update.routes[1].name == "c");
+  CHECK(update.configurationNumber == 2);
+}
+
+TEST_CASE("A directory follows changes and removals of routes", "[routes]")
+{
+  StateWithLog log;
+  Directory directory;
+  log.Commit(Configuration(1, { Route("a", 800), Route("b", 800) }));
+  REQUIRE(directory.Apply(log.state.ChangesSince(0)));
+  log.Commit(Configuration(2, { Route("b", 900) }));
+  REQUIRE(directory.Apply(log.state.ChangesSince(directory.Version())));
+  CHECK(directory.FindRoute("a") == nullptr);
+  REQUIRE(directory.FindRoute("b") != nullptr);
+  CHECK(directory.FindRoute("b")->statementTimeoutMs == 900);
+}
+
+TEST_CASE("A snapshot keeps routes, servers and primaries", "[routes]")
+{
+  StateWithLog log;
+  log.Commit(Configuration(3, { Route("a", 800) }));
+  log.Commit(UpdateBackend{ Registration("i-1", "10.0.0.1:1", 5, 1) });
+  log.Commit(AdoptServicePrimary{ "ledger", 0, "i-1" });
+  ControlState restored;
+  REQUIRE(restored.Restore(log.index, log.state.Serialize()));
+  CHECK(restored.Routes().Document() == "document 3");
+  CHECK(restored.Backends().FindPrimary("ledger")->backend == "i-1");
+  CHECK(restored.Serialize() == log.state.Serialize());
+}
+
+TEST_CASE("Delayed registrations of an earlier start or moment change nothing", "[routes]")
+{
+  StateWithLog log;
+  log.Commit(UpdateBackend{ Registration("i-1", "10.0.0.1:1", 5, 3) });
+  log.Commit(UpdateBackend{ Registration("i-1", "10.0.0.2:1", 5, 2) });
+  log.Commit(UpdateBackend{ Registration("i-1", "10.0.0.3:1", 4, 9) });
+  CHECK(log.state.Backends().Find("i-1")->address == "10.0.0.1:1");
+  log.Commit(UpdateBackend{ Registration("i-1", "10.0.0.4:1", 6, 1) });
+  CHECK(log.state.Backends().Find("i-1")->address == "10.0.0.4:1");
+}
+
+// Guards against a delayed registration that brings back a server which has left.
+TEST_CASE("A server that left or lost its address does not return in the same start", "[routes]")
+{
+  StateWithLog log;
+  log.Commit(UpdateBackend{ Registration("i-1", "10.0.0.1:1", 5, 3) });
+  log.Commit(RemoveBackend{ "i-1", 5 });
+  log.Commit(UpdateBackend{ Registration("i-1", "10.0.0.1:1", 5, 4) });
+  CHECK(log.state.Backends().Find("i-1") == nullptr);
+  log.Commit(UpdateBackend{ Registration("i-2", "10.0.0.9:1", 7, 1) });
+  log.Commit(UpdateBackend{ Registration("i-3", "10.0.0.9:1", 8, 1) });
+  CHECK(log.state.Backends().Find("i-2") == nullptr);
+  CHECK(log.state.Backends().Find("i-3") != nullptr);
+}
