--- a/src/oleanderledge/statements/ReadPlacement.cpp
+++ b/src/oleanderledge/statements/ReadPlacement.cpp
@@ -11,6 +11,7 @@
 constexpr Duration kUnknownAnswerTime = std::chrono::milliseconds(20);
 /// Round trip and start-up of a new connection at the server (12 ms).
 constexpr Duration kOpenCost = std::chrono::milliseconds(15);
+constexpr int kOpeningFactor = 2;
 /// What a farther server must be faster by. Traffic between regions costs several percent of what a
 /// read is worth.
 constexpr Duration kRegionPenalty = std::chrono::milliseconds(60);
@@ -26,7 +27,8 @@
     aCandidate.answerTime == Duration{ 0 } ? kUnknownAnswerTime : aCandidate.answerTime;
   Duration expected = answer + answer * aCandidate.inUse / std::max(1U, aCandidate.slots);
   if (!aCandidate.hasIdleConnection) {
-    expected += kOpenCost;
+    // An attempt that takes long will probably take longer still.
+    expected += kOpenCost + aCandidate.openingFor * kOpeningFactor;
   }
   if (aCandidate.distance == ZoneDistance::OtherRegion) {
     expected += kRegionPenalty;
--- a/src/oleanderledge/statements/internal/BackendConnection.cpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.cpp
@@ -63,6 +63,7 @@
 {
   const auto [host, port] = SplitAddress(aAddress);
   this->startUp = this->protocol.StartUpFor(aService, this->backend);
+  this->openedAt = MonotonicNow();
   this->openTimer.start(kOpenTimeout);
   this->socket.connectToHost(QHostAddress(QString::fromStdString(host)), port);
 }
--- a/src/oleanderledge/statements/internal/BackendConnection.hpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.hpp
@@ -58,6 +58,8 @@
 
   bool IsBusy() const { return this->callback != nullptr; }
   bool IsOpen() const { return this->isOpen; }
+  /// When Open() was called.
+  Instant OpenedAt() const { return this->openedAt; }
   /// When the running statement was sent.
   Instant SentAt() const { return this->result.sentAt; }
   const std::string& Backend() const { return this->backend; }
@@ -92,6 +94,7 @@
   StatementResult result;
   std::optional<ErrorAnswer> startUpError;
   std::string startUp;
+  Instant openedAt{};
   bool isOpen = false;
   bool isClosed = false;
 };
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -73,6 +73,17 @@
          aNow >= this->refusedUntil;
 }
 
+Duration BackendPool::OpeningFor(Instant aNow) const
+{
+  Duration longest{ 0 };
+  for (const BackendConnection* connection : this->connections) {
+    if (!connection->IsOpen()) {
+      longest = std::max(longest, aNow - connection->OpenedAt());
+    }
+  }
+  return longest;
+}
+
 void BackendPool::Open()
 {
   auto* connection = new BackendConnection(this->protocol, this->row.name, this);
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -39,6 +39,8 @@
   bool HasIdle() const { return !this->idle.empty(); }
   bool MayOpen(Instant aNow) const;
   std::size_t OpeningCount() const { return this->opening; }
+  /// Time since the oldest attempt to open a connection that is still going on.
+  Duration OpeningFor(Instant aNow) const;
   /// Connections that callers hold.
   std::size_t InUse() const { return this->connections.size() - this->opening - this->idle.size(); }
   std::size_t ConnectionCount() const { return this->connections.size(); }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -277,6 +277,7 @@
                            pool->MayOpen(aNow) || pool->OpeningCount() > 0,
                            pool->Health().IsFailing(),
                            pool->IsLagging(aNow),
+                           pool->OpeningFor(aNow),
                            pool->InUse(),
                            row.slots,
                            pool->Health().AnswerTime() });
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -62,6 +62,7 @@
 
 void StatementServer::ApplyDirectory(std::shared_ptr<const Directory> aDirectory)
 {
+  const bool isFirst = this->directory->ConfigurationNumber() == 0;
   this->directory = std::move(aDirectory);
   for (const auto& [name, backend] : this->directory->Backends()) {
     this->DispatcherOf(backend.service);
@@ -69,6 +70,11 @@
   for (const auto& [name, dispatcher] : this->dispatchers) {
     dispatcher->ApplyDirectory(*this->directory, this->settings.regionOfZone, this->proxyCount);
   }
+  if (isFirst && this->directory->ConfigurationNumber() > 0) {
+    for (StatementSession* session : std::set(this->sessions)) {
+      session->OnConfiguration();
+    }
+  }
 }
 
 void StatementServer::SetProxyCount(std::uint32_t aCount)
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -16,6 +16,10 @@
 /// A read leaves a server that is silent, after this time without an answer.
 constexpr Duration kSilentReadLimit = std::chrono::milliseconds(200);
 
+/// A proxy that has just started waits this long for the configuration before it refuses callers,
+/// who wait for 2 s.
+constexpr Duration kStartUpLimit = std::chrono::milliseconds(1500);
+
 /// Names of prepared statements on backend connections follow the shape, so that all sessions share
 /// them and names of different sessions cannot collide.
 std::string SharedName(bool aWrites, std::string_view aShape)
@@ -117,7 +121,7 @@
 
 void StatementSession::ProcessNext()
 {
-  while (!this->running && !this->inbox.empty() && !this->isClosing) {
+  while (!this->running && !this->heldStartUp && !this->inbox.empty() && !this->isClosing) {
     CallerMessage message = std::move(this->inbox.front());
     this->inbox.pop_front();
     if (std::holds_alternative<Terminate>(message)) {
@@ -135,6 +139,12 @@
 void StatementSession::Handle(StartUp aStartUp)
 {
   const Directory& directory = this->host.CurrentDirectory();
+  if (!this->isStarted && directory.ConfigurationNumber() == 0 && !this->heldStartUp) {
+    this->heldStartUp = std::move(aStartUp);
+    this->heldSince = MonotonicNow();
+    return;
+  }
+  this->heldStartUp.reset();
   std::optional<StatementError> refusal;
   if (this->isStarted) {
     refusal = StatementError::Malformed;
@@ -157,6 +167,14 @@
   this->Answer({}, std::nullopt);
 }
 
+void StatementSession::OnConfiguration()
+{
+  if (this->heldStartUp) {
+    this->Handle(StartUp(*this->heldStartUp));
+    this->ProcessNext();
+  }
+}
+
 void StatementSession::Handle(Statement aStatement)
 {
   this->running = Running{};
@@ -651,6 +669,10 @@
 
 void StatementSession::CheckTime(Instant aNow)
 {
+  if (this->heldStartUp && aNow - this->heldSince >= kStartUpLimit) {
+    this->Handle(StartUp(*this->heldStartUp));
+    return;
+  }
   if (!this->route) {
     return;
   }
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -41,6 +41,8 @@
                    QObject* aParent);
   ~StatementSession() override;
 
+  /// The first configuration is known now.
+  void OnConfiguration();
   /// Ends what has taken too long. Called regularly.
   void CheckTime(Instant aNow);
   /// True if the session may be closed without cutting a request or a transaction.
@@ -131,6 +133,9 @@
   std::unique_ptr<CallerDecoder> decoder;
   std::deque<CallerMessage> inbox;
   std::string database;
+  /// Waits for the first configuration.
+  std::optional<StartUp> heldStartUp;
+  Instant heldSince{};
   bool isStarted = false;
   bool isClosing = false;
   std::optional<RouteRow> route; ///< Of the present transaction or statement.
--- a/tests/statements/ReadPlacementTests.cpp
+++ b/tests/statements/ReadPlacementTests.cpp
@@ -54,3 +54,15 @@
   full.mayOpenConnection = true;
   CHECK(ChooseForRead(std::vector{ full }) == 0U);
 }
+
+// Guards against reads that wait for a connection to a server which cannot be reached, while others
+// are idle.
+TEST_CASE("A server whose connection takes long to open gives way to others", "[placement]")
+{
+  ReadCandidate opening = IdleServer(ZoneDistance::SameZone);
+  opening.hasIdleConnection = false;
+  opening.mayOpenConnection = true;
+  CHECK(ChooseForRead(std::vector{ opening, IdleServer(ZoneDistance::OtherRegion) }) == 0U);
+  opening.openingFor = 100ms;
+  CHECK(ChooseForRead(std::vector{ opening, IdleServer(ZoneDistance::OtherRegion) }) == 1U);
+}
--- a/tests/statements/StatementServiceTests.cpp
+++ b/tests/statements/StatementServiceTests.cpp
@@ -6,6 +6,7 @@
 #include <QElapsedTimer>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <catch2/catch.hpp>
 
@@ -337,3 +338,32 @@
   CHECK(RunUntil([&fleet] { return fleet.service->IsIdle(); }));
   CHECK(fleet.group.items["a"] == "third");
 }
+
+// Guards against callers who spend their retries on a proxy that has just started.
+TEST_CASE("A caller that comes before the first configuration is served when it arrives",
+          "[statements]")
+{
+  const Application application;
+  StatementServiceSettings settings;
+  settings.callersAddress = FreeAddress();
+  settings.zone = "east/near-zone";
+  auto created = CreateStatementService(std::make_unique<platform::WireProtocol>(), settings);
+  REQUIRE(created);
+  StatementService& service = *created.value();
+  QTimer::singleShot(200, [&service] {
+    DirectoryUpdate update;
+    update.version = 1;
+    update.configurationNumber = 1;
+    RouteRow row;
+    row.name = "orders";
+    row.database = "orders";
+    row.service = "ledger";
+    row.version = 1;
+    update.routes = { row };
+    auto directory = std::make_shared<Directory>();
+    directory->Apply(update);
+    service.ApplyDirectory(directory);
+  });
+  const Caller caller(settings.callersAddress, "orders");
+  CHECK(caller.started == "READY I -\r\n");
+}
