Keep a primary while most proxies are out of contact together with it

Cause: in a partition with the old primary and five to seven of eight proxies on one side, control on the other side promoted a replica; the larger side then served nothing until the partition healed.

--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -69,6 +69,7 @@
   LogEventInfo{ LogEvent::DaemonStopping, "daemon_stopping", Info },
   LogEventInfo{ LogEvent::DaemonStopped, "daemon_stopped", Info },
   LogEventInfo{ LogEvent::ListenFailed, "listen_failed", Error },
+  LogEventInfo{ LogEvent::ControlAddressTried, "control_address_tried", Info },
 };
 
 /// Lines come from the control thread and from traffic threads.
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -77,6 +77,7 @@
   DaemonStopping = 1802,
   DaemonStopped = 1803,
   ListenFailed = 1804,
+  ControlAddressTried = 1805,
 };
 
 /// Fixed properties of a log event.
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -201,6 +201,9 @@
     return {};
   }
   const Duration silence = this->SilenceOf(aRow.backend, aNow);
+  if (silence < this->timings.minorityWait && !this->HearsMostProxies(aNow)) {
+    return {};
+  }
   if (silence > this->timings.SilentAfter()) {
     return "silent";
   }
@@ -372,6 +375,18 @@
   return opinion;
 }
 
+bool ServiceCoordinator::HearsMostProxies(Instant aNow) const
+{
+  const auto& instances = this->state.Instances();
+  const auto registered = std::ranges::count_if(instances, [](const auto& aEach) {
+    return aEach.second.role == InstanceRole::Proxy && !aEach.second.leaving;
+  });
+  const auto reporting = std::ranges::count_if(this->reports, [this, aNow](const auto& aEach) {
+    return aNow - aEach.second.at <= this->timings.reportLifetime;
+  });
+  return reporting * 2 >= registered;
+}
+
 bool ServiceCoordinator::IsPending(const std::string& aService) const
 {
   return this->pendingKeys.contains(std::string(kKeyPrefix) + aService);
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -32,6 +32,10 @@
   Duration promotionTimeout = std::chrono::milliseconds(2500);
   /// A server whose promotion was refused is not chosen again for this time.
   Duration refusalMemory = std::chrono::milliseconds(2000);
+  /// While most proxies are out of contact, a primary that is out of contact too is replaced only
+  /// after this time: they may be on the same side of a partition and go on with it. Longer than the
+  /// partitions that the platform announces, which last some seconds.
+  Duration minorityWait = std::chrono::milliseconds(8000);
   /// After a promotion, reports about the service count only from this time on.
   Duration settleTime = std::chrono::milliseconds(1500);
 
@@ -143,6 +147,8 @@
                                   Instant aNow) const;
   Duration SilenceOf(const std::string& aBackend, Instant aNow) const;
   Opinion OpinionOf(std::string_view aBackend, Instant aNow) const;
+  /// True if at least half of the registered proxies report.
+  bool HearsMostProxies(Instant aNow) const;
   bool IsPending(const std::string& aService) const;
   void Propose(const std::string& aService, ControlCommand aCommand, ControlActions& aActions);
 
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -53,6 +53,11 @@
     return;
   }
   this->DropLink();
+  WriteLog(LogEvent::ControlAddressTried,
+           "address=" + address + " last_answer_ms_ago=" +
+             std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                              MonotonicNow() - this->contact.LastAcceptedSent())
+                              .count()));
   this->linkAddress = address;
   this->link = new LinkConnection(this->contact.Self(), address, this->latency, this);
   QObject::connect(this->link, &LinkConnection::Ready, this, &ControlClient::SendNow);
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -36,6 +36,8 @@
   const BackendRow& Row() const { return this->row; }
   const BackendHealth& Health() const { return this->health; }
 
+  std::size_t IdleCount() const { return this->idle.size(); }
+  std::uint32_t Limit() const { return this->limit; }
   bool HasIdle() const { return !this->idle.empty(); }
   bool MayOpen(Instant aNow) const;
   std::size_t OpeningCount() const { return this->opening; }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -138,6 +138,26 @@
   return reports;
 }
 
+std::string ServiceDispatcher::Describe(Instant aNow) const
+{
+  std::string text = "service=" + this->service + " primary=" + this->primary +
+                     (this->isPromoting ? " promoting=yes" : "") +
+                     " waiting=" + std::to_string(this->waiting.size()) + " pools=";
+  const char* separator = "";
+  for (const auto& [name, pool] : this->pools) {
+    if (pool->Row().deleted) {
+      continue;
+    }
+    text += separator + name + ":use" + std::to_string(pool->InUse()) + "/idle" +
+            std::to_string(pool->IdleCount()) + "/opening" + std::to_string(pool->OpeningCount()) +
+            "/limit" + std::to_string(pool->Limit()) + "/answer" +
+            std::to_string(pool->Health().AnswerTime().count() / 1000) + "ms" +
+            (pool->Health().IsFailing() ? "/failing" : "") + (pool->IsLagging(aNow) ? "/lagging" : "");
+    separator = ",";
+  }
+  return text;
+}
+
 void ServiceDispatcher::CloseIdle(Instant aNow)
 {
   for (const auto& [name, pool] : this->pools) {
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -79,6 +79,8 @@
 
   void ApplyGrant(const ConnectionGrant& aGrant);
   std::vector<BackendReport> Reports(Instant aNow);
+  /// State of the pools, for log lines about refusals.
+  std::string Describe(Instant aNow) const;
   void CloseIdle(Instant aNow);
   void CheckSilence(Instant aNow);
   std::size_t WaitingCount() const { return this->waiting.size(); }
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -37,6 +37,11 @@
 /// A primary is replaced within about this time.
 constexpr std::chrono::milliseconds kRetryAfterFailover(1000);
 
+bool IsRefusal(StatementError aError)
+{
+  return aError == StatementError::Overloaded || aError == StatementError::Unavailable;
+}
+
 std::string RefusalText(StatementError aError)
 {
   return aError == StatementError::Overloaded
@@ -800,7 +805,10 @@
              " attempts=" + std::to_string(this->running ? this->running->attempts : 0) +
              " age_ms=" +
              std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) +
-             " reason=\"" + std::string(aText) + "\"");
+             " reason=\"" + std::string(aText) + "\"" +
+             (IsRefusal(aError) && this->route ? " " + this->host.DispatcherOf(this->route->service)
+                                                        .Describe(MonotonicNow())
+                                               : ""));
 }
 
 void StatementSession::Answer(std::string aMessages, std::optional<StatementError> aError)
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -145,6 +145,25 @@
   CHECK(leader.calls.empty());
 }
 
+// Guards against a promotion in the smaller part of a partition, after which the larger part, with
+// the old primary, serves nothing.
+TEST_CASE("A primary out of contact together with most proxies stays for a time", "[services]")
+{
+  LeaderOfOneService leader;
+  for (const char* proxy : { "p1", "p2", "p3" }) {
+    InstanceInfo instance;
+    instance.id = proxy;
+    leader.Commit(RegisterInstance{ instance });
+  }
+  leader.Step(2s);
+  leader.live.erase("a");
+  leader.Report("p1", "a", 3000);
+  leader.Step(5s);
+  CHECK(leader.calls.empty());
+  leader.Step(5s);
+  CHECK(leader.calls.size() == 1);
+}
+
 // Guards against the claim that a lost primary registered before it was replaced.
 TEST_CASE("An old claim does not undo a promotion", "[services]")
 {
