--- a/src/oleanderledge/statements/PositionHistory.cpp
+++ b/src/oleanderledge/statements/PositionHistory.cpp
@@ -24,6 +24,10 @@
     }
     this->samples.pop_back();
   }
+  // Positions of an earlier term may have been rolled back.
+  if (!this->samples.empty() && aPosition.term > this->samples.back().position.term) {
+    this->samples.clear();
+  }
   if (!this->samples.empty()) {
     const Sample& last = this->samples.back();
     if (aSentAt < last.sentAt || aPosition < last.position) {
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -11,8 +11,9 @@
 constexpr Duration kRefusedPause = std::chrono::milliseconds(250);
 /// Reads avoid a replica for this time after it lacked a position.
 constexpr Duration kLaggingPause = std::chrono::milliseconds(100);
-/// A connection that is idle for longer is closed, so that other proxies may use the share.
-constexpr Duration kIdleLimit = std::chrono::seconds(10);
+/// A connection that is idle for longer is closed, so that other proxies may use the share. A server
+/// counts connections of a proxy that lost power for 3 s more, so few should stand open unused.
+constexpr Duration kIdleLimit = std::chrono::seconds(4);
 /// A server that answers nothing for this time, while statements run on it, counts as failing. Ten
 /// times the mean work of a read.
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(300);
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -71,7 +71,7 @@
       this->primary = primaryRow->backend;
       this->positions.Clear();
     }
-    this->notLeading.clear();
+    this->deniedUntil.clear();
   }
   this->SchedulePump();
 }
@@ -99,11 +99,7 @@
 
 void ServiceDispatcher::NoteNotLeading(const std::string& aBackend, Instant aNow)
 {
-  if (aBackend != this->primary) {
-    return;
-  }
-  this->notLeading = aBackend;
-  this->notLeadingUntil = aNow + kNotLeadingPause;
+  this->deniedUntil[aBackend] = aNow + kNotLeadingPause;
 }
 
 void ServiceDispatcher::ApplyGrant(const ConnectionGrant& aGrant)
@@ -268,16 +264,30 @@
 
 BackendPool* ServiceDispatcher::PrimaryPool(Instant aNow) const
 {
-  const auto found = this->pools.find(this->primary);
-  if (found == this->pools.end() || found->second->Row().deleted || this->isPromoting) {
+  // Writes on the old primary would be lost with its lead.
+  if (this->isPromoting) {
     return nullptr;
   }
-  BackendPool* pool = found->second;
-  const bool isDenied = this->notLeading == this->primary && aNow < this->notLeadingUntil;
-  return isDenied || !(pool->HasIdle() || pool->OpeningCount() > 0 || pool->MayOpen(aNow) ||
-                       !pool->Health().IsFailing())
-           ? nullptr
-           : pool;
+  const auto named = this->pools.find(this->primary);
+  if (named != this->pools.end() && this->MayBePrimary(*named->second, aNow)) {
+    return named->second;
+  }
+  for (const auto& [name, pool] : this->pools) {
+    if (!pool->Row().draining && !pool->Health().IsFailing() && this->MayBePrimary(*pool, aNow)) {
+      return pool;
+    }
+  }
+  return nullptr;
+}
+
+bool ServiceDispatcher::MayBePrimary(const BackendPool& aPool, Instant aNow) const
+{
+  const auto denied = this->deniedUntil.find(aPool.Row().name);
+  if (aPool.Row().deleted || (denied != this->deniedUntil.end() && aNow < denied->second)) {
+    return false;
+  }
+  return !aPool.Health().IsFailing() || aPool.HasIdle() || aPool.OpeningCount() > 0 ||
+         aPool.MayOpen(aNow);
 }
 
 BackendPool* ServiceDispatcher::PoolOfRead(const PlacementRequest& aRequest, Instant aNow) const
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -103,7 +103,11 @@
   void Pump();
   void Expire();
   Choice Choose(const PlacementRequest& aRequest, Instant aNow) const;
+  /// The server to treat as primary. If the one that control named denies to lead or cannot be
+  /// reached, the others are tried: control may be out of contact, and a server that does not lead
+  /// refuses without running anything.
   BackendPool* PrimaryPool(Instant aNow) const;
+  bool MayBePrimary(const BackendPool& aPool, Instant aNow) const;
   BackendPool* PoolOfRead(const PlacementRequest& aRequest, Instant aNow) const;
 
   const StatementProtocol& protocol;
@@ -114,8 +118,8 @@
   std::string primary;
   std::uint64_t primaryVersion = 0;
   bool isPromoting = false;
-  std::string notLeading;
-  Instant notLeadingUntil{};
+  /// Until when a server that denied to lead is not asked again.
+  std::map<std::string, Instant, std::less<>> deniedUntil;
   PositionHistory positions;
   std::vector<Waiter> waiting; ///< By priority, then arrival.
   Ticket lastTicket = 0;
