--- a/src/oleanderledge/base/Time.hpp
+++ b/src/oleanderledge/base/Time.hpp
@@ -15,8 +15,8 @@
 /// Reads the monotonic clock. Only adapters call this; decision logic receives the time as an
 /// argument.
 ///
-/// CLOCK_BOOTTIME also counts the time for which the instance was suspended; a lease must not outlive
-/// a suspension.
+/// CLOCK_BOOTTIME also counts the time for which the instance was suspended; a lease must not
+/// outlive a suspension.
 inline Instant MonotonicNow()
 {
   timespec now{};
--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -216,8 +216,8 @@
   if (aPreVote) {
     this->role = RaftRole::PreCandidate;
     this->votes.insert(this->self);
-    // A pre-vote changes no term, so it may be repeated soon. After a restart of the whole group the
-    // first one often finds too few members linked.
+    // A pre-vote changes no term, so it may be repeated soon. After a restart of the whole group
+    // the first one often finds too few members linked.
     this->electionDeadline -= this->settings.electionTimeoutMin * 2 / 3;
   } else {
     this->role = RaftRole::Candidate;
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -23,8 +23,9 @@
 struct ConsensusDriverSettings
 {
   std::string dataFolder;
-  /// The instances that form the group at its first start. Empty: the group exists. All control instances have the same list, also spares and relays that are not in it:
-  /// they join as learners and may be promoted. Later the list says where the group can be found.
+  /// The instances that form the group at its first start. Empty: the group exists. All control
+  /// instances have the same list, also spares and relays that are not in it: they join as learners
+  /// and may be promoted. Later the list says where the group can be found.
   std::vector<InitialMember> initialMembers;
   /// Further link addresses of control instances, "ip:port".
   std::vector<std::string> peerAddresses;
--- a/src/oleanderledge/control/BackendTable.cpp
+++ b/src/oleanderledge/control/BackendTable.cpp
@@ -98,8 +98,8 @@
     return false;
   }
   // The log index grows with every decision, whoever leads, so it serves as the fence.
-  row = { aCommand.service, aCommand.backend, PrimaryPhase::Promoting, aIndex, aCommand.holder,
-          aIndex };
+  row = { aCommand.service, aCommand.backend, PrimaryPhase::Promoting,
+          aIndex,           aCommand.holder,  aIndex };
   return true;
 }
 
--- a/src/oleanderledge/control/ConnectionAllotment.cpp
+++ b/src/oleanderledge/control/ConnectionAllotment.cpp
@@ -12,7 +12,8 @@
   std::vector<std::uint32_t> allotted(count, 0);
   std::vector<std::uint32_t> order(count);
   std::iota(order.begin(), order.end(), 0U);
-  std::ranges::stable_sort(order, {}, [&aDemands](std::uint32_t aIndex) { return aDemands[aIndex]; });
+  std::ranges::stable_sort(
+    order, {}, [&aDemands](std::uint32_t aIndex) { return aDemands[aIndex]; });
   std::uint32_t left = aLimit;
   if (aLimit < count) {
     for (auto each = order.rbegin(); each != order.rend() && left > 0; ++each) {
--- a/src/oleanderledge/control/ControlAction.hpp
+++ b/src/oleanderledge/control/ControlAction.hpp
@@ -49,6 +49,12 @@
   std::uint64_t fence = 0;
 };
 
+/// Ask a registered backend server for its received position.
+struct QueryPositionAction
+{
+  BackendRow backend;
+};
+
 /// Write a log line.
 struct LogAction
 {
@@ -63,6 +69,7 @@
                                    QueryAction,
                                    PushReplyAction,
                                    PromoteBackendAction,
+                                   QueryPositionAction,
                                    LogAction>;
 using ControlActions = std::vector<ControlAction>;
 
--- a/src/oleanderledge/control/RouteValidation.hpp
+++ b/src/oleanderledge/control/RouteValidation.hpp
@@ -5,8 +5,8 @@
 
 namespace oleanderledge {
 
-/// Checks that a configuration makes sense: every route names a service of the configuration, no two
-/// routes serve the same place, and no time limit is 0. Fails with InvalidRoutes.
+/// Checks that a configuration makes sense: every route names a service of the configuration, no
+/// two routes serve the same place, and no time limit is 0. Fails with InvalidRoutes.
 Result<void> ValidateRoutes(const RouteConfiguration& aConfiguration);
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -147,14 +147,13 @@
     return;
   }
   const BackendRow* claiming = this->ClaimingPrimary(aService);
-  const BackendRow* current =
-    row == nullptr ? nullptr : this->state.Backends().Find(row->backend);
+  const BackendRow* current = row == nullptr ? nullptr : this->state.Backends().Find(row->backend);
   const bool isLost = current == nullptr || !current->claimsPrimary;
-  // Found leading: at the start, or after a promotion whose answer was lost. A claim from before the
-  // last decision is that of the primary which was replaced.
-  const bool isNews = claiming != nullptr &&
-                      (row == nullptr ||
-                       (claiming->name != row->backend && claiming->version > row->version));
+  // Found leading: at the start, or after a promotion whose answer was lost. A claim from before
+  // the last decision is that of the primary which was replaced.
+  const bool isNews =
+    claiming != nullptr &&
+    (row == nullptr || (claiming->name != row->backend && claiming->version > row->version));
   if (isLost && isNews) {
     this->Propose(
       aService,
@@ -223,7 +222,7 @@
                                        ControlActions& aActions)
 {
   if (aProgress.fence != aRow.fence) {
-    aProgress = {};
+    aProgress = Progress{};
     aProgress.fence = aRow.fence;
     aProgress.decidedAt = aNow;
   }
@@ -282,20 +281,30 @@
   const std::string replaced = row == nullptr ? "" : row->backend;
   // A decision that is only taken over, or not yet carried out, keeps its server if it is usable.
   const bool mayKeep = aReason == "new_holder";
-  const BackendRow* candidate = this->BestCandidate(aService, mayKeep ? "" : replaced, aNow);
+  const BackendRow* candidate = mayKeep
+                                  ? this->BestCandidate(aService, "", aNow)
+                                  : this->SurveyedCandidate(aService, replaced, aNow, aActions);
   if (candidate == nullptr && aReason == "promotion_timeout") {
     candidate = this->state.Backends().Find(replaced);
   }
   if (candidate == nullptr) {
     return;
   }
+  std::string positions;
+  if (auto& survey = this->progress[aService].survey) {
+    for (const auto& [name, position] : survey->received) {
+      positions += (positions.empty() ? "" : ",") + name + ":" + std::to_string(position.term) +
+                   "." + std::to_string(position.offset);
+    }
+    survey.reset();
+  }
   aActions.push_back(LogAction{ LogEvent::ServicePrimaryDecided,
                                 "service=" + aService + " backend=" + candidate->name +
                                   " replaces=" + replaced + " reason=" + std::string(aReason) +
-                                  " version=" + std::to_string(aVersion) });
-  this->Propose(aService,
-                DecideServicePrimary{ aService, aVersion, candidate->name, this->self },
-                aActions);
+                                  " version=" + std::to_string(aVersion) +
+                                  " received=" + (positions.empty() ? "unknown" : positions) });
+  this->Propose(
+    aService, DecideServicePrimary{ aService, aVersion, candidate->name, this->self }, aActions);
 }
 
 const BackendRow* ServiceCoordinator::ClaimingPrimary(std::string_view aService) const
@@ -311,35 +320,116 @@
   return claiming;
 }
 
-const BackendRow* ServiceCoordinator::BestCandidate(std::string_view aService,
-                                                    std::string_view aExcluded,
-                                                    Instant aNow) const
+std::vector<const BackendRow*> ServiceCoordinator::Candidates(std::string_view aService,
+                                                              std::string_view aExcluded,
+                                                              Instant aNow) const
 {
-  const BackendRow* best = nullptr;
-  std::tuple<bool, bool, Duration> bestRank;
+  std::vector<const BackendRow*> candidates;
   for (const auto& [name, backend] : this->state.Backends().Backends()) {
-    if (backend.deleted || backend.service != aService || backend.draining ||
-        name == aExcluded) {
+    if (backend.deleted || backend.service != aService || backend.draining || name == aExcluded) {
       continue;
     }
     const auto refused = this->refusedAt.find(name);
     if (refused != this->refusedAt.end() && aNow - refused->second < this->timings.refusalMemory) {
       continue;
     }
-    const Duration silence = this->SilenceOf(name, aNow);
-    if (silence > this->timings.SilentAfter()) {
-      continue;
+    if (this->SilenceOf(name, aNow) <= this->timings.SilentAfter()) {
+      candidates.push_back(&backend);
     }
-    const Opinion opinion = this->OpinionOf(name, aNow);
-    const std::tuple rank(opinion.answering > 0, opinion.failing == 0, -silence);
+  }
+  return candidates;
+}
+
+const BackendRow* ServiceCoordinator::BestCandidate(std::string_view aService,
+                                                    std::string_view aExcluded,
+                                                    Instant aNow) const
+{
+  const BackendRow* best = nullptr;
+  std::tuple<bool, bool, Duration> bestRank;
+  for (const BackendRow* backend : this->Candidates(aService, aExcluded, aNow)) {
+    const Opinion opinion = this->OpinionOf(backend->name, aNow);
+    const std::tuple rank(
+      opinion.answering > 0, opinion.failing == 0, -this->SilenceOf(backend->name, aNow));
     if (best == nullptr || rank > bestRank) {
-      best = &backend;
+      best = backend;
       bestRank = rank;
     }
   }
   return best;
 }
 
+void ServiceCoordinator::StartSurvey(Survey& aSurvey,
+                                     const std::vector<const BackendRow*>& aCandidates,
+                                     Instant aNow,
+                                     ControlActions& aActions) const
+{
+  aSurvey.startedAt = aNow;
+  aSurvey.asked.clear();
+  aSurvey.answered.clear();
+  for (const BackendRow* candidate : aCandidates) {
+    aSurvey.asked.insert(candidate->name);
+    aActions.push_back(QueryPositionAction{ *candidate });
+  }
+}
+
+const BackendRow* ServiceCoordinator::SurveyedCandidate(const std::string& aService,
+                                                        std::string_view aExcluded,
+                                                        Instant aNow,
+                                                        ControlActions& aActions)
+{
+  const auto candidates = this->Candidates(aService, aExcluded, aNow);
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  std::optional<Survey>& survey = this->progress[aService].survey;
+  if (!survey) {
+    this->StartSurvey(survey.emplace(), candidates, aNow, aActions);
+    return nullptr;
+  }
+  const bool isComplete = survey->answered.size() == survey->asked.size();
+  const bool isOver = aNow - survey->startedAt >= this->timings.surveyLimit;
+  if (!isComplete && !isOver) {
+    return nullptr;
+  }
+  const auto service = this->state.Routes().Services().find(aService);
+  const std::uint32_t syncReplicas =
+    service == this->state.Routes().Services().end() ? 0 : service->second.syncReplicas;
+  // A confirmed commit is on that many replicas, so the best of all but one fewer has it.
+  const std::size_t replicas = static_cast<std::size_t>(std::ranges::count_if(
+    this->state.Backends().Backends(), [&aService, &aExcluded](const auto& aEach) {
+      return !aEach.second.deleted && aEach.second.service == aService && aEach.first != aExcluded;
+    }));
+  if (syncReplicas > 0 && survey->received.size() + syncReplicas < replicas + 1) {
+    if (isOver) {
+      this->StartSurvey(*survey, candidates, aNow, aActions);
+    }
+    return nullptr;
+  }
+  const BackendRow* best = nullptr;
+  for (const BackendRow* candidate : candidates) {
+    const auto position = survey->received.find(candidate->name);
+    if (position != survey->received.end() &&
+        (best == nullptr || position->second > survey->received[best->name])) {
+      best = candidate;
+    }
+  }
+  return best != nullptr ? best : this->BestCandidate(aService, aExcluded, aNow);
+}
+
+void ServiceCoordinator::OnPosition(const std::string& aBackend,
+                                    const std::optional<LogPosition>& aReceived)
+{
+  for (auto& [service, stage] : this->progress) {
+    if (!stage.survey || !stage.survey->asked.contains(aBackend)) {
+      continue;
+    }
+    stage.survey->answered.insert(aBackend);
+    if (aReceived) {
+      stage.survey->received[aBackend] = *aReceived;
+    }
+  }
+}
+
 Duration ServiceCoordinator::SilenceOf(const std::string& aBackend, Instant aNow) const
 {
   const auto found = this->heard.find(aBackend);
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -5,9 +5,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace oleanderledge {
 
@@ -26,6 +28,9 @@
   /// Time without any primary after which one is promoted. A service whose servers just started
   /// tells its primary by registration.
   Duration leaderlessAfter = std::chrono::milliseconds(2500);
+  /// Servers that did not tell their position within this time are not waited for, unless the
+  /// service confirms commits by its replicas. Several round trips between regions (24 ms).
+  Duration surveyLimit = std::chrono::milliseconds(250);
   /// Pause between two calls for one decision.
   Duration callRetry = std::chrono::milliseconds(150);
   /// A decided server that is not confirmed within this time gives way to another.
@@ -33,8 +38,8 @@
   /// A server whose promotion was refused is not chosen again for this time.
   Duration refusalMemory = std::chrono::milliseconds(2000);
   /// While most proxies are out of contact, a primary that is out of contact too is replaced only
-  /// after this time: they may be on the same side of a partition and go on with it. Longer than the
-  /// partitions that the platform announces, which last some seconds.
+  /// after this time: they may be on the same side of a partition and go on with it. Longer than
+  /// the partitions that the platform announces, which last some seconds.
   Duration minorityWait = std::chrono::milliseconds(8000);
   /// After a promotion, reports about the service count only from this time on.
   Duration settleTime = std::chrono::milliseconds(1500);
@@ -80,7 +85,9 @@
   /// A registration arrived, whether or not it changes the state.
   void OnRegistration(const BackendRow& aBackend, Instant aNow);
   /// A proxy reported how backend servers answer.
-  void OnReports(const std::string& aProxy, const std::vector<BackendReport>& aReports, Instant aNow);
+  void OnReports(const std::string& aProxy,
+                 const std::vector<BackendReport>& aReports,
+                 Instant aNow);
   void OnTick(Instant aNow, ControlActions& aActions);
   /// Connections that a proxy may hold; empty if nothing changed since the last call for it.
   std::vector<ConnectionGrant> GrantsFor(const std::string& aProxy, Instant aNow);
@@ -91,6 +98,9 @@
                          Instant aNow,
                          ControlActions& aActions);
 
+  /// A backend server told its received position, or nothing.
+  void OnPosition(const std::string& aBackend, const std::optional<LogPosition>& aReceived);
+
   /// Prefix of the keys of this class's proposals.
   static constexpr std::string_view kKeyPrefix = "service/";
 
@@ -111,8 +121,17 @@
     std::vector<ConnectionGrant> sent;
     Instant sentAt{};
   };
+  /// Question to all candidates for the lead of a service, before one is chosen.
+  struct Survey
+  {
+    Instant startedAt{};
+    std::set<std::string, std::less<>> asked;
+    std::set<std::string, std::less<>> answered;
+    std::map<std::string, LogPosition, std::less<>> received;
+  };
   struct Progress
   {
+    std::optional<Survey> survey;
     bool callRunning = false;
     Instant calledAt{};
     Instant decidedAt{};
@@ -142,9 +161,23 @@
   /// Why the primary must be replaced; empty if it need not be.
   std::string_view ReplacementReason(const PrimaryRow& aRow, Instant aNow) const;
   const BackendRow* ClaimingPrimary(std::string_view aService) const;
+  /// Servers that may lead the service next.
+  std::vector<const BackendRow*> Candidates(std::string_view aService,
+                                            std::string_view aExcluded,
+                                            Instant aNow) const;
+  /// The candidate to prefer if no positions are known.
   const BackendRow* BestCandidate(std::string_view aService,
                                   std::string_view aExcluded,
                                   Instant aNow) const;
+  /// The candidate that has received most, or null while the survey goes on.
+  const BackendRow* SurveyedCandidate(const std::string& aService,
+                                      std::string_view aExcluded,
+                                      Instant aNow,
+                                      ControlActions& aActions);
+  void StartSurvey(Survey& aSurvey,
+                   const std::vector<const BackendRow*>& aCandidates,
+                   Instant aNow,
+                   ControlActions& aActions) const;
   Duration SilenceOf(const std::string& aBackend, Instant aNow) const;
   Opinion OpinionOf(std::string_view aBackend, Instant aNow) const;
   /// True if at least half of the registered proxies report.
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -444,9 +444,8 @@
 {
   const auto answer = [this, aAction](PromotionOutcome aOutcome) {
     WriteLog(LogEvent::ServicePromotionAnswered,
-             "service=" + aAction.service + " backend=" + aAction.backend +
-               " fence=" + std::to_string(aAction.fence) +
-               " outcome=" + std::string(ToString(aOutcome)));
+             "service=" + aAction.service + " backend=" + aAction.backend + " fence=" +
+               std::to_string(aAction.fence) + " outcome=" + std::string(ToString(aOutcome)));
     ControlActions actions;
     this->services.OnPromotionAnswer(
       aAction.service, aAction.fence, aOutcome, MonotonicNow(), actions);
@@ -462,6 +461,19 @@
     aAction.service, aAction.backend, this->settings.nodeName, aAction.fence, answer);
 }
 
+void ControlDaemon::Execute(const QueryPositionAction& aAction)
+{
+  if (this->positions == nullptr) {
+    this->services.OnPosition(aAction.backend.name, std::nullopt);
+    return;
+  }
+  this->positions->QueryReceived(
+    aAction.backend,
+    [this, name = aAction.backend.name](const std::optional<LogPosition>& aReceived) {
+      this->services.OnPosition(name, aReceived);
+    });
+}
+
 void ControlDaemon::Execute(const LogAction& aAction)
 {
   WriteLog(aAction.event, aAction.detail);
@@ -480,6 +492,11 @@
   this->promotions = std::move(aService);
 }
 
+void ControlDaemon::SetPositionQuery(std::unique_ptr<PositionQuery> aQuery)
+{
+  this->positions = std::move(aQuery);
+}
+
 void ControlDaemon::ProposeFor(const ControlCommand& aCommand, Callback aCallback)
 {
   this->Log().Propose(EncodeCommand(aCommand),
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -5,6 +5,7 @@
 #include "oleanderledge/control/ControlSettings.hpp"
 #include "oleanderledge/control/ControlState.hpp"
 #include "oleanderledge/control/FleetControl.hpp"
+#include "oleanderledge/control/PositionQuery.hpp"
 #include "oleanderledge/control/PromotionService.hpp"
 #include "oleanderledge/control/ServiceCoordinator.hpp"
 #include "oleanderledge/control/internal/BackendAdmin.hpp"
@@ -55,6 +56,9 @@
   /// Replaces the link addresses at which other control instances may be found.
   void SetPeers(std::vector<std::string> aAddresses);
 
+  /// Who asks registered backend servers for their positions. Call before Start().
+  void SetPositionQuery(std::unique_ptr<PositionQuery> aQuery);
+
   // FleetControl
   void RegisterBackend(const BackendRow& aBackend, Callback aCallback) override;
   void RemoveBackend(const std::string& aBackend, Callback aCallback) override;
@@ -111,6 +115,7 @@
   void Execute(const QueryAction& aAction);
   void Execute(const PushReplyAction& aAction);
   void Execute(const PromoteBackendAction& aAction);
+  void Execute(const QueryPositionAction& aAction);
   void Execute(const LogAction& aAction);
   /// Replicates a command for a caller of FleetControl.
   void ProposeFor(const ControlCommand& aCommand, Callback aCallback);
@@ -127,6 +132,7 @@
   ControlLeader leader;
   ServiceCoordinator services;
   std::unique_ptr<PromotionService> promotions;
+  std::unique_ptr<PositionQuery> positions;
   std::unique_ptr<ControlGroup> group;
   std::unique_ptr<BackendAdmin> backends;
   LinkServer linkServer;
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -2,10 +2,11 @@
 
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
 #include "oleanderledge/daemon/internal/FailoverLog.hpp"
-#include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
 #include "oleanderledge/daemon/internal/ProcessSignals.hpp"
+#include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
 #include "oleanderledge/daemon/internal/SettingsWatcher.hpp"
 #include "oleanderledge/platform/platform.hpp"
+#include "oleanderledge/statements/statements.hpp"
 
 #include <QCoreApplication>
 
@@ -21,8 +22,7 @@
 {
   ProcessSignals signals(nullptr);
   QObject::connect(&signals, &ProcessSignals::StopRequested, &aDaemon, &Daemon::BeginStop);
-  QObject::connect(
-    &signals, &ProcessSignals::ReloadRequested, &aWatcher, &SettingsWatcher::Check);
+  QObject::connect(&signals, &ProcessSignals::ReloadRequested, &aWatcher, &SettingsWatcher::Check);
   Result<void> finished = boost::outcome_v2::success();
   QObject::connect(&aDaemon, &Daemon::Stopped, qApp, [&finished](const Error& aError) {
     if (aError.code != ResultCode::Ok) {
@@ -102,6 +102,8 @@
   if (aSettings.fleet.enabled) {
     daemon.SetPromotionService(
       std::make_unique<platform::PromotionClient>(aSettings.fleet.promotionAddress));
+    daemon.SetPositionQuery(
+      std::make_unique<StatusProbe>(std::make_unique<platform::WireProtocol>()));
     controlPlane.emplace(daemon, nullptr);
     auto listening = controlPlane->Listen(aSettings.fleet.controlPlaneAddress);
     if (!listening) {
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -86,8 +86,8 @@
   }
   // The state was collected before this moment, so a lease counted from here covers what it
   // reports.
-  Heartbeat heartbeat = this->contact.MakeHeartbeat(
-    std::move(aState.owned), std::move(aState.service), MonotonicNow());
+  Heartbeat heartbeat =
+    this->contact.MakeHeartbeat(std::move(aState.owned), std::move(aState.service), MonotonicNow());
   heartbeat.backends = std::move(aState.backends);
   this->link->Send(heartbeat);
 }
--- a/src/oleanderledge/daemon/internal/ProcessSignals.cpp
+++ b/src/oleanderledge/daemon/internal/ProcessSignals.cpp
@@ -36,8 +36,7 @@
     return;
   }
   this->notifier = new QSocketNotifier(signalPipe[0], QSocketNotifier::Read, this);
-  QObject::connect(
-    this->notifier, &QSocketNotifier::activated, this, &ProcessSignals::ReadPipe);
+  QObject::connect(this->notifier, &QSocketNotifier::activated, this, &ProcessSignals::ReadPipe);
   std::signal(SIGTERM, HandleSignal);
   std::signal(SIGINT, HandleSignal);
   std::signal(SIGHUP, HandleSignal);
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -140,9 +140,8 @@
   if (this->isStopping) {
     return false;
   }
-  return this->settings.fleet.enabled
-           ? this->contact.CurrentDirectory()->ConfigurationNumber() > 0
-           : this->contact.IsReady(MonotonicNow());
+  return this->settings.fleet.enabled ? this->contact.CurrentDirectory()->ConfigurationNumber() > 0
+                                      : this->contact.IsReady(MonotonicNow());
 }
 
 void ProxyDaemon::InTraffic(std::function<void(Traffic&)> aFunction)
--- a/src/oleanderledge/daemon/internal/SettingsWatcher.cpp
+++ b/src/oleanderledge/daemon/internal/SettingsWatcher.cpp
@@ -40,7 +40,8 @@
   // A file that is being written may be read in half; it is read again when it changes further.
   this->content = std::move(present);
   if (!settings) {
-    WriteLog(LogEvent::SettingsRejected, "file=" + this->path + " reason=" + settings.error().message);
+    WriteLog(LogEvent::SettingsRejected,
+             "file=" + this->path + " reason=" + settings.error().message);
     return;
   }
   WriteLog(LogEvent::SettingsReloaded, "file=" + this->path);
--- a/src/oleanderledge/daemon/internal/TrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.hpp
@@ -11,8 +11,8 @@
 
 namespace oleanderledge {
 
-/// The traffic thread of a proxy that serves PostgreSQL callers: callers, links between proxies, and
-/// the owner role.
+/// The traffic thread of a proxy that serves PostgreSQL callers: callers, links between proxies,
+/// and the owner role.
 class TrafficWorker : public Traffic
 {
   Q_OBJECT
--- a/src/oleanderledge/link/RouteRows.hpp
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -69,13 +69,13 @@
 {
   std::string name; ///< Id that the server chose; unique among all services.
   std::string service;
-  std::string address;           ///< "ip:port".
-  std::string zone;              ///< Name of the availability zone, without its region.
-  std::uint32_t slots = 0;       ///< Statements that run at the same time.
-  bool claimsPrimary = false;    ///< The role as the server sees itself.
-  bool draining = false;         ///< Leaves: no new work.
+  std::string address;            ///< "ip:port".
+  std::string zone;               ///< Name of the availability zone, without its region.
+  std::uint32_t slots = 0;        ///< Statements that run at the same time.
+  bool claimsPrimary = false;     ///< The role as the server sees itself.
+  bool draining = false;          ///< Leaves: no new work.
   std::int64_t startedUnixMs = 0; ///< Tells the starts of one id apart; 0 if not stated.
-  std::uint64_t sequence = 0;    ///< Of the newest registration that changed the row.
+  std::uint64_t sequence = 0;     ///< Of the newest registration that changed the row.
   std::uint64_t version = 0;
   bool deleted = false;
 
@@ -115,8 +115,7 @@
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(
-      this->name, this->backend, this->phase, this->fence, this->holder, this->version);
+    aVisitor(this->name, this->backend, this->phase, this->fence, this->holder, this->version);
   }
 };
 
@@ -124,9 +123,9 @@
 struct BackendReport
 {
   std::string backend;
-  std::int64_t failingMs = 0; ///< Time since the first failure after the last success.
+  std::int64_t failingMs = 0;      ///< Time since the first failure after the last success.
   std::int64_t answeredMsAgo = -1; ///< Time since the last answer; -1: none yet.
-  std::uint32_t demand = 0; ///< Most connections in use or waited for since the last report.
+  std::uint32_t demand = 0;        ///< Most connections in use or waited for since the last report.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -162,8 +161,7 @@
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(
-      this->number, this->routes, this->services, this->transactionIdleMs, this->document);
+    aVisitor(this->number, this->routes, this->services, this->transactionIdleMs, this->document);
   }
 };
 
--- a/src/oleanderledge/platform/ControlMessages.cpp
+++ b/src/oleanderledge/platform/ControlMessages.cpp
@@ -160,7 +160,8 @@
   FieldReader fields(aValue.toObject());
   ServiceRow row;
   row.name = fields.Text("name");
-  row.connectionLimit = static_cast<std::uint32_t>(fields.OptionalNumber("connection_limit", kAny32));
+  row.connectionLimit =
+    static_cast<std::uint32_t>(fields.OptionalNumber("connection_limit", kAny32));
   row.syncReplicas = static_cast<std::uint32_t>(fields.OptionalNumber("sync_replicas", kAny32));
   if (!fields.Rejected().empty()) {
     return FieldError("services." + fields.Rejected());
@@ -245,8 +246,9 @@
 {
   QJsonObject answer;
   if (!aNextAddress.empty()) {
-    answer.insert("heartbeat_address",
-                  QString::fromUtf8(aNextAddress.data(), static_cast<qsizetype>(aNextAddress.size())));
+    answer.insert(
+      "heartbeat_address",
+      QString::fromUtf8(aNextAddress.data(), static_cast<qsizetype>(aNextAddress.size())));
   }
   return ToText(answer);
 }
--- a/src/oleanderledge/platform/ControlMessages.hpp
+++ b/src/oleanderledge/platform/ControlMessages.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "oleanderledge/link/RouteRows.hpp"
 #include "oleanderledge/base/base.hpp"
+#include "oleanderledge/link/RouteRows.hpp"
 
 #include <string>
 #include <string_view>
--- a/src/oleanderledge/platform/ControlPlaneServer.cpp
+++ b/src/oleanderledge/platform/ControlPlaneServer.cpp
@@ -22,7 +22,10 @@
 
 std::string BackendOf(const QHttpServerRequest& aRequest)
 {
-  return aRequest.url().path().mid(static_cast<qsizetype>(sizeof(kInstancesPath)) - 1).toStdString();
+  return aRequest.url()
+    .path()
+    .mid(static_cast<qsizetype>(sizeof(kInstancesPath)) - 1)
+    .toStdString();
 }
 
 std::string_view BodyOf(const QByteArray& aBody)
@@ -75,13 +78,13 @@
     return;
   }
   this->control.RegisterBackend(
-    backend.value(),
-    [this, aReply, path = aRequest.url().path()](FleetControl::Outcome aOutcome) {
+    backend.value(), [this, aReply, path = aRequest.url().path()](FleetControl::Outcome aOutcome) {
       this->Reply(aReply, path, aOutcome, EncodeRegistrationAnswer(this->ownAddress));
     });
 }
 
-void ControlPlaneServer::HandleDeparture(const QHttpServerRequest& aRequest, const HttpReply& aReply)
+void ControlPlaneServer::HandleDeparture(const QHttpServerRequest& aRequest,
+                                         const HttpReply& aReply)
 {
   this->control.RemoveBackend(
     BackendOf(aRequest),
--- a/src/oleanderledge/platform/PromotionClient.cpp
+++ b/src/oleanderledge/platform/PromotionClient.cpp
@@ -31,16 +31,15 @@
   request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
   request.setRawHeader("Oleanderledge-Lease-Holder", QByteArray::fromStdString(aHolder));
   request.setRawHeader("Oleanderledge-Fencing-Token", QByteArray::number(qulonglong(aFence)));
-  QNetworkReply* reply = this->network.post(
-    request, QByteArray::fromStdString(EncodePromotion(aService, aBackend)));
-  QObject::connect(
-    reply, &QNetworkReply::finished, this, [reply, callback = std::move(aCallback)] {
-      reply->deleteLater();
-      const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-      callback(status == kOk         ? PromotionOutcome::Confirmed
-               : status == kConflict ? PromotionOutcome::Refused
-                                     : PromotionOutcome::Unanswered);
-    });
+  QNetworkReply* reply =
+    this->network.post(request, QByteArray::fromStdString(EncodePromotion(aService, aBackend)));
+  QObject::connect(reply, &QNetworkReply::finished, this, [reply, callback = std::move(aCallback)] {
+    reply->deleteLater();
+    const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    callback(status == kOk         ? PromotionOutcome::Confirmed
+             : status == kConflict ? PromotionOutcome::Refused
+                                   : PromotionOutcome::Unanswered);
+  });
 }
 
 } // namespace oleanderledge::platform
--- a/src/oleanderledge/platform/ReadinessServer.cpp
+++ b/src/oleanderledge/platform/ReadinessServer.cpp
@@ -11,12 +11,10 @@
   : QObject(aParent)
 {
   using StatusCode = QHttpServerResponse::StatusCode;
-  this->server.route("/api/readiness",
-                     QHttpServerRequest::Method::Get,
-                     [isReady = std::move(aIsReady)] {
-                       return QHttpServerResponse(isReady() ? StatusCode::Ok
-                                                            : StatusCode::ServiceUnavailable);
-                     });
+  this->server.route(
+    "/api/readiness", QHttpServerRequest::Method::Get, [isReady = std::move(aIsReady)] {
+      return QHttpServerResponse(isReady() ? StatusCode::Ok : StatusCode::ServiceUnavailable);
+    });
 }
 
 Result<void> ReadinessServer::Listen(const std::string& aAddress)
--- a/src/oleanderledge/platform/WireProtocol.cpp
+++ b/src/oleanderledge/platform/WireProtocol.cpp
@@ -236,8 +236,7 @@
 {
   std::string line = "QUERY " + std::string(aId) + " ";
   if (aAwait) {
-    line +=
-      "AWAIT " + std::to_string(aAwait->term) + "." + std::to_string(aAwait->offset) + " ";
+    line += "AWAIT " + std::to_string(aAwait->term) + "." + std::to_string(aAwait->offset) + " ";
   }
   return line.append(aText).append("\r\n");
 }
@@ -323,13 +322,29 @@
                   std::string(aShape));
 }
 
+std::string WireProtocol::Status() const
+{
+  return OwnQuery("STATUS");
+}
+
+std::optional<LogPosition> WireProtocol::ReceivedIn(std::string_view aRows) const
+{
+  // DATAROW role, term, position received, term held, lag in ms, busy, connections.
+  std::string_view rest = aRows.substr(0, aRows.find('\r'));
+  if (TakeWord(rest) != "DATAROW") {
+    return std::nullopt;
+  }
+  TakeWord(rest);
+  TakeWord(rest);
+  return ParsePosition(TakeWord(rest));
+}
+
 std::string WireProtocol::Execute(std::string_view aId,
                                   std::string_view aName,
                                   std::string_view aArguments,
                                   const std::optional<LogPosition>& aAwait) const
 {
-  return Query(
-    aId, aAwait, "EXECUTE " + std::string(aName) + " " + std::string(aArguments));
+  return Query(aId, aAwait, "EXECUTE " + std::string(aName) + " " + std::string(aArguments));
 }
 
 } // namespace oleanderledge::platform
--- a/src/oleanderledge/settings/Settings.hpp
+++ b/src/oleanderledge/settings/Settings.hpp
@@ -44,17 +44,17 @@
 struct FleetSettings
 {
   bool enabled = false;
-  std::string nodeName;           ///< Name by which the platform knows this instance.
-  std::string readinessAddress;   ///< "ip:port"; proxies only.
+  std::string nodeName;            ///< Name by which the platform knows this instance.
+  std::string readinessAddress;    ///< "ip:port"; proxies only.
   std::string controlPlaneAddress; ///< "ip:port"; control only.
-  std::string promotionAddress;   ///< "ip:port" of the platform; control only.
+  std::string promotionAddress;    ///< "ip:port" of the platform; control only.
   /// Addresses ("ip:port") of control instances; their links have the port of `listen.link`.
   std::vector<std::string> seeds;
   /// Region of each availability zone.
   std::map<std::string, std::string, std::less<>> regionOfZone;
   std::uint32_t registrationIntervalMs = 1200;
-  std::uint32_t toleratedLosses = 1; ///< Control instances that may be lost at once.
-  bool mayFoundGroup = false;        ///< True only at the first start of the whole fleet.
+  std::uint32_t toleratedLosses = 1;  ///< Control instances that may be lost at once.
+  bool mayFoundGroup = false;         ///< True only at the first start of the whole fleet.
   std::uint32_t stopLimitMs = 10'000; ///< Longest graceful stop.
 };
 
--- a/src/oleanderledge/statements/BackendHealth.cpp
+++ b/src/oleanderledge/statements/BackendHealth.cpp
@@ -25,8 +25,9 @@
 void BackendHealth::OnAnswer(Duration aTook, Instant aNow)
 {
   this->OnReachable(aNow);
-  this->answerTime =
-    this->answerTime == Duration{ 0 } ? aTook : this->answerTime + (aTook - this->answerTime) / kAverageOver;
+  this->answerTime = this->answerTime == Duration{ 0 }
+                       ? aTook
+                       : this->answerTime + (aTook - this->answerTime) / kAverageOver;
 }
 
 void BackendHealth::OnFailure(Instant aNow)
--- a/src/oleanderledge/statements/ReadPlacement.hpp
+++ b/src/oleanderledge/statements/ReadPlacement.hpp
@@ -20,7 +20,7 @@
   bool isLagging = false; ///< Recently lacked a position that a read needed.
   /// Time since the oldest attempt to open a connection that is still going on.
   Duration openingFor{ 0 };
-  std::size_t inUse = 0;  ///< Connections in use by this proxy.
+  std::size_t inUse = 0; ///< Connections in use by this proxy.
   std::uint32_t slots = 1;
   Duration answerTime{ 0 }; ///< Moving average, with the queue at the server.
 };
--- /dev/null
+++ b/src/oleanderledge/statements/StatusProbe.cpp
@@ -0,0 +1,35 @@
+#include "oleanderledge/statements/StatusProbe.hpp"
+
+#include "oleanderledge/statements/internal/BackendConnection.hpp"
+
+namespace oleanderledge {
+
+StatusProbe::StatusProbe(std::unique_ptr<StatementProtocol> aProtocol)
+  : protocol(std::move(aProtocol))
+{
+}
+
+StatusProbe::~StatusProbe() = default;
+
+void StatusProbe::QueryReceived(const BackendRow& aBackend, Callback aCallback)
+{
+  auto* connection = new BackendConnection(*this->protocol, aBackend.name, this);
+  const auto done = std::make_shared<Callback>(std::move(aCallback));
+  const auto finish = [done](std::optional<LogPosition> aReceived) {
+    if (Callback callback = std::exchange(*done, nullptr)) {
+      callback(aReceived);
+    }
+  };
+  QObject::connect(connection, &BackendConnection::Opened, this, [this, connection, finish] {
+    connection->Run(
+      this->protocol->Status(), [this, connection, finish](const StatementResult& aResult) {
+        finish(aResult.IsSuccess() ? this->protocol->ReceivedIn(aResult.rows) : std::nullopt);
+        connection->Close();
+      });
+  });
+  QObject::connect(
+    connection, &BackendConnection::Closed, this, [finish] { finish(std::nullopt); });
+  connection->Open(aBackend.address, aBackend.service);
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/statements/internal/BackendConnection.cpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.cpp
@@ -38,8 +38,7 @@
                sizeof(timeout));
     this->socket.write(this->startUp.data(), static_cast<qint64>(this->startUp.size()));
   });
-  QObject::connect(
-    &this->socket, &QTcpSocket::readyRead, this, &BackendConnection::ReadAvailable);
+  QObject::connect(&this->socket, &QTcpSocket::readyRead, this, &BackendConnection::ReadAvailable);
   QObject::connect(
     &this->socket, &QTcpSocket::disconnected, this, [this] { this->Finish("disconnected"); });
   QObject::connect(&this->socket, &QTcpSocket::errorOccurred, this, [this] {
@@ -157,8 +156,8 @@
   const auto holder = std::exchange(this->lostWhileIdle, nullptr);
   this->Close();
   WriteLog(wasOpen ? LogEvent::BackendConnectionLost : LogEvent::BackendRefusedConnection,
-           "backend=" + this->backend + " reason=" + aReason +
-             " error=" + (this->startUpError ? std::string(ToString(this->startUpError->error)) : "none") +
+           "backend=" + this->backend + " reason=" + aReason + " error=" +
+             (this->startUpError ? std::string(ToString(this->startUpError->error)) : "none") +
              " busy=" + (done ? "yes" : "no"));
   // The pool forgets the connection before the statement is tried elsewhere.
   Q_EMIT this->Closed();
--- a/src/oleanderledge/statements/internal/BackendConnection.hpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.hpp
@@ -18,8 +18,8 @@
 /// How one statement ended on a connection.
 struct StatementResult
 {
-  bool lost = false;    ///< The connection ended before the answer did.
-  std::string rows;     ///< Messages as received.
+  bool lost = false;     ///< The connection ended before the answer did.
+  std::string rows;      ///< Messages as received.
   std::string completed; ///< Message as received; empty if there was an error.
   std::optional<ErrorAnswer> error;
   ReadyAnswer ready;
@@ -51,7 +51,10 @@
   void ReplaceCallback(Callback aCallback) { this->callback = std::move(aCallback); }
 
   /// Told if the connection is lost while it is held and no statement runs. Empty: nobody holds it.
-  void SetLostWhileIdle(std::function<void()> aCallback) { this->lostWhileIdle = std::move(aCallback); }
+  void SetLostWhileIdle(std::function<void()> aCallback)
+  {
+    this->lostWhileIdle = std::move(aCallback);
+  }
 
   /// Closes without calling back. `Closed` does not follow.
   void Close();
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -11,8 +11,9 @@
 constexpr Duration kRefusedPause = std::chrono::milliseconds(250);
 /// Reads avoid a replica for this time after it lacked a position.
 constexpr Duration kLaggingPause = std::chrono::milliseconds(100);
-/// A connection that is idle for longer is closed, so that other proxies may use the share. A server
-/// counts connections of a proxy that lost power for 3 s more, so few should stand open unused.
+/// A connection that is idle for longer is closed, so that other proxies may use the share. A
+/// server counts connections of a proxy that lost power for 3 s more, so few should stand open
+/// unused.
 constexpr Duration kIdleLimit = std::chrono::seconds(4);
 /// A server that answers nothing for this time, while statements run on it, counts as failing. Ten
 /// times the mean work of a read.
@@ -140,16 +141,17 @@
 {
   aConnection->SetLostWhileIdle(nullptr);
   if (aInTransaction) {
-    aConnection->Run(this->protocol.Rollback(), [this, aConnection](const StatementResult& aResult) {
-      if (aResult.lost) {
-        return;
-      }
-      if (aResult.ready.state != TransactionState::Idle) {
-        this->Drop(aConnection, false);
-        return;
-      }
-      this->Release(aConnection, false);
-    });
+    aConnection->Run(this->protocol.Rollback(),
+                     [this, aConnection](const StatementResult& aResult) {
+                       if (aResult.lost) {
+                         return;
+                       }
+                       if (aResult.ready.state != TransactionState::Idle) {
+                         this->Drop(aConnection, false);
+                         return;
+                       }
+                       this->Release(aConnection, false);
+                     });
     return;
   }
   if (this->row.deleted || this->connections.size() > this->limit) {
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -78,8 +78,10 @@
 
 void ServiceDispatcher::Request(Ticket aTicket, PlacementRequest aRequest, Callback aCallback)
 {
-  const auto position = std::ranges::upper_bound(
-    this->waiting, aRequest.priority, {}, [](const Waiter& aEach) { return aEach.request.priority; });
+  const auto position =
+    std::ranges::upper_bound(this->waiting, aRequest.priority, {}, [](const Waiter& aEach) {
+      return aEach.request.priority;
+    });
   this->waiting.insert(position, { aTicket, std::move(aRequest), std::move(aCallback) });
   if (!this->expiryTimer.isActive()) {
     this->expiryTimer.start(kExpiryInterval);
@@ -148,7 +150,8 @@
             std::to_string(pool->IdleCount()) + "/opening" + std::to_string(pool->OpeningCount()) +
             "/limit" + std::to_string(pool->Limit()) + "/answer" +
             std::to_string(pool->Health().AnswerTime().count() / 1000) + "ms" +
-            (pool->Health().IsFailing() ? "/failing" : "") + (pool->IsLagging(aNow) ? "/lagging" : "");
+            (pool->Health().IsFailing() ? "/failing" : "") +
+            (pool->IsLagging(aNow) ? "/lagging" : "");
     separator = ",";
   }
   return text;
@@ -300,17 +303,17 @@
       continue;
     }
     const auto distance = this->distances.find(name);
-    candidates.push_back({ name == this->primary,
-                           distance == this->distances.end() ? ZoneDistance::OtherRegion
-                                                             : distance->second,
-                           pool->HasIdle(),
-                           pool->MayOpen(aNow) || pool->OpeningCount() > 0,
-                           pool->Health().IsFailing(),
-                           pool->IsLagging(aNow),
-                           pool->OpeningFor(aNow),
-                           pool->InUse(),
-                           row.slots,
-                           pool->Health().AnswerTime() });
+    candidates.push_back(
+      { name == this->primary,
+        distance == this->distances.end() ? ZoneDistance::OtherRegion : distance->second,
+        pool->HasIdle(),
+        pool->MayOpen(aNow) || pool->OpeningCount() > 0,
+        pool->Health().IsFailing(),
+        pool->IsLagging(aNow),
+        pool->OpeningFor(aNow),
+        pool->InUse(),
+        row.slots,
+        pool->Health().AnswerTime() });
     candidatePools.push_back(pool);
   }
   const auto chosen = ChooseForRead(candidates);
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -30,7 +30,7 @@
   Instant arrivedAt{};
   Instant giveUpAt{};
   std::uint32_t priority = 0;
-  const SettingMap* settings = nullptr; ///< Of the session.
+  const SettingMap* settings = nullptr;        ///< Of the session.
   std::set<std::string, std::less<>> excluded; ///< Backend servers that could not run it.
 };
 
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -102,8 +102,7 @@
 
 bool StatementSession::IsIdle() const
 {
-  return !this->running && this->inbox.empty() &&
-         this->transaction.state == TransactionState::Idle;
+  return !this->running && this->inbox.empty() && this->transaction.state == TransactionState::Idle;
 }
 
 void StatementSession::ReadAvailable()
@@ -112,8 +111,8 @@
   this->decoder->Append({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
   while (auto next = this->decoder->Next()) {
     if (!*next) {
-      WriteLog(LogEvent::CallerClosed, "database=" + this->database +
-                                         " reason=" + next->error().message);
+      WriteLog(LogEvent::CallerClosed,
+               "database=" + this->database + " reason=" + next->error().message);
       this->socket->write(QByteArray::fromStdString(
         this->protocol.Failure(StatementError::Malformed, next->error().message)));
       this->Close();
@@ -290,13 +289,14 @@
                             this->route->consistency == ReadConsistency::Primary;
   PlacementRequest request = this->RequestFor(this->transaction.arrivedAt, needsPrimary);
   request.excluded = this->transaction.excluded;
-  this->Place(std::move(request), [this](std::optional<Placement> aPlacement, StatementError aError) {
-    if (!aPlacement) {
-      this->FailTransaction(aError, RefusalText(aError));
-      return;
-    }
-    this->StartTransactionOn(*aPlacement);
-  });
+  this->Place(std::move(request),
+              [this](std::optional<Placement> aPlacement, StatementError aError) {
+                if (!aPlacement) {
+                  this->FailTransaction(aError, RefusalText(aError));
+                  return;
+                }
+                this->StartTransactionOn(*aPlacement);
+              });
 }
 
 void StatementSession::StartTransactionOn(const Placement& aPlacement)
@@ -335,7 +335,8 @@
       if (this->transaction.attempts < kMaxAttempts) {
         this->PlaceTransaction();
       } else {
-        this->FailTransaction(StatementError::Unavailable, RefusalText(StatementError::Unavailable));
+        this->FailTransaction(StatementError::Unavailable,
+                              RefusalText(StatementError::Unavailable));
       }
     });
   });
@@ -364,9 +365,8 @@
   if (!this->transaction.hasBegun || this->running->isSent) {
     return;
   }
-  this->ApplySettings([this] {
-    this->PrepareIfNeeded([this] { this->SendRunning(std::nullopt); });
-  });
+  this->ApplySettings(
+    [this] { this->PrepareIfNeeded([this] { this->SendRunning(std::nullopt); }); });
 }
 
 void StatementSession::OnTransactionResult(StatementResult aResult)
@@ -443,18 +443,19 @@
 
 void StatementSession::PlaceSingle()
 {
-  const bool needsPrimary = this->IsWrite(this->running->statement) ||
-                            this->route->consistency == ReadConsistency::Primary;
+  const bool needsPrimary =
+    this->IsWrite(this->running->statement) || this->route->consistency == ReadConsistency::Primary;
   PlacementRequest request = this->RequestFor(this->running->arrivedAt, needsPrimary);
   request.excluded = this->running->excluded;
-  this->Place(std::move(request), [this](std::optional<Placement> aPlacement, StatementError aError) {
-    if (!aPlacement) {
-      this->AnswerError(aError, RefusalText(aError));
-      return;
-    }
-    this->placement = *aPlacement;
-    this->StartSingleOn();
-  });
+  this->Place(std::move(request),
+              [this](std::optional<Placement> aPlacement, StatementError aError) {
+                if (!aPlacement) {
+                  this->AnswerError(aError, RefusalText(aError));
+                  return;
+                }
+                this->placement = *aPlacement;
+                this->StartSingleOn();
+              });
 }
 
 void StatementSession::StartSingleOn()
@@ -545,14 +546,14 @@
 void StatementSession::RunOwn(const std::string& aRequest,
                               std::function<void(const StatementResult&)> aDone)
 {
-  this->placement->connection->Run(
-    aRequest, [this, done = std::move(aDone)](const StatementResult& aResult) {
-      if (aResult.lost) {
-        this->OnPreparationLost(aResult);
-        return;
-      }
-      done(aResult);
-    });
+  this->placement->connection->Run(aRequest,
+                                   [this, done = std::move(aDone)](const StatementResult& aResult) {
+                                     if (aResult.lost) {
+                                       this->OnPreparationLost(aResult);
+                                       return;
+                                     }
+                                     done(aResult);
+                                   });
 }
 
 /// The connection was lost before the caller's statement was sent on it.
@@ -600,19 +601,19 @@
       continue;
     }
     connection.settingsKnown = false;
-    this->RunOwn(this->protocol.Set(name, value),
-                 [this, &connection, name, value, done = std::move(aDone)](
-                   const StatementResult& aResult) {
-                   if (aResult.error) {
-                     this->placement->pool->Drop(&connection, false);
-                     this->OnPreparationLost(aResult);
-                     return;
-                   }
-                   connection.settings[name] = value;
-                   connection.settingsKnown = true;
-                   this->transaction.hasSet = this->transaction.hasBegun;
-                   this->ApplySettings(done);
-                 });
+    this->RunOwn(
+      this->protocol.Set(name, value),
+      [this, &connection, name, value, done = std::move(aDone)](const StatementResult& aResult) {
+        if (aResult.error) {
+          this->placement->pool->Drop(&connection, false);
+          this->OnPreparationLost(aResult);
+          return;
+        }
+        connection.settings[name] = value;
+        connection.settingsKnown = true;
+        this->transaction.hasSet = this->transaction.hasBegun;
+        this->ApplySettings(done);
+      });
     return;
   }
   aDone();
@@ -688,8 +689,8 @@
     return;
   }
   this->LeaveSilentServer(aNow);
-  if (!this->running ||
-      aNow - this->running->arrivedAt < std::chrono::milliseconds(this->route->statementTimeoutMs)) {
+  if (!this->running || aNow - this->running->arrivedAt <
+                          std::chrono::milliseconds(this->route->statementTimeoutMs)) {
     return;
   }
   const bool wasSent = this->running->isSent;
@@ -752,8 +753,7 @@
     request.ownCommit = this->lastCommit;
   }
   request.arrivedAt = aArrivedAt;
-  const Duration wait =
-    std::chrono::milliseconds(this->route->targetLatencyMs) / kWaitPartOfTarget;
+  const Duration wait = std::chrono::milliseconds(this->route->targetLatencyMs) / kWaitPartOfTarget;
   request.giveUpAt = aArrivedAt + std::max<Duration>(wait, kShortestWait);
   request.priority = this->route->priority;
   request.settings = &this->settings;
@@ -765,13 +765,13 @@
   ServiceDispatcher* dispatcher = this->Dispatcher();
   const ServiceDispatcher::Ticket requested = dispatcher->NewTicket();
   this->ticket = requested;
-  dispatcher->Request(requested,
-                      std::move(aRequest),
-                      [this, done = std::move(aDone)](std::optional<Placement> aPlacement,
-                                                      StatementError aError) {
-                        this->ticket.reset();
-                        done(std::move(aPlacement), aError);
-                      });
+  dispatcher->Request(
+    requested,
+    std::move(aRequest),
+    [this, done = std::move(aDone)](std::optional<Placement> aPlacement, StatementError aError) {
+      this->ticket.reset();
+      done(std::move(aPlacement), aError);
+    });
 }
 
 ServiceDispatcher* StatementSession::Dispatcher()
@@ -801,14 +801,13 @@
   WriteLog(LogEvent::StatementFailed,
            "id=" + (this->running ? this->running->statement.id : "-") +
              " database=" + this->database + " error=" + std::string(ToString(aError)) +
-             " sent=" + (this->running && this->running->isSent ? "yes" : "no") +
-             " attempts=" + std::to_string(this->running ? this->running->attempts : 0) +
-             " age_ms=" +
+             " sent=" + (this->running && this->running->isSent ? "yes" : "no") + " attempts=" +
+             std::to_string(this->running ? this->running->attempts : 0) + " age_ms=" +
              std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) +
              " reason=\"" + std::string(aText) + "\"" +
-             (IsRefusal(aError) && this->route ? " " + this->host.DispatcherOf(this->route->service)
-                                                        .Describe(MonotonicNow())
-                                               : ""));
+             (IsRefusal(aError) && this->route
+                ? " " + this->host.DispatcherOf(this->route->service).Describe(MonotonicNow())
+                : ""));
 }
 
 void StatementSession::Answer(std::string aMessages, std::optional<StatementError> aError)
--- a/src/oleanderledge/statements/statements.hpp
+++ b/src/oleanderledge/statements/statements.hpp
@@ -8,3 +8,4 @@
 #include "oleanderledge/statements/StatementProtocol.hpp"
 #include "oleanderledge/statements/StatementService.hpp"
 #include "oleanderledge/statements/StatementTypes.hpp"
+#include "oleanderledge/statements/StatusProbe.hpp"
--- a/standin/platform/PlatformDatabase.cpp
+++ b/standin/platform/PlatformDatabase.cpp
@@ -58,7 +58,8 @@
   while (QTcpSocket* socket = this->server.nextPendingConnection()) {
     this->connections.emplace(socket, Connection{});
     this->mostConnections = std::max(this->mostConnections, this->connections.size());
-    QObject::connect(socket, &QTcpSocket::readyRead, this, [this, socket] { this->ReadFrom(socket); });
+    QObject::connect(
+      socket, &QTcpSocket::readyRead, this, [this, socket] { this->ReadFrom(socket); });
     QObject::connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
       this->connections.erase(socket);
       socket->deleteLater();
--- a/standin/platform/PlatformDatabase.hpp
+++ b/standin/platform/PlatformDatabase.hpp
@@ -75,7 +75,10 @@
   void Refuse(QTcpSocket* aSocket, Connection& aConnection, const std::string& aCode);
   void Commit(const std::map<std::string, std::string>& aWrites);
   std::string Ready(const Connection& aConnection) const;
-  std::uint64_t Applied() const { return this->group.number - std::min(this->behind, this->group.number); }
+  std::uint64_t Applied() const
+  {
+    return this->group.number - std::min(this->behind, this->group.number);
+  }
   bool Leads() const { return this->group.primary == this->id; }
 
   PlatformGroup& group;
--- a/tests/control/ConnectionAllotmentTests.cpp
+++ b/tests/control/ConnectionAllotmentTests.cpp
@@ -41,8 +41,8 @@
   rc::prop("for any limit and demands", [] {
     const auto count = *rc::gen::inRange<std::size_t>(1, 90);
     const auto limit = *rc::gen::inRange<std::uint32_t>(0, 200);
-    const auto demands =
-      *rc::gen::container<std::vector<std::uint32_t>>(count, rc::gen::inRange<std::uint32_t>(0, 60));
+    const auto demands = *rc::gen::container<std::vector<std::uint32_t>>(
+      count, rc::gen::inRange<std::uint32_t>(0, 60));
     const auto allotted = AllotConnections(limit, demands);
     RC_ASSERT(allotted.size() == count);
     RC_ASSERT(SumOf(allotted) <= limit);
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -54,7 +54,8 @@
       if (this->now - this->registeredAt >= 1200ms) {
         this->registeredAt = this->now;
         for (const std::string& name : this->live) {
-          this->Register(name, this->PrimaryName() == name && this->RowOf().phase == PrimaryPhase::Steady);
+          this->Register(
+            name, this->PrimaryName() == name && this->RowOf().phase == PrimaryPhase::Steady);
         }
       }
       for (const auto& [proxy, byBackend] : this->reports) {
@@ -76,6 +77,11 @@
       if (const auto* propose = std::get_if<ProposeAction>(&action)) {
         this->Commit(propose->command);
         this->coordinator.OnProposalDone(propose->key);
+      } else if (const auto* query = std::get_if<QueryPositionAction>(&action)) {
+        const auto known = this->received.find(query->backend.name);
+        if (known != this->received.end()) {
+          this->coordinator.OnPosition(known->first, known->second);
+        }
       } else if (const auto* promote = std::get_if<PromoteBackendAction>(&action)) {
         this->calls.push_back(*promote);
         ControlActions more;
@@ -86,7 +92,10 @@
     }
   }
 
-  void Commit(const ControlCommand& aCommand) { this->state.Apply(++this->index, EncodeCommand(aCommand)); }
+  void Commit(const ControlCommand& aCommand)
+  {
+    this->state.Apply(++this->index, EncodeCommand(aCommand));
+  }
 
   const PrimaryRow& RowOf() const { return *this->state.Backends().FindPrimary("ledger"); }
   std::string PrimaryName() const
@@ -105,6 +114,8 @@
   std::map<std::string, std::map<std::string, BackendReport>> reports;
   std::vector<PromoteBackendAction> calls;
   PromotionOutcome answer = PromotionOutcome::Confirmed;
+  /// Positions that servers tell when asked; others do not answer.
+  std::map<std::string, LogPosition> received{ { "b", { 1, 10 } }, { "c", { 1, 10 } } };
 };
 
 } // namespace
@@ -179,6 +190,47 @@
   CHECK(leader.PrimaryName() == "b");
 }
 
+// Guards against lost orders: the replica that received most must lead.
+TEST_CASE("The replica that has received most is promoted", "[services]")
+{
+  LeaderOfOneService leader;
+  leader.received = { { "b", { 1, 10 } }, { "c", { 1, 12 } } };
+  leader.Step(2s);
+  leader.Register("a", true, true);
+  leader.Step(100ms);
+  CHECK(leader.PrimaryName() == "c");
+}
+
+TEST_CASE("A replica that does not tell its position is not waited for", "[services]")
+{
+  LeaderOfOneService leader;
+  leader.received = { { "b", { 1, 10 } } };
+  leader.Step(2s);
+  leader.Register("a", true, true);
+  leader.Step(400ms);
+  CHECK(leader.PrimaryName() == "b");
+}
+
+// Guards against the loss of a commit that a silent replica confirmed.
+TEST_CASE("Where replicas confirm commits no promotion goes without all their positions",
+          "[services]")
+{
+  LeaderOfOneService leader;
+  RouteConfiguration configuration;
+  configuration.number = 1;
+  configuration.services = { { "ledger", 10, 1, 0, false } };
+  leader.Commit(StoreRouteConfiguration{ configuration });
+  leader.received = { { "b", { 1, 10 } } };
+  leader.Step(2s);
+  leader.live.erase("a");
+  leader.Register("a", true, true);
+  leader.Step(2s);
+  CHECK(leader.calls.empty());
+  leader.received["c"] = { 1, 11 };
+  leader.Step(1s);
+  CHECK(leader.PrimaryName() == "c");
+}
+
 TEST_CASE("A primary that drains is replaced at once", "[services]")
 {
   LeaderOfOneService leader;
--- a/tests/platform/ControlMessagesTests.cpp
+++ b/tests/platform/ControlMessagesTests.cpp
@@ -55,8 +55,10 @@
   CHECK_FALSE(DecodeRegistration("", kRegistration));
   CHECK_FALSE(DecodeRegistration("i-1", Replaced(kRegistration, "\"ready\"", "\"asleep\"")));
   CHECK_FALSE(DecodeRegistration("i-1", Replaced(kRegistration, "\"replica\"", "\"boss\"")));
-  CHECK_FALSE(DecodeRegistration("i-1", Replaced(kRegistration, "\"sequence\":4", "\"sequence\":\"4\"")));
-  CHECK_FALSE(DecodeRegistration("i-1", Replaced(kRegistration, "\"sequence\":4", "\"sequence\":1.5")));
+  CHECK_FALSE(
+    DecodeRegistration("i-1", Replaced(kRegistration, "\"sequence\":4", "\"sequence\":\"4\"")));
+  CHECK_FALSE(
+    DecodeRegistration("i-1", Replaced(kRegistration, "\"sequence\":4", "\"sequence\":1.5")));
   CHECK_FALSE(DecodeRegistration("i-1", Replaced(kRegistration, "\"address\"", "\"place\"")));
   CHECK_FALSE(DecodeRegistration("i-1", Replaced(kRegistration, "1700", "\"soon\"")));
 }
@@ -83,5 +85,6 @@
   CHECK_FALSE(IsAccepted(ConfigurationWith(Replaced(kRoute, "huvo11a", "other"))));
   CHECK_FALSE(IsAccepted(ConfigurationWith(Replaced(kRoute, ":800", ":0"))));
   CHECK_FALSE(IsAccepted(ConfigurationWith(Replaced(kRoute, "read_your_writes", "any"))));
-  CHECK_FALSE(IsAccepted(Replaced(ConfigurationWith(kRoute), "\"version\":7", "\"version\":\"7\"")));
+  CHECK_FALSE(
+    IsAccepted(Replaced(ConfigurationWith(kRoute), "\"version\":7", "\"version\":\"7\"")));
 }
--- a/tests/platform/WireProtocolTests.cpp
+++ b/tests/platform/WireProtocolTests.cpp
@@ -109,7 +109,8 @@
 TEST_CASE("Answers of backend servers are decoded and kept as received", "[wire]")
 {
   const auto decoder = WireProtocol().NewBackendDecoder();
-  decoder->Append("DATAROW a b\r\nCOMPLETE 7.1f\r\nREADY T 3.1209\r\nERROR LAGGING i-1\r\nREADY I -\r\n");
+  decoder->Append(
+    "DATAROW a b\r\nCOMPLETE 7.1f\r\nREADY T 3.1209\r\nERROR LAGGING i-1\r\nREADY I -\r\n");
   CHECK(std::get<RowAnswer>(decoder->Next()->value()).raw == "DATAROW a b\r\n");
   CHECK(std::get<CompletedAnswer>(decoder->Next()->value()).raw == "COMPLETE 7.1f\r\n");
   const auto ready = std::get<ReadyAnswer>(decoder->Next()->value());
@@ -119,6 +120,14 @@
   CHECK_FALSE(std::get<ReadyAnswer>(decoder->Next()->value()).position);
 }
 
+TEST_CASE("The received position is read from a status row", "[wire]")
+{
+  const WireProtocol protocol;
+  CHECK(protocol.ReceivedIn("DATAROW replica 3 3.1209 0 12 2 17\r\n") == LogPosition{ 3, 1209 });
+  CHECK_FALSE(protocol.ReceivedIn("DATAROW replica 3 - 0 12 2 17\r\n"));
+  CHECK_FALSE(protocol.ReceivedIn(""));
+}
+
 TEST_CASE("Forwarded statements keep their id and text", "[wire]")
 {
   const WireProtocol protocol;
--- a/tests/statements/ReadPlacementTests.cpp
+++ b/tests/statements/ReadPlacementTests.cpp
@@ -42,7 +42,8 @@
   failing.isFailing = true;
   ReadCandidate lagging = IdleServer(ZoneDistance::SameZone);
   lagging.isLagging = true;
-  CHECK(ChooseForRead(std::vector{ failing, lagging, IdleServer(ZoneDistance::OtherRegion) }) == 2U);
+  CHECK(ChooseForRead(std::vector{ failing, lagging, IdleServer(ZoneDistance::OtherRegion) }) ==
+        2U);
   CHECK(ChooseForRead(std::vector{ failing }) == 0U);
 }
 
--- a/tests/statements/StatementServiceTests.cpp
+++ b/tests/statements/StatementServiceTests.cpp
@@ -54,8 +54,8 @@
     std::string answer;
     RunUntil([this, &answer] {
       answer += this->socket.readAll().toStdString();
-      const bool isClosed = this->socket.state() == QAbstractSocket::UnconnectedState &&
-                            answer.size() > 1;
+      const bool isClosed =
+        this->socket.state() == QAbstractSocket::UnconnectedState && answer.size() > 1;
       const std::size_t ready = answer.rfind("READY ");
       const bool isWhole = ready != std::string::npos && answer.ends_with("\r\n") &&
                            (ready == 0 || answer[ready - 1] == '\n');
@@ -123,8 +123,9 @@
   {
     this->group.primary = aBackend;
     ++this->version;
-    this->update.primaries = { { "ledger", aBackend, PrimaryPhase::Steady, this->version, "",
-                                 this->version } };
+    this->update.primaries = {
+      { "ledger", aBackend, PrimaryPhase::Steady, this->version, "", this->version }
+    };
     this->Publish();
   }
 
@@ -258,8 +259,8 @@
   CHECK(fleet.group.items["a"] == "first");
 }
 
-// Guards against the use of a connection that was lost while its transaction rested, which ended the
-// process.
+// Guards against the use of a connection that was lost while its transaction rested, which ended
+// the process.
 TEST_CASE("A connection lost while a transaction rests fails its next statement", "[statements]")
 {
   const Application application;
@@ -287,7 +288,8 @@
   CHECK(fleet.group.items["a"] == "second");
 }
 
-TEST_CASE("Settings and prepared statements follow their session across connections", "[statements]")
+TEST_CASE("Settings and prepared statements follow their session across connections",
+          "[statements]")
 {
   const Application application;
   ServiceWithReplicas fleet;
@@ -341,7 +343,8 @@
   CHECK(caller.started.starts_with("ERROR NODB "));
 }
 
-TEST_CASE("A graceful stop lets an open transaction end and then closes its session", "[statements]")
+TEST_CASE("A graceful stop lets an open transaction end and then closes its session",
+          "[statements]")
 {
   const Application application;
   ServiceWithReplicas fleet;
