--- a/src/oleanderledge/control/RouteTable.cpp
+++ b/src/oleanderledge/control/RouteTable.cpp
@@ -46,6 +46,7 @@
 std::vector<Row> ValuesOf(const std::map<std::string, Row, std::less<>>& aTable)
 {
   std::vector<Row> rows;
+  rows.reserve(aTable.size());
   for (const auto& [name, row] : aTable) {
     rows.push_back(row);
   }
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -383,7 +383,8 @@
   }
   std::optional<Survey>& survey = this->progress[aService].survey;
   if (!survey) {
-    this->StartSurvey(survey.emplace(), candidates, aNow, aActions);
+    survey = Survey();
+    this->StartSurvey(*survey, candidates, aNow, aActions);
     return nullptr;
   }
   const bool isComplete = survey->answered.size() == survey->asked.size();
--- a/src/oleanderledge/platform/ControlMessages.cpp
+++ b/src/oleanderledge/platform/ControlMessages.cpp
@@ -230,11 +230,11 @@
       return FieldError(reader.Rejected());
     }
   }
-  for (const QJsonValue& value : routes) {
+  for (const auto& value : routes) {
     BOOST_OUTCOME_TRY(row, DecodeRoute(value));
     configuration.routes.push_back(std::move(row));
   }
-  for (const QJsonValue& value : services) {
+  for (const auto& value : services) {
     BOOST_OUTCOME_TRY(row, DecodeService(value));
     configuration.services.push_back(std::move(row));
   }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -213,7 +213,7 @@
     Placement placement = choice.placement;
     placement.pool = choice.pool;
     placement.connection = choice.pool->Take(*waiter.request.settings);
-    waiter.callback(std::move(placement), {});
+    waiter.callback(placement, {});
   }
   for (const auto& [pool, count] : wanted) {
     while (pool->OpeningCount() < count && pool->MayOpen(now)) {
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -601,19 +601,19 @@
       continue;
     }
     connection.settingsKnown = false;
-    this->RunOwn(
-      this->protocol.Set(name, value),
-      [this, &connection, name, value, done = std::move(aDone)](const StatementResult& aResult) {
-        if (aResult.error) {
-          this->placement->pool->Drop(&connection, false);
-          this->OnPreparationLost(aResult);
-          return;
-        }
-        connection.settings[name] = value;
-        connection.settingsKnown = true;
-        this->transaction.hasSet = this->transaction.hasBegun;
-        this->ApplySettings(done);
-      });
+    this->RunOwn(this->protocol.Set(name, value),
+                 [this, &connection, setting = std::pair(name, value), done = std::move(aDone)](
+                   const StatementResult& aResult) {
+                   if (aResult.error) {
+                     this->placement->pool->Drop(&connection, false);
+                     this->OnPreparationLost(aResult);
+                     return;
+                   }
+                   connection.settings[setting.first] = setting.second;
+                   connection.settingsKnown = true;
+                   this->transaction.hasSet = this->transaction.hasBegun;
+                   this->ApplySettings(done);
+                 });
     return;
   }
   aDone();
@@ -770,7 +770,7 @@
     std::move(aRequest),
     [this, done = std::move(aDone)](std::optional<Placement> aPlacement, StatementError aError) {
       this->ticket.reset();
-      done(std::move(aPlacement), aError);
+      done(aPlacement, aError);
     });
 }
 
--- a/standin/platform/PlatformDatabase.cpp
+++ b/standin/platform/PlatformDatabase.cpp
@@ -190,7 +190,7 @@
       // The settings stand in the answer, so that a test sees which were in force.
       std::string rows = "DATAROW " + this->group.items[item];
       for (const auto& [name, value] : aConnection.settings) {
-        rows += " " + name + "=" + value;
+        rows.append(" ").append(name).append("=").append(value);
       }
       this->Complete(aSocket, aConnection, rows + "\r\n");
       return;
--- a/tests/statements/StatementServiceTests.cpp
+++ b/tests/statements/StatementServiceTests.cpp
@@ -140,12 +140,13 @@
   /// The database that ran the statement last, or nothing.
   std::string RanOn(const std::string& aStatement) const
   {
-    for (auto each = this->group.runs.rbegin(); each != this->group.runs.rend(); ++each) {
-      if (each->first == aStatement) {
-        return each->second;
+    std::string database = "nowhere";
+    for (const auto& [id, runner] : this->group.runs) {
+      if (id == aStatement) {
+        database = runner;
       }
     }
-    return "nowhere";
+    return database;
   }
 
   std::size_t RunsOf(const std::string& aStatement) const
