Release the connection of a session in one place, also when its caller leaves

Cause: Disconnect() repeated the cancel-and-release of EndTransaction(), and lacked its rule that a rollback may undo a setting made inside the transaction; EndTransaction() lacked it while a statement was running. A connection then counted as having a setting that the server may have undone. Ruled out: settings made outside transactions, which are applied before the begin. The new test failed before (0 clears instead of 1) and passes now. Both callers use EndTransaction().

--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -76,18 +76,7 @@
 
 void StatementSession::Disconnect()
 {
-  if (this->ticket) {
-    this->Dispatcher()->Cancel(*this->ticket);
-    this->ticket.reset();
-  }
-  if (this->placement) {
-    if (this->placement->connection->IsBusy()) {
-      this->placement->pool->ReleaseWhenDone(this->placement->connection);
-    } else {
-      this->placement->pool->Release(this->placement->connection, this->transaction.hasBegun);
-    }
-    this->placement.reset();
-  }
+  this->EndTransaction();
   this->running.reset();
   if (!this->isClosing) {
     this->isClosing = true;
@@ -418,6 +407,10 @@
   }
   if (this->placement) {
     if (this->placement->connection->IsBusy()) {
+      // The rollback that may follow may also undo a setting.
+      if (this->transaction.hasSet) {
+        this->placement->connection->settingsKnown = false;
+      }
       this->placement->pool->ReleaseWhenDone(this->placement->connection);
       this->placement.reset();
     } else {
--- a/standin/platform/PlatformDatabase.cpp
+++ b/standin/platform/PlatformDatabase.cpp
@@ -151,6 +151,7 @@
     const std::string name = TakeWord(aText);
     aConnection.settings[name] = aText;
   } else if (verb == "DISCARD") {
+    this->group.runs.emplace_back(verb, this->id);
     aConnection.settings.clear();
     aConnection.prepared.clear();
   } else if (verb == "PREPARE") {
--- a/tests/statements/StatementServiceTests.cpp
+++ b/tests/statements/StatementServiceTests.cpp
@@ -386,3 +386,23 @@
   const Caller caller(settings.callersAddress, "orders");
   CHECK(caller.started == "READY I -\r\n");
 }
+
+// Guards against a setting that the rollback undid at the server and the proxy believes in force.
+TEST_CASE("A connection is cleared after a caller left a transaction that made a setting",
+          "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  fleet.service->ApplyConnectionGrants({ { "i-primary", 1 } });
+  {
+    Caller leaving(fleet.address, "orders");
+    leaving.Send("QUERY b1 BEGIN");
+    leaving.Send("QUERY r1 READ a");
+    leaving.Send("QUERY s1 SET colour red");
+    leaving.Send("QUERY r2 READ a");
+  }
+  Caller next(fleet.address, "orders");
+  next.Send("QUERY s2 SET colour red");
+  CHECK(next.Send("QUERY r3 READ a").starts_with("DATAROW first colour=red"));
+  CHECK(fleet.RunsOf("DISCARD") == 1);
+}
