Count the target of a pipelined unit from the answer to the unit before it

Cause: a unit's target counted from the moment its bytes arrived. In a pipeline of 50 statements the last ones had used up the default target of 1 s behind the earlier units of the same caller, and were refused with 53000 although a connection was free. Ruled out: the owner's queue (it holds one unit of the session at a time) and the platform work (the check failed the same before it).

--- a/src/oleanderledge/entry/internal/CallerConnection.cpp
+++ b/src/oleanderledge/entry/internal/CallerConnection.cpp
@@ -168,7 +168,7 @@
   if (this->isClosing || !this->session) {
     return;
   }
-  this->HandleOutput(this->session->OnReply(std::move(aReply)));
+  this->HandleOutput(this->session->OnReply(std::move(aReply), MonotonicNow()));
   if (!this->isClosing) {
     this->ProcessBuffered();
     this->ReadSocket();
--- a/src/oleanderledge/entry/internal/CallerSession.cpp
+++ b/src/oleanderledge/entry/internal/CallerSession.cpp
@@ -296,7 +296,8 @@
   this->NoteDefinitions(aAnalysis, next);
 
   ForwardUnit forward;
-  forward.arrived = aUnit.arrived;
+  // Time spent behind earlier units of the same caller does not use up the target of this one.
+  forward.arrived = std::max(aUnit.arrived, this->runnableSince);
   StatementRequest& request = forward.request;
   request.channel = this->channel;
   request.database = this->database;
@@ -657,12 +658,15 @@
 
 // --- Answers of the owner ------------------------------------------------------------------------
 
-SessionOutput CallerSession::OnReply(StatementReply&& aReply)
+SessionOutput CallerSession::OnReply(StatementReply&& aReply, Instant aNow)
 {
   SessionOutput output;
   if (!this->running) {
     return output;
   }
+  if (aReply.finalPiece) {
+    this->runnableSince = aNow;
+  }
   if (this->running->isRollback) {
     if (aReply.finalPiece) {
       this->running.reset();
--- a/src/oleanderledge/entry/internal/CallerSession.hpp
+++ b/src/oleanderledge/entry/internal/CallerSession.hpp
@@ -54,7 +54,7 @@
   SessionOutput OnMessage(std::string aMessage, Instant aNow);
 
   /// Takes a piece of the answer to the unit that was forwarded.
-  SessionOutput OnReply(StatementReply&& aReply);
+  SessionOutput OnReply(StatementReply&& aReply, Instant aNow);
 
   /// While the caller's output is full, no further unit is started.
   SessionOutput SetOutputFull(bool aIsFull);
@@ -142,6 +142,7 @@
   std::deque<CollectedUnit> queue;
   std::size_t queuedBytes = 0;
   bool isOutputFull = false;
+  Instant runnableSince{}; ///< When the last forwarded unit was answered.
   std::optional<Running> running;
   /// Settings changed inside the open transaction; they last only if it commits.
   std::vector<SettingChange> pendingSettings;
