Do not count refusals for overload as fast answers of a backend server

Cause: an error that came back within a millisecond lowered the average answer time by which reads are placed, so a server that refuses for its load looked like the fastest one. Such a server is now passed over for 20 to 320 ms. Two tests, which failed to compile before since the state did not exist.

--- a/src/oleanderledge/statements/BackendHealth.cpp
+++ b/src/oleanderledge/statements/BackendHealth.cpp
@@ -10,6 +10,10 @@
 /// caller waits for a connection, so a server that returns is used again soon.
 constexpr Duration kFirstPause = std::chrono::milliseconds(100);
 constexpr Duration kLongestPause = std::chrono::milliseconds(800);
+/// First and longest pause for reads after a refusal for overload. The longest lets a queue of some
+/// twenty statements drain.
+constexpr Duration kFirstOverloadPause = std::chrono::milliseconds(20);
+constexpr Duration kLongestOverloadPause = std::chrono::milliseconds(320);
 /// Weight of a new answer in the moving average, 1 in so many.
 constexpr int kAverageOver = 16;
 
@@ -25,11 +29,24 @@
 void BackendHealth::OnAnswer(Duration aTook, Instant aNow)
 {
   this->OnReachable(aNow);
+  this->overloadPause = Duration{ 0 };
   this->answerTime = this->answerTime == Duration{ 0 }
                        ? aTook
                        : this->answerTime + (aTook - this->answerTime) / kAverageOver;
 }
 
+void BackendHealth::OnOverload(Instant aNow)
+{
+  this->OnReachable(aNow);
+  // Statements that were under way together are refused together.
+  if (this->IsOverloaded(aNow)) {
+    return;
+  }
+  this->overloadPause =
+    std::clamp(this->overloadPause * 2, kFirstOverloadPause, kLongestOverloadPause);
+  this->overloadedUntil = aNow + this->overloadPause;
+}
+
 void BackendHealth::OnFailure(Instant aNow)
 {
   if (!this->failingSince) {
--- a/src/oleanderledge/statements/BackendHealth.hpp
+++ b/src/oleanderledge/statements/BackendHealth.hpp
@@ -12,6 +12,8 @@
 public:
   /// A statement or start-up was answered after `aTook`.
   void OnAnswer(Duration aTook, Instant aNow);
+  /// A statement was refused without being run, because the server has too much to do.
+  void OnOverload(Instant aNow);
   /// A connection was opened, which says nothing of the time of answers.
   void OnReachable(Instant aNow);
   /// A connection could not be opened, was lost or fell silent.
@@ -24,6 +26,8 @@
   bool IsFailing() const { return this->failingSince.has_value(); }
   /// Time since the first failure after the last answer.
   Duration FailingFor(Instant aNow) const;
+  /// True for a growing pause after each refusal for overload, until the server runs a statement.
+  bool IsOverloaded(Instant aNow) const { return aNow < this->overloadedUntil; }
   std::optional<Instant> LastAnswer() const { return this->lastAnswer; }
   /// Moving average of the time of an answer.
   Duration AnswerTime() const { return this->answerTime; }
@@ -34,6 +38,8 @@
   Instant retryAt{};
   Duration pause{ 0 };
   Duration answerTime{ 0 };
+  Instant overloadedUntil{};
+  Duration overloadPause{ 0 };
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/statements/ReadPlacement.cpp
+++ b/src/oleanderledge/statements/ReadPlacement.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kZonePenalty = std::chrono::milliseconds(15);
 /// Keeps room at the primary, which alone can run writes.
 constexpr Duration kPrimaryPenalty = std::chrono::milliseconds(15);
-/// A server that fails or lags is used only if no other can be.
+/// A server that fails, lags or refuses is used only if no other can be.
 constexpr Duration kTroublePenalty = std::chrono::seconds(10);
 
 Duration ExpectedTime(const ReadCandidate& aCandidate)
@@ -38,7 +38,7 @@
   if (aCandidate.isPrimary) {
     expected += kPrimaryPenalty;
   }
-  if (aCandidate.isFailing || aCandidate.isLagging) {
+  if (aCandidate.isFailing || aCandidate.isLagging || aCandidate.isOverloaded) {
     expected += kTroublePenalty;
   }
   return expected;
--- a/src/oleanderledge/statements/ReadPlacement.hpp
+++ b/src/oleanderledge/statements/ReadPlacement.hpp
@@ -17,7 +17,8 @@
   bool hasIdleConnection = false;
   bool mayOpenConnection = false;
   bool isFailing = false;
-  bool isLagging = false; ///< Recently lacked a position that a read needed.
+  bool isOverloaded = false; ///< Recently refused a statement for its load.
+  bool isLagging = false;    ///< Recently lacked a position that a read needed.
   /// Time since the oldest attempt to open a connection that is still going on.
   Duration openingFor{ 0 };
   std::size_t inUse = 0; ///< Connections in use by this proxy.
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -201,9 +201,20 @@
   return true;
 }
 
-void BackendPool::NoteLagging(Instant aNow)
+void BackendPool::NoteResult(const StatementResult& aResult, Instant aNow)
 {
-  this->laggingUntil = aNow + kLaggingPause;
+  const auto error = aResult.error ? std::optional(aResult.error->error) : std::nullopt;
+  if (error == StatementError::Overloaded) {
+    this->health.OnOverload(aNow);
+  } else if (error && IsNotRun(*error)) {
+    // Refused within a moment, which says nothing of the time of answers.
+    this->health.OnReachable(aNow);
+  } else {
+    this->health.OnAnswer(aResult.took, aNow);
+  }
+  if (error == StatementError::Lagging) {
+    this->laggingUntil = aNow + kLaggingPause;
+  }
 }
 
 void BackendPool::CloseIdle(Instant aNow)
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -57,12 +57,10 @@
   void ReleaseWhenDone(BackendConnection* aConnection);
   /// Drops a connection whose answer can no longer be used.
   void Drop(BackendConnection* aConnection, bool aIsFailure);
-  /// Records an answer of the server.
-  void NoteAnswer(Duration aTook, Instant aNow) { this->health.OnAnswer(aTook, aNow); }
+  /// Records how the server answered a statement.
+  void NoteResult(const StatementResult& aResult, Instant aNow);
   /// Notes if the server has left all running statements unanswered for long. Returns true if so.
   bool CheckSilence(Instant aNow);
-  /// Steers reads away for a short time, because the server lags.
-  void NoteLagging(Instant aNow);
   bool IsLagging(Instant aNow) const { return aNow < this->laggingUntil; }
   /// Closes connections that are idle for long.
   void CloseIdle(Instant aNow);
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -151,6 +151,7 @@
             "/limit" + std::to_string(pool->Limit()) + "/answer" +
             std::to_string(pool->Health().AnswerTime().count() / 1000) + "ms" +
             (pool->Health().IsFailing() ? "/failing" : "") +
+            (pool->Health().IsOverloaded(aNow) ? "/overloaded" : "") +
             (pool->IsLagging(aNow) ? "/lagging" : "");
     separator = ",";
   }
@@ -309,6 +310,7 @@
         pool->HasIdle(),
         pool->MayOpen(aNow) || pool->OpeningCount() > 0,
         pool->Health().IsFailing(),
+        pool->Health().IsOverloaded(aNow),
         pool->IsLagging(aNow),
         pool->OpeningFor(aNow),
         pool->InUse(),
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -318,7 +318,7 @@
         this->Dispatcher()->NoteNotLeading(backend, MonotonicNow());
       } else {
         this->transaction.excluded.insert(backend);
-        this->placement->pool->NoteLagging(MonotonicNow());
+        this->placement->pool->NoteResult(aResult, MonotonicNow());
       }
       this->ReleaseConnection(aResult.ready.state != TransactionState::Idle);
       if (this->transaction.attempts < kMaxAttempts) {
@@ -373,7 +373,7 @@
                       "the connection to the backend server was lost");
     return;
   }
-  this->placement->pool->NoteAnswer(aResult.took, MonotonicNow());
+  this->placement->pool->NoteResult(aResult, MonotonicNow());
   if (aResult.error) {
     const StatementError error = aResult.error->error;
     const std::string raw = aResult.error->raw;
@@ -491,14 +491,12 @@
     return;
   }
   BackendPool& pool = *this->placement->pool;
-  pool.NoteAnswer(aResult.took, now);
+  pool.NoteResult(aResult, now);
   const bool inTransaction = aResult.ready.state != TransactionState::Idle;
   if (aResult.error) {
     const StatementError error = aResult.error->error;
     if (error == StatementError::ReadOnly) {
       this->Dispatcher()->NoteNotLeading(pool.Row().name, now);
-    } else if (error == StatementError::Lagging) {
-      pool.NoteLagging(now);
     } else if (error == StatementError::UnknownStatement) {
       this->placement->connection->prepared.clear();
     }
--- a/tests/statements/BackendHealthTests.cpp
+++ b/tests/statements/BackendHealthTests.cpp
@@ -30,3 +30,22 @@
   health.OnSilence(start + 50ms, start + 350ms);
   CHECK(health.FailingFor(start + 400ms) == 350ms);
 }
+
+// Guards against sending most reads to a server whose refusals come faster than answers of the
+// others.
+TEST_CASE("Refusals for overload do not count as fast answers", "[health]")
+{
+  BackendHealth health;
+  const Instant start{ 10s };
+  health.OnAnswer(40ms, start);
+  health.OnOverload(start);
+  CHECK(health.AnswerTime() == 40ms);
+  CHECK_FALSE(health.IsFailing());
+  CHECK(health.IsOverloaded(start + 19ms));
+  CHECK_FALSE(health.IsOverloaded(start + 20ms));
+  health.OnOverload(start + 20ms);
+  CHECK(health.IsOverloaded(start + 59ms));
+  health.OnAnswer(40ms, start + 70ms);
+  health.OnOverload(start + 100ms);
+  CHECK_FALSE(health.IsOverloaded(start + 120ms));
+}
--- a/tests/statements/ReadPlacementTests.cpp
+++ b/tests/statements/ReadPlacementTests.cpp
@@ -67,3 +67,12 @@
   opening.openingFor = 100ms;
   CHECK(ChooseForRead(std::vector{ opening, IdleServer(ZoneDistance::OtherRegion) }) == 1U);
 }
+
+// Guards against a server that refuses for its load and is asked again at once, being near and
+// fast.
+TEST_CASE("A server that refused for its load gives way to farther ones", "[placement]")
+{
+  ReadCandidate overloaded = IdleServer(ZoneDistance::SameZone);
+  overloaded.isOverloaded = true;
+  CHECK(ChooseForRead(std::vector{ overloaded, IdleServer(ZoneDistance::OtherRegion) }) == 1U);
+}
