Pass positions of primaries on between proxies through the control leader

Cause: with 87 proxies each one sees few answers of a primary, so its reads lack a position that is old enough for replicas and ask for the newest one, or go to the primary. Proxies now report new positions with their heartbeats, and the leader tells them to all, at most every 300 ms a service. Also logs each attempt that a server did not run (E1707).

--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -65,6 +65,7 @@
   LogEventInfo{ LogEvent::OwnerLinkRejected, "owner_link_rejected", Warning },
   LogEventInfo{ LogEvent::EntryStopping, "entry_stopping", Info },
   LogEventInfo{ LogEvent::StatementFailed, "statement_failed", Warning },
+  LogEventInfo{ LogEvent::StatementRetried, "statement_retried", Info },
   LogEventInfo{ LogEvent::DaemonStarted, "daemon_started", Info },
   LogEventInfo{ LogEvent::DaemonStopping, "daemon_stopping", Info },
   LogEventInfo{ LogEvent::DaemonStopped, "daemon_stopped", Info },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -72,6 +72,7 @@
   OwnerLinkRejected = 1704,
   EntryStopping = 1705,
   StatementFailed = 1706,
+  StatementRetried = 1707,
   // 1800: daemons.
   DaemonStarted = 1801,
   DaemonStopping = 1802,
--- /dev/null
+++ b/src/oleanderledge/control/PositionBoard.cpp
@@ -0,0 +1,55 @@
+#include "oleanderledge/control/PositionBoard.hpp"
+
+#include <tuple>
+
+namespace oleanderledge {
+
+namespace {
+
+/// A sample is passed on if it is newer by this much. Accepted ages of reads are 1.5 s and more,
+/// and each message to each proxy costs traffic between regions.
+constexpr std::int64_t kNewsIntervalUs = 300'000;
+
+} // namespace
+
+void PositionBoard::Clear()
+{
+  this->newest.clear();
+  this->sent.clear();
+}
+
+void PositionBoard::Add(const std::vector<PositionSample>& aSamples, Instant aNow)
+{
+  for (const PositionSample& sample : aSamples) {
+    if (sample.leaderUs > ToMicroseconds(aNow)) {
+      continue;
+    }
+    PositionSample& known = this->newest[sample.service];
+    if (std::tie(sample.position.term, sample.leaderUs) >
+        std::tie(known.position.term, known.leaderUs)) {
+      known = sample;
+    }
+  }
+}
+
+std::vector<PositionSample> PositionBoard::NewsFor(const std::string& aProxy)
+{
+  TimeByService& known = this->sent[aProxy];
+  std::vector<PositionSample> news;
+  for (const auto& [service, sample] : this->newest) {
+    std::int64_t& last = known[service];
+    if (sample.leaderUs - last < kNewsIntervalUs) {
+      continue;
+    }
+    last = sample.leaderUs;
+    news.push_back(sample);
+  }
+  return news;
+}
+
+void PositionBoard::Forget(const std::string& aProxy)
+{
+  this->sent.erase(aProxy);
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -116,6 +116,7 @@
   ControlActions actions;
   const Instant now = MonotonicNow();
   this->services.OnLeadershipGained(now);
+  this->positionBoard.Clear();
   this->leader.OnLeadershipGained(now, actions);
   this->Execute(actions);
 }
@@ -325,6 +326,14 @@
   }
   reply.proxyCount = this->proxyCount;
   reply.connections = this->services.GrantsFor(aHeartbeat.instance.id, aNow);
+  if (this->IsCurrentLeader()) {
+    reply.leaderTerm = this->Log().Term();
+    reply.leaderUs = ToMicroseconds(aNow);
+    if (aHeartbeat.leaderTerm == reply.leaderTerm) {
+      this->positionBoard.Add(aHeartbeat.positions, aNow);
+    }
+    reply.positions = this->positionBoard.NewsFor(aHeartbeat.instance.id);
+  }
   return reply;
 }
 
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -5,6 +5,7 @@
 #include "oleanderledge/control/ControlSettings.hpp"
 #include "oleanderledge/control/ControlState.hpp"
 #include "oleanderledge/control/FleetControl.hpp"
+#include "oleanderledge/control/PositionBoard.hpp"
 #include "oleanderledge/control/PositionQuery.hpp"
 #include "oleanderledge/control/PromotionService.hpp"
 #include "oleanderledge/control/ServiceCoordinator.hpp"
@@ -131,6 +132,7 @@
   ObservedState observedState;
   ControlLeader leader;
   ServiceCoordinator services;
+  PositionBoard positionBoard;
   std::unique_ptr<PromotionService> promotions;
   std::unique_ptr<PositionQuery> positions;
   std::unique_ptr<ControlGroup> group;
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -2,6 +2,14 @@
 
 namespace oleanderledge {
 
+namespace {
+
+/// A position is reported if it is newer by this much than what the leader told, so that one of the
+/// proxies that see a primary reports it, not all.
+constexpr Duration kReportInterval = std::chrono::milliseconds(150);
+
+} // namespace
+
 ControlClient::ControlClient(ControlContact& aContact,
                              const EmulatedLatency& aLatency,
                              StateRequest aStateRequest,
@@ -89,6 +97,8 @@
   Heartbeat heartbeat =
     this->contact.MakeHeartbeat(std::move(aState.owned), std::move(aState.service), MonotonicNow());
   heartbeat.backends = std::move(aState.backends);
+  heartbeat.leaderTerm = this->leaderClock.Term();
+  heartbeat.positions = this->SamplesOf(aState.positions);
   this->link->Send(heartbeat);
 }
 
@@ -103,17 +113,50 @@
     return;
   }
   if (const auto* reply = std::get_if<HeartbeatReply>(&aMessage)) {
-    const std::uint32_t countBefore = this->contact.ProxyCount();
-    if (this->contact.HandleReply(*reply, MonotonicNow())) {
-      if (this->contact.ProxyCount() != countBefore) {
-        Q_EMIT this->ProxyCountChanged(this->contact.ProxyCount());
-      }
-      if (!reply->connections.empty()) {
-        Q_EMIT this->ConnectionsGranted(reply->connections);
-      }
-      Q_EMIT this->LeasesGranted(reply->leases, FromMicroseconds(reply->sentUs));
+    this->HandleReply(*reply);
+  }
+}
+
+void ControlClient::HandleReply(const HeartbeatReply& aReply)
+{
+  const Instant now = MonotonicNow();
+  const std::uint32_t countBefore = this->contact.ProxyCount();
+  if (!this->contact.HandleReply(aReply, now)) {
+    return;
+  }
+  if (this->contact.ProxyCount() != countBefore) {
+    Q_EMIT this->ProxyCountChanged(this->contact.ProxyCount());
+  }
+  if (!aReply.connections.empty()) {
+    Q_EMIT this->ConnectionsGranted(aReply.connections);
+  }
+  this->leaderClock.OnReply(aReply, now);
+  std::vector<PrimaryPosition> positions;
+  for (const PositionSample& sample : aReply.positions) {
+    const Instant at = LeaderClock::FromLeader(aReply, sample.leaderUs);
+    this->sharedAt[sample.service] = at;
+    positions.push_back({ sample.service, sample.position, at });
+  }
+  if (!positions.empty()) {
+    Q_EMIT this->PositionsShared(positions);
+  }
+  Q_EMIT this->LeasesGranted(aReply.leases, FromMicroseconds(aReply.sentUs));
+}
+
+std::vector<PositionSample> ControlClient::SamplesOf(
+  const std::vector<PrimaryPosition>& aPositions) const
+{
+  std::vector<PositionSample> samples;
+  for (const PrimaryPosition& position : aPositions) {
+    const auto known = this->sharedAt.find(position.service);
+    if (known != this->sharedAt.end() && position.at < known->second + kReportInterval) {
+      continue;
+    }
+    if (const auto leaderUs = this->leaderClock.ToLeader(position.at)) {
+      samples.push_back({ position.service, position.position, *leaderUs });
     }
   }
+  return samples;
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/ControlClient.hpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "oleanderledge/daemon/ControlContact.hpp"
+#include "oleanderledge/daemon/LeaderClock.hpp"
+#include "oleanderledge/statements/StatementService.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
 #include <QObject>
 #include <QTimer>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -18,6 +21,7 @@
   std::vector<OwnerReport> owned;
   std::vector<ClassService> service;
   std::vector<BackendReport> backends;
+  std::vector<PrimaryPosition> positions;
 };
 
 /// Keeps the link to the control group in the control thread and sends heartbeats over it.
@@ -44,6 +48,8 @@
 Q_SIGNALS:
   void DirectoryChanged();
   void ConnectionsGranted(std::vector<oleanderledge::ConnectionGrant> aGrants);
+  /// Positions that other proxies saw.
+  void PositionsShared(std::vector<oleanderledge::PrimaryPosition> aPositions);
   /// The leader counted the live proxies anew.
   void ProxyCountChanged(std::uint32_t aCount);
   void LeasesGranted(std::vector<oleanderledge::LeaseGrant> aLeases,
@@ -55,12 +61,18 @@
   void DropLink();
   void SendHeartbeat(TrafficState aState);
   void HandleMessage(const Message& aMessage);
+  void HandleReply(const HeartbeatReply& aReply);
+  /// Those of the positions that say more than what the leader told last, on its clock.
+  std::vector<PositionSample> SamplesOf(const std::vector<PrimaryPosition>& aPositions) const;
 
   ControlContact& contact;
   EmulatedLatency latency;
   StateRequest stateRequest;
   LinkConnection* link = nullptr;
   std::string linkAddress;
+  LeaderClock leaderClock;
+  /// Time of the newest position that the leader told, by service.
+  std::map<std::string, Instant, std::less<>> sharedAt;
   QTimer timer;
   bool stateRequested = false;
 };
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -73,6 +73,13 @@
                      this->InTraffic(
                        [aGrants](Traffic& aTraffic) { aTraffic.ApplyConnectionGrants(aGrants); });
                    });
+  QObject::connect(this->client,
+                   &ControlClient::PositionsShared,
+                   this,
+                   [this](const std::vector<PrimaryPosition>& aPositions) {
+                     this->InTraffic(
+                       [aPositions](Traffic& aTraffic) { aTraffic.AddPositions(aPositions); });
+                   });
   if (aSettings.fleet.enabled) {
     this->readiness = new platform::ReadinessServer([this] { return this->IsReady(); }, this);
   }
--- a/src/oleanderledge/daemon/internal/StatementTraffic.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTraffic.cpp
@@ -37,9 +37,14 @@
   this->service->ApplyConnectionGrants(aGrants);
 }
 
+void StatementTraffic::AddPositions(const std::vector<PrimaryPosition>& aPositions)
+{
+  this->service->AddPositions(aPositions);
+}
+
 TrafficState StatementTraffic::CollectState()
 {
-  return { {}, {}, this->service->Reports(MonotonicNow()) };
+  return { {}, {}, this->service->Reports(MonotonicNow()), this->service->OwnPositions() };
 }
 
 TrafficCounters StatementTraffic::CollectCounters() const
--- a/src/oleanderledge/daemon/internal/StatementTraffic.hpp
+++ b/src/oleanderledge/daemon/internal/StatementTraffic.hpp
@@ -22,6 +22,7 @@
   }
   void SetProxyCount(std::uint32_t aCount) override;
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) override;
+  void AddPositions(const std::vector<PrimaryPosition>& aPositions) override;
   TrafficState CollectState() override;
   TrafficCounters CollectCounters() const override;
   void BeginStop() override;
--- a/src/oleanderledge/daemon/internal/Traffic.hpp
+++ b/src/oleanderledge/daemon/internal/Traffic.hpp
@@ -25,6 +25,8 @@
   virtual void SetProxyCount(std::uint32_t aCount) = 0;
   /// Connections to backend servers that this proxy may hold.
   virtual void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) = 0;
+  /// Positions of primaries that other proxies saw.
+  virtual void AddPositions(const std::vector<PrimaryPosition>& aPositions) = 0;
   virtual TrafficState CollectState() = 0;
   virtual TrafficCounters CollectCounters() const = 0;
 
--- a/src/oleanderledge/daemon/internal/TrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.cpp
@@ -65,7 +65,7 @@
 
 TrafficState TrafficWorker::CollectState()
 {
-  return { this->owner->Reports(MonotonicNow()), this->owner->Service(), {} };
+  return { this->owner->Reports(MonotonicNow()), this->owner->Service(), {}, {} };
 }
 
 TrafficCounters TrafficWorker::CollectCounters() const
--- a/src/oleanderledge/daemon/internal/TrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.hpp
@@ -28,6 +28,8 @@
   /// Owners hold all connections to their databases, so there is nothing to share.
   void SetProxyCount(std::uint32_t /*aCount*/) override {}
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& /*aGrants*/) override {}
+  /// Owners know the positions of their databases.
+  void AddPositions(const std::vector<PrimaryPosition>& /*aPositions*/) override {}
   TrafficState CollectState() override;
   TrafficCounters CollectCounters() const override;
 
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "oleanderledge/base/base.hpp"
+#include "oleanderledge/link/PositionSample.hpp"
+#include "oleanderledge/link/RelayMessages.hpp"
 #include "oleanderledge/link/RouteRows.hpp"
+#include "oleanderledge/link/SessionSetting.hpp"
 
 #include <cstdint>
 #include <string>
@@ -62,19 +65,6 @@
 
 // --- Entry to owner ---------------------------------------------------------------------------
 
-/// A setting of the caller's session that the owner applies to the connection before the unit.
-struct SessionSetting
-{
-  std::string name;
-  std::string value;
-
-  template<class Visitor>
-  void Visit(Visitor& aVisitor)
-  {
-    aVisitor(this->name, this->value);
-  }
-};
-
 /// A named prepared statement that the unit refers to.
 struct PreparedStatement
 {
@@ -297,6 +287,8 @@
   std::vector<OwnerReport> owned;
   std::vector<ClassService> service;
   std::vector<BackendReport> backends;
+  std::uint64_t leaderTerm = 0; ///< Term of the leader whose clock `positions` refer to.
+  std::vector<PositionSample> positions;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -307,7 +299,9 @@
              this->directoryVersion,
              this->owned,
              this->service,
-             this->backends);
+             this->backends,
+             this->leaderTerm,
+             this->positions);
   }
 };
 
@@ -341,6 +335,10 @@
   std::uint32_t proxyCount = 0; ///< Live proxies; 0 if not known.
   /// Empty: as before.
   std::vector<ConnectionGrant> connections;
+  std::uint64_t leaderTerm = 0;
+  std::int64_t leaderUs = 0; ///< Monotonic clock of the leader when it answered.
+  /// Positions that other proxies reported.
+  std::vector<PositionSample> positions;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -354,7 +352,10 @@
              this->leases,
              this->controlAddresses,
              this->proxyCount,
-             this->connections);
+             this->connections,
+             this->leaderTerm,
+             this->leaderUs,
+             this->positions);
   }
 };
 
@@ -654,6 +655,11 @@
                              SnapshotReply,
                              JoinRequest,
                              RelayedHeartbeats,
-                             RelayedReplies>;
+                             RelayedReplies,
+                             RelayOpen,
+                             RelayOpened,
+                             RelayStatement,
+                             RelayResult,
+                             RelayClose>;
 
 } // namespace oleanderledge
--- a/src/oleanderledge/link/RouteRows.hpp
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -139,13 +139,15 @@
 {
   std::string backend;
   std::uint32_t connections = 0;
+  /// Link addresses of proxies that hold connections. Empty: the receiver opens its own.
+  std::vector<std::string> relays;
 
   bool operator==(const ConnectionGrant&) const = default;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->backend, this->connections);
+    aVisitor(this->backend, this->connections, this->relays);
   }
 };
 
--- a/src/oleanderledge/statements/PositionHistory.cpp
+++ b/src/oleanderledge/statements/PositionHistory.cpp
@@ -15,34 +15,35 @@
 
 void PositionHistory::Add(Instant aSentAt, const LogPosition& aPosition)
 {
-  while (!this->samples.empty() && this->samples.back().sentAt <= aSentAt &&
-         this->samples.back().position > aPosition) {
-    // A position of a later term replaces those of a log that was rolled back; an answer that was
-    // overtaken within the term says nothing new.
-    if (this->samples.back().position.term >= aPosition.term) {
+  if (!this->samples.empty() && this->samples.back().position.term != aPosition.term) {
+    if (this->samples.back().position.term > aPosition.term) {
       return;
     }
-    this->samples.pop_back();
-  }
-  // Positions of an earlier term may have been rolled back.
-  if (!this->samples.empty() && aPosition.term > this->samples.back().position.term) {
+    // Positions of an earlier term may have been rolled back.
     this->samples.clear();
   }
-  if (!this->samples.empty()) {
-    const Sample& last = this->samples.back();
-    if (aSentAt < last.sentAt || aPosition < last.position) {
+  const auto next = std::upper_bound(
+    this->samples.begin(), this->samples.end(), aSentAt, [](Instant aTime, const Sample& aSample) {
+      return aTime < aSample.sentAt;
+    });
+  // Next to a sample that says as much, or from an answer that was overtaken, it says nothing new.
+  if (next != this->samples.end() && next->position <= aPosition) {
+    return;
+  }
+  if (next != this->samples.begin()) {
+    const auto previous = std::prev(next);
+    if (previous->position > aPosition) {
       return;
     }
-    const bool mergesWithLast =
-      this->samples.size() > 1 &&
-      aSentAt - this->samples[this->samples.size() - 2].sentAt < kResolution;
-    if (mergesWithLast || aPosition == last.position) {
-      this->samples.back() = { aSentAt, aPosition };
+    const bool isClose =
+      previous != this->samples.begin() && aSentAt - std::prev(previous)->sentAt < kResolution;
+    if (isClose || previous->position == aPosition) {
+      *previous = { aSentAt, aPosition };
       return;
     }
   }
-  this->samples.push_back({ aSentAt, aPosition });
-  while (aSentAt - this->samples.front().sentAt > kLifetime) {
+  this->samples.insert(next, { aSentAt, aPosition });
+  while (this->samples.back().sentAt - this->samples.front().sentAt > kLifetime) {
     this->samples.pop_front();
   }
 }
--- a/src/oleanderledge/statements/PositionHistory.hpp
+++ b/src/oleanderledge/statements/PositionHistory.hpp
@@ -15,7 +15,14 @@
 class PositionHistory
 {
 public:
-  /// Records a position from an answer to a request that was sent at `aSentAt`.
+  struct Sample
+  {
+    Instant sentAt;
+    LogPosition position;
+  };
+
+  /// Records a position from an answer to a request that was sent at `aSentAt`. Samples of other
+  /// proxies may arrive later than newer ones.
   void Add(Instant aSentAt, const LogPosition& aPosition);
 
   /// The lowest position that covers all commits acknowledged before `aTime`, or nothing if no
@@ -26,12 +33,6 @@
   void Clear() { this->samples.clear(); }
 
 private:
-  struct Sample
-  {
-    Instant sentAt;
-    LogPosition position;
-  };
-
   std::deque<Sample> samples; ///< Ascending in both fields.
 };
 
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -26,6 +26,15 @@
   Duration endTransactionsAfter = std::chrono::milliseconds(3000);
 };
 
+/// A log position that a service's primary proved to lead at. It covers every commit that was
+/// acknowledged before `at`.
+struct PrimaryPosition
+{
+  std::string service;
+  LogPosition position;
+  Instant at{}; ///< On the clock of this process.
+};
+
 /// Totals since the start.
 struct StatementCounters
 {
@@ -51,6 +60,10 @@
   virtual void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) = 0;
   /// How the backend servers answered, and the demand since the last call.
   virtual std::vector<BackendReport> Reports(Instant aNow) = 0;
+  /// The newest position of each service that this proxy saw itself.
+  virtual std::vector<PrimaryPosition> OwnPositions() const = 0;
+  /// Takes positions that other proxies saw.
+  virtual void AddPositions(const std::vector<PrimaryPosition>& aPositions) = 0;
   virtual StatementCounters Counters() const = 0;
 
   /// Starts a graceful stop.
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -97,6 +97,15 @@
 void ServiceDispatcher::NotePrimaryPosition(Instant aSentAt, const LogPosition& aPosition)
 {
   this->positions.Add(aSentAt, aPosition);
+  if (!this->ownPosition || aPosition.term > this->ownPosition->position.term ||
+      (aPosition.term == this->ownPosition->position.term && aSentAt > this->ownPosition->sentAt)) {
+    this->ownPosition = { aSentAt, aPosition };
+  }
+}
+
+void ServiceDispatcher::AddPosition(Instant aAt, const LogPosition& aPosition)
+{
+  this->positions.Add(aAt, aPosition);
 }
 
 void ServiceDispatcher::NoteNotLeading(const std::string& aBackend, Instant aNow)
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -74,6 +74,10 @@
 
   /// The primary proved that it led when it answered a request that was sent at `aSentAt`.
   void NotePrimaryPosition(Instant aSentAt, const LogPosition& aPosition);
+  /// Another proxy saw such a position.
+  void AddPosition(Instant aAt, const LogPosition& aPosition);
+  /// The newest position that this proxy saw itself.
+  const std::optional<PositionHistory::Sample>& OwnPosition() const { return this->ownPosition; }
   /// A server answered that it does not lead.
   void NoteNotLeading(const std::string& aBackend, Instant aNow);
 
@@ -121,6 +125,7 @@
   /// Until when a server that denied to lead is not asked again.
   std::map<std::string, Instant, std::less<>> deniedUntil;
   PositionHistory positions;
+  std::optional<PositionHistory::Sample> ownPosition;
   std::vector<Waiter> waiting; ///< By priority, then arrival.
   Ticket lastTicket = 0;
   bool isPumping = false;
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -125,6 +125,24 @@
   return reports;
 }
 
+std::vector<PrimaryPosition> StatementServer::OwnPositions() const
+{
+  std::vector<PrimaryPosition> positions;
+  for (const auto& [name, dispatcher] : this->dispatchers) {
+    if (const auto& newest = dispatcher->OwnPosition()) {
+      positions.push_back({ name, newest->position, newest->sentAt });
+    }
+  }
+  return positions;
+}
+
+void StatementServer::AddPositions(const std::vector<PrimaryPosition>& aPositions)
+{
+  for (const PrimaryPosition& position : aPositions) {
+    this->DispatcherOf(position.service).AddPosition(position.at, position.position);
+  }
+}
+
 StatementCounters StatementServer::Counters() const
 {
   StatementCounters counters;
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -30,6 +30,8 @@
   void SetProxyCount(std::uint32_t aCount) override;
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) override;
   std::vector<BackendReport> Reports(Instant aNow) override;
+  std::vector<PrimaryPosition> OwnPositions() const override;
+  void AddPositions(const std::vector<PrimaryPosition>& aPositions) override;
   StatementCounters Counters() const override;
   void BeginStop() override;
   bool IsIdle() const override;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -314,6 +314,7 @@
       }
       const StatementError error = aResult.error->error;
       const std::string backend = this->placement->pool->Row().name;
+      this->LogRetry(this->transaction.begin.id, error, this->transaction.attempts);
       if (error == StatementError::ReadOnly) {
         this->Dispatcher()->NoteNotLeading(backend, MonotonicNow());
       } else {
@@ -503,8 +504,12 @@
     if (error != StatementError::ReadOnly) {
       this->running->excluded.insert(pool.Row().name);
     }
+    const bool mayRetry = IsNotRun(error) || (!isWrite && error == StatementError::Failed);
+    if (mayRetry) {
+      this->LogRetry(this->running->statement.id, error, this->running->attempts);
+    }
     this->ReleaseConnection(inTransaction);
-    if (IsNotRun(error) || (!isWrite && error == StatementError::Failed)) {
+    if (mayRetry) {
       this->RetrySingle(error, "answered by the backend server");
       return;
     }
@@ -801,6 +806,16 @@
                 : ""));
 }
 
+void StatementSession::LogRetry(std::string_view aId, StatementError aError, int aAttempts) const
+{
+  const auto& await = this->placement->await;
+  WriteLog(LogEvent::StatementRetried,
+           "id=" + std::string(aId) + " database=" + this->database + " backend=" +
+             this->placement->pool->Row().name + " error=" + std::string(ToString(aError)) +
+             " attempts=" + std::to_string(aAttempts) + " await=" +
+             (await ? std::to_string(await->term) + "." + std::to_string(await->offset) : "none"));
+}
+
 void StatementSession::Answer(std::string aMessages, std::optional<StatementError> aError)
 {
   if (this->running) {
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -125,6 +125,8 @@
   void AnswerError(StatementError aError, std::string_view aText);
   void Answer(std::string aMessages, std::optional<StatementError> aError);
   void LogFailure(StatementError aError, std::string_view aText) const;
+  /// The placed backend server did not run a statement, so another attempt follows.
+  void LogRetry(std::string_view aId, StatementError aError, int aAttempts) const;
   void Disconnect();
 
   const StatementProtocol& protocol;
--- a/tests/statements/PositionHistoryTests.cpp
+++ b/tests/statements/PositionHistoryTests.cpp
@@ -46,3 +46,22 @@
   history.Add(start + 100ms, { 4, 40 });
   CHECK(history.CoveringSince(start) == LogPosition{ 4, 40 });
 }
+
+// Guards against reads that ask for the newest position, which replicas lack, although another
+// proxy has told an older one that is recent enough.
+TEST_CASE("A sample of another proxy is put in its place among newer ones", "[positions]")
+{
+  PositionHistory history;
+  const Instant start{ 100s };
+  history.Add(start + 900ms, { 3, 30 });
+  history.Add(start + 400ms, { 3, 20 });
+  CHECK(history.CoveringSince(start) == LogPosition{ 3, 20 });
+  CHECK(history.CoveringSince(start + 500ms) == LogPosition{ 3, 30 });
+  history.Add(start + 600ms, { 3, 25 });
+  CHECK(history.CoveringSince(start + 500ms) == LogPosition{ 3, 25 });
+  // Says less than a later sample with a lower position.
+  history.Add(start + 300ms, { 3, 22 });
+  CHECK(history.CoveringSince(start) == LogPosition{ 3, 20 });
+  history.Add(start + 700ms, { 2, 99 });
+  CHECK(history.CoveringSince(start + 650ms) == LogPosition{ 3, 30 });
+}
