Do not ask servers that are known to lag or to have a full queue

Each read tried both replicas, then the primary, which refused with a full queue, then the replicas again, up to four attempts. Lagging servers are now left alone for 100 to 800 ms, a server that answers that it is unavailable counts as overloaded, and an overloaded primary is offered only the most urgent work until its pause ends.

--- a/src/oleanderledge/statements/BackendHealth.cpp
+++ b/src/oleanderledge/statements/BackendHealth.cpp
@@ -14,6 +14,10 @@
 /// twenty statements drain.
 constexpr Duration kFirstOverloadPause = std::chrono::milliseconds(20);
 constexpr Duration kLongestOverloadPause = std::chrono::milliseconds(320);
+/// First and longest pause for reads after the server lacked a position. The longest is half of the
+/// shortest accepted age on the platform's deployments, 1,500 ms.
+constexpr Duration kFirstLagPause = std::chrono::milliseconds(100);
+constexpr Duration kLongestLagPause = std::chrono::milliseconds(800);
 /// Weight of a new answer in the moving average, 1 in so many.
 constexpr int kAverageOver = 16;
 
@@ -29,7 +33,7 @@
 void BackendHealth::OnAnswer(Duration aTook, Instant aNow)
 {
   this->OnReachable(aNow);
-  this->overloadPause = Duration{ 0 };
+  this->overload.Reset();
   this->answerTime = this->answerTime == Duration{ 0 }
                        ? aTook
                        : this->answerTime + (aTook - this->answerTime) / kAverageOver;
@@ -38,13 +42,13 @@
 void BackendHealth::OnOverload(Instant aNow)
 {
   this->OnReachable(aNow);
-  // Statements that were under way together are refused together.
-  if (this->IsOverloaded(aNow)) {
-    return;
-  }
-  this->overloadPause =
-    std::clamp(this->overloadPause * 2, kFirstOverloadPause, kLongestOverloadPause);
-  this->overloadedUntil = aNow + this->overloadPause;
+  this->overload.Extend(aNow, kFirstOverloadPause, kLongestOverloadPause);
+}
+
+void BackendHealth::OnLag(Instant aNow)
+{
+  this->OnReachable(aNow);
+  this->lag.Extend(aNow, kFirstLagPause, kLongestLagPause);
 }
 
 void BackendHealth::OnFailure(Instant aNow)
--- a/src/oleanderledge/statements/ReadPlacement.cpp
+++ b/src/oleanderledge/statements/ReadPlacement.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kZonePenalty = std::chrono::milliseconds(15);
 /// Keeps room at the primary, which alone can run writes.
 constexpr Duration kPrimaryPenalty = std::chrono::milliseconds(15);
-/// A server that fails, lags or refuses is used only if no other can be.
+/// A server that fails or refuses is used only if no other can be.
 constexpr Duration kTroublePenalty = std::chrono::seconds(10);
 
 Duration ExpectedTime(const ReadCandidate& aCandidate)
@@ -38,7 +38,7 @@
   if (aCandidate.isPrimary) {
     expected += kPrimaryPenalty;
   }
-  if (aCandidate.isFailing || aCandidate.isLagging || aCandidate.isOverloaded) {
+  if (aCandidate.isFailing || aCandidate.isOverloaded) {
     expected += kTroublePenalty;
   }
   return expected;
@@ -52,7 +52,8 @@
   Duration bestTime{ 0 };
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const ReadCandidate& candidate = aCandidates[index];
-    if (!candidate.hasIdleConnection && !candidate.mayOpenConnection) {
+    // Asking a server that lags costs a round trip and is refused.
+    if (candidate.isLagging || (!candidate.hasIdleConnection && !candidate.mayOpenConnection)) {
       continue;
     }
     const Duration expected = ExpectedTime(candidate);
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -9,8 +9,6 @@
 
 /// Pause after the server refused a connection for its limit; other proxies hold the rest.
 constexpr Duration kRefusedPause = std::chrono::milliseconds(250);
-/// Reads avoid a replica for this time after it lacked a position.
-constexpr Duration kLaggingPause = std::chrono::milliseconds(100);
 /// A connection that is idle for longer is closed, so that other proxies may use the share. A
 /// server counts connections of a proxy that lost power for 3 s more, so few should stand open
 /// unused.
@@ -204,17 +202,17 @@
 void BackendPool::NoteResult(const StatementResult& aResult, Instant aNow)
 {
   const auto error = aResult.error ? std::optional(aResult.error->error) : std::nullopt;
-  if (error == StatementError::Overloaded) {
+  // A server that answers that it is unavailable has a full queue.
+  if (error == StatementError::Overloaded || error == StatementError::Unavailable) {
     this->health.OnOverload(aNow);
+  } else if (error == StatementError::Lagging) {
+    this->health.OnLag(aNow);
   } else if (error && IsNotRun(*error)) {
     // Refused within a moment, which says nothing of the time of answers.
     this->health.OnReachable(aNow);
   } else {
     this->health.OnAnswer(aResult.took, aNow);
   }
-  if (error == StatementError::Lagging) {
-    this->laggingUntil = aNow + kLaggingPause;
-  }
 }
 
 void BackendPool::CloseIdle(Instant aNow)
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -61,7 +61,8 @@
   void NoteResult(const StatementResult& aResult, Instant aNow);
   /// Notes if the server has left all running statements unanswered for long. Returns true if so.
   bool CheckSilence(Instant aNow);
-  bool IsLagging(Instant aNow) const { return aNow < this->laggingUntil; }
+  /// Records that the server had the position that a read needed.
+  void NotePositionMet() { this->health.OnPositionMet(); }
   /// Closes connections that are idle for long.
   void CloseIdle(Instant aNow);
   void CloseAll();
@@ -84,7 +85,6 @@
   std::uint32_t demand = 0;
   std::uint64_t openedCount = 0;
   Instant refusedUntil{};
-  Instant laggingUntil{};
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -161,7 +161,7 @@
             std::to_string(pool->Health().AnswerTime().count() / 1000) + "ms" +
             (pool->Health().IsFailing() ? "/failing" : "") +
             (pool->Health().IsOverloaded(aNow) ? "/overloaded" : "") +
-            (pool->IsLagging(aNow) ? "/lagging" : "");
+            (pool->Health().IsLagging(aNow) ? "/lagging" : "");
     separator = ",";
   }
   return text;
@@ -272,7 +272,12 @@
       }
     }
   }
-  return { this->PrimaryPool(aNow), { nullptr, nullptr, true, std::nullopt } };
+  BackendPool* pool = this->PrimaryPool(aNow);
+  if (pool != nullptr && pool->Health().IsOverloaded(aNow) && aRequest.priority > 0) {
+    // What room the primary has goes to the most urgent work; the rest tries after the pause.
+    return {};
+  }
+  return { pool, { nullptr, nullptr, true, std::nullopt } };
 }
 
 BackendPool* ServiceDispatcher::PrimaryPool(Instant aNow) const
@@ -320,7 +325,7 @@
         pool->MayOpen(aNow) || pool->OpeningCount() > 0,
         pool->Health().IsFailing(),
         pool->Health().IsOverloaded(aNow),
-        pool->IsLagging(aNow),
+        pool->Health().IsLagging(aNow),
         pool->OpeningFor(aNow),
         pool->InUse(),
         row.slots,
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -304,6 +304,9 @@
     this->RunOwn(request, [this](const StatementResult& aResult) {
       if (!aResult.error) {
         this->transaction.hasBegun = true;
+        if (this->placement->await) {
+          this->placement->pool->NotePositionMet();
+        }
         if (this->transaction.onPrimary && aResult.ready.position) {
           this->Dispatcher()->NotePrimaryPosition(aResult.sentAt, *aResult.ready.position);
         }
@@ -517,6 +520,9 @@
     this->Answer(aResult.error->raw, error);
     return;
   }
+  if (this->placement->await) {
+    pool.NotePositionMet();
+  }
   if (isWrite && aResult.ready.position) {
     this->Dispatcher()->NotePrimaryPosition(aResult.sentAt, *aResult.ready.position);
     this->lastCommit = *aResult.ready.position;
--- a/tests/statements/BackendHealthTests.cpp
+++ b/tests/statements/BackendHealthTests.cpp
@@ -49,3 +49,20 @@
   health.OnOverload(start + 100ms);
   CHECK_FALSE(health.IsOverloaded(start + 120ms));
 }
+
+// Guards against asking a replica again and again that lags by more than reads accept.
+TEST_CASE("A server that lags is left alone for growing pauses until it has a position", "[health]")
+{
+  BackendHealth health;
+  const Instant start{ 10s };
+  health.OnLag(start);
+  CHECK(health.IsLagging(start + 99ms));
+  CHECK_FALSE(health.IsLagging(start + 100ms));
+  health.OnLag(start + 100ms);
+  health.OnLag(start + 150ms);
+  CHECK(health.IsLagging(start + 299ms));
+  CHECK_FALSE(health.IsLagging(start + 300ms));
+  health.OnPositionMet();
+  health.OnLag(start + 300ms);
+  CHECK_FALSE(health.IsLagging(start + 400ms));
+}
--- a/tests/statements/ReadPlacementTests.cpp
+++ b/tests/statements/ReadPlacementTests.cpp
@@ -36,7 +36,8 @@
   CHECK(ChooseForRead(std::vector{ busy, IdleServer(ZoneDistance::OtherRegion) }) == 1U);
 }
 
-TEST_CASE("A failing or lagging server is used only if no other can be", "[placement]")
+TEST_CASE("A failing server is used only if no other can be, a lagging one not at all",
+          "[placement]")
 {
   ReadCandidate failing = IdleServer(ZoneDistance::SameZone);
   failing.isFailing = true;
@@ -45,6 +46,7 @@
   CHECK(ChooseForRead(std::vector{ failing, lagging, IdleServer(ZoneDistance::OtherRegion) }) ==
         2U);
   CHECK(ChooseForRead(std::vector{ failing }) == 0U);
+  CHECK_FALSE(ChooseForRead(std::vector{ lagging }).has_value());
 }
 
 TEST_CASE("A server without a free connection is not chosen", "[placement]")
