--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -68,8 +68,8 @@
   // 1700: entry.
   CallerRejected = 1701,
   CallerClosed = 1702,
-  OwnerLinkSilent = 1703,
-  OwnerLinkRejected = 1704,
+  PeerLinkSilent = 1703,
+  PeerLinkRejected = 1704,
   EntryStopping = 1705,
   StatementFailed = 1706,
   StatementRetried = 1707,
--- /dev/null
+++ b/src/oleanderledge/control/ConnectionShares.cpp
@@ -0,0 +1,173 @@
+#include "oleanderledge/control/ConnectionShares.hpp"
+
+#include "oleanderledge/control/ConnectionAllotment.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleanderledge {
+
+namespace {
+
+/// Part of a demand that is kept from one heartbeat (200 ms) to the next: halved in 0.6 s.
+constexpr double kDemandDecay = 0.8;
+/// With fewer connections than this for each proxy, a proxy could not carry a burst of its callers
+/// on its own ones.
+constexpr double kLeastEach = 2.5;
+
+} // namespace
+
+ConnectionShares::ConnectionShares(const ControlState& aState, ShareTimings aTimings)
+  : state(aState)
+  , timings(aTimings)
+{
+}
+
+std::uint32_t ConnectionShares::ProxyView::DemandFor(std::string_view aBackend) const
+{
+  const auto found = this->demand.find(aBackend);
+  return found == this->demand.end() ? 0 : static_cast<std::uint32_t>(std::lround(found->second));
+}
+
+void ConnectionShares::OnLeadershipGained(Instant aNow)
+{
+  this->leaderSince = aNow;
+  this->proxies.clear();
+  this->plans.clear();
+}
+
+void ConnectionShares::OnReports(const InstanceInfo& aProxy,
+                                 const std::vector<BackendReport>& aReports,
+                                 Instant aNow)
+{
+  ProxyView& view = this->proxies[aProxy.id];
+  view.instance = aProxy;
+  view.heardAt = aNow;
+  for (const BackendReport& report : aReports) {
+    double& demand = view.demand[report.backend];
+    demand = std::max<double>(report.demand, demand * kDemandDecay);
+  }
+}
+
+void ConnectionShares::OnTick(Instant aNow)
+{
+  if (aNow - this->leaderSince < this->timings.settleTime ||
+      aNow - this->allottedAt < this->timings.allotInterval) {
+    return;
+  }
+  this->AllotAll(aNow);
+}
+
+void ConnectionShares::AllotAll(Instant aNow)
+{
+  this->allottedAt = aNow;
+  std::erase_if(this->proxies, [this, aNow](const auto& aEach) {
+    return aNow - aEach.second.heardAt > this->timings.proxyForgottenAfter;
+  });
+  const auto& backends = this->state.Backends().Backends();
+  std::erase_if(this->plans, [&backends](const auto& aEach) {
+    const auto found = backends.find(aEach.first);
+    return found == backends.end() || found->second.deleted;
+  });
+  for (auto& [id, view] : this->proxies) {
+    view.grants.clear();
+    view.duties = 0;
+  }
+  for (const auto& [backend, plan] : this->plans) {
+    for (const auto& [name, zone] : plan.zones) {
+      for (const std::string& relay : zone.relays) {
+        const auto found = this->proxies.find(relay);
+        if (found != this->proxies.end()) {
+          ++found->second.duties;
+        }
+      }
+    }
+  }
+  for (const auto& [name, backend] : backends) {
+    const auto service = this->state.Routes().Services().find(backend.service);
+    if (backend.deleted || service == this->state.Routes().Services().end()) {
+      continue;
+    }
+    const std::uint32_t limit = service->second.connectionLimit;
+    if (limit < kLeastEach * static_cast<double>(this->proxies.size())) {
+      this->AllotRelayed(name, limit);
+    } else {
+      this->AllotEach(name, limit);
+    }
+  }
+}
+
+void ConnectionShares::AllotEach(const std::string& aBackend, std::uint32_t aLimit)
+{
+  this->plans.erase(aBackend);
+  std::vector<std::uint32_t> demands;
+  for (const auto& [id, view] : this->proxies) {
+    demands.push_back(view.DemandFor(aBackend));
+  }
+  const auto allotted = AllotConnections(aLimit, demands);
+  std::size_t index = 0;
+  for (auto& [id, view] : this->proxies) {
+    view.grants.push_back({ aBackend, allotted[index++], {} });
+  }
+}
+
+void ConnectionShares::AllotRelayed(const std::string& aBackend, std::uint32_t aLimit)
+{
+  std::vector<RelayCandidate> candidates;
+  std::uint32_t held = 0;
+  for (const auto& [id, view] : this->proxies) {
+    const std::uint32_t demand = view.DemandFor(aBackend);
+    if (view.instance.leaving) {
+      // It serves no new statements, but finishes those on its connections.
+      held += demand;
+      continue;
+    }
+    candidates.push_back({ id, view.instance.zone, demand, view.duties });
+  }
+  RelayPlan& plan = this->plans[aBackend];
+  const RelayPlan previous = std::move(plan);
+  plan =
+    AssignRelays(aBackend, std::max(aLimit - std::min(held, aLimit), 1U), candidates, previous);
+  for (const auto& [name, zone] : plan.zones) {
+    for (const std::string& relay : zone.relays) {
+      const auto before = previous.zones.find(name);
+      const bool isNew =
+        before == previous.zones.end() ||
+        std::ranges::find(before->second.relays, relay) == before->second.relays.end();
+      this->proxies.at(relay).duties += isNew ? 1 : 0;
+    }
+  }
+  for (auto& [id, view] : this->proxies) {
+    ConnectionGrant grant{ aBackend, plan.ConnectionsOf(id, view.instance.zone), {} };
+    if (grant.connections == 0) {
+      for (const std::string& relay : plan.RelaysFor(view.instance.zone)) {
+        grant.relays.push_back(this->proxies.at(relay).instance.linkAddress);
+      }
+    }
+    view.grants.push_back(std::move(grant));
+  }
+}
+
+std::vector<ConnectionGrant> ConnectionShares::GrantsFor(const std::string& aProxy, Instant aNow)
+{
+  const auto found = this->proxies.find(aProxy);
+  if (found == this->proxies.end()) {
+    return {};
+  }
+  ProxyView& view = found->second;
+  if (view.grants == view.sent && aNow - view.sentAt < this->timings.grantRepeat) {
+    return {};
+  }
+  std::vector<ConnectionGrant> news;
+  const bool isRepeat = aNow - view.sentAt >= this->timings.grantRepeat;
+  for (const ConnectionGrant& grant : view.grants) {
+    if (isRepeat || std::ranges::find(view.sent, grant) == view.sent.end()) {
+      news.push_back(grant);
+    }
+  }
+  view.sent = view.grants;
+  view.sentAt = isRepeat ? aNow : view.sentAt;
+  return news;
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -1,20 +1,10 @@
 #include "oleanderledge/control/ServiceCoordinator.hpp"
 
-#include "oleanderledge/control/ConnectionAllotment.hpp"
-
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace oleanderledge {
 
-namespace {
-
-/// Part of a demand that is kept from one heartbeat (200 ms) to the next: halved in 0.6 s.
-constexpr double kDemandDecay = 0.8;
-
-} // namespace
-
 std::string_view ToString(PromotionOutcome aOutcome)
 {
   switch (aOutcome) {
@@ -70,60 +60,17 @@
   set.byBackend.clear();
   for (const BackendReport& report : aReports) {
     set.byBackend[report.backend] = report;
-    double& demand = set.demand[report.backend];
-    demand = std::max<double>(report.demand, demand * kDemandDecay);
-  }
-}
-
-void ServiceCoordinator::AllotAll(Instant aNow)
-{
-  this->allottedAt = aNow;
-  std::erase_if(this->reports, [this, aNow](const auto& aEach) {
-    return aNow - aEach.second.at > this->timings.proxyForgottenAfter;
-  });
-  for (auto& [proxy, set] : this->reports) {
-    set.grants.clear();
-  }
-  for (const auto& [name, backend] : this->state.Backends().Backends()) {
-    const auto service = this->state.Routes().Services().find(backend.service);
-    if (backend.deleted || service == this->state.Routes().Services().end()) {
-      continue;
-    }
-    std::vector<std::uint32_t> demands;
-    for (auto& [proxy, set] : this->reports) {
-      demands.push_back(static_cast<std::uint32_t>(std::lround(set.demand[name])));
-    }
-    const auto allotted = AllotConnections(service->second.connectionLimit, demands);
-    std::size_t index = 0;
-    for (auto& [proxy, set] : this->reports) {
-      set.grants.push_back({ name, allotted[index++] });
-    }
   }
 }
 
-std::vector<ConnectionGrant> ServiceCoordinator::GrantsFor(const std::string& aProxy, Instant aNow)
-{
-  const auto found = this->reports.find(aProxy);
-  if (!this->isLeading || found == this->reports.end()) {
-    return {};
-  }
-  ReportSet& set = found->second;
-  if (set.grants == set.sent && aNow - set.sentAt < this->timings.grantRepeat) {
-    return {};
-  }
-  set.sent = set.grants;
-  set.sentAt = aNow;
-  return set.grants;
-}
-
 void ServiceCoordinator::OnTick(Instant aNow, ControlActions& aActions)
 {
   if (!this->isLeading) {
     return;
   }
-  if (aNow - this->allottedAt >= this->timings.allotInterval) {
-    this->AllotAll(aNow);
-  }
+  std::erase_if(this->reports, [this, aNow](const auto& aEach) {
+    return aNow - aEach.second.at > this->timings.reportLifetime;
+  });
   std::set<std::string> services;
   for (const auto& [name, backend] : this->state.Backends().Backends()) {
     services.insert(backend.service);
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -44,13 +44,6 @@
   /// After a promotion, reports about the service count only from this time on.
   Duration settleTime = std::chrono::milliseconds(1500);
 
-  /// Connections are divided anew at this interval, that of the proxies' heartbeats.
-  Duration allotInterval = std::chrono::milliseconds(200);
-  /// Unchanged grants are repeated after this time, in case a reply was lost.
-  Duration grantRepeat = std::chrono::milliseconds(2000);
-  /// A proxy that did not report for this time holds no connections any more.
-  Duration proxyForgottenAfter = std::chrono::milliseconds(3000);
-
   /// Silence of registrations by which a server counts as lost: two intervals and one delay.
   Duration SilentAfter() const
   {
@@ -89,8 +82,6 @@
                  const std::vector<BackendReport>& aReports,
                  Instant aNow);
   void OnTick(Instant aNow, ControlActions& aActions);
-  /// Connections that a proxy may hold; empty if nothing changed since the last call for it.
-  std::vector<ConnectionGrant> GrantsFor(const std::string& aProxy, Instant aNow);
   void OnProposalDone(std::string_view aKey);
   void OnPromotionAnswer(const std::string& aService,
                          std::uint64_t aFence,
@@ -115,11 +106,6 @@
   {
     Instant at{};
     std::map<std::string, BackendReport, std::less<>> byBackend;
-    /// Recent demand by backend server; falls slowly.
-    std::map<std::string, double, std::less<>> demand;
-    std::vector<ConnectionGrant> grants;
-    std::vector<ConnectionGrant> sent;
-    Instant sentAt{};
   };
   /// Question to all candidates for the lead of a service, before one is chosen.
   struct Survey
@@ -147,7 +133,6 @@
     Duration failingFor{ 0 }; ///< Shortest time among those that fail.
   };
 
-  void AllotAll(Instant aNow);
   void StepService(const std::string& aService, Instant aNow, ControlActions& aActions);
   void StepPromotion(const PrimaryRow& aRow,
                      Progress& aProgress,
@@ -193,7 +178,6 @@
   std::map<std::string, Heard, std::less<>> heard;
   std::map<std::string, ReportSet, std::less<>> reports;
   std::map<std::string, Progress, std::less<>> progress;
-  Instant allottedAt{};
   std::map<std::string, Instant, std::less<>> refusedAt;
   std::set<std::string, std::less<>> pendingKeys;
 };
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -52,6 +52,7 @@
   , latency{ aSettings.latencyBetweenZones, aSettings.latencyBetweenRegions, Duration{ 0 } }
   , observedState(this->state, [this] { this->publisher->SchedulePublish(); })
   , leader(this->state, aSettings.timings)
+  , shares(this->state, {})
   , services(this->state, aSettings.nodeName, aSettings.serviceTimings)
   , group(aGroupFactory(this->observedState, *this))
   , backends(std::move(aBackends))
@@ -116,6 +117,7 @@
   ControlActions actions;
   const Instant now = MonotonicNow();
   this->services.OnLeadershipGained(now);
+  this->shares.OnLeadershipGained(now);
   this->positionBoard.Clear();
   this->leader.OnLeadershipGained(now, actions);
   this->Execute(actions);
@@ -325,13 +327,14 @@
     reply.controlAddresses.push_back(member.linkAddress);
   }
   reply.proxyCount = this->proxyCount;
-  reply.connections = this->services.GrantsFor(aHeartbeat.instance.id, aNow);
+  this->shares.OnReports(aHeartbeat.instance, aHeartbeat.backends, aNow);
   if (this->IsCurrentLeader()) {
     reply.leaderTerm = this->Log().Term();
     reply.leaderUs = ToMicroseconds(aNow);
     if (aHeartbeat.leaderTerm == reply.leaderTerm) {
       this->positionBoard.Add(aHeartbeat.positions, aNow);
     }
+    reply.connections = this->shares.GrantsFor(aHeartbeat.instance.id, aNow);
     reply.positions = this->positionBoard.NewsFor(aHeartbeat.instance.id);
   }
   return reply;
@@ -369,6 +372,9 @@
   if (isLeading && now - this->proxiesCountedAt >= kProxyCountInterval) {
     this->CountProxies(now);
   }
+  if (isLeading) {
+    this->shares.OnTick(now);
+  }
   this->Execute(actions);
 }
 
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/consensus/ReplicatedLog.hpp"
+#include "oleanderledge/control/ConnectionShares.hpp"
 #include "oleanderledge/control/ControlLeader.hpp"
 #include "oleanderledge/control/ControlSettings.hpp"
 #include "oleanderledge/control/ControlState.hpp"
@@ -131,6 +132,7 @@
   ControlState state;
   ObservedState observedState;
   ControlLeader leader;
+  ConnectionShares shares;
   ServiceCoordinator services;
   PositionBoard positionBoard;
   std::unique_ptr<PromotionService> promotions;
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -109,8 +109,8 @@
 Result<void> ProxyDaemon::Start()
 {
   if (this->settings.fleet.enabled) {
-    this->traffic =
-      new StatementTraffic(std::make_unique<platform::WireProtocol>(), this->settings);
+    this->traffic = new StatementTraffic(
+      this->contact.Self(), std::make_unique<platform::WireProtocol>(), this->settings);
   } else {
     this->traffic = new TrafficWorker(
       this->contact.Self(), this->settings, LatencyOf(this->settings.emulatedLatency));
--- a/src/oleanderledge/daemon/internal/StatementTraffic.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTraffic.cpp
@@ -2,8 +2,11 @@
 
 namespace oleanderledge {
 
-StatementTraffic::StatementTraffic(std::unique_ptr<StatementProtocol> aProtocol, Settings aSettings)
-  : protocol(std::move(aProtocol))
+StatementTraffic::StatementTraffic(InstanceInfo aSelf,
+                                   std::unique_ptr<StatementProtocol> aProtocol,
+                                   Settings aSettings)
+  : self(std::move(aSelf))
+  , protocol(std::move(aProtocol))
   , settings(std::move(aSettings))
 {
 }
@@ -12,7 +15,7 @@
 {
   StatementServiceSettings serviceSettings;
   serviceSettings.callersAddress = this->settings.callersAddress;
-  serviceSettings.zone = this->settings.zone;
+  serviceSettings.self = this->self;
   serviceSettings.regionOfZone = this->settings.fleet.regionOfZone;
   auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
   if (!created) {
--- a/src/oleanderledge/daemon/internal/StatementTraffic.hpp
+++ b/src/oleanderledge/daemon/internal/StatementTraffic.hpp
@@ -12,7 +12,9 @@
   Q_OBJECT
 
 public:
-  StatementTraffic(std::unique_ptr<StatementProtocol> aProtocol, Settings aSettings);
+  StatementTraffic(InstanceInfo aSelf,
+                   std::unique_ptr<StatementProtocol> aProtocol,
+                   Settings aSettings);
 
   Result<void> Start() override;
   void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
@@ -29,6 +31,7 @@
   bool IsIdle() const override;
 
 private:
+  InstanceInfo self;
   std::unique_ptr<StatementProtocol> protocol;
   Settings settings;
   std::unique_ptr<StatementService> service;
--- a/src/oleanderledge/entry/internal/Forwarder.hpp
+++ b/src/oleanderledge/entry/internal/Forwarder.hpp
@@ -2,10 +2,10 @@
 
 #include "oleanderledge/base/base.hpp"
 #include "oleanderledge/entry/EntrySettings.hpp"
-#include "oleanderledge/entry/internal/BackOff.hpp"
 #include "oleanderledge/entry/internal/ForwardUnit.hpp"
 #include "oleanderledge/entry/internal/RetryBudget.hpp"
 #include "oleanderledge/link/Directory.hpp"
+#include "oleanderledge/transport/BackOff.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/oleanderledge/entry/internal/LinkPool.cpp
+++ b/src/oleanderledge/entry/internal/LinkPool.cpp
@@ -2,20 +2,13 @@
 
 #include "oleanderledge/entry/ProxyLinks.hpp"
 #include "oleanderledge/entry/internal/OwnerLinkServer.hpp"
-#include "oleanderledge/transport/transport.hpp"
 
 namespace oleanderledge {
 
 namespace {
 
-constexpr Duration kPingInterval = std::chrono::milliseconds(200);
-/// An owner that sends nothing for this long is taken for cut off. As long as control waits before
-/// it takes a proxy for dead.
-constexpr Duration kSilenceLimit = std::chrono::milliseconds(1200);
-/// If this process itself stood still for longer, pongs may lie unread, so silence proves nothing.
-constexpr Duration kLateTick = std::chrono::milliseconds(600);
-/// A lost link that nobody asked for in this time is not opened again.
-constexpr Duration kWantedTime = std::chrono::seconds(30);
+/// As on the links to other processes.
+constexpr std::chrono::milliseconds kLocalPingInterval(200);
 
 } // namespace
 
@@ -35,11 +28,9 @@
                    OwnerLinkServer& aLocal,
                    QObject* aParent)
   : QObject(aParent)
-  , selfInfo(aSelf)
-  , latency(aLatency)
-  , backOff(aSeed)
+  , selfAddress(aSelf.linkAddress)
+  , peers(aSelf, aLatency, aSeed, PeerLinks::Pinging::Always, nullptr)
   , local(aLocal)
-  , lastPing(MonotonicNow())
 {
   QObject::connect(
     &this->local,
@@ -47,13 +38,23 @@
     this,
     [this](const StatementReply& aReply) {
       if (this->listener != nullptr) {
-        this->listener->OnLinkReply(this->selfInfo.linkAddress, StatementReply(aReply));
+        this->listener->OnLinkReply(this->selfAddress, StatementReply(aReply));
       }
     },
     Qt::QueuedConnection);
-  QObject::connect(&this->pingTimer, &QTimer::timeout, this, &LinkPool::PingAll);
-  this->pingTimer.setTimerType(Qt::PreciseTimer);
-  this->pingTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(kPingInterval));
+  QObject::connect(&this->peers, &PeerLinks::Ready, this, [this](const std::string& aAddress) {
+    if (this->listener != nullptr) {
+      this->listener->OnLinkReady(aAddress);
+    }
+  });
+  QObject::connect(&this->peers, &PeerLinks::Lost, this, [this](const std::string& aAddress) {
+    if (this->listener != nullptr) {
+      this->listener->OnLinkClosed(aAddress);
+    }
+  });
+  QObject::connect(&this->peers, &PeerLinks::Received, this, &LinkPool::HandleReceived);
+  QObject::connect(&this->localPingTimer, &QTimer::timeout, this, &LinkPool::PingLocal);
+  this->localPingTimer.setTimerType(Qt::PreciseTimer);
 }
 
 LinkPool::~LinkPool()
@@ -65,136 +66,49 @@
 
 void LinkPool::Open(const std::string& aAddress)
 {
-  if (aAddress == this->selfInfo.linkAddress) {
-    if (!this->isLocalReady) {
-      this->isLocalReady = true;
-      (void)this->local.HandleMessage(kLocalLinkId, LinkPing{ ToMicroseconds(MonotonicNow()) });
-      QMetaObject::invokeMethod(
-        this,
-        [this] {
-          if (this->listener != nullptr) {
-            this->listener->OnLinkReady(this->selfInfo.linkAddress);
-          }
-        },
-        Qt::QueuedConnection);
-    }
+  if (aAddress != this->selfAddress) {
+    this->peers.Open(aAddress);
     return;
   }
-  Peer& peer = this->peers[aAddress];
-  peer.wanted = MonotonicNow();
-  if (!peer.isOpening && !peer.isReady) {
-    this->Connect(aAddress);
-  }
-}
-
-void LinkPool::Connect(const std::string& aAddress)
-{
-  Peer& peer = this->peers[aAddress];
-  peer.isOpening = true;
-  auto* link = new LinkConnection(this->selfInfo, aAddress, this->latency, this);
-  peer.link = link;
-  QObject::connect(
-    link, &LinkConnection::Ready, this, [this, aAddress] { this->HandleReady(aAddress); });
-  QObject::connect(
-    link, &LinkConnection::Received, this, [this, aAddress](const Message& aMessage) {
-      this->HandleReceived(aAddress, aMessage);
-    });
-  QObject::connect(link, &LinkConnection::Closed, this, [this, aAddress, link] {
-    link->deleteLater();
-    this->HandleClosed(aAddress);
-  });
-  if (link->IsClosed()) {
-    // An invalid address fails at once, before the signal was connected.
-    link->deleteLater();
-    this->HandleClosed(aAddress);
-  }
-}
-
-void LinkPool::HandleReady(const std::string& aAddress)
-{
-  Peer& peer = this->peers[aAddress];
-  peer.isOpening = false;
-  peer.isReady = true;
-  peer.failures = 0;
-  peer.lastHeard = MonotonicNow();
-  // Before any unit, so that the first write acknowledgement can carry a lease bound.
-  peer.link->Send(LinkPing{ ToMicroseconds(peer.lastHeard) });
-  if (this->listener != nullptr) {
-    this->listener->OnLinkReady(aAddress);
+  if (this->localPingTimer.isActive()) {
+    return;
   }
+  this->localPingTimer.start(kLocalPingInterval);
+  this->PingLocal();
+  QMetaObject::invokeMethod(
+    this,
+    [this] {
+      if (this->listener != nullptr) {
+        this->listener->OnLinkReady(this->selfAddress);
+      }
+    },
+    Qt::QueuedConnection);
 }
 
 void LinkPool::HandleReceived(const std::string& aAddress, const Message& aMessage)
 {
-  Peer& peer = this->peers[aAddress];
-  peer.lastHeard = MonotonicNow();
-  if (const auto* reply = std::get_if<StatementReply>(&aMessage)) {
-    if (this->listener != nullptr) {
-      this->listener->OnLinkReply(aAddress, StatementReply(*reply));
-    }
+  const auto* reply = std::get_if<StatementReply>(&aMessage);
+  if (reply == nullptr) {
+    this->peers.Reject(aAddress, aMessage);
     return;
   }
-  if (!std::holds_alternative<LinkPong>(aMessage)) {
-    WriteLog(LogEvent::OwnerLinkRejected,
-             "peer=" + peer.link->Peer().id + " type=" + std::to_string(aMessage.index()));
-    peer.link->Close();
-  }
-}
-
-void LinkPool::HandleClosed(const std::string& aAddress)
-{
-  Peer& peer = this->peers[aAddress];
-  const bool wasReady = peer.isReady;
-  peer.link = nullptr;
-  peer.isReady = false;
-  ++peer.failures;
-  peer.isOpening = MonotonicNow() < peer.wanted + kWantedTime;
-  if (peer.isOpening) {
-    const auto wait =
-      std::chrono::ceil<std::chrono::milliseconds>(this->backOff.Next(peer.failures));
-    QTimer::singleShot(wait, this, [this, aAddress] { this->Connect(aAddress); });
-  }
-  if (wasReady && this->listener != nullptr) {
-    this->listener->OnLinkClosed(aAddress);
+  if (this->listener != nullptr) {
+    this->listener->OnLinkReply(aAddress, StatementReply(*reply));
   }
 }
 
 bool LinkPool::Send(const std::string& aAddress, Message&& aMessage)
 {
-  if (aAddress == this->selfInfo.linkAddress) {
-    return this->isLocalReady && this->local.HandleMessage(kLocalLinkId, std::move(aMessage));
+  if (aAddress == this->selfAddress) {
+    return this->localPingTimer.isActive() &&
+           this->local.HandleMessage(kLocalLinkId, std::move(aMessage));
   }
-  const auto found = this->peers.find(aAddress);
-  if (found == this->peers.end() || !found->second.isReady || !found->second.link->IsReady()) {
-    return false;
-  }
-  found->second.wanted = MonotonicNow();
-  found->second.link->Send(aMessage);
-  return true;
+  return this->peers.Send(aAddress, aMessage);
 }
 
-void LinkPool::PingAll()
+void LinkPool::PingLocal()
 {
-  const Instant now = MonotonicNow();
-  const bool isLate = now - this->lastPing > kLateTick;
-  this->lastPing = now;
-  if (this->isLocalReady) {
-    (void)this->local.HandleMessage(kLocalLinkId, LinkPing{ ToMicroseconds(now) });
-  }
-  for (auto& [address, peer] : this->peers) {
-    if (!peer.isReady) {
-      continue;
-    }
-    if (isLate) {
-      peer.lastHeard = now;
-    }
-    if (now - peer.lastHeard > kSilenceLimit) {
-      WriteLog(LogEvent::OwnerLinkSilent, "address=" + address);
-      peer.link->Close();
-      continue;
-    }
-    peer.link->Send(LinkPing{ ToMicroseconds(now) });
-  }
+  (void)this->local.HandleMessage(kLocalLinkId, LinkPing{ ToMicroseconds(MonotonicNow()) });
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/entry/internal/OwnerLinkServer.cpp
+++ b/src/oleanderledge/entry/internal/OwnerLinkServer.cpp
@@ -35,7 +35,7 @@
                                      const Message& aMessage)
 {
   if (!this->HandleMessage(aLink, Message(aMessage))) {
-    WriteLog(LogEvent::OwnerLinkRejected,
+    WriteLog(LogEvent::PeerLinkRejected,
              "peer=" + aConnection->Peer().id + " type=" + std::to_string(aMessage.index()));
     aConnection->Close();
     return;
--- a/src/oleanderledge/statements/ReadPlacement.cpp
+++ b/src/oleanderledge/statements/ReadPlacement.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kUnknownAnswerTime = std::chrono::milliseconds(20);
 /// Round trip and start-up of a new connection at the server (12 ms).
 constexpr Duration kOpenCost = std::chrono::milliseconds(15);
+/// Round trip to a relay of the same availability zone, and its processing.
+constexpr Duration kRelayCost = std::chrono::milliseconds(2);
 constexpr int kOpeningFactor = 2;
 /// What a farther server must be faster by. Traffic between regions costs several percent of what a
 /// read is worth.
@@ -28,7 +30,8 @@
   Duration expected = answer + answer * aCandidate.inUse / std::max(1U, aCandidate.slots);
   if (!aCandidate.hasIdleConnection) {
     // An attempt that takes long will probably take longer still.
-    expected += kOpenCost + aCandidate.openingFor * kOpeningFactor;
+    expected +=
+      (aCandidate.isRelayed ? kRelayCost : kOpenCost) + aCandidate.openingFor * kOpeningFactor;
   }
   if (aCandidate.distance == ZoneDistance::OtherRegion) {
     expected += kRegionPenalty;
--- a/src/oleanderledge/statements/ReadPlacement.hpp
+++ b/src/oleanderledge/statements/ReadPlacement.hpp
@@ -16,6 +16,7 @@
   ZoneDistance distance = ZoneDistance::SameZone;
   bool hasIdleConnection = false;
   bool mayOpenConnection = false;
+  bool isRelayed = false; ///< A connection of another proxy is used instead of opening one.
   bool isFailing = false;
   bool isOverloaded = false; ///< Recently refused a statement for its load.
   bool isLagging = false;    ///< Recently lacked a position that a read needed.
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -16,7 +16,7 @@
 struct StatementServiceSettings
 {
   std::string callersAddress; ///< "ip:port".
-  std::string zone;           ///< Of this proxy, "region/zone".
+  InstanceInfo self;          ///< Of this proxy; other proxies reach it at its link address.
   /// Region of each availability zone.
   std::map<std::string, std::string, std::less<>> regionOfZone;
   /// Time after the start of a stop from which idle sessions are closed. The load balancer has
@@ -42,6 +42,7 @@
   std::size_t waiting = 0; ///< Statements that wait for a connection.
   std::uint64_t answered = 0;
   std::uint64_t connectionsOpened = 0;
+  std::uint64_t relayed = 0;                     ///< Uses of connections by other proxies.
   std::map<std::string, std::uint64_t> failures; ///< By name of the error.
 };
 
--- a/src/oleanderledge/statements/StatusProbe.cpp
+++ b/src/oleanderledge/statements/StatusProbe.cpp
@@ -1,6 +1,6 @@
 #include "oleanderledge/statements/StatusProbe.hpp"
 
-#include "oleanderledge/statements/internal/BackendConnection.hpp"
+#include "oleanderledge/statements/internal/SocketConnection.hpp"
 
 namespace oleanderledge {
 
@@ -13,7 +13,7 @@
 
 void StatusProbe::QueryReceived(const BackendRow& aBackend, Callback aCallback)
 {
-  auto* connection = new BackendConnection(*this->protocol, aBackend.name, this);
+  auto* connection = new SocketConnection(*this->protocol, aBackend.name, this);
   const auto done = std::make_shared<Callback>(std::move(aCallback));
   const auto finish = [done](std::optional<LogPosition> aReceived) {
     if (Callback callback = std::exchange(*done, nullptr)) {
--- a/src/oleanderledge/statements/internal/BackendConnection.hpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.hpp
@@ -3,18 +3,17 @@
 #include "oleanderledge/statements/StatementProtocol.hpp"
 
 #include <QObject>
-#include <QTcpSocket>
-#include <QTimer>
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 
 namespace oleanderledge {
 
+using SettingMap = std::map<std::string, std::string, std::less<>>;
+
 /// How one statement ended on a connection.
 struct StatementResult
 {
@@ -29,7 +28,16 @@
   bool IsSuccess() const { return !this->lost && !this->error; }
 };
 
-/// One connection to a backend server. Runs one statement at a time.
+/// Why a connection ended, or could not be opened.
+enum class ConnectionEnd : std::uint8_t
+{
+  BackendFailed, ///< The backend server cannot be reached or closed the connection.
+  BackendFull,   ///< The backend server has its number of connections.
+  RelayFailed,   ///< Only the way through another proxy failed; says nothing of the server.
+};
+
+/// One connection to a backend server, of this proxy or through a relay. Runs one statement at a
+/// time.
 class BackendConnection : public QObject
 {
   Q_OBJECT
@@ -37,12 +45,7 @@
 public:
   using Callback = std::function<void(StatementResult)>;
 
-  BackendConnection(const StatementProtocol& aProtocol, std::string aBackend, QObject* aParent);
-
-  ~BackendConnection() override;
-
-  /// Connects to "ip:port" and starts up at a service. `Opened` or `Closed` follows.
-  void Open(const std::string& aAddress, std::string_view aService);
+  BackendConnection(std::string aBackend, QObject* aParent);
 
   /// Sends one encoded request. The callback is called once, unless Close() comes first.
   void Run(const std::string& aRequest, Callback aCallback);
@@ -59,20 +62,23 @@
   /// Closes without calling back. `Closed` does not follow.
   void Close();
 
+  /// True for a connection of another proxy, which goes back to it after each use.
+  virtual bool IsRelayed() const = 0;
+
   bool IsBusy() const { return this->callback != nullptr; }
   bool IsOpen() const { return this->isOpen; }
-  /// When Open() was called.
+  /// When the attempt to open it began.
   Instant OpenedAt() const { return this->openedAt; }
   /// When the running statement was sent.
   Instant SentAt() const { return this->result.sentAt; }
   const std::string& Backend() const { return this->backend; }
-  /// Error of the start-up, if the server answered with one.
-  const std::optional<ErrorAnswer>& StartUpError() const { return this->startUpError; }
+  /// Valid once `Closed` was emitted.
+  ConnectionEnd End() const { return this->end; }
 
   /// False while it is not certain which settings are in force.
   bool settingsKnown = true;
   /// Settings that are in force on the connection, by name.
-  std::map<std::string, std::string, std::less<>> settings;
+  SettingMap settings;
   /// Names that are prepared on the connection.
   std::set<std::string, std::less<>> prepared;
   /// When the last statement ended, to close connections that are idle for long.
@@ -82,21 +88,27 @@
   void Opened();
   void Closed();
 
-private:
-  void ReadAvailable();
-  bool HandleAnswer(BackendAnswer aAnswer);
-  void Finish(const char* aReason);
+protected:
+  /// Puts the request on its way.
+  virtual void Send(const std::string& aRequest) = 0;
+  /// Lets go of what the connection holds; nothing is called back afterwards.
+  virtual void Release() = 0;
+
+  void NoteOpening() { this->openedAt = MonotonicNow(); }
+  void NoteOpened();
+  /// Ends the running statement with `result`, whose remaining fields are set here.
+  void Complete(const ReadyAnswer& aReady);
+  /// The connection ended by itself.
+  void Finish(ConnectionEnd aEnd, std::string_view aReason);
 
-  const StatementProtocol& protocol;
+  bool IsClosed() const { return this->isClosed; }
+  StatementResult result; ///< Of the running statement.
+
+private:
   std::string backend;
-  QTcpSocket socket;
-  QTimer openTimer;
-  std::unique_ptr<BackendDecoder> decoder;
   Callback callback;
   std::function<void()> lostWhileIdle;
-  StatementResult result;
-  std::optional<ErrorAnswer> startUpError;
-  std::string startUp;
+  ConnectionEnd end = ConnectionEnd::BackendFailed;
   Instant openedAt{};
   bool isOpen = false;
   bool isClosed = false;
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -1,5 +1,8 @@
 #include "oleanderledge/statements/internal/BackendPool.hpp"
 
+#include "oleanderledge/statements/internal/RelayedConnection.hpp"
+#include "oleanderledge/statements/internal/SocketConnection.hpp"
+
 #include <algorithm>
 #include <optional>
 
@@ -16,14 +19,19 @@
 /// A server that answers nothing for this time, while statements run on it, counts as failing. Ten
 /// times the mean work of a read.
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(300);
+/// Uses of relays at the same time, with requests for more. Relays queue by priority, so the bound
+/// only limits memory.
+constexpr std::size_t kMostRelayed = 64;
 
 } // namespace
 
 BackendPool::BackendPool(const StatementProtocol& aProtocol,
                          const BackendRow& aRow,
+                         RelayClient& aRelayClient,
                          QObject* aParent)
   : QObject(aParent)
   , protocol(aProtocol)
+  , relayClient(aRelayClient)
   , row(aRow)
 {
 }
@@ -48,15 +56,28 @@
   }
 }
 
-void BackendPool::SetGrant(std::uint32_t aConnections)
+void BackendPool::ApplyGrant(const ConnectionGrant& aGrant)
 {
   this->isGranted = true;
-  this->limit = aConnections;
+  this->limit = aGrant.connections;
+  this->relays = aGrant.relays;
+  for (const std::string& relay : this->relays) {
+    this->relayClient.Connect(relay);
+  }
   while (this->connections.size() > this->limit && !this->idle.empty()) {
     this->Drop(this->idle.front(), false);
   }
 }
 
+void BackendPool::ReturnUnused()
+{
+  for (BackendConnection* connection : std::vector(this->idle)) {
+    if (connection->IsRelayed()) {
+      this->Drop(connection, false);
+    }
+  }
+}
+
 void BackendPool::NoteDemand(std::size_t aConnections)
 {
   this->demand = std::max(this->demand, static_cast<std::uint32_t>(aConnections));
@@ -64,11 +85,18 @@
 
 std::uint32_t BackendPool::TakeDemand()
 {
-  return std::exchange(this->demand, static_cast<std::uint32_t>(this->InUse()));
+  const std::uint32_t taken =
+    std::exchange(this->demand, static_cast<std::uint32_t>(this->InUse()));
+  // The relays report it.
+  return this->IsRelayed() ? 0 : taken;
 }
 
 bool BackendPool::MayOpen(Instant aNow) const
 {
+  if (this->IsRelayed()) {
+    return this->connections.size() < kMostRelayed && this->health.MayTry(aNow) &&
+           !this->relayClient.Choose(this->relays, aNow).empty();
+  }
   return this->connections.size() < this->limit && this->health.MayTry(aNow) &&
          aNow >= this->refusedUntil;
 }
@@ -84,32 +112,59 @@
   return longest;
 }
 
-void BackendPool::Open()
+void BackendPool::Open(const ConnectionNeed& aNeed)
 {
-  auto* connection = new BackendConnection(this->protocol, this->row.name, this);
+  BackendConnection* connection = this->NewConnection(aNeed);
   this->connections.push_back(connection);
   ++this->opening;
-  ++this->openedCount;
-  const Instant startedAt = MonotonicNow();
   QObject::connect(connection, &BackendConnection::Opened, this, [this, connection] {
     --this->opening;
     this->health.OnReachable(MonotonicNow());
     this->idle.push_back(connection);
     Q_EMIT this->Changed();
   });
-  QObject::connect(connection, &BackendConnection::Closed, this, [this, connection, startedAt] {
-    const Instant now = MonotonicNow();
-    const auto& refusal = connection->StartUpError();
-    if (refusal && refusal->error == StatementError::Overloaded) {
+  QObject::connect(connection, &BackendConnection::Closed, this, [this, connection] {
+    this->HandleClosed(connection);
+  });
+}
+
+BackendConnection* BackendPool::NewConnection(const ConnectionNeed& aNeed)
+{
+  if (!this->IsRelayed()) {
+    auto* connection = new SocketConnection(this->protocol, this->row.name, this);
+    ++this->openedCount;
+    connection->Open(this->row.address, this->row.service);
+    return connection;
+  }
+  const Instant now = MonotonicNow();
+  RelayOpen request;
+  request.backend = this->row.name;
+  request.priority = aNeed.priority;
+  request.waitUs = std::max(Duration{ 0 }, aNeed.giveUpAt - now).count();
+  for (const auto& [name, value] : aNeed.settings) {
+    request.settings.push_back({ name, value });
+  }
+  auto* connection = new RelayedConnection(this->relayClient, this->row.name, this);
+  connection->Open(this->relayClient.Choose(this->relays, now), std::move(request));
+  return connection;
+}
+
+void BackendPool::HandleClosed(BackendConnection* aConnection)
+{
+  const Instant now = MonotonicNow();
+  switch (aConnection->End()) {
+    case ConnectionEnd::BackendFull:
       this->refusedUntil = now + kRefusedPause;
-      this->health.OnAnswer(now - startedAt, now);
-    } else {
+      this->health.OnReachable(now);
+      break;
+    case ConnectionEnd::BackendFailed:
       this->health.OnFailure(now);
-    }
-    this->Forget(connection);
-    Q_EMIT this->Changed();
-  });
-  connection->Open(this->row.address, this->row.service);
+      break;
+    case ConnectionEnd::RelayFailed:
+      break;
+  }
+  this->Forget(aConnection);
+  Q_EMIT this->Changed();
 }
 
 BackendConnection* BackendPool::Take(const SettingMap& aSettings)
@@ -138,7 +193,8 @@
 void BackendPool::Release(BackendConnection* aConnection, bool aInTransaction)
 {
   aConnection->SetLostWhileIdle(nullptr);
-  if (aInTransaction) {
+  // A relay rolls an open transaction back by itself.
+  if (aInTransaction && !aConnection->IsRelayed()) {
     aConnection->Run(this->protocol.Rollback(),
                      [this, aConnection](const StatementResult& aResult) {
                        if (aResult.lost) {
@@ -152,7 +208,7 @@
                      });
     return;
   }
-  if (this->row.deleted || this->connections.size() > this->limit) {
+  if (aConnection->IsRelayed() || this->row.deleted || this->connections.size() > this->limit) {
     this->Drop(aConnection, false);
     return;
   }
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/link/RouteRows.hpp"
 #include "oleanderledge/statements/BackendHealth.hpp"
 #include "oleanderledge/statements/internal/BackendConnection.hpp"
+#include "oleanderledge/statements/internal/RelayClient.hpp"
 
 #include <QObject>
 
@@ -12,22 +13,36 @@
 
 namespace oleanderledge {
 
-using SettingMap = std::map<std::string, std::string, std::less<>>;
+/// What a waiting statement asks of a connection that is opened for it.
+struct ConnectionNeed
+{
+  std::uint32_t priority = 0;
+  Instant giveUpAt{};
+  SettingMap settings; ///< Of the session.
+};
 
-/// The connections of this proxy to one backend server.
+/// The connections to one backend server: those of this proxy, or uses of those of relays.
 class BackendPool : public QObject
 {
   Q_OBJECT
 
 public:
-  BackendPool(const StatementProtocol& aProtocol, const BackendRow& aRow, QObject* aParent);
+  BackendPool(const StatementProtocol& aProtocol,
+              const BackendRow& aRow,
+              RelayClient& aRelayClient,
+              QObject* aParent);
 
   /// Takes a newer row. Connections to a server at another address or of a later start are dropped.
   void Update(const BackendRow& aRow);
   /// Connections that this proxy may hold until it is granted a number.
   void SetFirstLimit(std::uint32_t aLimit);
-  /// Connections that this proxy may hold from now on. Those beyond it close when they are idle.
-  void SetGrant(std::uint32_t aConnections);
+  /// Connections that this proxy may hold from now on; those beyond it close when they are idle. Or
+  /// the relays that it uses instead.
+  void ApplyGrant(const ConnectionGrant& aGrant);
+  /// True if statements run on connections of relays.
+  bool IsRelayed() const { return !this->relays.empty(); }
+  /// Ends uses of relays that no statement took.
+  void ReturnUnused();
   /// Records that so many connections are in use or waited for.
   void NoteDemand(std::size_t aConnections);
   /// The highest demand since the last call.
@@ -48,7 +63,7 @@
   std::size_t ConnectionCount() const { return this->connections.size(); }
   std::uint64_t OpenedCount() const { return this->openedCount; }
 
-  void Open();
+  void Open(const ConnectionNeed& aNeed);
   /// An idle connection, preferably one with these settings in force; null if there is none.
   BackendConnection* Take(const SettingMap& aSettings);
   /// Gives a connection back. One that is in a transaction is rolled back first.
@@ -57,6 +72,8 @@
   void ReleaseWhenDone(BackendConnection* aConnection);
   /// Drops a connection whose answer can no longer be used.
   void Drop(BackendConnection* aConnection, bool aIsFailure);
+  /// Records that the server answered, but not how.
+  void NoteReachable(Instant aNow) { this->health.OnReachable(aNow); }
   /// Records how the server answered a statement.
   void NoteResult(const StatementResult& aResult, Instant aNow);
   /// Notes if the server has left all running statements unanswered for long. Returns true if so.
@@ -72,10 +89,14 @@
   void Changed();
 
 private:
+  BackendConnection* NewConnection(const ConnectionNeed& aNeed);
+  void HandleClosed(BackendConnection* aConnection);
   void Forget(BackendConnection* aConnection);
 
   const StatementProtocol& protocol;
+  RelayClient& relayClient;
   BackendRow row;
+  std::vector<std::string> relays; ///< Link addresses.
   BackendHealth health;
   std::vector<BackendConnection*> connections;
   std::vector<BackendConnection*> idle;
--- /dev/null
+++ b/src/oleanderledge/statements/internal/ConnectionRelay.cpp
@@ -0,0 +1,203 @@
+#include "oleanderledge/statements/internal/ConnectionRelay.hpp"
+
+#include "oleanderledge/statements/internal/RelayedConnection.hpp"
+
+#include <vector>
+
+namespace oleanderledge {
+
+ConnectionRelay::ConnectionRelay(DispatcherLookup aLookup, QObject* aParent)
+  : QObject(aParent)
+  , lookup(std::move(aLookup))
+{
+}
+
+ConnectionRelay::~ConnectionRelay() = default;
+
+void ConnectionRelay::Adopt(LinkConnection* aLink)
+{
+  aLink->setParent(this);
+  QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
+    this->HandleReceived(aLink, aMessage);
+  });
+  QObject::connect(aLink, &LinkConnection::Closed, this, [this, aLink] {
+    this->HandleClosed(aLink);
+    aLink->deleteLater();
+  });
+}
+
+void ConnectionRelay::HandleReceived(LinkConnection* aLink, const Message& aMessage)
+{
+  if (const auto* ping = std::get_if<LinkPing>(&aMessage)) {
+    aLink->Send(LinkPong{ ping->sentUs });
+  } else if (const auto* open = std::get_if<RelayOpen>(&aMessage)) {
+    this->Handle(aLink, *open);
+  } else if (const auto* statement = std::get_if<RelayStatement>(&aMessage)) {
+    this->Handle(aLink, *statement);
+  } else if (const auto* close = std::get_if<RelayClose>(&aMessage)) {
+    this->Handle(aLink, *close);
+  } else {
+    WriteLog(LogEvent::PeerLinkRejected,
+             "peer=" + aLink->Peer().id + " type=" + std::to_string(aMessage.index()));
+    aLink->Close();
+  }
+}
+
+void ConnectionRelay::Refuse(const Key& aKey, RelayOutcome aOutcome)
+{
+  aKey.first->Send(RelayOpened{ aKey.second, aOutcome, {} });
+}
+
+void ConnectionRelay::Handle(LinkConnection* aLink, const RelayOpen& aMessage)
+{
+  const Key key(aLink, aMessage.channel);
+  ServiceDispatcher* dispatcher = this->isStopping ? nullptr : this->lookup(aMessage.backend);
+  if (dispatcher == nullptr || !dispatcher->HoldsConnectionsTo(aMessage.backend) ||
+      this->uses.contains(key)) {
+    Refuse(key, RelayOutcome::NotServing);
+    return;
+  }
+  auto use = std::make_unique<Use>();
+  use->dispatcher = dispatcher;
+  use->ticket = dispatcher->NewTicket();
+  for (const SessionSetting& setting : aMessage.settings) {
+    use->settings[setting.name] = setting.value;
+  }
+  PlacementRequest request;
+  request.backend = aMessage.backend;
+  request.arrivedAt = MonotonicNow();
+  request.giveUpAt = request.arrivedAt + Duration{ aMessage.waitUs };
+  request.priority = aMessage.priority;
+  request.settings = &use->settings;
+  const ServiceDispatcher::Ticket ticket = use->ticket;
+  this->uses[key] = std::move(use);
+  dispatcher->Request(
+    ticket,
+    std::move(request),
+    [this, key](const std::optional<Placement>& aPlacement, StatementError aError) {
+      this->HandlePlaced(key, aPlacement, aError);
+    });
+}
+
+void ConnectionRelay::HandlePlaced(const Key& aKey,
+                                   const std::optional<Placement>& aPlacement,
+                                   StatementError aError)
+{
+  if (!aPlacement) {
+    this->uses.erase(aKey);
+    Refuse(aKey,
+           aError == StatementError::Unavailable ? RelayOutcome::Unreachable
+                                                 : RelayOutcome::NoConnection);
+    return;
+  }
+  Use& use = *this->uses.at(aKey);
+  use.ticket = 0;
+  use.pool = aPlacement->pool;
+  use.connection = aPlacement->connection;
+  use.connection->SetLostWhileIdle([this, aKey] {
+    StatementResult lost;
+    lost.lost = true;
+    this->HandleResult(aKey, lost);
+  });
+  ++this->useCount;
+  aKey.first->Send(RelayOpened{ aKey.second, RelayOutcome::Opened, StateOf(*use.connection) });
+}
+
+void ConnectionRelay::Handle(LinkConnection* aLink, const RelayStatement& aMessage)
+{
+  const Key key(aLink, aMessage.channel);
+  const auto found = this->uses.find(key);
+  // The use may have ended with the connection; the sender has been told.
+  if (found == this->uses.end() || found->second->connection == nullptr) {
+    return;
+  }
+  if (found->second->connection->IsBusy()) {
+    WriteLog(LogEvent::PeerLinkRejected, "peer=" + aLink->Peer().id + " reason=busy_channel");
+    aLink->Close();
+    return;
+  }
+  found->second->connection->Run(aMessage.request, [this, key](const StatementResult& aResult) {
+    this->HandleResult(key, aResult);
+  });
+}
+
+void ConnectionRelay::HandleResult(const Key& aKey, const StatementResult& aResult)
+{
+  const auto found = this->uses.find(aKey);
+  if (found == this->uses.end()) {
+    return;
+  }
+  RelayResult message;
+  message.channel = aKey.second;
+  message.lost = aResult.lost;
+  message.rows = aResult.rows;
+  message.completed = aResult.completed;
+  if (aResult.error) {
+    message.hasError = true;
+    message.error = static_cast<std::uint8_t>(aResult.error->error);
+    message.errorText = aResult.error->raw;
+  }
+  message.transactionState = static_cast<std::uint8_t>(aResult.ready.state);
+  message.hasPosition = aResult.ready.position.has_value();
+  message.position = aResult.ready.position.value_or(LogPosition{});
+  if (aResult.lost) {
+    this->uses.erase(found);
+  } else {
+    found->second->state = aResult.ready.state;
+    found->second->pool->NoteReachable(MonotonicNow());
+  }
+  aKey.first->Send(message);
+}
+
+void ConnectionRelay::Handle(LinkConnection* aLink, const RelayClose& aMessage)
+{
+  const auto found = this->uses.find({ aLink, aMessage.channel });
+  if (found == this->uses.end()) {
+    return;
+  }
+  const std::unique_ptr<Use> use = std::move(found->second);
+  this->uses.erase(found);
+  if (use->connection == nullptr) {
+    use->dispatcher->Cancel(use->ticket);
+    return;
+  }
+  if (use->connection->IsBusy()) {
+    // The sender has given up on the answer.
+    use->pool->Drop(use->connection, false);
+    return;
+  }
+  if (aMessage.isChanged) {
+    ApplyState(aMessage.state, *use->connection);
+  }
+  use->pool->Release(use->connection, use->state != TransactionState::Idle);
+}
+
+void ConnectionRelay::HandleClosed(LinkConnection* aLink)
+{
+  std::vector<std::unique_ptr<Use>> ended;
+  for (auto each = this->uses.lower_bound({ aLink, 0 });
+       each != this->uses.end() && each->first.first == aLink;) {
+    ended.push_back(std::move(each->second));
+    each = this->uses.erase(each);
+  }
+  for (const auto& use : ended) {
+    this->Abandon(*use);
+  }
+}
+
+void ConnectionRelay::Abandon(Use& aUse)
+{
+  if (aUse.connection == nullptr) {
+    aUse.dispatcher->Cancel(aUse.ticket);
+    return;
+  }
+  // What the proxy has set on the connection is not known any more.
+  aUse.connection->settingsKnown = false;
+  if (aUse.connection->IsBusy()) {
+    aUse.pool->ReleaseWhenDone(aUse.connection);
+  } else {
+    aUse.pool->Release(aUse.connection, aUse.state != TransactionState::Idle);
+  }
+}
+
+} // namespace oleanderledge
--- /dev/null
+++ b/src/oleanderledge/statements/internal/RelayClient.cpp
@@ -0,0 +1,120 @@
+#include "oleanderledge/statements/internal/RelayClient.hpp"
+
+#include <limits>
+
+namespace oleanderledge {
+
+namespace {
+
+/// A relay that stops or does not answer is not chosen for this time; control names others within
+/// two heartbeats of 200 ms.
+constexpr Duration kAvoidedTime = std::chrono::milliseconds(400);
+
+} // namespace
+
+RelayClient::RelayClient(const InstanceInfo& aSelf, QObject* aParent)
+  : QObject(aParent)
+  , links(aSelf, {}, aSelf.incarnation, PeerLinks::Pinging::WhenQuiet, nullptr)
+{
+  QObject::connect(&this->links, &PeerLinks::Ready, this, &RelayClient::RelayReady);
+  QObject::connect(&this->links, &PeerLinks::Lost, this, &RelayClient::HandleLost);
+  QObject::connect(&this->links, &PeerLinks::Received, this, &RelayClient::HandleReceived);
+}
+
+std::string RelayClient::Choose(const std::vector<std::string>& aRelays, Instant aNow) const
+{
+  std::string best;
+  std::size_t fewest = std::numeric_limits<std::size_t>::max();
+  for (const std::string& address : aRelays) {
+    const auto avoided = this->avoidedUntil.find(address);
+    if (!this->links.IsReady(address) ||
+        (avoided != this->avoidedUntil.end() && aNow < avoided->second)) {
+      continue;
+    }
+    const auto found = this->channelCount.find(address);
+    const std::size_t count = found == this->channelCount.end() ? 0 : found->second;
+    if (count < fewest) {
+      best = address;
+      fewest = count;
+    }
+  }
+  return best;
+}
+
+void RelayClient::Avoid(const std::string& aAddress, Instant aNow)
+{
+  this->avoidedUntil[aAddress] = aNow + kAvoidedTime;
+}
+
+std::uint64_t RelayClient::OpenChannel(const std::string& aAddress,
+                                       RelayOpen aRequest,
+                                       RelayChannelListener& aListener)
+{
+  const std::uint64_t channel = ++this->lastChannel;
+  aRequest.channel = channel;
+  this->channels[channel] = { aAddress, &aListener };
+  ++this->channelCount[aAddress];
+  this->links.Send(aAddress, aRequest);
+  return channel;
+}
+
+void RelayClient::Send(std::uint64_t aChannel, const Message& aMessage)
+{
+  const auto found = this->channels.find(aChannel);
+  if (found != this->channels.end()) {
+    // If the link was lost, its end follows.
+    this->links.Send(found->second.address, aMessage);
+  }
+}
+
+void RelayClient::EndChannel(std::uint64_t aChannel)
+{
+  const auto found = this->channels.find(aChannel);
+  if (found == this->channels.end()) {
+    return;
+  }
+  --this->channelCount[found->second.address];
+  this->channels.erase(found);
+}
+
+RelayChannelListener* RelayClient::FindListener(const std::string& aAddress,
+                                                std::uint64_t aChannel) const
+{
+  const auto found = this->channels.find(aChannel);
+  return found == this->channels.end() || found->second.address != aAddress
+           ? nullptr
+           : found->second.listener;
+}
+
+void RelayClient::HandleReceived(const std::string& aAddress, const Message& aMessage)
+{
+  if (const auto* opened = std::get_if<RelayOpened>(&aMessage)) {
+    if (auto* listener = this->FindListener(aAddress, opened->channel)) {
+      listener->OnOpened(*opened);
+    }
+  } else if (const auto* result = std::get_if<RelayResult>(&aMessage)) {
+    if (auto* listener = this->FindListener(aAddress, result->channel)) {
+      listener->OnResult(*result);
+    }
+  } else {
+    this->links.Reject(aAddress, aMessage);
+  }
+}
+
+void RelayClient::HandleLost(const std::string& aAddress)
+{
+  std::vector<std::uint64_t> lost;
+  for (const auto& [channel, entry] : this->channels) {
+    if (entry.address == aAddress) {
+      lost.push_back(channel);
+    }
+  }
+  for (const std::uint64_t channel : lost) {
+    // A listener may have ended other channels meanwhile.
+    if (auto* listener = this->FindListener(aAddress, channel)) {
+      listener->OnRelayLost();
+    }
+  }
+}
+
+} // namespace oleanderledge
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -20,12 +20,16 @@
 ServiceDispatcher::ServiceDispatcher(const StatementProtocol& aProtocol,
                                      std::string aService,
                                      std::string aOwnZone,
+                                     RelayClient& aRelayClient,
                                      QObject* aParent)
   : QObject(aParent)
   , protocol(aProtocol)
   , service(std::move(aService))
   , ownZone(std::move(aOwnZone))
+  , relayClient(aRelayClient)
 {
+  QObject::connect(
+    &this->relayClient, &RelayClient::RelayReady, this, &ServiceDispatcher::SchedulePump);
   QObject::connect(&this->expiryTimer, &QTimer::timeout, this, &ServiceDispatcher::Expire);
 }
 
@@ -50,14 +54,16 @@
       if (backend.deleted) {
         continue;
       }
-      auto* created = new BackendPool(this->protocol, backend, this);
+      auto* created = new BackendPool(this->protocol, backend, this->relayClient, this);
       QObject::connect(created, &BackendPool::Changed, this, &ServiceDispatcher::SchedulePump);
       this->pools.emplace(name, created);
     } else if (found->second->Row().version != backend.version) {
       found->second->Update(backend);
     }
     BackendPool& pool = *this->pools.find(name)->second;
-    pool.SetFirstLimit(std::clamp(share, 1U, std::max(1U, connectionLimit)));
+    // With more proxies than connections, those that are granted some relay for the others.
+    const std::uint32_t least = connectionLimit >= aProxyCount ? 1 : 0;
+    pool.SetFirstLimit(std::clamp(share, least, std::max(1U, connectionLimit)));
     if (backend.deleted) {
       pool.CloseAll();
     }
@@ -117,11 +123,18 @@
 {
   const auto found = this->pools.find(aGrant.backend);
   if (found != this->pools.end()) {
-    found->second->SetGrant(aGrant.connections);
+    found->second->ApplyGrant(aGrant);
     this->SchedulePump();
   }
 }
 
+bool ServiceDispatcher::HoldsConnectionsTo(const std::string& aBackend) const
+{
+  const auto found = this->pools.find(aBackend);
+  return found != this->pools.end() && !found->second->Row().deleted &&
+         !found->second->IsRelayed() && found->second->Limit() > 0;
+}
+
 std::vector<BackendReport> ServiceDispatcher::Reports(Instant aNow)
 {
   const auto milliseconds = [](Duration aDuration) {
@@ -157,8 +170,8 @@
     }
     text += separator + name + ":use" + std::to_string(pool->InUse()) + "/idle" +
             std::to_string(pool->IdleCount()) + "/opening" + std::to_string(pool->OpeningCount()) +
-            "/limit" + std::to_string(pool->Limit()) + "/answer" +
-            std::to_string(pool->Health().AnswerTime().count() / 1000) + "ms" +
+            "/limit" + std::to_string(pool->Limit()) + (pool->IsRelayed() ? "/relayed" : "") +
+            "/answer" + std::to_string(pool->Health().AnswerTime().count() / 1000) + "ms" +
             (pool->Health().IsFailing() ? "/failing" : "") +
             (pool->Health().IsOverloaded(aNow) ? "/overloaded" : "") +
             (pool->Health().IsLagging(aNow) ? "/lagging" : "");
@@ -205,7 +218,7 @@
   }
   this->isPumping = true;
   const Instant now = MonotonicNow();
-  std::map<BackendPool*, std::size_t> wanted;
+  std::map<BackendPool*, std::vector<ConnectionNeed>> wanted;
   for (std::size_t index = 0; index < this->waiting.size();) {
     const Choice choice = this->Choose(this->waiting[index].request, now);
     if (choice.pool == nullptr) {
@@ -213,8 +226,10 @@
       continue;
     }
     if (!choice.pool->HasIdle()) {
-      ++wanted[choice.pool];
-      choice.pool->NoteDemand(choice.pool->InUse() + wanted[choice.pool]);
+      const PlacementRequest& request = this->waiting[index].request;
+      std::vector<ConnectionNeed>& needs = wanted[choice.pool];
+      needs.push_back({ request.priority, request.giveUpAt, *request.settings });
+      choice.pool->NoteDemand(choice.pool->InUse() + needs.size());
       ++index;
       continue;
     }
@@ -225,11 +240,14 @@
     placement.connection = choice.pool->Take(*waiter.request.settings);
     waiter.callback(placement, {});
   }
-  for (const auto& [pool, count] : wanted) {
-    while (pool->OpeningCount() < count && pool->MayOpen(now)) {
-      pool->Open();
+  for (const auto& [pool, needs] : wanted) {
+    while (pool->OpeningCount() < needs.size() && pool->MayOpen(now)) {
+      pool->Open(needs[pool->OpeningCount()]);
     }
   }
+  for (const auto& [name, pool] : this->pools) {
+    pool->ReturnUnused();
+  }
   this->isPumping = false;
 }
 
@@ -245,7 +263,10 @@
     return true;
   });
   for (const Waiter& waiter : expired) {
-    const bool isUnreachable = waiter.request.needsPrimary && this->PrimaryPool(now) == nullptr;
+    const auto chosen = this->pools.find(waiter.request.backend);
+    const bool isUnreachable =
+      (waiter.request.needsPrimary && this->PrimaryPool(now) == nullptr) ||
+      (chosen != this->pools.end() && chosen->second->Health().IsFailing());
     waiter.callback(std::nullopt,
                     isUnreachable ? StatementError::Unavailable : StatementError::Overloaded);
   }
@@ -259,6 +280,10 @@
 ServiceDispatcher::Choice ServiceDispatcher::Choose(const PlacementRequest& aRequest,
                                                     Instant aNow) const
 {
+  if (!aRequest.backend.empty()) {
+    const auto found = this->pools.find(aRequest.backend);
+    return { found == this->pools.end() ? nullptr : found->second, {} };
+  }
   if (!aRequest.needsPrimary) {
     auto await = this->positions.CoveringSince(aRequest.arrivedAt - aRequest.acceptedAge);
     if (await) {
@@ -323,6 +348,7 @@
         distance == this->distances.end() ? ZoneDistance::OtherRegion : distance->second,
         pool->HasIdle(),
         pool->MayOpen(aNow) || pool->OpeningCount() > 0,
+        pool->IsRelayed(),
         pool->Health().IsFailing(),
         pool->Health().IsOverloaded(aNow),
         pool->Health().IsLagging(aNow),
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -23,6 +23,8 @@
 struct PlacementRequest
 {
   bool needsPrimary = false;
+  /// Not empty: the backend server that was chosen by the proxy that asks this one as its relay.
+  std::string backend;
   /// For reads elsewhere: commits acknowledged this long before `arrivedAt` must be visible.
   Duration acceptedAge{ 0 };
   /// For reads elsewhere: a commit of the same session, which must be visible too.
@@ -60,6 +62,7 @@
   ServiceDispatcher(const StatementProtocol& aProtocol,
                     std::string aService,
                     std::string aOwnZone, ///< "region/zone".
+                    RelayClient& aRelayClient,
                     QObject* aParent);
 
   void ApplyDirectory(const Directory& aDirectory,
@@ -82,6 +85,8 @@
   void NoteNotLeading(const std::string& aBackend, Instant aNow);
 
   void ApplyGrant(const ConnectionGrant& aGrant);
+  /// True if this proxy has, or may open, connections of its own to the server.
+  bool HoldsConnectionsTo(const std::string& aBackend) const;
   std::vector<BackendReport> Reports(Instant aNow);
   /// State of the pools, for log lines about refusals.
   std::string Describe(Instant aNow) const;
@@ -117,6 +122,7 @@
   const StatementProtocol& protocol;
   std::string service;
   std::string ownZone;
+  RelayClient& relayClient;
   std::map<std::string, BackendPool*, std::less<>> pools;
   std::map<std::string, ZoneDistance, std::less<>> distances;
   std::string primary;
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -22,7 +22,13 @@
   : protocol(std::move(aProtocol))
   , settings(std::move(aSettings))
   , directory(std::make_shared<Directory>())
+  , linkServer(this->settings.self, {}, nullptr)
+  , relayClient(this->settings.self, nullptr)
+  , relay([this](const std::string& aBackend) { return this->FindDispatcherOf(aBackend); }, nullptr)
 {
+  QObject::connect(&this->linkServer, &LinkServer::Accepted, this, [this](LinkConnection* aLink) {
+    this->relay.Adopt(aLink);
+  });
   QObject::connect(
     &this->server, &QTcpServer::newConnection, this, &StatementServer::AcceptPending);
   QObject::connect(&this->checkTimer, &QTimer::timeout, this, &StatementServer::CheckTime);
@@ -35,6 +41,10 @@
   for (StatementSession* session : std::set(this->sessions)) {
     delete session;
   }
+  // Their connections use the client of the relays.
+  for (const auto& [name, dispatcher] : this->dispatchers) {
+    delete dispatcher;
+  }
 }
 
 Result<void> StatementServer::Listen()
@@ -44,6 +54,9 @@
     return Fail(ResultCode::ListenFailed,
                 this->settings.callersAddress + ": " + this->server.errorString().toStdString());
   }
+  if (auto linked = this->linkServer.Listen(this->settings.self.linkAddress); !linked) {
+    return linked;
+  }
   this->checkTimer.start(kCheckInterval);
   return boost::outcome_v2::success();
 }
@@ -92,12 +105,19 @@
   if (found != this->dispatchers.end()) {
     return *found->second;
   }
-  auto* created = new ServiceDispatcher(*this->protocol, aService, this->settings.zone, this);
+  auto* created = new ServiceDispatcher(
+    *this->protocol, aService, this->settings.self.zone, this->relayClient, this);
   created->ApplyDirectory(*this->directory, this->settings.regionOfZone, this->proxyCount);
   this->dispatchers.emplace(aService, created);
   return *created;
 }
 
+ServiceDispatcher* StatementServer::FindDispatcherOf(const std::string& aBackend)
+{
+  const BackendRow* backend = this->directory->FindBackend(aBackend);
+  return backend == nullptr ? nullptr : &this->DispatcherOf(backend->service);
+}
+
 void StatementServer::CountOutcome(const RouteRow* /*aRoute*/, std::optional<StatementError> aError)
 {
   ++this->answered;
@@ -148,6 +168,7 @@
   StatementCounters counters;
   counters.sessions = this->sessions.size();
   counters.answered = this->answered;
+  counters.relayed = this->relay.UseCount();
   for (const auto& [name, dispatcher] : this->dispatchers) {
     counters.waiting += dispatcher->WaitingCount();
     for (const auto& [backend, pool] : dispatcher->Pools()) {
@@ -182,6 +203,7 @@
 {
   this->isStopping = true;
   this->stopStarted = MonotonicNow();
+  this->relay.BeginStop();
   WriteLog(LogEvent::EntryStopping, "sessions=" + std::to_string(this->sessions.size()));
 }
 
@@ -203,7 +225,7 @@
 
 bool StatementServer::IsIdle() const
 {
-  return this->sessions.empty();
+  return this->sessions.empty() && this->relay.IsIdle();
 }
 
 Result<std::unique_ptr<StatementService>> CreateStatementService(
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/statements/StatementService.hpp"
+#include "oleanderledge/statements/internal/ConnectionRelay.hpp"
 #include "oleanderledge/statements/internal/ServiceDispatcher.hpp"
 #include "oleanderledge/statements/internal/StatementSession.hpp"
 
@@ -42,6 +43,7 @@
   bool IsStopping() const override { return this->isStopping; }
   void CountOutcome(const RouteRow* aRoute, std::optional<StatementError> aError) override;
 
+  ServiceDispatcher* FindDispatcherOf(const std::string& aBackend);
   void AcceptPending();
   void CheckTime();
   void CheckStop(Instant aNow);
@@ -51,6 +53,9 @@
   std::shared_ptr<const Directory> directory;
   std::uint32_t proxyCount = 1;
   QTcpServer server;
+  LinkServer linkServer;
+  RelayClient relayClient;
+  ConnectionRelay relay;
   QTimer checkTimer;
   std::set<StatementSession*> sessions;
   std::map<std::string, ServiceDispatcher*, std::less<>> dispatchers;
--- a/src/oleanderledge/entry/internal/BackOff.cpp
+++ b/src/oleanderledge/transport/BackOff.cpp
@@ -1,4 +1,4 @@
-#include "oleanderledge/entry/internal/BackOff.hpp"
+#include "oleanderledge/transport/BackOff.hpp"
 
 #include <algorithm>
 
--- a/src/oleanderledge/transport/transport.hpp
+++ b/src/oleanderledge/transport/transport.hpp
@@ -4,3 +4,4 @@
 #include "oleanderledge/transport/EmulatedLatency.hpp"
 #include "oleanderledge/transport/LinkConnection.hpp"
 #include "oleanderledge/transport/LinkServer.hpp"
+#include "oleanderledge/transport/PeerLinks.hpp"
--- a/tests/statements/StatementServiceTests.cpp
+++ b/tests/statements/StatementServiceTests.cpp
@@ -82,7 +82,8 @@
     this->group.items["a"] = "first";
     StatementServiceSettings settings;
     settings.callersAddress = FreeAddress();
-    settings.zone = "east/near-zone";
+    settings.self.zone = "east/near-zone";
+    settings.self.linkAddress = FreeAddress();
     settings.regionOfZone = { { "near-zone", "east" }, { "far-zone", "west" } };
     this->address = settings.callersAddress;
     auto created = CreateStatementService(std::make_unique<platform::WireProtocol>(), settings);
@@ -365,7 +366,8 @@
   const Application application;
   StatementServiceSettings settings;
   settings.callersAddress = FreeAddress();
-  settings.zone = "east/near-zone";
+  settings.self.zone = "east/near-zone";
+  settings.self.linkAddress = FreeAddress();
   auto created = CreateStatementService(std::make_unique<platform::WireProtocol>(), settings);
   REQUIRE(created);
   StatementService& service = *created.value();
