Bound the statements at an overloaded server; urgent work first

Cause: an overloaded server was kept full by the least urgent work of all proxies, so urgent statements met a full queue. A begin refused for load no longer counts as a denial of the lead, which sent reads to servers that do not lead.

--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -256,18 +256,29 @@
 }
 
 void BackendPool::NoteResult(const StatementResult& aResult, Instant aNow)
+{
+  this->NoteRelayedResult(aResult, aNow);
+  if (!aResult.error || !IsNotRun(aResult.error->error)) {
+    this->health.OnAnswer(aResult.took, aNow);
+  }
+}
+
+void BackendPool::NoteRelayedResult(const StatementResult& aResult, Instant aNow)
 {
   const auto error = aResult.error ? std::optional(aResult.error->error) : std::nullopt;
   // A server that answers that it is unavailable has a full queue.
   if (error == StatementError::Overloaded || error == StatementError::Unavailable) {
     this->health.OnOverload(aNow);
-  } else if (error == StatementError::Lagging) {
+    this->window.OnOverload(this->InUse(), aNow);
+    return;
+  }
+  if (error == StatementError::Lagging) {
     this->health.OnLag(aNow);
-  } else if (error && IsNotRun(*error)) {
-    // Refused within a moment, which says nothing of the time of answers.
-    this->health.OnReachable(aNow);
-  } else {
-    this->health.OnAnswer(aResult.took, aNow);
+    return;
+  }
+  this->health.OnReachable(aNow);
+  if (!error) {
+    this->window.OnSuccess(aResult.took, aNow);
   }
 }
 
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/link/RouteRows.hpp"
 #include "oleanderledge/statements/BackendHealth.hpp"
+#include "oleanderledge/statements/ConcurrencyWindow.hpp"
 #include "oleanderledge/statements/internal/BackendConnection.hpp"
 #include "oleanderledge/statements/internal/RelayClient.hpp"
 
@@ -72,10 +73,15 @@
   void ReleaseWhenDone(BackendConnection* aConnection);
   /// Drops a connection whose answer can no longer be used.
   void Drop(BackendConnection* aConnection, bool aIsFailure);
-  /// Records that the server answered, but not how.
-  void NoteReachable(Instant aNow) { this->health.OnReachable(aNow); }
-  /// Records how the server answered a statement.
+  /// Records how the server answered a statement of this proxy's own callers.
   void NoteResult(const StatementResult& aResult, Instant aNow);
+  /// The same for one of another proxy, whose time is not that of a whole statement.
+  void NoteRelayedResult(const StatementResult& aResult, Instant aNow);
+  /// False while so many statements are at the server that it would refuse more.
+  bool HasRoom(std::uint32_t aPriority) const
+  {
+    return this->IsRelayed() || this->window.Allows(this->InUse(), aPriority);
+  }
   /// Notes if the server has left all running statements unanswered for long. Returns true if so.
   bool CheckSilence(Instant aNow);
   /// Records that the server had the position that a read needed.
@@ -98,6 +104,7 @@
   BackendRow row;
   std::vector<std::string> relays; ///< Link addresses.
   BackendHealth health;
+  ConcurrencyWindow window;
   std::vector<BackendConnection*> connections;
   std::vector<BackendConnection*> idle;
   std::size_t opening = 0;
--- a/src/oleanderledge/statements/internal/ConnectionRelay.cpp
+++ b/src/oleanderledge/statements/internal/ConnectionRelay.cpp
@@ -144,7 +144,7 @@
     this->uses.erase(found);
   } else {
     found->second->state = aResult.ready.state;
-    found->second->pool->NoteReachable(MonotonicNow());
+    found->second->pool->NoteRelayedResult(aResult, MonotonicNow());
   }
   aKey.first->Send(message);
 }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -221,7 +221,7 @@
   std::map<BackendPool*, std::vector<ConnectionNeed>> wanted;
   for (std::size_t index = 0; index < this->waiting.size();) {
     const Choice choice = this->Choose(this->waiting[index].request, now);
-    if (choice.pool == nullptr) {
+    if (choice.pool == nullptr || !choice.pool->HasRoom(this->waiting[index].request.priority)) {
       ++index;
       continue;
     }
@@ -297,12 +297,7 @@
       }
     }
   }
-  BackendPool* pool = this->PrimaryPool(aNow);
-  if (pool != nullptr && pool->Health().IsOverloaded(aNow) && aRequest.priority > 0) {
-    // What room the primary has goes to the most urgent work; the rest tries after the pause.
-    return {};
-  }
-  return { pool, { nullptr, nullptr, true, std::nullopt } };
+  return { this->PrimaryPool(aNow), { nullptr, nullptr, true, std::nullopt } };
 }
 
 BackendPool* ServiceDispatcher::PrimaryPool(Instant aNow) const
@@ -343,11 +338,12 @@
       continue;
     }
     const auto distance = this->distances.find(name);
+    const bool hasRoom = pool->HasRoom(aRequest.priority);
     candidates.push_back(
       { name == this->primary,
         distance == this->distances.end() ? ZoneDistance::OtherRegion : distance->second,
-        pool->HasIdle(),
-        pool->MayOpen(aNow) || pool->OpeningCount() > 0,
+        hasRoom && pool->HasIdle(),
+        hasRoom && (pool->MayOpen(aNow) || pool->OpeningCount() > 0),
         pool->IsRelayed(),
         pool->Health().IsFailing(),
         pool->Health().IsOverloaded(aNow),
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -315,15 +315,11 @@
         }
         return;
       }
-      const StatementError error = aResult.error->error;
-      const std::string backend = this->placement->pool->Row().name;
-      this->LogRetry(this->transaction.begin.id, error, this->transaction.attempts);
-      if (error == StatementError::ReadOnly) {
-        this->Dispatcher()->NoteNotLeading(backend, MonotonicNow());
-      } else {
-        this->transaction.excluded.insert(backend);
-        this->placement->pool->NoteResult(aResult, MonotonicNow());
+      this->LogRetry(this->transaction.begin.id, aResult.error->error, this->transaction.attempts);
+      if (aResult.error->error != StatementError::ReadOnly) {
+        this->transaction.excluded.insert(this->placement->pool->Row().name);
       }
+      this->NoteBeginRefused(aResult);
       this->ReleaseConnection(aResult.ready.state != TransactionState::Idle);
       if (this->transaction.attempts < kMaxAttempts) {
         this->PlaceTransaction();
@@ -335,6 +331,15 @@
   });
 }
 
+void StatementSession::NoteBeginRefused(const StatementResult& aResult)
+{
+  const Instant now = MonotonicNow();
+  if (aResult.error->error == StatementError::ReadOnly) {
+    this->Dispatcher()->NoteNotLeading(this->placement->pool->Row().name, now);
+  }
+  this->placement->pool->NoteResult(aResult, now);
+}
+
 void StatementSession::FailTransaction(StatementError aError, std::string_view aText)
 {
   this->transaction.failure = aError;
@@ -467,9 +472,11 @@
       // A primary that was replaced runs single reads but refuses a plain transaction.
       this->RunOwn(this->protocol.Begin(), [this](const StatementResult& aResult) {
         if (aResult.error) {
-          this->Dispatcher()->NoteNotLeading(this->placement->pool->Row().name, MonotonicNow());
+          this->NoteBeginRefused(aResult);
+          this->LogRetry(
+            this->running->statement.id, aResult.error->error, this->running->attempts);
           this->ReleaseConnection(aResult.ready.state != TransactionState::Idle);
-          this->RetrySingle(aResult.error->error, "the backend server does not lead");
+          this->RetrySingle(aResult.error->error, RefusalText(aResult.error->error));
           return;
         }
         if (aResult.ready.position) {
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -97,6 +97,8 @@
   void BeginTransaction(const Statement& aStatement);
   void PlaceTransaction();
   void StartTransactionOn(const Placement& aPlacement);
+  /// The placed backend server refused a begin.
+  void NoteBeginRefused(const StatementResult& aResult);
   void FailTransaction(StatementError aError, std::string_view aText);
   void EndTransaction();
   void RunInTransaction();
--- a/src/oleanderledge/statements/statements.hpp
+++ b/src/oleanderledge/statements/statements.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "oleanderledge/statements/BackendHealth.hpp"
+#include "oleanderledge/statements/ConcurrencyWindow.hpp"
 #include "oleanderledge/statements/GrowingPause.hpp"
 #include "oleanderledge/statements/PositionHistory.hpp"
 #include "oleanderledge/statements/ReadPlacement.hpp"
