--- /dev/null
+++ b/tests/statements/RelayTests.cpp
@@ -0,0 +1,142 @@
+#include "tests/statements/ServiceWithReplicas.hpp"
+
+using namespace oleanderledge;
+using namespace oleanderledge::test;
+
+namespace {
+
+/// A proxy with one connection to each server, and one with none that uses it as its relay.
+class ProxyBehindRelay
+{
+public:
+  ProxyBehindRelay()
+    : address(FreeAddress())
+    , service(ServiceWithReplicas::NewProxy("proxy-2", this->address, FreeAddress()))
+  {
+    this->service->ApplyDirectory(std::make_shared<Directory>(this->relay.directory));
+    std::vector<ConnectionGrant> held;
+    std::vector<ConnectionGrant> relayed;
+    for (const std::string name : { "i-primary", "i-near", "i-far" }) {
+      held.push_back({ name, 1, {} });
+      relayed.push_back({ name, 0, { this->relay.linkAddress } });
+    }
+    this->relay.service->ApplyConnectionGrants(held);
+    this->service->ApplyConnectionGrants(relayed);
+    // The first caller waits for the link to the relay.
+    RunUntil([this] {
+      Caller first(this->address, "orders");
+      return first.Send("QUERY warm READ a").starts_with("DATAROW ");
+    });
+  }
+
+  ServiceWithReplicas relay;
+  std::string address;
+  std::unique_ptr<StatementService> service;
+};
+
+} // namespace
+
+// Guards against proxies without connections that refuse their callers.
+TEST_CASE("A proxy without connections runs statements on those of its relay", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  Caller caller(proxy.address, "orders");
+  CHECK(caller.Send("QUERY w1 WRITE a second").starts_with("COMPLETE signature-i-primary"));
+  Caller reader(proxy.address, "catalogue");
+  CHECK(reader.Send("QUERY r1 READ a").starts_with("DATAROW second"));
+  // While the relay opens its connection to the near server, others may serve.
+  CHECK(RunUntil([&proxy, &reader] {
+    reader.Send("QUERY r2 READ a");
+    return proxy.relay.RanOn("r2") == "i-near";
+  }));
+  CHECK(proxy.relay.RunsOf("w1") == 1);
+  CHECK(proxy.relay.primary.MostConnections() == 1);
+}
+
+TEST_CASE("A transaction through a relay holds one connection until it ends", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  Caller caller(proxy.address, "orders");
+  caller.Send("QUERY b1 BEGIN");
+  CHECK(caller.Send("QUERY w1 WRITE a second").starts_with("COMPLETE "));
+  // The relay has one connection to the primary, and its own callers queue for it too.
+  Caller other(proxy.relay.address, "orders");
+  CHECK(other.Send("QUERY r1 READ a").starts_with("ERROR OVERLOAD "));
+  CHECK(caller.Send("QUERY c1 COMMIT").starts_with("COMPLETE signature-i-primary"));
+  CHECK(other.Send("QUERY r2 READ a").starts_with("DATAROW second"));
+}
+
+// Guards against a session that runs under the settings of one at another proxy.
+TEST_CASE("Settings made through a relay are known to it", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  Caller caller(proxy.address, "orders");
+  caller.Send("QUERY s1 SET colour red");
+  CHECK(caller.Send("QUERY r1 READ a").starts_with("DATAROW first colour=red"));
+  Caller other(proxy.relay.address, "orders");
+  CHECK(other.Send("QUERY r2 READ a").starts_with("DATAROW first\r\n"));
+  CHECK(caller.Send("QUERY p1 PREPARE mine READ shape").starts_with("COMPLETE"));
+  CHECK(caller.Send("QUERY e1 EXECUTE mine a").starts_with("DATAROW "));
+  CHECK(caller.Send("QUERY e2 EXECUTE mine a").starts_with("DATAROW "));
+}
+
+// Guards against a transaction of a lost proxy that stays open and mixes with the next one.
+TEST_CASE("A relay rolls back the transaction of a proxy that is lost", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  {
+    Caller caller(proxy.address, "orders");
+    caller.Send("QUERY b1 BEGIN");
+    caller.Send("QUERY s1 SET colour red");
+    caller.Send("QUERY w1 WRITE a second");
+    proxy.service.reset();
+  }
+  Caller other(proxy.relay.address, "orders");
+  CHECK(
+    RunUntil([&other] { return other.Send("QUERY r1 READ a").starts_with("DATAROW first\r\n"); }));
+  CHECK(proxy.relay.group.items["a"] == "first");
+}
+
+// Guards against an untrue promise, and against callers that wait for a relay that is gone.
+TEST_CASE("The loss of a relay aborts a transaction and leaves a sent write unknown", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  Caller caller(proxy.address, "orders");
+  caller.Send("QUERY b1 BEGIN");
+  caller.Send("QUERY w1 WRITE a second");
+  Caller writer(proxy.address, "glaze");
+  proxy.relay.service.reset();
+  CHECK(caller.Send("QUERY w2 WRITE a third").starts_with("ERROR ABORTED "));
+  CHECK(writer.Send("QUERY w3 WRITE a fourth").starts_with("ERROR OVERLOAD "));
+  CHECK(proxy.relay.group.items["a"] == "first");
+}
+
+TEST_CASE("A write whose relay is lost before its answer is unknown", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  proxy.relay.primary.silent = true;
+  QTimer::singleShot(100, [&proxy] { proxy.relay.service.reset(); });
+  Caller writer(proxy.address, "orders");
+  CHECK(writer.Send("QUERY w1 WRITE a second").starts_with("ERROR UNKNOWN "));
+}
+
+TEST_CASE("A stopping relay finishes the uses of its connections and takes no new ones", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  Caller caller(proxy.address, "orders");
+  caller.Send("QUERY b1 BEGIN");
+  caller.Send("QUERY w1 WRITE a second");
+  proxy.relay.service->BeginStop();
+  CHECK_FALSE(proxy.relay.service->IsIdle());
+  Caller late(proxy.address, "catalogue");
+  CHECK(late.Send("QUERY r1 READ a").starts_with("ERROR OVERLOAD "));
+  CHECK(caller.Send("QUERY c1 COMMIT").starts_with("COMPLETE signature-i-primary"));
+  CHECK(RunUntil([&proxy] { return proxy.relay.service->IsIdle(); }));
+}
--- /dev/null
+++ b/tests/statements/ServiceWithReplicas.hpp
@@ -0,0 +1,191 @@
+/// A service of three stand-in databases behind one proxy, and callers of it.
+#pragma once
+
+#include "oleanderledge/platform/WireProtocol.hpp"
+#include "oleanderledge/statements/statements.hpp"
+#include "standin/platform/PlatformDatabase.hpp"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oleanderledge::test {
+
+using standin::PlatformDatabase;
+using standin::PlatformGroup;
+
+inline bool RunUntil(const std::function<bool()>& aCondition)
+{
+  QElapsedTimer elapsed;
+  elapsed.start();
+  while (!aCondition() && elapsed.elapsed() < 10'000) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+  }
+  return aCondition();
+}
+
+inline std::string FreeAddress()
+{
+  QTcpServer probe;
+  probe.listen(QHostAddress::LocalHost, 0);
+  return "127.0.0.1:" + std::to_string(probe.serverPort());
+}
+
+/// A caller that sends a line and waits for the answer that ends with READY.
+class Caller
+{
+public:
+  Caller(const std::string& aAddress, const std::string& aDatabase)
+  {
+    const auto colon = aAddress.find(':');
+    this->socket.connectToHost(QHostAddress::LocalHost,
+                               static_cast<quint16>(std::stoi(aAddress.substr(colon + 1))));
+    this->started = this->Send("STARTUP " + aDatabase + " tester");
+  }
+
+  std::string Send(const std::string& aLine)
+  {
+    const std::string line = aLine + "\r\n";
+    this->socket.write(line.data(), static_cast<qint64>(line.size()));
+    std::string answer;
+    RunUntil([this, &answer] {
+      answer += this->socket.readAll().toStdString();
+      const bool isClosed =
+        this->socket.state() == QAbstractSocket::UnconnectedState && answer.size() > 1;
+      const std::size_t ready = answer.rfind("READY ");
+      const bool isWhole = ready != std::string::npos && answer.ends_with("\r\n") &&
+                           (ready == 0 || answer[ready - 1] == '\n');
+      return isWhole || isClosed;
+    });
+    return answer;
+  }
+
+  std::string started;
+  QTcpSocket socket;
+};
+
+/// One primary and two replicas behind one proxy, with a route of each kind.
+class ServiceWithReplicas
+{
+public:
+  ServiceWithReplicas()
+    : primary(this->group, "i-primary")
+    , near(this->group, "i-near")
+    , far(this->group, "i-far")
+  {
+    this->group.service = "ledger";
+    this->group.primary = "i-primary";
+    this->group.items["a"] = "first";
+    this->address = FreeAddress();
+    this->linkAddress = FreeAddress();
+    this->service = NewProxy("proxy-1", this->address, this->linkAddress);
+    this->update.services = { { "ledger", 10, 0, 1, false } };
+    this->update.configurationNumber = 1;
+    this->AddRoute("orders", ReadConsistency::Primary);
+    this->AddRoute("catalogue", ReadConsistency::BoundedStaleness);
+    this->AddRoute("glaze", ReadConsistency::ReadYourWrites);
+    this->AddBackend(this->primary, "far-zone", true);
+    this->AddBackend(this->near, "near-zone", false);
+    this->AddBackend(this->far, "far-zone", false);
+    this->SetPrimary("i-primary");
+  }
+
+  static std::unique_ptr<StatementService> NewProxy(const std::string& aId,
+                                                    const std::string& aCallersAddress,
+                                                    const std::string& aLinkAddress)
+  {
+    StatementServiceSettings settings;
+    settings.callersAddress = aCallersAddress;
+    settings.self.id = aId;
+    settings.self.zone = "east/near-zone";
+    settings.self.linkAddress = aLinkAddress;
+    settings.regionOfZone = { { "near-zone", "east" }, { "far-zone", "west" } };
+    auto created = CreateStatementService(std::make_unique<platform::WireProtocol>(), settings);
+    REQUIRE(created);
+    return std::move(created.value());
+  }
+
+  void AddRoute(const std::string& aDatabase, ReadConsistency aConsistency)
+  {
+    RouteRow row;
+    row.name = aDatabase + "/";
+    row.database = aDatabase;
+    row.consistency = aConsistency;
+    row.statementTimeoutMs = 2000;
+    row.targetLatencyMs = 4000;
+    row.service = "ledger";
+    row.acceptedAgeMs = 3000;
+    row.version = 1;
+    this->update.routes.push_back(row);
+  }
+
+  void AddBackend(PlatformDatabase& aDatabase, const std::string& aZone, bool aLeads)
+  {
+    this->update.backends.push_back(
+      { aDatabase.Id(), "ledger", aDatabase.Listen(), aZone, 3, aLeads, false, 1, 1, 1, false });
+  }
+
+  void SetPrimary(const std::string& aBackend)
+  {
+    this->group.primary = aBackend;
+    ++this->version;
+    this->update.primaries = {
+      { "ledger", aBackend, PrimaryPhase::Steady, this->version, "", this->version }
+    };
+    this->Publish();
+  }
+
+  void Publish()
+  {
+    this->update.version = this->version;
+    this->update.fromVersion = 0;
+    this->directory.Apply(this->update);
+    this->service->ApplyDirectory(std::make_shared<Directory>(this->directory));
+  }
+
+  /// The database that ran the statement last, or nothing.
+  std::string RanOn(const std::string& aStatement) const
+  {
+    std::string database = "nowhere";
+    for (const auto& [id, runner] : this->group.runs) {
+      if (id == aStatement) {
+        database = runner;
+      }
+    }
+    return database;
+  }
+
+  std::size_t RunsOf(const std::string& aStatement) const
+  {
+    return static_cast<std::size_t>(std::ranges::count(
+      this->group.runs, aStatement, [](const auto& aRun) { return aRun.first; }));
+  }
+
+  PlatformGroup group;
+  PlatformDatabase primary;
+  PlatformDatabase near;
+  PlatformDatabase far;
+  std::string address;     ///< Of the callers' port.
+  std::string linkAddress; ///< For other proxies.
+  std::unique_ptr<StatementService> service;
+  Directory directory;
+  DirectoryUpdate update;
+  std::uint64_t version = 1;
+};
+
+struct Application
+{
+  int argumentCount = 0;
+  QCoreApplication application{ argumentCount, nullptr };
+};
+
+} // namespace oleanderledge::test
