--- a/src/oleanderledge/statements/ConcurrencyWindow.cpp
+++ b/src/oleanderledge/statements/ConcurrencyWindow.cpp
@@ -34,7 +34,8 @@
     this->calmTime = this->averageTime;
     return;
   }
-  if (this->averageTime > this->calmTime * kSlowFactor) {
+  const bool isCalmKnown = this->calmTime != Duration{ 0 };
+  if (isCalmKnown && this->averageTime > this->calmTime * kSlowFactor) {
     this->Decrease(*this->size, aNow);
     return;
   }
