--- a/src/oleanderledge/daemon/TrafficCounters.hpp
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/base/base.hpp"
 #include "oleanderledge/link/link.hpp"
+#include "oleanderledge/statements/StatementService.hpp"
 
 #include <cstdint>
 #include <map>
@@ -24,6 +25,10 @@
   std::uint64_t unknown = 0;
   std::map<ResultCode, std::uint64_t> errors;
   std::vector<ClassService> service;
+  // Statements to registered backend servers.
+  std::map<std::uint32_t, PriorityTotals> statements; ///< By priority.
+  std::uint64_t connectionsOpened = 0;
+  std::uint64_t relayedUses = 0; ///< Uses of connections by other proxies.
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -57,6 +57,7 @@
                          { "name", std::string(InfoOf(code).name) } },
                        ToDouble(count));
   }
+  this->PublishStatements(aCounters);
   for (const ClassService& service : aCounters.service) {
     const MetricLabels labels{ { "class", service.workClass } };
     metrics.SetCounter("oleanderledge_served_total", labels, ToDouble(service.served));
@@ -66,6 +67,24 @@
   }
 }
 
+void MetricsPublisher::PublishStatements(const TrafficCounters& aCounters)
+{
+  MetricsRegistry& metrics = this->registry;
+  metrics.SetCounter(
+    "oleanderledge_connections_opened_total", {}, ToDouble(aCounters.connectionsOpened));
+  metrics.SetCounter("oleanderledge_relayed_uses_total", {}, ToDouble(aCounters.relayedUses));
+  for (const auto& [priority, totals] : aCounters.statements) {
+    const std::string number = std::to_string(priority);
+    for (const auto& [outcome, count] : totals.outcomes) {
+      metrics.SetCounter("oleanderledge_statements_total",
+                         { { "priority", number }, { "outcome", outcome } },
+                         ToDouble(count));
+    }
+    metrics.SetHistogram(
+      "oleanderledge_statement_seconds", { { "priority", number } }, totals.latency);
+  }
+}
+
 void MetricsPublisher::AppendToLog(const TrafficCounters& aCounters, const Directory& aDirectory)
 {
   if (!this->log.is_open()) {
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.hpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.hpp
@@ -22,6 +22,9 @@
   void AppendToLog(const TrafficCounters& aCounters, const Directory& aDirectory);
 
 private:
+  /// Statements to registered backend servers.
+  void PublishStatements(const TrafficCounters& aCounters);
+
   InstanceInfo self;
   MetricsRegistry& registry;
   std::ofstream log;
--- a/src/oleanderledge/daemon/internal/StatementTraffic.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTraffic.cpp
@@ -57,9 +57,9 @@
   collected.sessions = counters.sessions;
   collected.waitingUnits = counters.waiting;
   collected.unitsAnswered = counters.answered;
-  for (const auto& [name, count] : counters.failures) {
-    collected.notRun += count;
-  }
+  collected.connectionsOpened = counters.connectionsOpened;
+  collected.relayedUses = counters.relayed;
+  collected.statements = counters.byPriority;
   return collected;
 }
 
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/link/link.hpp"
+#include "oleanderledge/metrics/metrics.hpp"
 #include "oleanderledge/statements/StatementProtocol.hpp"
 
 #include <cstdint>
@@ -35,6 +36,13 @@
   Instant at{}; ///< On the clock of this process.
 };
 
+/// Totals since the start of the statements of one priority.
+struct PriorityTotals
+{
+  std::map<std::string, std::uint64_t, std::less<>> outcomes; ///< By name of the error, or "ok".
+  LatencyHistogram latency; ///< Of successful ones, from arrival to answer.
+};
+
 /// Totals since the start.
 struct StatementCounters
 {
@@ -42,8 +50,8 @@
   std::size_t waiting = 0; ///< Statements that wait for a connection.
   std::uint64_t answered = 0;
   std::uint64_t connectionsOpened = 0;
-  std::uint64_t relayed = 0;                     ///< Uses of connections by other proxies.
-  std::map<std::string, std::uint64_t> failures; ///< By name of the error.
+  std::uint64_t relayed = 0; ///< Uses of connections by other proxies.
+  std::map<std::uint32_t, PriorityTotals> byPriority;
 };
 
 /// Serves callers that send one statement at a time, on pooled connections to registered backend
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -118,11 +118,15 @@
   return backend == nullptr ? nullptr : &this->DispatcherOf(backend->service);
 }
 
-void StatementServer::CountOutcome(const RouteRow* /*aRoute*/, std::optional<StatementError> aError)
+void StatementServer::CountOutcome(std::uint32_t aPriority,
+                                   std::optional<StatementError> aError,
+                                   Duration aTook)
 {
   ++this->answered;
-  if (aError) {
-    ++this->failures[*aError];
+  PriorityTotals& totals = this->byPriority[aPriority];
+  ++totals.outcomes[std::string(aError ? ToString(*aError) : "ok")];
+  if (!aError) {
+    totals.latency.Record(aTook);
   }
 }
 
@@ -175,9 +179,7 @@
       counters.connectionsOpened += pool->OpenedCount();
     }
   }
-  for (const auto& [error, count] : this->failures) {
-    counters.failures[std::string(ToString(error))] = count;
-  }
+  counters.byPriority = this->byPriority;
   return counters;
 }
 
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -40,8 +40,9 @@
 private:
   const Directory& CurrentDirectory() const override { return *this->directory; }
   ServiceDispatcher& DispatcherOf(const std::string& aService) override;
-  bool IsStopping() const override { return this->isStopping; }
-  void CountOutcome(const RouteRow* aRoute, std::optional<StatementError> aError) override;
+  void CountOutcome(std::uint32_t aPriority,
+                    std::optional<StatementError> aError,
+                    Duration aTook) override;
 
   ServiceDispatcher* FindDispatcherOf(const std::string& aBackend);
   void AcceptPending();
@@ -60,7 +61,7 @@
   std::set<StatementSession*> sessions;
   std::map<std::string, ServiceDispatcher*, std::less<>> dispatchers;
   std::uint64_t answered = 0;
-  std::map<StatementError, std::uint64_t> failures;
+  std::map<std::uint32_t, PriorityTotals> byPriority;
   Instant idleClosedAt{};
   Instant stopStarted{};
   bool isStopping = false;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -831,11 +831,12 @@
 
 void StatementSession::Answer(std::string aMessages, std::optional<StatementError> aError)
 {
-  if (this->running) {
-    this->host.CountOutcome(this->route ? &*this->route : nullptr, aError);
+  const Instant now = MonotonicNow();
+  if (this->running && this->route) {
+    this->host.CountOutcome(this->route->priority, aError, now - this->running->arrivedAt);
   }
   this->running.reset();
-  this->transaction.lastActivity = MonotonicNow();
+  this->transaction.lastActivity = now;
   aMessages += this->protocol.Ready(this->transaction.state);
   this->socket->write(aMessages.data(), static_cast<qint64>(aMessages.size()));
   if (!this->inbox.empty()) {
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -23,9 +23,10 @@
   virtual ~SessionHost() = default;
   virtual const Directory& CurrentDirectory() const = 0;
   virtual ServiceDispatcher& DispatcherOf(const std::string& aService) = 0;
-  virtual bool IsStopping() const = 0;
-  /// Counts how a statement ended; no error means success.
-  virtual void CountOutcome(const RouteRow* aRoute, std::optional<StatementError> aError) = 0;
+  /// Counts how a statement of a route with this priority ended; no error means success.
+  virtual void CountOutcome(std::uint32_t aPriority,
+                            std::optional<StatementError> aError,
+                            Duration aTook) = 0;
 };
 
 /// One caller: its settings, prepared statements and transaction. Carries out what needs no backend
--- a/tests/statements/StatementServiceTests.cpp
+++ b/tests/statements/StatementServiceTests.cpp
@@ -165,6 +165,22 @@
   CHECK(fleet.primary.MostConnections() == 2);
 }
 
+TEST_CASE("Outcomes and latencies are counted by priority", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fleet;
+  Caller caller(fleet.address, "orders");
+  caller.Send("QUERY r1 READ a");
+  caller.Send("QUERY r2 READ a");
+  fleet.group.primary = "nobody";
+  caller.Send("QUERY r3 READ a");
+  const StatementCounters counters = fleet.service->Counters();
+  const PriorityTotals& totals = counters.byPriority.at(0);
+  CHECK(totals.outcomes.at("ok") == 2);
+  CHECK(totals.outcomes.size() == 2);
+  CHECK(totals.latency.Count() == 2);
+}
+
 TEST_CASE("An unknown database is refused and the session closed", "[statements]")
 {
   const Application application;
