Take over the part of a lost relay after one second

Cause: a relay that ended kept its part of a zone's connections for 3 s, the time for which a server may still count them. It is now no relay after 1 s without a report; what it held stays subtracted from the limit until 3 s.

--- a/src/oleanderledge/control/ConnectionShares.cpp
+++ b/src/oleanderledge/control/ConnectionShares.cpp
@@ -90,7 +90,7 @@
     }
     const std::uint32_t limit = service->second.connectionLimit;
     if (limit < kLeastEach * static_cast<double>(this->proxies.size())) {
-      this->AllotRelayed(name, limit);
+      this->AllotRelayed(name, limit, aNow);
     } else {
       this->AllotEach(name, limit);
     }
@@ -111,7 +111,7 @@
   }
 }
 
-void ConnectionShares::AllotRelayed(const std::string& aBackend, std::uint32_t aLimit)
+void ConnectionShares::AllotRelayed(const std::string& aBackend, std::uint32_t aLimit, Instant aNow)
 {
   std::vector<RelayCandidate> candidates;
   std::uint32_t held = 0;
@@ -122,6 +122,12 @@
       held += demand;
       continue;
     }
+    if (aNow - view.heardAt > this->timings.proxyLostAfter) {
+      // The server may still count its connections.
+      const auto found = view.held.find(aBackend);
+      held += found == view.held.end() ? 0 : found->second;
+      continue;
+    }
     candidates.push_back({ id, view.instance.zone, demand, view.duties });
   }
   RelayPlan& plan = this->plans[aBackend];
@@ -144,6 +150,9 @@
         grant.relays.push_back(this->proxies.at(relay).instance.linkAddress);
       }
     }
+    if (aNow - view.heardAt <= this->timings.proxyLostAfter) {
+      view.held[aBackend] = grant.connections;
+    }
     view.grants.push_back(std::move(grant));
   }
 }
--- a/src/oleanderledge/control/ConnectionShares.hpp
+++ b/src/oleanderledge/control/ConnectionShares.hpp
@@ -17,8 +17,10 @@
   Duration allotInterval = std::chrono::milliseconds(200);
   /// Unchanged grants are repeated after this time, in case a reply was lost.
   Duration grantRepeat = std::chrono::milliseconds(2000);
-  /// A proxy that did not report for this time holds no connections any more. As long as a backend
-  /// server keeps the connections of a proxy that lost power.
+  /// A proxy that did not report for this time is no relay any more: five heartbeats.
+  Duration proxyLostAfter = std::chrono::milliseconds(1000);
+  /// It holds no connections any more after this time. As long as a backend server keeps the
+  /// connections of a proxy that lost power.
   Duration proxyForgottenAfter = std::chrono::milliseconds(3000);
   /// A new leader first waits for the reports of all proxies: three heartbeats.
   Duration settleTime = std::chrono::milliseconds(600);
@@ -48,6 +50,8 @@
     Instant heardAt{};
     /// Recent demand by backend server; falls slowly.
     std::map<std::string, double, std::less<>> demand;
+    /// Connections that it was granted while it was a relay, by backend server.
+    std::map<std::string, std::uint32_t, std::less<>> held;
     std::uint32_t duties = 0; ///< Backend servers that it is a relay for.
     std::vector<ConnectionGrant> grants;
     std::vector<ConnectionGrant> sent;
@@ -60,7 +64,7 @@
   /// Each proxy opens its own connections.
   void AllotEach(const std::string& aBackend, std::uint32_t aLimit);
   /// Some proxies hold the connections for all.
-  void AllotRelayed(const std::string& aBackend, std::uint32_t aLimit);
+  void AllotRelayed(const std::string& aBackend, std::uint32_t aLimit, Instant aNow);
 
   const ControlState& state;
   ShareTimings timings;
