--- a/tests/entry/CallerSessionTests.cpp
+++ b/tests/entry/CallerSessionTests.cpp
@@ -116,8 +116,8 @@
   CHECK(fixture.Reply(BuildCommandComplete("one"), 'I') == "C:one Z:I T D C:SHOW Z:I");
 }
 
-// Guards against refusing the later units of a long pipeline, whose target went by while the session
-// ran the earlier ones.
+// Guards against refusing the later units of a long pipeline, whose target went by while the
+// session ran the earlier ones.
 TEST_CASE("The target of a pipelined unit counts from the answer to the unit before it")
 {
   SessionFixture fixture;
