Forget lost proxies on the position board; drop copies on the pump's path

Each pump copied the idle list of every pool to look for uses of relays, and each time check copied the sessions into a set. GrantsFor() computed the repeat twice, and two includes were unused.

--- a/src/oleanderledge/control/ConnectionShares.cpp
+++ b/src/oleanderledge/control/ConnectionShares.cpp
@@ -164,11 +164,11 @@
     return {};
   }
   ProxyView& view = found->second;
-  if (view.grants == view.sent && aNow - view.sentAt < this->timings.grantRepeat) {
+  const bool isRepeat = aNow - view.sentAt >= this->timings.grantRepeat;
+  if (view.grants == view.sent && !isRepeat) {
     return {};
   }
   std::vector<ConnectionGrant> news;
-  const bool isRepeat = aNow - view.sentAt >= this->timings.grantRepeat;
   for (const ConnectionGrant& grant : view.grants) {
     if (isRepeat || std::ranges::find(view.sent, grant) == view.sent.end()) {
       news.push_back(grant);
--- a/src/oleanderledge/control/RelayAssignment.cpp
+++ b/src/oleanderledge/control/RelayAssignment.cpp
@@ -5,8 +5,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <numeric>
-#include <optional>
 #include <tuple>
 
 namespace oleanderledge {
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -387,6 +387,9 @@
     const InstanceInfo& instance = view.last.instance;
     const bool isProxy = instance.role == InstanceRole::Proxy;
     this->proxyCount += isProxy && fleet.IsUsable(id, instance.incarnation, aNow) ? 1 : 0;
+    if (isProxy && fleet.HealthOf(id, instance.incarnation, aNow) == InstanceHealth::Dead) {
+      this->positionBoard.Forget(id);
+    }
   }
 }
 
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -71,10 +71,11 @@
 
 void BackendPool::ReturnUnused()
 {
-  for (BackendConnection* connection : std::vector(this->idle)) {
-    if (connection->IsRelayed()) {
-      this->Drop(connection, false);
-    }
+  const auto next = [this] {
+    return std::ranges::find_if(this->idle, &BackendConnection::IsRelayed);
+  };
+  for (auto found = next(); found != this->idle.end(); found = next()) {
+    this->Drop(*found, false);
   }
 }
 
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -4,6 +4,8 @@
 
 #include <QHostAddress>
 
+#include <vector>
+
 namespace oleanderledge {
 
 namespace {
@@ -189,7 +191,8 @@
   for (const auto& [name, dispatcher] : this->dispatchers) {
     dispatcher->CheckSilence(now);
   }
-  for (StatementSession* session : std::set(this->sessions)) {
+  // A session that ends takes itself out of the set.
+  for (StatementSession* session : std::vector(this->sessions.begin(), this->sessions.end())) {
     session->CheckTime(now);
   }
   if (now - this->idleClosedAt >= kIdleCheckInterval) {
--- a/tests/control/PositionBoardTests.cpp
+++ b/tests/control/PositionBoardTests.cpp
@@ -29,3 +29,12 @@
   board.Clear();
   CHECK(board.NewsFor("proxy-1").empty());
 }
+
+TEST_CASE("A proxy that was forgotten is told again what is known", "[positions]")
+{
+  PositionBoard board;
+  board.Add({ { "ledger", { 3, 20 }, 1'000'000 } }, Instant{ 2s });
+  CHECK(board.NewsFor("proxy-1").size() == 1);
+  board.Forget("proxy-1");
+  CHECK(board.NewsFor("proxy-1").size() == 1);
+}
