Log what proxies know of backend servers, and why a primary has no successor

- E1708 backend_row_received at a proxy for each new or changed row of a backend server
- E1709 draining_backend_used at a proxy, once for each drain, when a statement gets a draining server
- E1524 service_without_candidate at the leader, once for each primary, with the reason for each server
- counter oleanderledge_draining_uses_total, and draining in the pools of E1706
- GET /v1/status lists services with their primary and servers

--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -60,6 +60,7 @@
   RoutesRejected = 1521,
   ServicePrimaryDecided = 1522,
   ServicePromotionAnswered = 1523,
+  ServiceWithoutCandidate = 1524,
   // 1600: owner.
   OwnershipChanged = 1601,
   OwnershipReleased = 1602,
@@ -74,6 +75,8 @@
   EntryStopping = 1705,
   StatementFailed = 1706,
   StatementRetried = 1707,
+  BackendRowReceived = 1708,
+  DrainingBackendUsed = 1709,
   // 1800: daemons.
   DaemonStarted = 1801,
   DaemonStopping = 1802,
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -239,6 +239,8 @@
     candidate = this->state.Backends().Find(replaced);
   }
   if (candidate == nullptr) {
+    this->LogWithoutCandidate(
+      aService, aVersion, aReason, isTakenOver ? "" : replaced, aNow, aActions);
     return;
   }
   std::string positions;
@@ -277,18 +279,58 @@
 {
   std::vector<const BackendRow*> candidates;
   for (const auto& [name, backend] : this->state.Backends().Backends()) {
-    if (backend.deleted || backend.service != aService || backend.draining || name == aExcluded) {
+    if (backend.deleted || backend.service != aService ||
+        !this->ExclusionReason(backend, aExcluded, aNow).empty()) {
       continue;
     }
-    const auto refused = this->refusedAt.find(name);
-    if (refused != this->refusedAt.end() && aNow - refused->second < this->timings.refusalBackoff) {
+    candidates.push_back(&backend);
+  }
+  return candidates;
+}
+
+std::string_view ServiceCoordinator::ExclusionReason(const BackendRow& aBackend,
+                                                     std::string_view aExcluded,
+                                                     Instant aNow) const
+{
+  if (aBackend.draining) {
+    return "draining";
+  }
+  if (aBackend.name == aExcluded) {
+    return "replaced";
+  }
+  const auto refused = this->refusedAt.find(aBackend.name);
+  if (refused != this->refusedAt.end() && aNow - refused->second < this->timings.refusalBackoff) {
+    return "refused";
+  }
+  return this->SilenceOf(aBackend.name, aNow) > this->timings.RegistrationTimeout() ? "silent" : "";
+}
+
+void ServiceCoordinator::LogWithoutCandidate(const std::string& aService,
+                                             std::uint64_t aVersion,
+                                             std::string_view aReason,
+                                             std::string_view aExcluded,
+                                             Instant aNow,
+                                             ControlActions& aActions)
+{
+  Progress& progress = this->progressByService[aService];
+  if (progress.loggedWithoutCandidate == aVersion ||
+      !this->Candidates(aService, aExcluded, aNow).empty()) {
+    return;
+  }
+  progress.loggedWithoutCandidate = aVersion;
+  std::string excluded;
+  for (const auto& [name, backend] : this->state.Backends().Backends()) {
+    if (backend.deleted || backend.service != aService) {
       continue;
     }
-    if (this->SilenceOf(name, aNow) <= this->timings.RegistrationTimeout()) {
-      candidates.push_back(&backend);
-    }
+    excluded += (excluded.empty() ? "" : ",") + name + ":" +
+                std::string(this->ExclusionReason(backend, aExcluded, aNow));
   }
-  return candidates;
+  aActions.push_back(LogAction{ LogEvent::ServiceWithoutCandidate,
+                                "service=" + aService + " primary=" + std::string(aExcluded) +
+                                  " reason=" + std::string(aReason) +
+                                  " version=" + std::to_string(aVersion) +
+                                  " servers=" + (excluded.empty() ? "none" : excluded) });
 }
 
 const BackendRow* ServiceCoordinator::BestCandidate(std::string_view aService,
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -130,6 +130,8 @@
     std::uint64_t fence = 0;
     Instant noPrimarySince{};
     Instant confirmedAt{};
+    /// Version of the row for which the lack of a candidate was logged last.
+    std::optional<std::uint64_t> loggedWithoutCandidate;
   };
   /// Recent reports of all proxies about one server.
   struct BackendReachability
@@ -162,6 +164,17 @@
   std::vector<const BackendRow*> Candidates(std::string_view aService,
                                             std::string_view aExcluded,
                                             Instant aNow) const;
+  /// Why a server may not become primary, as written to the log; empty if it may.
+  std::string_view ExclusionReason(const BackendRow& aBackend,
+                                   std::string_view aExcluded,
+                                   Instant aNow) const;
+  /// Logs, once for each version of the row, why no server of the service can replace its primary.
+  void LogWithoutCandidate(const std::string& aService,
+                           std::uint64_t aVersion,
+                           std::string_view aReason,
+                           std::string_view aExcluded,
+                           Instant aNow,
+                           ControlActions& aActions);
   /// The candidate that is best reachable, or null. For choices without known positions.
   const BackendRow* BestCandidate(std::string_view aService,
                                   std::string_view aExcluded,
--- a/src/oleanderledge/control/internal/ControlJson.cpp
+++ b/src/oleanderledge/control/internal/ControlJson.cpp
@@ -170,6 +170,31 @@
            { "slots", slotArray } };
 }
 
+/// The services of registered backend servers.
+QJsonArray ServicesToJson(const BackendTable& aTable)
+{
+  QJsonArray services;
+  for (const auto& [name, row] : aTable.Primaries()) {
+    QJsonArray servers;
+    for (const auto& [id, backend] : aTable.Backends()) {
+      if (backend.deleted || backend.service != name) {
+        continue;
+      }
+      servers.append(QJsonObject{ { "name", ToQString(id) },
+                                  { "zone", ToQString(backend.zone) },
+                                  { "address", ToQString(backend.address) },
+                                  { "draining", backend.draining } });
+    }
+    services.append(
+      QJsonObject{ { "name", ToQString(name) },
+                   { "primary", ToQString(row.backend) },
+                   { "phase", row.phase == PrimaryPhase::Steady ? "steady" : "promoting" },
+                   { "fence", NumberToJson(row.fence) },
+                   { "servers", servers } });
+  }
+  return services;
+}
+
 QJsonArray ClassServiceToJson(const std::vector<ClassService>& aService)
 {
   QJsonArray rows;
@@ -313,7 +338,8 @@
                           { "everywhere", behind.isEmpty() },
                           { "behind", behind } } },
            { "instances", instances },
-           { "databases", databases } };
+           { "databases", databases },
+           { "services", ServicesToJson(aState.Backends()) } };
 }
 
 int HttpStatusOf(ResultCode aCode)
--- a/src/oleanderledge/daemon/TrafficCounters.hpp
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -31,6 +31,8 @@
   std::map<std::uint32_t, PriorityTotals> statements; ///< By priority.
   std::uint64_t connectionsOpened = 0;
   std::uint64_t relayedUses = 0; ///< Times that another proxy used a connection of this one.
+  /// Times that a statement or transaction got a connection to a draining server.
+  std::uint64_t drainingUses = 0;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -61,6 +61,7 @@
   collected.unitsAnswered = counters.answered;
   collected.connectionsOpened = counters.connectionsOpened;
   collected.relayedUses = counters.relayedUses;
+  collected.drainingUses = counters.drainingUses;
   collected.statements = counters.byPriority;
   return collected;
 }
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -50,7 +50,8 @@
   std::size_t waiting = 0; ///< Statements that wait for a connection to a backend server.
   std::uint64_t answered = 0;
   std::uint64_t connectionsOpened = 0;
-  std::uint64_t relayedUses = 0; ///< Times that another proxy borrowed a connection.
+  std::uint64_t relayedUses = 0;  ///< Times that another proxy borrowed a connection.
+  std::uint64_t drainingUses = 0; ///< Times that a statement or transaction got a draining server.
   std::map<std::uint32_t, PriorityTotals> byPriority;
 };
 
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -15,6 +15,16 @@
 /// other proxies may hold more than an equal share.
 constexpr std::uint32_t kProvisionalShareDivisor = 2;
 
+void LogRow(const BackendRow& aRow, std::uint64_t aDirectoryVersion)
+{
+  WriteLog(LogEvent::BackendRowReceived,
+           "backend=" + aRow.name + " service=" + aRow.service + " address=" + aRow.address +
+             " draining=" + (aRow.draining ? "yes" : "no") + " deleted=" +
+             (aRow.deleted ? "yes" : "no") + " started_ms=" + std::to_string(aRow.startedUnixMs) +
+             " version=" + std::to_string(aRow.version) +
+             " directory=" + std::to_string(aDirectoryVersion));
+}
+
 } // namespace
 
 ServiceDispatcher::ServiceDispatcher(const StatementProtocol& aProtocol,
@@ -58,8 +68,10 @@
       auto* created = new BackendPool(this->protocol, backend, this->relayClient, this);
       QObject::connect(created, &BackendPool::Changed, this, &ServiceDispatcher::ScheduleDispatch);
       this->pools.emplace(name, created);
+      LogRow(backend, aDirectory.Version());
     } else if (found->second->Row().version != backend.version) {
       found->second->Update(backend);
+      LogRow(backend, aDirectory.Version());
     }
     BackendPool& pool = *this->pools.find(name)->second;
     // With more proxies than connections, those with a grant act as relays for the others.
@@ -180,6 +192,7 @@
             std::to_string(pool->IdleCount()) + "/opening" + std::to_string(pool->OpeningCount()) +
             "/limit" + std::to_string(pool->Limit()) + (pool->IsRelayed() ? "/relayed" : "") +
             "/answer" + std::to_string(pool->Health().AverageAnswerTime().count() / 1000) + "ms" +
+            (pool->Row().draining ? "/draining" : "") +
             (pool->Health().IsFailing() ? "/failing" : "") +
             (pool->Health().IsOverloaded(aNow) ? "/overloaded" : "") +
             (pool->Health().IsLagging(aNow) ? "/lagging" : "");
@@ -244,6 +257,9 @@
     }
     WaitingRequest waiter = std::move(this->waiting[index]);
     this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
+    if (choice.pool->Row().draining) {
+      this->RecordDrainingUse(*choice.pool);
+    }
     Placement placement = choice.placement;
     placement.pool = choice.pool;
     placement.connection = choice.pool->Take(*waiter.request.settings);
@@ -260,6 +276,19 @@
   this->isDispatching = false;
 }
 
+void ServiceDispatcher::RecordDrainingUse(const BackendPool& aPool)
+{
+  ++this->drainingUseCount;
+  const BackendRow& row = aPool.Row();
+  if (this->loggedDrains.contains(row.name) && this->loggedDrains[row.name] == row.startedUnixMs) {
+    return;
+  }
+  this->loggedDrains[row.name] = row.startedUnixMs;
+  WriteLog(LogEvent::DrainingBackendUsed,
+           "backend=" + row.name + " version=" + std::to_string(row.version) +
+             " named_primary=" + this->primary + " service=" + this->service);
+}
+
 void ServiceDispatcher::ExpireWaiting()
 {
   const Instant now = MonotonicNow();
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -106,6 +106,8 @@
   /// Marks servers as failing that do not answer.
   void CheckUnresponsive(Instant aNow);
   std::size_t WaitingCount() const { return this->waiting.size(); }
+  /// Connections to draining servers that were given to statements and transactions.
+  std::uint64_t DrainingUseCount() const { return this->drainingUseCount; }
   const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
 
 private:
@@ -128,6 +130,8 @@
   /// Fails waiting requests whose deadline has passed, and dispatches the others.
   void ExpireWaiting();
   Choice ChoosePool(const PlacementRequest& aRequest, Instant aNow) const;
+  /// Counts a use of a draining server, and logs the first one of each drain.
+  void RecordDrainingUse(const BackendPool& aPool);
   /// Pool of the server to treat as primary; null if there is none. If the one named by the control
   /// plane is not primary any more or cannot be reached, the others are tried: this proxy may be
   /// cut off from the control plane, and a server that is not primary rejects statements
@@ -149,6 +153,9 @@
   std::map<std::string, Instant, std::less<>> notPrimaryUntil;
   PositionHistory positions;
   std::optional<PositionHistory::Sample> observedPosition;
+  /// Start times of the draining servers whose use was logged.
+  std::map<std::string, std::int64_t, std::less<>> loggedDrains;
+  std::uint64_t drainingUseCount = 0;
   std::vector<WaitingRequest> waiting; ///< By priority, then arrival.
   Ticket lastTicket = 0;
   bool isDispatching = false;
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -177,6 +177,7 @@
   counters.relayedUses = this->relay.UseCount();
   for (const auto& [name, dispatcher] : this->dispatchers) {
     counters.waiting += dispatcher->WaitingCount();
+    counters.drainingUses += dispatcher->DrainingUseCount();
     for (const auto& [backend, pool] : dispatcher->Pools()) {
       counters.connectionsOpened += pool->OpenedCount();
     }
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -89,6 +89,8 @@
         this->coordinator.OnPromotionAnswer(
           promote->service, promote->fence, this->answer, this->now, more);
         this->Execute(more);
+      } else if (const auto* log = std::get_if<LogAction>(&action)) {
+        this->logged.push_back(*log);
       }
     }
   }
@@ -117,6 +119,7 @@
   std::set<std::string> live{ "a", "b", "c" };
   std::map<std::string, std::map<std::string, BackendReport>> reports;
   std::vector<PromoteBackendAction> calls;
+  std::vector<LogAction> logged;
   PromotionOutcome answer = PromotionOutcome::Confirmed;
   /// Positions that servers return when queried; other servers do not answer.
   std::map<std::string, LogPosition> received{ { "b", { 1, 10 } }, { "c", { 1, 10 } } };
@@ -245,6 +248,25 @@
   CHECK(fixture.PrimaryName() != "a");
 }
 
+// Guards against a drained service whose log does not tell why nothing was promoted.
+TEST_CASE("The lack of a candidate is logged once, with the reason for each server", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.RunFor(2s);
+  fixture.live = { "a" };
+  fixture.RunFor(5s);
+  fixture.Register("b", false, true);
+  fixture.Register("a", true, true);
+  fixture.RunFor(5s);
+  CHECK(fixture.calls.empty());
+  const auto count =
+    std::ranges::count(fixture.logged, LogEvent::ServiceWithoutCandidate, &LogAction::event);
+  REQUIRE(count == 1);
+  CHECK(
+    fixture.logged.back().detail ==
+    "service=ledger primary=a reason=draining version=4 servers=a:draining,b:draining,c:silent");
+}
+
 // Guards against two control instances that promote under the same fence, and against a fence that
 // decreases.
 TEST_CASE("A new leader repeats an unconfirmed decision under a higher fence", "[services]")
