--- a/tests/control/HttpTestClient.cpp
+++ b/tests/control/HttpTestClient.cpp
@@ -42,8 +42,7 @@
                                    const std::string& aPath,
                                    const QByteArray& aBody)
 {
-  QNetworkRequest request(QUrl(QString::fromStdString("http://" + aAddress + aPath)));
-  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  const QNetworkRequest request = RequestTo(aAddress, aPath);
   QNetworkReply* reply =
     aBody.isEmpty() ? this->network.get(request) : this->network.post(request, aBody);
   WaitUntil([reply] { return reply->isFinished(); });
@@ -54,4 +53,21 @@
   return answer;
 }
 
+int HttpTestClient::Put(const std::string& aAddress,
+                        const std::string& aPath,
+                        const QByteArray& aBody)
+{
+  QNetworkReply* reply = this->network.put(RequestTo(aAddress, aPath), aBody);
+  WaitUntil([reply] { return reply->isFinished(); });
+  reply->deleteLater();
+  return reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+}
+
+QNetworkRequest HttpTestClient::RequestTo(const std::string& aAddress, const std::string& aPath)
+{
+  QNetworkRequest request(QUrl(QString::fromStdString("http://" + aAddress + aPath)));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  return request;
+}
+
 } // namespace oleanderledge
--- a/tests/control/HttpTestClient.hpp
+++ b/tests/control/HttpTestClient.hpp
@@ -39,8 +39,12 @@
   HttpAnswer Request(const std::string& aAddress,
                      const std::string& aPath,
                      const QByteArray& aBody = {});
+  /// Sends a PUT to "ip:port" and returns the status; 0 if it was not answered.
+  int Put(const std::string& aAddress, const std::string& aPath, const QByteArray& aBody);
 
 private:
+  static QNetworkRequest RequestTo(const std::string& aAddress, const std::string& aPath);
+
   QNetworkAccessManager network;
 };
 
