Give a draining backend server no new statement after its drain time

Cause: PrimaryPool() passed over draining servers only when it looked for a substitute of the named primary, not for the named primary itself, and no part of the proxy knew the drain time. If no other server can be promoted, the named primary kept getting all work of its service.

The drain time is the setting backend_drain_ms.

Refusals of the service begin about 3 s earlier than the end of the server, while it drains as the only one.

--- a/src/oleanderledge/control/BackendTable.cpp
+++ b/src/oleanderledge/control/BackendTable.cpp
@@ -54,9 +54,13 @@
   if (!inserted && row.deleted && row.startedUnixMs == aCommand.backend.startedUnixMs) {
     return false;
   }
+  const bool keepsDraining =
+    !inserted && row.draining && row.startedUnixMs == aCommand.backend.startedUnixMs;
+  const std::uint64_t drainingVersion = keepsDraining ? row.drainingVersion : aIndex;
   row = aCommand.backend;
   row.deleted = false;
   row.version = aIndex;
+  row.drainingVersion = row.draining ? drainingVersion : 0;
   // If another server has started at the same address, the earlier one there has ended.
   for (auto& [name, other] : this->backends) {
     if (&other == &row || other.deleted || other.address != row.address ||
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -124,6 +124,7 @@
   if (!this->contact.HandleReply(aReply, now)) {
     return;
   }
+  Q_EMIT this->ReplyAccepted(aReply);
   if (this->contact.ProxyCount() != previousCount) {
     Q_EMIT this->ProxyCountChanged(this->contact.ProxyCount());
   }
--- a/src/oleanderledge/daemon/internal/ControlClient.hpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.hpp
@@ -48,6 +48,7 @@
 
 Q_SIGNALS:
   void DirectoryChanged();
+  void ReplyAccepted(const oleanderledge::HeartbeatReply& aReply);
   void ConnectionsGranted(std::vector<oleanderledge::ConnectionGrant> aGrants);
   /// Positions that other proxies observed.
   void PositionsShared(std::vector<oleanderledge::PrimaryPosition> aPositions);
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -30,6 +30,16 @@
   return self;
 }
 
+/// Part of the drain time that is left for a statement to arrive after the decision to send it. An
+/// overloaded link delays packets by up to this time.
+constexpr std::chrono::milliseconds kDrainDeliveryTime{ 500 };
+
+/// Part of the drain time during which statements may be sent.
+Duration UsableDrainTime(const FleetSettings& aFleet)
+{
+  return std::chrono::milliseconds(aFleet.backendDrainMs) - kDrainDeliveryTime;
+}
+
 EmulatedLatency ToEmulatedLatency(const LatencySettings& aSettings)
 {
   return { Duration{ aSettings.betweenZonesUs },
@@ -45,6 +55,7 @@
   : QObject(aParent)
   , settings(aSettings)
   , contact(MakeInstanceInfo(aSettings), aSettings.controlAddresses, {})
+  , drainDeadlines(UsableDrainTime(aSettings.fleet))
   , publisher(contact.Self(), metrics, aMetricsLog)
 {
   this->client = new ControlClient(
@@ -60,9 +71,17 @@
     [this] { return this->client->Peer().httpAddress; },
     this);
   QObject::connect(this->client, &ControlClient::DirectoryChanged, this, [this] {
-    this->RunInTrafficThread([directory = this->contact.CurrentDirectory()](
-                               TrafficWorker& aWorker) { aWorker.ApplyDirectory(directory); });
+    const auto directory = this->contact.CurrentDirectory();
+    this->RunInTrafficThread(
+      [directory, deadlines = this->drainDeadlines.Update(*directory)](TrafficWorker& aWorker) {
+        aWorker.SetDrainDeadlines(deadlines);
+        aWorker.ApplyDirectory(directory);
+      });
   });
+  QObject::connect(
+    this->client, &ControlClient::ReplyAccepted, this, [this](const HeartbeatReply& aReply) {
+      this->drainDeadlines.RecordReply(aReply);
+    });
   QObject::connect(
     this->client, &ControlClient::ProxyCountChanged, this, [this](std::uint32_t aCount) {
       this->RunInTrafficThread([aCount](TrafficWorker& aWorker) { aWorker.SetProxyCount(aCount); });
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/daemon/ControlContact.hpp"
+#include "oleanderledge/daemon/DrainDeadlines.hpp"
 #include "oleanderledge/daemon/internal/ControlClient.hpp"
 #include "oleanderledge/daemon/internal/MetricsPublisher.hpp"
 #include "oleanderledge/metrics/metrics.hpp"
@@ -59,6 +60,7 @@
 
   Settings settings;
   ControlContact contact;
+  DrainDeadlines drainDeadlines;
   MetricsRegistry metrics;
   MetricsPublisher publisher;
   ControlClient* client = nullptr;
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -30,6 +30,11 @@
   this->service->ApplyDirectory(std::move(aDirectory));
 }
 
+void StatementTrafficWorker::SetDrainDeadlines(const DrainDeadlineMap& aDeadlines)
+{
+  this->service->SetDrainDeadlines(aDeadlines);
+}
+
 void StatementTrafficWorker::SetProxyCount(std::uint32_t aCount)
 {
   this->service->SetProxyCount(aCount);
--- a/src/oleanderledge/link/RouteRows.hpp
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -79,6 +79,8 @@
   std::uint64_t sequence = 0;     ///< Number of the newest registration that changed the row.
   std::uint64_t version = 0;
   bool deleted = false;
+  /// Version in which `draining` was set in this start of the server; 0: not known.
+  std::uint64_t drainingVersion = 0;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -93,7 +95,8 @@
              this->startedUnixMs,
              this->sequence,
              this->version,
-             this->deleted);
+             this->deleted,
+             this->drainingVersion);
   }
 };
 
--- a/src/oleanderledge/settings/Settings.cpp
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -59,6 +59,7 @@
   fleet.ReadNumber("stop_limit_ms", aFleet.stopLimitMs, 1'000, 600'000);
   if (aKind == DaemonKind::Proxy) {
     fleet.ReadAddress("readiness", aFleet.readinessAddress, true);
+    fleet.ReadNumber("backend_drain_ms", aFleet.backendDrainMs, 0, 600'000);
   } else {
     fleet.ReadAddress("control_plane", aFleet.controlPlaneAddress, true);
     fleet.ReadAddress("promotion", aFleet.promotionAddress, true);
--- a/src/oleanderledge/settings/Settings.hpp
+++ b/src/oleanderledge/settings/Settings.hpp
@@ -61,6 +61,9 @@
   std::uint32_t toleratedLosses = 1;  ///< Control instances that may fail at the same time.
   bool mayFoundGroup = false;         ///< Set it only for the first start of the whole fleet.
   std::uint32_t stopLimitMs = 10'000; ///< Longest duration of a graceful shutdown.
+  /// A backend server gets no new statement later than this after it was acknowledged that it
+  /// drains; proxies only. The default is the limit of the requirements (I7).
+  std::uint32_t backendDrainMs = 3'000;
 };
 
 /// Settings of one daemon.
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -36,6 +36,9 @@
   Instant asOf{}; ///< Monotonic clock of this process.
 };
 
+/// By backend server: until when a draining one may be given new work. One that is missing may not.
+using DrainDeadlineMap = std::map<std::string, Instant, std::less<>>;
+
 /// Totals of the statements of one priority since the start of the process.
 struct PriorityTotals
 {
@@ -63,6 +66,8 @@
   virtual ~StatementService() = default;
 
   virtual void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) = 0;
+  /// Sets the deadlines of draining backend servers, from the next directory on.
+  virtual void SetDrainDeadlines(const DrainDeadlineMap& aDeadlines) = 0;
   /// Sets the number of proxies that share the connection limits of the backend servers.
   virtual void SetProxyCount(std::uint32_t aCount) = 0;
   /// Sets the connections to backend servers that this proxy may hold. Without a grant it limits
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -51,6 +51,14 @@
   /// 0 if IsRelayed(), as the relays report the demand.
   std::uint32_t TakePeakDemand();
 
+  /// Sets until when the server may be given new work while it drains.
+  void SetDrainDeadline(Instant aDeadline) { this->drainDeadline = aDeadline; }
+  /// False if the server has left, or drains and its drain deadline has passed.
+  bool AcceptsNewWork(Instant aNow) const
+  {
+    return !this->row.deleted && (!this->row.draining || aNow < this->drainDeadline);
+  }
+
   const BackendRow& Row() const { return this->row; }
   const BackendHealth& Health() const { return this->health; }
 
@@ -115,6 +123,7 @@
   const StatementProtocol& protocol;
   RelayClient& relayClient;
   BackendRow row;
+  Instant drainDeadline{};
   std::vector<std::string> relays; ///< Link addresses; empty if connections are direct.
   BackendHealth health;
   ConcurrencyWindow window;
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -46,7 +46,8 @@
 void ServiceDispatcher::ApplyDirectory(
   const Directory& aDirectory,
   const std::map<std::string, std::string, std::less<>>& aRegionOfZone,
-  std::uint32_t aProxyCount)
+  std::uint32_t aProxyCount,
+  const DrainDeadlineMap& aDrainDeadlines)
 {
   const auto fullZone = [&aRegionOfZone](const std::string& aZone) {
     const auto found = aRegionOfZone.find(aZone);
@@ -77,6 +78,8 @@
     // With more proxies than connections, those with a grant act as relays for the others.
     const std::uint32_t least = connectionLimit >= aProxyCount ? 1 : 0;
     pool.SetProvisionalLimit(std::clamp(share, least, std::max(1U, connectionLimit)));
+    const auto deadline = aDrainDeadlines.find(name);
+    pool.SetDrainDeadline(deadline == aDrainDeadlines.end() ? Instant{} : deadline->second);
     if (backend.deleted) {
       pool.CloseAllIdle();
     }
@@ -192,7 +195,7 @@
             std::to_string(pool->IdleCount()) + "/opening" + std::to_string(pool->OpeningCount()) +
             "/limit" + std::to_string(pool->Limit()) + (pool->IsRelayed() ? "/relayed" : "") +
             "/answer" + std::to_string(pool->Health().AverageAnswerTime().count() / 1000) + "ms" +
-            (pool->Row().draining ? "/draining" : "") +
+            (pool->Row().draining ? (pool->AcceptsNewWork(aNow) ? "/draining" : "/drained") : "") +
             (pool->Health().IsFailing() ? "/failing" : "") +
             (pool->Health().IsOverloaded(aNow) ? "/overloaded" : "") +
             (pool->Health().IsLagging(aNow) ? "/lagging" : "");
@@ -320,7 +323,8 @@
 {
   if (!aRequest.backend.empty()) {
     const auto found = this->pools.find(aRequest.backend);
-    return { found == this->pools.end() ? nullptr : found->second, {} };
+    const bool isUsable = found != this->pools.end() && found->second->AcceptsNewWork(aNow);
+    return { isUsable ? found->second : nullptr, {} };
   }
   if (!aRequest.needsPrimary) {
     auto await = this->positions.LowestCovering(aRequest.arrivedAt - aRequest.acceptedAge);
@@ -361,7 +365,7 @@
 bool ServiceDispatcher::IsPrimaryCandidate(const BackendPool& aPool, Instant aNow) const
 {
   const auto notPrimary = this->notPrimaryUntil.find(aPool.Row().name);
-  if (aPool.Row().deleted ||
+  if (!aPool.AcceptsNewWork(aNow) ||
       (notPrimary != this->notPrimaryUntil.end() && aNow < notPrimary->second)) {
     return false;
   }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/statements/PositionHistory.hpp"
 #include "oleanderledge/statements/ReadPlacement.hpp"
+#include "oleanderledge/statements/StatementService.hpp"
 #include "oleanderledge/statements/internal/BackendPool.hpp"
 
 #include <QObject>
@@ -73,7 +74,8 @@
 
   void ApplyDirectory(const Directory& aDirectory,
                       const std::map<std::string, std::string, std::less<>>& aRegionOfZone,
-                      std::uint32_t aProxyCount);
+                      std::uint32_t aProxyCount,
+                      const DrainDeadlineMap& aDrainDeadlines);
 
   /// Returns an identifier for the next request, with which it can be cancelled.
   Ticket NewTicket() { return ++this->lastTicket; }
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -83,7 +83,7 @@
     this->DispatcherOf(backend.service);
   }
   for (const auto& [name, dispatcher] : this->dispatchers) {
-    dispatcher->ApplyDirectory(*this->directory, this->settings.regionOfZone, this->proxyCount);
+    this->ApplyDirectoryTo(*dispatcher);
   }
   if (isFirst && this->directory->ConfigurationNumber() > 0) {
     for (StatementSession* session : std::set(this->sessions)) {
@@ -92,6 +92,17 @@
   }
 }
 
+void StatementServer::SetDrainDeadlines(const DrainDeadlineMap& aDeadlines)
+{
+  this->drainDeadlines = aDeadlines;
+}
+
+void StatementServer::ApplyDirectoryTo(ServiceDispatcher& aDispatcher) const
+{
+  aDispatcher.ApplyDirectory(
+    *this->directory, this->settings.regionOfZone, this->proxyCount, this->drainDeadlines);
+}
+
 void StatementServer::SetProxyCount(std::uint32_t aCount)
 {
   if (aCount == 0 || aCount == this->proxyCount) {
@@ -109,7 +120,7 @@
   }
   auto* created = new ServiceDispatcher(
     *this->protocol, aService, this->settings.self.zone, this->relayClient, this);
-  created->ApplyDirectory(*this->directory, this->settings.regionOfZone, this->proxyCount);
+  this->ApplyDirectoryTo(*created);
   this->dispatchers.emplace(aService, created);
   return *created;
 }
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -29,6 +29,7 @@
   Result<void> Listen();
 
   void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
+  void SetDrainDeadlines(const DrainDeadlineMap& aDeadlines) override;
   void SetProxyCount(std::uint32_t aCount) override;
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) override;
   std::vector<BackendReport> TakeBackendReports(Instant aNow) override;
@@ -45,6 +46,7 @@
                     std::optional<StatementError> aError,
                     Duration aTook) override;
 
+  void ApplyDirectoryTo(ServiceDispatcher& aDispatcher) const;
   ServiceDispatcher* FindDispatcherOf(const std::string& aBackend);
   void AcceptPending();
   void CheckTimeLimits();
@@ -53,6 +55,7 @@
   std::unique_ptr<StatementProtocol> protocol;
   StatementServiceSettings settings;
   std::shared_ptr<const Directory> directory;
+  DrainDeadlineMap drainDeadlines;
   std::uint32_t proxyCount = 1;
   QTcpServer server;
   LinkServer linkServer;
--- a/tests/control/ControlStateTests.cpp
+++ b/tests/control/ControlStateTests.cpp
@@ -154,6 +154,31 @@
   CHECK(state.Databases().Find("orders")->row.version == 11);
 }
 
+// Guards against a drain time that counts anew from a later change of a draining server.
+TEST_CASE("The version of a drain stays while the server drains in one start")
+{
+  ControlState state;
+  BackendRow row;
+  row.name = "a";
+  row.service = "ledger";
+  const auto apply = [&state, &row](std::uint64_t aIndex) {
+    ++row.sequence;
+    Apply(state, aIndex, UpdateBackend{ row });
+    return state.Backends().Find("a")->drainingVersion;
+  };
+  CHECK(apply(1) == 0);
+  row.draining = true;
+  row.claimsPrimary = true;
+  CHECK(apply(2) == 2);
+  row.claimsPrimary = false;
+  CHECK(apply(3) == 2);
+  ++row.startedUnixMs;
+  CHECK(apply(4) == 4);
+  ++row.startedUnixMs;
+  row.draining = false;
+  CHECK(apply(5) == 0);
+}
+
 // Guards against members that fail or diverge on commands of another program version.
 TEST_CASE("Commands that cannot be decoded are skipped")
 {
