Move the first statement of a transaction away from a drained server

A transaction got its server at BEGIN; its first statement came after a pause of the caller and went there whatever had happened meanwhile, also after the drain time, or after the server had said that it has ended.

SendStatement() now checks the deadline for single statements and for the first one of a transaction, also after preparatory requests. The statement is placed anew; the old transaction, in which nothing ran, is rolled back. Later statements of a transaction stay on their server.

--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -672,6 +672,12 @@
   if (!this->running) {
     return;
   }
+  const bool inTransaction = this->transaction.state == TransactionState::Open;
+  const bool isFirst = !inTransaction || !this->transaction.hasRun;
+  if (isFirst && !this->placement->pool->AcceptsNewWork(MonotonicNow())) {
+    this->MoveToOtherServer();
+    return;
+  }
   const Statement& statement = this->running->statement;
   std::string request;
   if (statement.kind == StatementKind::Execute) {
@@ -685,7 +691,7 @@
   }
   this->running->isSent = true;
   this->running->sentAt = MonotonicNow();
-  const bool inTransaction = this->transaction.state == TransactionState::Open;
+  this->transaction.hasRun = inTransaction;
   this->placement->connection->Run(request, [this, inTransaction](StatementResult aResult) {
     if (inTransaction) {
       this->OnTransactionResult(std::move(aResult));
@@ -695,6 +701,30 @@
   });
 }
 
+void StatementSession::MoveToOtherServer()
+{
+  if (this->transaction.state == TransactionState::Open) {
+    this->LogRetry(
+      this->running->statement.id, StatementError::Unavailable, this->transaction.attempts);
+    this->ReleaseConnection(true);
+    this->transaction.hasBegun = false;
+    this->transaction.hasChangedSetting = false;
+    // The wait for a connection, and the age of the data, count from this statement on.
+    this->transaction.arrivedAt = this->running->arrivedAt;
+    if (this->transaction.attempts < kMaxAttempts) {
+      this->PlaceTransaction();
+    } else {
+      this->FailTransaction(StatementError::Unavailable, RefusalText(StatementError::Unavailable));
+    }
+    return;
+  }
+  this->LogRetry(this->running->statement.id, StatementError::Unavailable, this->running->attempts);
+  // A read on the primary follows a BEGIN.
+  const bool hasBegun = this->placement->onPrimary && !this->IsWrite(this->running->statement);
+  this->ReleaseConnection(hasBegun);
+  this->RetrySingleStatement(StatementError::Unavailable, RefusalText(StatementError::Unavailable));
+}
+
 // --- Helpers ------------------------------------------------------------------------------------
 
 void StatementSession::CheckTimeLimits(Instant aNow)
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -83,6 +83,7 @@
     Instant arrivedAt{};
     bool onPrimary = false;
     bool hasBegun = false; ///< The backend server confirmed BEGIN.
+    bool hasRun = false;   ///< A statement of the caller was sent.
     bool hasWritten = false;
     /// A setting was applied to the connection inside the transaction.
     bool hasChangedSetting = false;
@@ -128,6 +129,9 @@
   void RunPreparatory(const std::string& aRequest,
                       std::function<void(const StatementResult&)> aDone);
   void SendStatement(const std::optional<LogPosition>& aAwait);
+  /// Places the running statement, the first one on its connection, anew, because its server may
+  /// not be given new work any more.
+  void MoveToOtherServer();
   /// The connection was lost while no statement of the caller ran on it, or it could not be
   /// prepared for one.
   void OnConnectionUnusable(const StatementResult& aResult);
--- a/standin/platform/PlatformDatabase.cpp
+++ b/standin/platform/PlatformDatabase.cpp
@@ -145,6 +145,7 @@
       this->SendError(aSocket, aConnection, "READONLY");
       return;
     }
+    this->group.runs.emplace_back(verb, this->id);
     aConnection.inTransaction = true;
     aConnection.isReadOnly = aText == "READ";
   } else if (verb == "SET") {
--- a/standin/platform/PlatformDatabase.hpp
+++ b/standin/platform/PlatformDatabase.hpp
@@ -19,8 +19,8 @@
   std::uint64_t number = 0; ///< Number of the last commit.
   std::string primary;      ///< Id of the primary database.
   std::map<std::string, std::string> items;
-  /// Ids of statements that ran, in order, with the database that ran them. DISCARD is recorded by
-  /// its verb instead of an id.
+  /// Ids of statements that ran, in order, with the database that ran them. BEGIN and DISCARD
+  /// are recorded by their verb instead of an id.
   std::vector<std::pair<std::string, std::string>> runs;
 };
 
--- /dev/null
+++ b/tests/statements/DrainTests.cpp
@@ -0,0 +1,45 @@
+#include "tests/statements/ServiceWithReplicas.hpp"
+
+using namespace oleanderledge;
+using namespace oleanderledge::test;
+
+// Guards against first statements of transactions that reach a server after its drain time.
+TEST_CASE("The first statement of a transaction moves from a drained replica to another server",
+          "[drain]")
+{
+  const Application application;
+  ServiceWithReplicas fixture;
+  Caller caller(fixture.address, "glaze");
+  caller.Send("QUERY w1 WRITE a second");
+  caller.Send("QUERY b1 BEGIN READ");
+  REQUIRE(RunUntil([&fixture] { return fixture.RanOn("BEGIN") == "i-near"; }));
+  fixture.EndDrainOf("i-near");
+  CHECK(caller.Send("QUERY r1 READ a").starts_with("DATAROW second\r\n"));
+  CHECK(fixture.RanOn("r1") != "i-near");
+  CHECK(caller.Send("QUERY c1 COMMIT").ends_with("READY I -\r\n"));
+}
+
+TEST_CASE("The first statement of a transaction is refused if the only possible server has drained",
+          "[drain]")
+{
+  const Application application;
+  ServiceWithReplicas fixture;
+  Caller caller(fixture.address, "orders");
+  caller.Send("QUERY b1 BEGIN");
+  REQUIRE(RunUntil([&fixture] { return fixture.RanOn("BEGIN") == "i-primary"; }));
+  fixture.EndDrainOf("i-primary");
+  CHECK(caller.Send("QUERY w1 WRITE a second").starts_with("ERROR UNAVAIL "));
+  CHECK(fixture.RunsOf("w1") == 0);
+}
+
+// Guards against transactions that are cut although their server still serves them.
+TEST_CASE("A transaction that has run a statement ends on its drained server", "[drain]")
+{
+  const Application application;
+  ServiceWithReplicas fixture;
+  Caller caller(fixture.address, "orders");
+  caller.Send("QUERY b1 BEGIN");
+  caller.Send("QUERY w1 WRITE a second");
+  fixture.EndDrainOf("i-primary");
+  CHECK(caller.Send("QUERY c1 COMMIT") == "COMPLETE signature-i-primary\r\nREADY I -\r\n");
+}
--- a/tests/statements/ServiceWithReplicas.hpp
+++ b/tests/statements/ServiceWithReplicas.hpp
@@ -99,6 +99,19 @@
     this->Publish();
   }
 
+  /// Publishes that a server drains and that its drain deadline has passed.
+  void EndDrainOf(const std::string& aBackend)
+  {
+    ++this->version;
+    for (BackendRow& row : this->update.backends) {
+      if (row.name == aBackend) {
+        row.draining = true;
+        row.version = this->version;
+      }
+    }
+    this->Publish();
+  }
+
   void Publish()
   {
     this->update.version = this->version;
