Refuse a statement at once if no server of its service may be given work

While another server may still be promoted, requests wait as before.

Failed before: DrainTests, "A statement is refused without waiting if all servers of its service have drained" (no answer within 10 s, as the wait is longer).

--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -244,6 +244,10 @@
   const Instant now = MonotonicNow();
   std::map<BackendPool*, std::vector<ConnectionRequest>> wanted;
   for (std::size_t index = 0; index < this->waiting.size();) {
+    if (!this->HasServerFor(this->waiting[index].request, now)) {
+      this->TakeWaiting(index).callback(std::nullopt, StatementError::Unavailable);
+      continue;
+    }
     const Choice choice = this->ChoosePool(this->waiting[index].request, now);
     if (choice.pool == nullptr ||
         !choice.pool->HasCapacityFor(this->waiting[index].request.priority)) {
@@ -258,8 +262,7 @@
       ++index;
       continue;
     }
-    WaitingRequest waiter = std::move(this->waiting[index]);
-    this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
+    const WaitingRequest waiter = this->TakeWaiting(index);
     if (choice.pool->Row().draining) {
       this->RecordDrainingUse(*choice.pool);
     }
@@ -279,6 +282,21 @@
   this->isDispatching = false;
 }
 
+ServiceDispatcher::WaitingRequest ServiceDispatcher::TakeWaiting(std::size_t aIndex)
+{
+  WaitingRequest taken = std::move(this->waiting[aIndex]);
+  this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  return taken;
+}
+
+bool ServiceDispatcher::HasServerFor(const PlacementRequest& aRequest, Instant aNow) const
+{
+  return std::ranges::any_of(this->pools, [&aRequest, aNow](const auto& aEach) {
+    return (aRequest.backend.empty() || aRequest.backend == aEach.first) &&
+           aEach.second->AcceptsNewWork(aNow);
+  });
+}
+
 void ServiceDispatcher::RecordDrainingUse(const BackendPool& aPool)
 {
   ++this->drainingUseCount;
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -60,9 +60,9 @@
   Q_OBJECT
 
 public:
-  /// Receives a connection, or std::nullopt and the error: Unavailable if the request needs the
-  /// primary and no server can be used as primary, or if the backend server that it names is
-  /// failing; otherwise Overloaded.
+  /// Receives a connection, or std::nullopt and the error: Unavailable, at once, if no server may
+  /// be given new work; Unavailable if the request needs the primary and no server can be used as
+  /// primary, or if the backend server that it names is failing; otherwise Overloaded.
   using Callback = std::function<void(std::optional<Placement>, StatementError)>;
   using Ticket = std::uint64_t;
 
@@ -127,10 +127,15 @@
 
   /// Calls DispatchWaiting() from the event loop.
   void ScheduleDispatch();
-  /// Gives connections to waiting requests and opens connections for the others.
+  /// Gives connections to waiting requests and opens connections for the others. Refuses those that
+  /// no server may be given.
   void DispatchWaiting();
+  /// Removes and returns a waiting request.
+  WaitingRequest TakeWaiting(std::size_t aIndex);
   /// Fails waiting requests whose deadline has passed, and dispatches the others.
   void ExpireWaiting();
+  /// False if every server that the request could use has left or may not be given new work.
+  bool HasServerFor(const PlacementRequest& aRequest, Instant aNow) const;
   Choice ChoosePool(const PlacementRequest& aRequest, Instant aNow) const;
   /// Counts a use of a draining server, and logs the first one of each drain.
   void RecordDrainingUse(const BackendPool& aPool);
--- a/tests/statements/DrainTests.cpp
+++ b/tests/statements/DrainTests.cpp
@@ -43,3 +43,24 @@
   fixture.EndDrainOf("i-primary");
   CHECK(caller.Send("QUERY c1 COMMIT") == "COMPLETE signature-i-primary\r\nREADY I -\r\n");
 }
+
+// Guards against statements that wait for a connection although no server may be given work.
+TEST_CASE("A statement is refused without waiting if all servers of its service have drained",
+          "[drain]")
+{
+  const Application application;
+  ServiceWithReplicas fixture;
+  // The wait for a connection would outlast the test.
+  for (RouteRow& route : fixture.update.routes) {
+    route.targetLatencyMs = 3'600'000;
+    route.statementTimeoutMs = 3'600'000;
+    route.version = 2;
+  }
+  for (const char* name : { "i-primary", "i-near", "i-far" }) {
+    fixture.EndDrainOf(name);
+  }
+  Caller orders(fixture.address, "orders");
+  CHECK(orders.Send("QUERY w1 WRITE a second").starts_with("ERROR UNAVAIL "));
+  Caller glaze(fixture.address, "glaze");
+  CHECK(glaze.Send("QUERY r1 READ a").starts_with("ERROR UNAVAIL "));
+}
