owner: a new owner gives no new work to a primary that departed before

A slot that already departs when it is first tracked has no grace period. Units wait, or are refused as before, until control has changed the primary.

Failed before: "A primary that departed before its owner took over gets no new work" (the write was acknowledged).

--- a/src/oleanderledge/owner/internal/DatabaseOwner.cpp
+++ b/src/oleanderledge/owner/internal/DatabaseOwner.cpp
@@ -423,8 +423,8 @@
   if (!aState.row.departing) {
     return false;
   }
-  return aState.row.name != this->row.primary ||
-         aNow - aState.departingSince > kDepartingPrimaryGracePeriod;
+  return aState.row.name != this->row.primary || !aState.departingSince ||
+         aNow - *aState.departingSince > kDepartingPrimaryGracePeriod;
 }
 
 std::string DatabaseOwner::ChooseReadSlot(const Unit& aUnit, Instant aNow)
--- a/src/oleanderledge/owner/internal/SlotTracker.cpp
+++ b/src/oleanderledge/owner/internal/SlotTracker.cpp
@@ -19,14 +19,17 @@
   std::map<std::string, SlotState, std::less<>> next;
   for (const SlotRow& row : aRow.slots) {
     const auto found = this->slots.find(row.name);
+    const bool isTracked = found != this->slots.end() && found->second.row.address == row.address;
     SlotState state;
-    if (found != this->slots.end() && found->second.row.address == row.address) {
+    if (isTracked) {
       state = found->second;
     } else {
       state.lastAnswer = aNow;
       state.lastProgress = aNow;
     }
-    if (row.departing && !state.row.departing) {
+    if (!row.departing) {
+      state.departingSince.reset();
+    } else if (isTracked && !state.row.departing) {
       state.departingSince = aNow;
     }
     state.row = row;
--- a/src/oleanderledge/owner/internal/SlotTracker.hpp
+++ b/src/oleanderledge/owner/internal/SlotTracker.hpp
@@ -21,7 +21,8 @@
   LogPosition applied;
   Instant lastAnswer;     ///< When the last status was received, or when tracking began.
   Instant lastQueriedAt;  ///< When the query of the last status was sent.
-  Instant departingSince; ///< Valid only while `row.departing` is set.
+  /// When the slot was seen to depart; nothing if it departed before it was tracked.
+  std::optional<Instant> departingSince;
   Instant lastProgress;   ///< When `received` last advanced.
 };
 
--- a/tests/owner/DatabaseOwnerTests.cpp
+++ b/tests/owner/DatabaseOwnerTests.cpp
@@ -240,6 +240,31 @@
   }
 }
 
+// Guards against a grace period that starts again with each change of the owner.
+TEST_CASE("A primary that departed before its owner took over gets no new work")
+{
+  OwnerHarness harness;
+  harness.row.slots[0].departing = true;
+  harness.Start();
+  harness.Submit(OwnerHarness::Request(1, 1, "WRITE s 1 1"));
+  harness.Settle();
+  harness.ReplicateAll();
+  CHECK(harness.FinalReply(1, 1) == nullptr);
+}
+
+TEST_CASE("A primary that departs gets work until its grace period is over")
+{
+  OwnerHarness harness;
+  harness.Start();
+  harness.row.slots[0].departing = true;
+  harness.ApplyRow();
+  harness.Submit(OwnerHarness::Request(1, 1, "WRITE s 1 1"));
+  harness.Settle();
+  harness.ReplicateAll();
+  REQUIRE(harness.FinalReply(1, 1) != nullptr);
+  CHECK(harness.FinalReply(1, 1)->code == ResultCode::Ok);
+}
+
 // Guards against failed reads during a failover: reads with an accepted age continue on replicas
 // while there is no primary; a write expires as not run.
 TEST_CASE("A read with an accepted age is served by a replica during a failover")
