--- a/src/oleanderledge/base/base.hpp
+++ b/src/oleanderledge/base/base.hpp
@@ -1,7 +1,9 @@
-/// Public header of the base library: times, positions, zones, result codes and log events.
+/// Public header of the base library: times, positions, zones, addresses, result codes and log
+/// events.
 #pragma once
 
 #include "oleanderledge/base/Error.hpp"
+#include "oleanderledge/base/IpAddress.hpp"
 #include "oleanderledge/base/LogEvent.hpp"
 #include "oleanderledge/base/LogPosition.hpp"
 #include "oleanderledge/base/ResultCode.hpp"
--- a/src/oleanderledge/control/internal/ControlJson.cpp
+++ b/src/oleanderledge/control/internal/ControlJson.cpp
@@ -62,10 +62,11 @@
   announcement.isPrimary = role == "primary";
   announcement.departing = aObject.value(QLatin1String("departing")).toBool();
   std::uint64_t limit = 0;
-  if (announcement.database.empty() || announcement.slot.empty() || announcement.address.empty() ||
-      (role != "primary" && role != "replica")) {
+  if (announcement.database.empty() || announcement.slot.empty() ||
+      !IsIpAndPort(announcement.address) || (role != "primary" && role != "replica")) {
     return Fail(ResultCode::UsageError,
-                "database, slot and address are required, and role must be primary or replica");
+                "database, slot and IP:PORT as address are required, and role must be primary or "
+                "replica");
   }
   if (!ReadNumber(aObject, "term", announcement.term) ||
       !ReadNumber(aObject, "received", announcement.received) ||
--- a/src/oleanderledge/platform/ControlMessages.cpp
+++ b/src/oleanderledge/platform/ControlMessages.cpp
@@ -96,6 +96,8 @@
 };
 
 constexpr std::uint64_t kMaxNumber = static_cast<std::uint64_t>(kMaxWholeNumber);
+/// The last millisecond of the year 9999.
+constexpr std::uint64_t kMaxUnixMs = 253'402'300'799'999;
 constexpr std::uint64_t kMaxUint32 = std::numeric_limits<std::uint32_t>::max();
 
 Error FieldError(const std::string& aField)
@@ -191,6 +193,9 @@
   row.name = aBackend;
   row.service = fields.Text("service");
   row.address = fields.Text("address");
+  if (!IsIpAndPort(row.address)) {
+    fields.MarkInvalid("address");
+  }
   row.zone = fields.Text("zone");
   row.slots = static_cast<std::uint32_t>(fields.Number("capacity", kMaxUint32));
   const std::string state = fields.Text("state");
@@ -205,7 +210,7 @@
   }
   row.sequence = fields.Number("sequence", kMaxNumber);
   // "born" is the time at which the server started.
-  row.startedUnixMs = static_cast<std::int64_t>(fields.OptionalNumber("born", kMaxNumber));
+  row.startedUnixMs = static_cast<std::int64_t>(fields.OptionalNumber("born", kMaxUnixMs));
   if (row.service.empty()) {
     fields.MarkInvalid("service");
   }
--- a/src/oleanderledge/settings/internal/CheckedNode.cpp
+++ b/src/oleanderledge/settings/internal/CheckedNode.cpp
@@ -1,6 +1,6 @@
 #include "oleanderledge/settings/internal/CheckedNode.hpp"
 
-#include <arpa/inet.h>
+#include "oleanderledge/base/base.hpp"
 
 #include <charconv>
 #include <optional>
@@ -9,13 +9,6 @@
 
 namespace {
 
-bool IsIpAddress(const std::string& aText)
-{
-  in6_addr binary{};
-  return inet_pton(AF_INET, aText.c_str(), &binary) == 1 ||
-         inet_pton(AF_INET6, aText.c_str(), &binary) == 1;
-}
-
 std::optional<std::uint32_t> ToNumber(std::string_view aText)
 {
   std::uint32_t number = 0;
@@ -85,12 +78,8 @@
 bool CheckedNode::CheckAddress(const YAML::Node& aNode, std::string_view aKey)
 {
   const std::string text = aNode.IsScalar() ? aNode.Scalar() : std::string();
-  const std::size_t colon = text.rfind(':');
-  if (colon != std::string::npos && IsIpAddress(text.substr(0, colon))) {
-    const auto port = ToNumber(std::string_view(text).substr(colon + 1));
-    if (port && *port >= 1 && *port <= 65535) {
-      return true;
-    }
+  if (IsIpAndPort(text)) {
+    return true;
   }
   this->problems->Add(aNode.Mark(),
                       this->FullKey(aKey),
--- /dev/null
+++ b/tests/platform/OddRegistrationTests.cpp
@@ -0,0 +1,67 @@
+#include "tests/platform/FleetWithOneBackend.hpp"
+
+using namespace oleanderledge;
+using namespace oleanderledge::test;
+
+namespace {
+
+QByteArray Replaced(QByteArray aText, const char* aFrom, const char* aTo)
+{
+  return aText.replace(aFrom, aTo);
+}
+
+/// Registrations that name no server to use, made from a valid one.
+std::vector<QByteArray> OddRegistrations(const QByteArray& aValid)
+{
+  const int depth = 100'000;
+  const QByteArray nested = QByteArray(depth, '[') + QByteArray(depth, ']');
+  std::vector<QByteArray> odd{ "",
+                               "{",
+                               "null",
+                               QByteArray("\xff\xfe\x00\x01", 4),
+                               nested,
+                               QByteArray(depth, '['),
+                               R"({"service":)" + nested + "}",
+                               Replaced(aValid, R"("born":1)", R"("born":1e400)"),
+                               Replaced(aValid, R"("born":1)", R"("born":9007199254740991)"),
+                               Replaced(aValid, R"("born":1)", R"("born":-1)"),
+                               Replaced(aValid, R"("capacity":2)", R"("capacity":1e308)"),
+                               Replaced(aValid, R"("capacity":2)", R"("capacity":4294967296)"),
+                               Replaced(
+                                 aValid, R"("sequence":)", R"("sequence":18446744073709551616)") };
+  for (const char* address : { "127.0.0.1:70000",
+                               "127.0.0.1:0",
+                               "127.0.0.1:-1",
+                               "127.0.0.1:99999999999999999999",
+                               "127.0.0.1",
+                               "300.0.0.1:8080",
+                               "nowhere:8080",
+                               ":8080",
+                               "" }) {
+    QByteArray body = aValid;
+    const qsizetype start = body.indexOf(R"("address":")") + 11;
+    body.replace(start, body.indexOf('"', start) - start, address);
+    odd.push_back(body);
+  }
+  return odd;
+}
+
+} // namespace
+
+// Guards against an entry of another writer that ends processes or takes the place of a server.
+TEST_CASE("Odd registrations are refused and the other servers stay in use", "[registrations]")
+{
+  FleetWithOneBackend fleet;
+  const QJsonArray before = fleet.Services();
+  for (const char* backend : { "i-odd", "i-only" }) {
+    for (const QByteArray& body : OddRegistrations(fleet.Registration("ready"))) {
+      INFO(body.left(200).toStdString());
+      const int status = fleet.Register(backend, body);
+      CHECK(status >= 400);
+      CHECK(status < 500);
+    }
+  }
+  CHECK(fleet.Services() == before);
+  CHECK(fleet.Register("ready") == 200);
+  CHECK(fleet.Read("after").starts_with("DATAROW "));
+}
