control: ignore registrations for services that are not configured

A registration that names an unknown service, but the address or the id of a server, replaced that server's entry: the last server of the service counted as ended and its statements were refused (E1706 pools= empty in the test). Without such an address it was promoted as primary of the unknown service, a call to the platform every 2.5 s.

Once a configuration is stored, a registration for a service that it does not name is acknowledged, logged as E1517 no_such_service and ignored, unless the server is known in that service: a service may return, and drains of its servers still count. The coordinator promotes nothing for services that are not configured.

Failed before: OddRegistrationTests, "A registration for a service without configuration changes nothing" (two services listed, the read refused).

--- a/src/oleanderledge/control/RouteTable.cpp
+++ b/src/oleanderledge/control/RouteTable.cpp
@@ -69,6 +69,12 @@
   return true;
 }
 
+bool RouteTable::MayHaveService(std::string_view aService) const
+{
+  const auto found = this->services.find(aService);
+  return this->number == 0 || (found != this->services.end() && !found->second.deleted);
+}
+
 std::string RouteTable::Serialize() const
 {
   return EncodeStruct(RouteConfiguration{ this->number,
--- a/src/oleanderledge/control/RouteTable.hpp
+++ b/src/oleanderledge/control/RouteTable.hpp
@@ -27,6 +27,9 @@
   const std::map<std::string, RouteRow, std::less<>>& Routes() const { return this->routes; }
   const std::map<std::string, ServiceRow, std::less<>>& Services() const { return this->services; }
 
+  /// True if the configuration names the service, or if there is none yet.
+  bool MayHaveService(std::string_view aService) const;
+
   std::string Serialize() const;
   /// Replaces the content by that of Serialize(); empty bytes stand for an empty table. Fails with
   /// MalformedFrame.
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -73,7 +73,9 @@
   });
   std::set<std::string> services;
   for (const auto& [name, backend] : this->state.Backends().Backends()) {
-    services.insert(backend.service);
+    if (this->state.Routes().MayHaveService(backend.service)) {
+      services.insert(backend.service);
+    }
   }
   for (const std::string& service : services) {
     this->StepService(service, aNow, aActions);
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -534,9 +534,19 @@
     aCallback(Outcome::NotLeading);
     return;
   }
-  this->serviceCoordinator.OnRegistration(aBackend, MonotonicNow());
   const auto known = this->state.Backends().Backends().find(aBackend.name);
   const bool isKnown = known != this->state.Backends().Backends().end();
+  // Servers of a service that has left the configuration stay known, as it may return.
+  if (!this->state.Routes().MayHaveService(aBackend.service) &&
+      (!isKnown || known->second.service != aBackend.service)) {
+    WriteLog(
+      LogEvent::AnnouncementRejected,
+      "backend=" + aBackend.name + " service=" + aBackend.service +
+        " reason=no_such_service configuration=" + std::to_string(this->state.Routes().Number()));
+    aCallback(Outcome::Done);
+    return;
+  }
+  this->serviceCoordinator.OnRegistration(aBackend, MonotonicNow());
   if (isKnown && (IsSameRegistration(known->second, aBackend) ||
                   !IsNewerRegistration(aBackend, known->second))) {
     aCallback(Outcome::Done);
--- a/tests/platform/OddRegistrationTests.cpp
+++ b/tests/platform/OddRegistrationTests.cpp
@@ -65,3 +65,17 @@
   CHECK(fleet.Register("ready") == 200);
   CHECK(fleet.Read("after").starts_with("DATAROW "));
 }
+
+// Guards against an entry of an unknown service that takes the address of a server.
+TEST_CASE("A registration for a service without configuration changes nothing", "[registrations]")
+{
+  FleetWithOneBackend fleet;
+  const QJsonArray before = fleet.Services();
+  const QByteArray body = Replaced(fleet.Registration("ready"), "ledger", "unknown");
+  CHECK(fleet.Register("i-odd", body) == 200);
+  CHECK(fleet.Register("i-only", Replaced(body, R"("born":1)", R"("born":2)")) == 200);
+  // Longer than the wait for a primary that registers by itself.
+  FleetWithOneBackend::RunFor(std::chrono::seconds(4));
+  CHECK(fleet.Services() == before);
+  CHECK(fleet.Read("after").starts_with("DATAROW "));
+}
