--- a/tests/settings/SettingsTests.cpp
+++ b/tests/settings/SettingsTests.cpp
@@ -32,6 +32,18 @@
   CHECK(settings.value().controlAddresses == std::vector<std::string>{ "127.0.0.1:7001" });
 }
 
+TEST_CASE("Fleet settings of a proxy are read")
+{
+  const std::string fleet = "fleet: {node_name: n, readiness: '127.0.0.1:7401', "
+                            "seeds: ['127.0.0.1:7501'], backend_drain_ms: 7000}\n";
+  std::string text = kProxySettings;
+  text.erase(text.find("control_addresses"));
+  const auto settings = ParseSettings(text + fleet, "test.yaml", DaemonKind::Proxy);
+  REQUIRE(settings);
+  CHECK(settings.value().fleet.backendDrainMs == 7000);
+  CHECK(settings.value().controlAddresses == std::vector<std::string>{ "127.0.0.1:7101" });
+}
+
 // Guards against a misspelled key that is ignored, so that the default silently stays in force.
 TEST_CASE("An unknown key is refused with its line and the known keys")
 {
