--- a/src/oleanderledge/owner/internal/SlotTracker.hpp
+++ b/src/oleanderledge/owner/internal/SlotTracker.hpp
@@ -19,11 +19,11 @@
   bool isPrimary = false;
   LogPosition received;
   LogPosition applied;
-  Instant lastAnswer;     ///< When the last status was received, or when tracking began.
-  Instant lastQueriedAt;  ///< When the query of the last status was sent.
+  Instant lastAnswer;    ///< When the last status was received, or when tracking began.
+  Instant lastQueriedAt; ///< When the query of the last status was sent.
   /// When the slot was seen to depart; nothing if it departed before it was tracked.
   std::optional<Instant> departingSince;
-  Instant lastProgress;   ///< When `received` last advanced.
+  Instant lastProgress; ///< When `received` last advanced.
 };
 
 /// Tracks the positions of the slots of one database and the age of their data.
