Refuse registrations with an id, service or zone that is not a single word

The id of a server is sent to it as a field of the start-up line. An id with a line break, which a path can carry as %0D%0A, was stored, so that the line to the server at that address ended there and a statement of the other writer began. Ids, services and zones of any length were stored too, and sent to every proxy.

The decoder accepts names of 1 to 255 bytes without blanks and control characters. E1517 shows the path as it was sent, encoded.

Failed before: OddRegistrationTests, "An id that is not a single printable word is refused" (200 at least for the ids with a line break and with a blank), and the added bodies whose zone is empty, has a blank or a line break, or 100,000 bytes, under both ids.

--- a/src/oleanderledge/platform/ControlMessages.cpp
+++ b/src/oleanderledge/platform/ControlMessages.cpp
@@ -6,6 +6,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <optional>
@@ -98,6 +99,8 @@
 constexpr std::uint64_t kMaxNumber = static_cast<std::uint64_t>(kMaxWholeNumber);
 /// The last millisecond of the year 9999.
 constexpr std::uint64_t kMaxUnixMs = 253'402'300'799'999;
+/// Longest id of a server, service or zone. Every proxy gets these names.
+constexpr std::size_t kMaxNameBytes = 255;
 constexpr std::uint64_t kMaxUint32 = std::numeric_limits<std::uint32_t>::max();
 
 Error FieldError(const std::string& aField)
@@ -115,6 +118,15 @@
   return document.object();
 }
 
+/// True for a single word. Ids and services are sent to servers as fields of a line, so a blank or
+/// a line break in one would change the line.
+bool IsName(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameBytes &&
+         std::ranges::none_of(aText,
+                              [](unsigned char aByte) { return aByte <= ' ' || aByte == 0x7f; });
+}
+
 std::optional<ReadConsistency> ParseConsistency(std::string_view aWord)
 {
   if (aWord == "primary") {
@@ -185,7 +197,7 @@
 Result<BackendRow> DecodeRegistration(std::string_view aBackend, std::string_view aBody)
 {
   const auto object = ParseObject(aBody);
-  if (!object || aBackend.empty()) {
+  if (!object || !IsName(aBackend)) {
     return Fail(ResultCode::ProtocolViolation, "the registration cannot be read");
   }
   FieldReader fields(*object);
@@ -211,9 +223,12 @@
   row.sequence = fields.Number("sequence", kMaxNumber);
   // "born" is the time at which the server started.
   row.startedUnixMs = static_cast<std::int64_t>(fields.OptionalNumber("born", kMaxUnixMs));
-  if (row.service.empty()) {
+  if (!IsName(row.service)) {
     fields.MarkInvalid("service");
   }
+  if (!IsName(row.zone)) {
+    fields.MarkInvalid("zone");
+  }
   if (!fields.FirstInvalidField().empty()) {
     return FieldError(fields.FirstInvalidField());
   }
--- a/src/oleanderledge/platform/ControlPlaneServer.cpp
+++ b/src/oleanderledge/platform/ControlPlaneServer.cpp
@@ -17,6 +17,8 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpBadRequest = 400;
 constexpr int kHttpUnavailable = 503;
+/// Characters of a refused path that are logged.
+constexpr qsizetype kMaxLoggedPath = 255;
 constexpr char kInstancesPath[] = "/api/instances/";
 constexpr char kConfigurationPath[] = "/api/configuration";
 
@@ -73,7 +75,8 @@
   const auto backend = DecodeRegistration(BackendNameOf(aRequest), ToStringView(body));
   if (!backend) {
     WriteLog(LogEvent::AnnouncementRejected,
-             "backend=" + BackendNameOf(aRequest) + " reason=" + backend.error().message);
+             "path=" + aRequest.url().path(QUrl::FullyEncoded).left(kMaxLoggedPath).toStdString() +
+               " reason=" + backend.error().message);
     aReply.Send(kHttpBadRequest, kJsonType, "{}");
     return;
   }
--- a/tests/platform/OddRegistrationTests.cpp
+++ b/tests/platform/OddRegistrationTests.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-QByteArray Replaced(QByteArray aText, const char* aFrom, const char* aTo)
+QByteArray Replaced(QByteArray aText, const char* aFrom, const QByteArray& aTo)
 {
   return aText.replace(aFrom, aTo);
 }
@@ -43,6 +43,11 @@
     body.replace(start, body.indexOf('"', start) - start, address);
     odd.push_back(body);
   }
+  for (const char* name : { "", "near zone", "near-zone\\r\\nQUERY 1 READ a" }) {
+    odd.push_back(
+      Replaced(aValid, R"("zone":"near-zone")", R"("zone":")" + QByteArray(name) + '"'));
+  }
+  odd.push_back(Replaced(aValid, "near-zone", QByteArray(depth, 'z')));
   return odd;
 }
 
@@ -66,6 +71,20 @@
   CHECK(fleet.Read("after").starts_with("DATAROW "));
 }
 
+// Guards against a line break in an id, which would end the start-up line to the server and begin a
+// statement.
+TEST_CASE("An id that is not a single printable word is refused", "[registrations]")
+{
+  FleetWithOneBackend fleet;
+  const QJsonArray before = fleet.Services();
+  for (const char* backend : { "i-odd%0D%0AQUERY%201%20WRITE%20a%20odd", "i%20odd", "i%00odd" }) {
+    INFO(backend);
+    CHECK(fleet.Register(backend, fleet.Registration("ready")) == 400);
+  }
+  CHECK(fleet.Register(std::string(1000, 'i').c_str(), fleet.Registration("ready")) == 400);
+  CHECK(fleet.Services() == before);
+}
+
 // Guards against an entry of an unknown service that takes the address of a server.
 TEST_CASE("A registration for a service without configuration changes nothing", "[registrations]")
 {
