--- a/standin/platform/PlatformDatabase.cpp
+++ b/standin/platform/PlatformDatabase.cpp
@@ -129,6 +129,12 @@
     }
     verb = TakeWord(aText);
   }
+  if (verb == "READ" || verb == "WRITE" || verb == "EXECUTE" || verb == "COMMIT") {
+    if (this->onNewWork && (!aConnection.inTransaction || !aConnection.hasRun)) {
+      this->onNewWork(aId);
+    }
+    aConnection.hasRun = aConnection.inTransaction;
+  }
   const bool lostLead = aConnection.inTransaction && !aConnection.isReadOnly && !this->IsPrimary();
   if (verb == "ROLLBACK") {
     aConnection.inTransaction = false;
@@ -147,6 +153,7 @@
     }
     this->group.runs.emplace_back(verb, this->id);
     aConnection.inTransaction = true;
+    aConnection.hasRun = false;
     aConnection.isReadOnly = aText == "READ";
   } else if (verb == "SET") {
     const std::string name = TakeWord(aText);
--- a/standin/platform/PlatformDatabase.hpp
+++ b/standin/platform/PlatformDatabase.hpp
@@ -5,6 +5,7 @@
 #include <QTcpSocket>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -53,6 +54,9 @@
   bool losesNextAnswer = false;
   /// Maximum number of simultaneous connections; further ones are refused.
   std::size_t connectionLimit = 100;
+  /// Called with the id of each single statement, and of the first one of each transaction, when it
+  /// arrives.
+  std::function<void(const std::string& aId)> onNewWork;
 
 private:
   struct Connection
@@ -60,6 +64,7 @@
     std::string buffer;
     bool isStarted = false;
     bool inTransaction = false;
+    bool hasRun = false; ///< A statement of the transaction has arrived.
     bool isReadOnly = false;
     bool hasFailed = false;
     std::map<std::string, std::string> settings;
