soak: start processes with posix_spawn and collect them with waitpid

So QProcess missed an end; why it did is not known.

The soak now starts its processes itself and asks for their end every 10 ms, which leaves no notification to miss.

--- a/soak/ProcessFleet.cpp
+++ b/soak/ProcessFleet.cpp
@@ -1,9 +1,8 @@
 #include "soak/ProcessFleet.hpp"
 
-#include <QElapsedTimer>
 #include <QTcpServer>
-#include <QTimer>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -12,7 +11,10 @@
 namespace {
 
 /// The processes promise to stop within this time.
-constexpr int kStopLimitMs = 10'000;
+constexpr Duration kStopLimit = std::chrono::seconds(10);
+constexpr std::chrono::milliseconds kCheckInterval(10);
+/// Time after which a process that ended by itself is started again.
+constexpr std::chrono::milliseconds kRestartDelay(200);
 
 /// A port that was free on all loopback addresses at the time of the call.
 std::string FreePort()
@@ -53,6 +55,8 @@
   , servicePort(FreePort())
   , readinessPort(FreePort())
 {
+  QObject::connect(
+    &this->checkTimer, &QTimer::timeout, &this->context, [this] { this->CheckProcesses(); });
   std::string seeds;
   for (std::size_t index = 0; index < kControls; ++index) {
     seeds.append(seeds.empty() ? "['" : ", '").append(this->ControlPlaneAddress(index)).append("'");
@@ -83,16 +87,6 @@
   }
 }
 
-ProcessFleet::~ProcessFleet()
-{
-  this->isStopping = true;
-  for (Process& process : this->processes) {
-    process.isEndExpected = true;
-    process.process->kill();
-    process.process->waitForFinished(kStopLimitMs);
-  }
-}
-
 std::string ProcessFleet::CommonSettings(const std::string& aInstance, const std::string& aIp) const
 {
   std::string text = Line("", "instance", aInstance) + "zone: east/near\nlisten:\n";
@@ -109,110 +103,109 @@
   std::ofstream(path) << aSettings;
   Process added;
   added.name = aName;
-  added.arguments = { aSubcommand, QString::fromStdString("--settings=" + path) };
+  added.arguments = { aSubcommand, "--settings=" + path };
   this->processes.push_back(std::move(added));
 }
 
 void ProcessFleet::StartAll()
 {
-  for (std::size_t index = 0; index < this->processes.size(); ++index) {
-    this->Start(index);
+  for (Process& process : this->processes) {
+    this->Start(process);
   }
+  this->checkTimer.start(kCheckInterval);
 }
 
-void ProcessFleet::Start(std::size_t aIndex)
+void ProcessFleet::Start(Process& aProcess)
 {
-  Process& started = this->processes[aIndex];
-  started.process = std::make_unique<QProcess>();
-  started.process->setProcessChannelMode(QProcess::MergedChannels);
-  started.process->setStandardOutputFile(
-    QString::fromStdString(this->LogFolder() + "/" + started.name + ".log"), QIODevice::Append);
-  started.isEndExpected = false;
-  started.disturbedUntil = MonotonicNow();
-  QObject::connect(started.process.get(),
-                   &QProcess::finished,
-                   &this->context,
-                   [this, aIndex](int aCode) { this->HandleEnd(aIndex, aCode); });
-  started.process->start(QString::fromStdString(this->program), started.arguments);
-  started.process->waitForStarted();
+  aProcess.child = std::make_unique<ChildProcess>(
+    this->program, aProcess.arguments, this->LogFolder() + "/" + aProcess.name + ".log");
+  aProcess.isEndExpected = false;
+  aProcess.disturbedUntil = MonotonicNow();
 }
 
-void ProcessFleet::HandleEnd(std::size_t aIndex, int aCode)
+void ProcessFleet::CheckProcesses()
 {
-  const Process& ended = this->processes[aIndex];
-  if (!ended.isEndExpected) {
-    this->violations.Add(ended.name + " ended by itself with " + std::to_string(aCode));
+  const Instant now = MonotonicNow();
+  for (Process& process : this->processes) {
+    if (process.child == nullptr) {
+      continue;
+    }
+    if (!process.child->HasEnded()) {
+      if (process.isEndExpected && now - process.endExpectedSince > kStopLimit) {
+        this->violations.Add(process.name + " did not end within 10 s");
+        process.endExpectedSince = now;
+        process.child->Signal(SIGKILL);
+      }
+      continue;
+    }
+    if (!process.isEndExpected) {
+      this->violations.Add(process.name + " ended by itself with status " +
+                           std::to_string(process.child->Status()));
+      process.downTime = kRestartDelay;
+    }
+    process.child.reset();
+    process.disturbedUntil = Instant::max();
+    QTimer::singleShot(process.downTime, &this->context, [this, &process] {
+      if (!this->isStopping) {
+        this->Start(process);
+      }
+    });
   }
 }
 
-void ProcessFleet::Signal(std::size_t aIndex, int aSignal)
+void ProcessFleet::EndProcess(std::size_t aIndex, int aSignal, std::chrono::milliseconds aDownTime)
 {
-  const QProcess& process = *this->processes[aIndex].process;
-  if (process.state() == QProcess::Running) {
-    ::kill(static_cast<pid_t>(process.processId()), aSignal);
+  Process& process = this->processes[aIndex];
+  process.isEndExpected = true;
+  process.endExpectedSince = MonotonicNow();
+  process.downTime = aDownTime;
+  process.disturbedUntil = Instant::max();
+  if (process.child != nullptr) {
+    process.child->Signal(aSignal);
   }
 }
 
 void ProcessFleet::Kill(std::size_t aIndex, std::chrono::milliseconds aDownTime)
 {
-  this->Restart(aIndex, SIGKILL, aDownTime);
+  this->EndProcess(aIndex, SIGKILL, aDownTime);
 }
 
 void ProcessFleet::Terminate(std::size_t aIndex, std::chrono::milliseconds aDownTime)
 {
-  this->Restart(aIndex, SIGTERM, aDownTime);
+  this->EndProcess(aIndex, SIGTERM, aDownTime);
 }
 
-void ProcessFleet::Restart(std::size_t aIndex, int aSignal, std::chrono::milliseconds aDownTime)
+void ProcessFleet::Pause(std::size_t aIndex, std::chrono::milliseconds aTime)
 {
   Process& process = this->processes[aIndex];
-  process.isEndExpected = true;
+  if (process.child == nullptr) {
+    return;
+  }
   process.disturbedUntil = Instant::max();
-  QObject::connect(process.process.get(), &QProcess::finished, &this->context, [=, this] {
-    // Queued: the process object is replaced.
-    QTimer::singleShot(aDownTime, &this->context, [this, aIndex] {
-      if (!this->isStopping) {
-        this->Start(aIndex);
-      }
-    });
-  });
-  this->Signal(aIndex, aSignal);
-  QTimer::singleShot(kStopLimitMs, process.process.get(), [this, aIndex] {
-    if (this->processes[aIndex].process->state() == QProcess::Running) {
-      this->violations.Add(this->processes[aIndex].name + " did not end within 10 s");
-      this->Signal(aIndex, SIGKILL);
+  process.child->Signal(SIGSTOP);
+  QTimer::singleShot(aTime, &this->context, [&process] {
+    if (process.child != nullptr) {
+      process.child->Signal(SIGCONT);
+      process.disturbedUntil = MonotonicNow();
     }
   });
 }
 
-void ProcessFleet::Pause(std::size_t aIndex, std::chrono::milliseconds aTime)
-{
-  this->processes[aIndex].disturbedUntil = Instant::max();
-  this->Signal(aIndex, SIGSTOP);
-  QTimer::singleShot(aTime, &this->context, [this, aIndex] {
-    this->Signal(aIndex, SIGCONT);
-    this->processes[aIndex].disturbedUntil = MonotonicNow();
-  });
-}
-
-bool ProcessFleet::StopAll()
+void ProcessFleet::BeginStop()
 {
   this->isStopping = true;
   for (std::size_t index = 0; index < this->processes.size(); ++index) {
-    this->processes[index].isEndExpected = true;
-    this->Signal(index, SIGCONT);
-    this->Signal(index, SIGTERM);
-  }
-  QElapsedTimer elapsed;
-  elapsed.start();
-  bool haveAllEnded = true;
-  for (Process& process : this->processes) {
-    const int left = std::max(1, kStopLimitMs - static_cast<int>(elapsed.elapsed()));
-    haveAllEnded = (process.process->state() == QProcess::NotRunning ||
-                    process.process->waitForFinished(left)) &&
-                   haveAllEnded;
+    if (this->processes[index].child != nullptr) {
+      this->processes[index].child->Signal(SIGCONT);
+    }
+    this->EndProcess(index, SIGTERM, std::chrono::milliseconds(0));
   }
-  return haveAllEnded;
+}
+
+bool ProcessFleet::HaveAllEnded() const
+{
+  return std::ranges::all_of(this->processes,
+                             [](const Process& aEach) { return aEach.child == nullptr; });
 }
 
 std::string ProcessFleet::CallersAddress(std::size_t aProxy) const
--- a/soak/ProcessFleet.hpp
+++ b/soak/ProcessFleet.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "oleanderledge/base/base.hpp"
+#include "soak/ChildProcess.hpp"
 #include "soak/ViolationLog.hpp"
 
-#include <QProcess>
+#include <QObject>
 #include <QTemporaryDir>
+#include <QTimer>
 
 #include <memory>
 #include <string>
@@ -25,11 +27,11 @@
                const std::string& aPromotionAddress,
                std::uint32_t aBackendDrainMs,
                ViolationLog& aViolations);
-  ~ProcessFleet();
 
   void StartAll();
-  /// Ends all processes with SIGTERM. Returns false if one is left after 10 s.
-  bool StopAll();
+  /// Sends SIGTERM to all processes, which are not started again.
+  void BeginStop();
+  bool HaveAllEnded() const;
 
   // Faults of the process at this index; controls come first. Each ends by itself: the process goes
   // on, or is started again, after the given time.
@@ -58,19 +60,21 @@
   struct Process
   {
     std::string name;
-    QStringList arguments;
-    std::unique_ptr<QProcess> process;
+    std::vector<std::string> arguments;
+    std::unique_ptr<ChildProcess> child; ///< Null before the first start and while it is down.
     bool isEndExpected = false;
-    Instant disturbedUntil{}; ///< The end of time during a disturbance.
+    Instant endExpectedSince{};
+    std::chrono::milliseconds downTime{ 0 }; ///< From an expected end to the next start.
+    Instant disturbedUntil{};                ///< The end of time during a disturbance.
   };
 
   /// Settings of all roles up to the section `listen`, which is left open.
   std::string CommonSettings(const std::string& aInstance, const std::string& aIp) const;
   void AddProcess(const std::string& aName, const char* aSubcommand, const std::string& aSettings);
-  void Start(std::size_t aIndex);
-  void HandleEnd(std::size_t aIndex, int aCode);
-  void Signal(std::size_t aIndex, int aSignal);
-  void Restart(std::size_t aIndex, int aSignal, std::chrono::milliseconds aDownTime);
+  void Start(Process& aProcess);
+  void EndProcess(std::size_t aIndex, int aSignal, std::chrono::milliseconds aDownTime);
+  /// Notices processes that have ended, or that should have.
+  void CheckProcesses();
 
   std::string program;
   ViolationLog& violations;
@@ -81,7 +85,8 @@
   std::string readinessPort;
   std::vector<Process> processes;
   bool isStopping = false;
-  QObject context; ///< Of timers and connections.
+  QObject context; ///< Of single-shot timers.
+  QTimer checkTimer;
 };
 
 } // namespace oleanderledge::soak
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kStartLimit = std::chrono::seconds(15);
 /// After the last fault: the election, the promotion, and a free connection for each caller.
 constexpr Duration kRecoveryLimit = std::chrono::seconds(15);
+/// Longer than the time after which the fleet kills processes that do not stop.
+constexpr Duration kStopLimit = std::chrono::seconds(20);
 constexpr std::chrono::milliseconds kDelayCheckInterval(10);
 /// A gap of this length in the event loop makes the measured times unreliable.
 constexpr Duration kOwnDelayLimit = std::chrono::milliseconds(100);
@@ -72,9 +74,8 @@
     caller->CheckRunsOnce();
     caller->Stop();
   }
-  if (!this->fleet.StopAll()) {
-    this->violations.Add("a process did not stop within 10 s of SIGTERM");
-  }
+  this->fleet.BeginStop();
+  this->WaitUntil([this] { return this->fleet.HaveAllEnded(); }, kStopLimit);
   for (const std::string& line : this->violations.Lines()) {
     std::printf("seed %u: %s\n", this->seed, line.c_str());
   }
