Put the comment on connection grants back to its method; drop an unused flag of the soak

In PostgresTrafficWorker.hpp the comment of SetProxyCount() and ApplyConnectionGrants() stood above SetDrainDeadlines(). RegisteredServers kept whether the configuration was acknowledged, which nobody asked for. Behaviour is unchanged. A whole lint run was not repeated.

--- a/soak/RegisteredServers.cpp
+++ b/soak/RegisteredServers.cpp
@@ -51,8 +51,7 @@
   this->Put("http://" + address + "/api/configuration",
             kConfiguration,
             [this](int aStatus, const std::string& /*aLocation*/) {
-              this->isConfigured = aStatus == kHttpOk;
-              if (!this->isConfigured) {
+              if (aStatus != kHttpOk) {
                 QTimer::singleShot(kConfigurationRetry, this, &RegisteredServers::Configure);
               }
             });
--- a/soak/RegisteredServers.hpp
+++ b/soak/RegisteredServers.hpp
@@ -30,7 +30,6 @@
   void SetControlAddresses(std::vector<std::string> aAddresses);
   /// Sends the configuration until a control instance has acknowledged it.
   void Configure();
-  bool IsConfigured() const { return this->isConfigured; }
 
   /// Starts a server, which registers as replica, or as primary if it is the first one.
   void Add();
@@ -80,7 +79,6 @@
   std::uint64_t lastFence = 0;
   std::string lastHolder;
   std::size_t configurationTries = 0;
-  bool isConfigured = false;
 };
 
 } // namespace oleanderledge::soak
--- a/src/oleanderledge/daemon/internal/PostgresTrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/PostgresTrafficWorker.hpp
@@ -24,9 +24,9 @@
 
   void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
   void ApplyLeases(const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent) override;
-  /// Ignored, like connection grants: the owner of a database holds all connections to it.
   /// Ignored: the owner of a database limits the work of departing slots itself.
   void SetDrainDeadlines(const DrainDeadlineMap& /*aDeadlines*/) override {}
+  /// Ignored, like connection grants: the owner of a database holds all connections to it.
   void SetProxyCount(std::uint32_t /*aCount*/) override {}
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& /*aGrants*/) override {}
   /// Ignored: an owner observes the positions of its databases itself.
