Avoid a lagging replica only for reads of positions that it lacks

Cause: one read that was rejected because a replica lacked a position, for example the commit that its session had just made, kept all reads of the proxy off that replica for 100 to 800 ms, also those that accept data of 1.5 or 2.5 s.

BackendHealth now keeps the lowest position that was lacking and the newest one that the server has reported, and a read is kept away only if it requires the lacking position or a later one. The server still checks each position itself (AWAIT). A relay does not judge lag for other proxies any more, as it does not know the positions that their reads require.

Tests: two cases of BackendHealthTests and one over sockets, which sent the read to the primary before.

--- a/src/oleanderledge/statements/BackendHealth.cpp
+++ b/src/oleanderledge/statements/BackendHealth.cpp
@@ -46,10 +46,32 @@
   this->overloadBackoff.Start(aNow, kInitialOverloadBackoff, kMaxOverloadBackoff);
 }
 
-void BackendHealth::OnLag(Instant aNow)
+void BackendHealth::OnPosition(const LogPosition& aPosition)
+{
+  if (!this->reached || *this->reached < aPosition) {
+    this->reached = aPosition;
+  }
+  if (this->lacking <= aPosition) {
+    this->lagBackoff.Reset();
+  }
+}
+
+void BackendHealth::OnLag(const LogPosition& aRequired, Instant aNow)
 {
   this->OnReachable(aNow);
+  this->lacking =
+    this->lagBackoff.IsActive(aNow) ? std::min(this->lacking, aRequired) : aRequired;
   this->lagBackoff.Start(aNow, kInitialLagBackoff, kMaxLagBackoff);
+  if (this->reached && aRequired <= *this->reached) {
+    // The log was rolled back, as another server was promoted.
+    this->reached.reset();
+  }
+}
+
+bool BackendHealth::IsLaggingFor(const LogPosition& aRequired, Instant aNow) const
+{
+  const bool isKnown = this->reached && aRequired <= *this->reached;
+  return !isKnown && this->lagBackoff.IsActive(aNow) && this->lacking <= aRequired;
 }
 
 void BackendHealth::OnFailure(Instant aNow)
--- a/src/oleanderledge/statements/BackendHealth.hpp
+++ b/src/oleanderledge/statements/BackendHealth.hpp
@@ -13,12 +13,12 @@
 public:
   /// A statement was answered after `aAnswerTime`, with a result or an error of its execution.
   void OnAnswer(Duration aAnswerTime, Instant aNow);
-  /// A read that required a log position succeeded.
-  void OnPositionReached() { this->lagBackoff.Reset(); }
+  /// The server answered with a position that its log contains.
+  void OnPosition(const LogPosition& aPosition);
   /// The server rejected a statement because of overload, without executing it.
   void OnOverload(Instant aNow);
-  /// The server's log did not contain a position that a read required.
-  void OnLag(Instant aNow);
+  /// The server's log did not contain the position that a read required.
+  void OnLag(const LogPosition& aRequired, Instant aNow);
   /// The server responded, for example by opening a connection; leaves the average answer time
   /// unchanged.
   void OnReachable(Instant aNow);
@@ -34,7 +34,11 @@
   Duration FailureDuration(Instant aNow) const;
   /// True during the backoff after OnOverload(). The backoff grows until OnAnswer().
   bool IsOverloaded(Instant aNow) const { return this->overloadBackoff.IsActive(aNow); }
-  /// True during the backoff after OnLag(). The backoff grows until OnPositionReached().
+  /// True if a read that requires the position would probably be rejected: during the backoff after
+  /// OnLag(), for the position that was lacking and later ones. The backoff grows until the server
+  /// has that position.
+  bool IsLaggingFor(const LogPosition& aRequired, Instant aNow) const;
+  /// True during the backoff after OnLag(), whatever position a read requires.
   bool IsLagging(Instant aNow) const { return this->lagBackoff.IsActive(aNow); }
   std::optional<Instant> LastAnswer() const { return this->lastAnswer; }
   /// Moving average of the time from request to answer; zero before the first answer.
@@ -48,6 +52,8 @@
   Duration averageAnswerTime{ 0 };
   ExponentialBackoff overloadBackoff;
   ExponentialBackoff lagBackoff;
+  LogPosition lacking;                ///< Lowest position that was lacking in the last backoff.
+  std::optional<LogPosition> reached; ///< Newest position that the log is known to contain.
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -257,9 +257,14 @@
   return true;
 }
 
-void BackendPool::RecordResult(const StatementResult& aResult, Instant aNow)
+void BackendPool::RecordResult(const StatementResult& aResult,
+                               const std::optional<LogPosition>& aRequired,
+                               Instant aNow)
 {
   this->RecordRelayedResult(aResult, aNow);
+  if (aRequired && aResult.error && aResult.error->error == StatementError::Lagging) {
+    this->health.OnLag(*aRequired, aNow);
+  }
   if (!aResult.error || !MeansNotExecuted(aResult.error->error)) {
     this->health.OnAnswer(aResult.took, aNow);
   }
@@ -274,11 +279,10 @@
     this->window.OnOverload(this->InUse(), aNow);
     return;
   }
-  if (error == StatementError::Lagging) {
-    this->health.OnLag(aNow);
-    return;
-  }
   this->health.OnReachable(aNow);
+  if (aResult.ready.position) {
+    this->health.OnPosition(*aResult.ready.position);
+  }
   if (!error) {
     this->window.OnSuccess(aResult.took, aNow);
   }
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -9,6 +9,7 @@
 #include <QObject>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -92,9 +93,13 @@
   /// Closes a connection and removes it from the pool. `aIsFailure` marks the server as failing.
   void Drop(BackendConnection* aConnection, bool aIsFailure);
   /// Updates health and concurrency limit with the result of a statement of this proxy's callers.
-  void RecordResult(const StatementResult& aResult, Instant aNow);
-  /// The same for a request of another proxy. Its duration does not enter the average answer time,
-  /// as the request may be a preparatory one, such as SET or BEGIN.
+  /// `aRequired` is the position that the server's log had to contain, if any.
+  void RecordResult(const StatementResult& aResult,
+                    const std::optional<LogPosition>& aRequired,
+                    Instant aNow);
+  /// The same for a request of another proxy, which itself observes whether the server lags. Its
+  /// duration does not enter the average answer time, as the request may be a preparatory one, such
+  /// as SET or BEGIN.
   void RecordRelayedResult(const StatementResult& aResult, Instant aNow);
   /// False if the concurrency limit does not allow another statement at the server. Relays apply
   /// their own limit.
@@ -102,11 +107,11 @@
   {
     return this->IsRelayed() || this->window.Allows(this->InUse(), aPriority);
   }
+  /// Records that the server's log contained the position that a read required.
+  void RecordPosition(const LogPosition& aPosition) { this->health.OnPosition(aPosition); }
   /// Marks the server as failing, and returns true, if it has answered none of its pending
   /// statements for long.
   bool CheckUnresponsive(Instant aNow);
-  /// Records that the server's log contained the position that a read required.
-  void RecordPositionReached() { this->health.OnPositionReached(); }
   /// Closes connections that have been idle for long, but for one.
   void CloseIdle(Instant aNow);
   void CloseAllIdle();
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -350,7 +350,7 @@
       if (aRequest.ownCommit) {
         await = std::max(*await, *aRequest.ownCommit);
       }
-      BackendPool* pool = this->ChooseReadPool(aRequest, aNow);
+      BackendPool* pool = this->ChooseReadPool(aRequest, *await, aNow);
       if (pool != nullptr) {
         return { pool, { nullptr, nullptr, false, await } };
       }
@@ -391,7 +391,9 @@
          aPool.CanOpen(aNow);
 }
 
-BackendPool* ServiceDispatcher::ChooseReadPool(const PlacementRequest& aRequest, Instant aNow) const
+BackendPool* ServiceDispatcher::ChooseReadPool(const PlacementRequest& aRequest,
+                                               const LogPosition& aRequired,
+                                               Instant aNow) const
 {
   std::vector<ReadCandidate> candidates;
   std::vector<BackendPool*> candidatePools;
@@ -410,7 +412,7 @@
         pool->IsRelayed(),
         pool->Health().IsFailing(),
         pool->Health().IsOverloaded(aNow),
-        pool->Health().IsLagging(aNow),
+        pool->Health().IsLaggingFor(aRequired, aNow),
         pool->OpeningDuration(aNow),
         pool->InUse(),
         row.slots,
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -145,7 +145,10 @@
   /// unexecuted.
   BackendPool* PrimaryPool(Instant aNow) const;
   bool IsPrimaryCandidate(const BackendPool& aPool, Instant aNow) const;
-  BackendPool* ChooseReadPool(const PlacementRequest& aRequest, Instant aNow) const;
+  /// Pool of the replica for a read that requires a position; null if none can take it now.
+  BackendPool* ChooseReadPool(const PlacementRequest& aRequest,
+                              const LogPosition& aRequired,
+                              Instant aNow) const;
 
   const StatementProtocol& protocol;
   std::string service;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -313,7 +313,7 @@
       if (!aResult.error) {
         this->transaction.hasBegun = true;
         if (this->placement->await) {
-          this->placement->pool->RecordPositionReached();
+          this->placement->pool->RecordPosition(*this->placement->await);
         }
         if (this->transaction.onPrimary && aResult.ready.position) {
           this->Dispatcher()->RecordPrimaryPosition(aResult.sentAt, *aResult.ready.position);
@@ -345,7 +345,7 @@
   if (aResult.error->error == StatementError::ReadOnly) {
     this->Dispatcher()->RecordNotPrimary(this->placement->pool->Row().name, now);
   }
-  this->placement->pool->RecordResult(aResult, now);
+  this->placement->pool->RecordResult(aResult, this->placement->await, now);
 }
 
 void StatementSession::FailTransaction(StatementError aError, std::string_view aText)
@@ -390,7 +390,7 @@
                       "the connection to the backend server was lost");
     return;
   }
-  this->placement->pool->RecordResult(aResult, MonotonicNow());
+  this->placement->pool->RecordResult(aResult, std::nullopt, MonotonicNow());
   if (aResult.error) {
     const StatementError error = aResult.error->error;
     const std::string raw = aResult.error->raw;
@@ -511,7 +511,7 @@
     return;
   }
   BackendPool& pool = *this->placement->pool;
-  pool.RecordResult(aResult, now);
+  pool.RecordResult(aResult, this->placement->await, now);
   const bool inTransaction = aResult.ready.state != TransactionState::Idle;
   if (aResult.error) {
     const StatementError error = aResult.error->error;
@@ -538,7 +538,7 @@
     return;
   }
   if (this->placement->await) {
-    pool.RecordPositionReached();
+    pool.RecordPosition(*this->placement->await);
   }
   if (isWrite && aResult.ready.position) {
     this->Dispatcher()->RecordPrimaryPosition(aResult.sentAt, *aResult.ready.position);
--- a/tests/statements/BackendHealthTests.cpp
+++ b/tests/statements/BackendHealthTests.cpp
@@ -57,14 +57,60 @@
 {
   BackendHealth health;
   const Instant start{ 10s };
-  health.OnLag(start);
-  CHECK(health.IsLagging(start + 99ms));
-  CHECK_FALSE(health.IsLagging(start + 100ms));
-  health.OnLag(start + 100ms);
-  health.OnLag(start + 150ms);
-  CHECK(health.IsLagging(start + 299ms));
-  CHECK_FALSE(health.IsLagging(start + 300ms));
-  health.OnPositionReached();
-  health.OnLag(start + 300ms);
-  CHECK_FALSE(health.IsLagging(start + 400ms));
+  const LogPosition required{ 1, 50 };
+  health.OnLag(required, start);
+  CHECK(health.IsLaggingFor(required, start + 99ms));
+  CHECK_FALSE(health.IsLaggingFor(required, start + 100ms));
+  health.OnLag(required, start + 100ms);
+  health.OnLag(required, start + 150ms);
+  CHECK(health.IsLaggingFor(required, start + 299ms));
+  CHECK_FALSE(health.IsLaggingFor(required, start + 300ms));
+  health.OnPosition(required);
+  const LogPosition later{ 1, 60 };
+  health.OnLag(later, start + 300ms);
+  CHECK(health.IsLaggingFor(later, start + 399ms));
+  CHECK_FALSE(health.IsLaggingFor(later, start + 400ms));
+}
+
+// Guards against idle replicas beside an overloaded primary: one read of a session that has just
+// written was rejected, and all reads that accept older data avoided the replica for up to 0.8 s.
+TEST_CASE("Reads that require an older position than the lacking one still use a lagging server",
+          "[health]")
+{
+  BackendHealth health;
+  const Instant start{ 10s };
+  health.OnPosition({ 1, 40 });
+  health.OnLag({ 1, 60 }, start);
+  CHECK_FALSE(health.IsLaggingFor({ 1, 40 }, start + 1ms));
+  CHECK_FALSE(health.IsLaggingFor({ 1, 59 }, start + 1ms));
+  CHECK(health.IsLaggingFor({ 1, 60 }, start + 1ms));
+  CHECK(health.IsLaggingFor({ 2, 10 }, start + 1ms));
+  SECTION("a lower position that is lacking too extends the range")
+  {
+    health.OnLag({ 1, 50 }, start + 10ms);
+    CHECK(health.IsLaggingFor({ 1, 55 }, start + 11ms));
+    CHECK_FALSE(health.IsLaggingFor({ 1, 45 }, start + 11ms));
+  }
+  SECTION("a position that the server reports ends it for reads up to that position")
+  {
+    health.OnPosition({ 1, 70 });
+    CHECK_FALSE(health.IsLaggingFor({ 1, 65 }, start + 11ms));
+    CHECK(health.IsLaggingFor({ 1, 71 }, start + 11ms));
+  }
+  SECTION("a success at a lower position does not shorten the next backoff")
+  {
+    health.OnPosition({ 1, 45 });
+    health.OnLag({ 1, 60 }, start + 100ms);
+    CHECK(health.IsLaggingFor({ 1, 60 }, start + 299ms));
+  }
+}
+
+// Guards against reads that are sent again and again to a server whose log was cut back.
+TEST_CASE("A server that lacks a position it had before counts as lagging", "[health]")
+{
+  BackendHealth health;
+  const Instant start{ 10s };
+  health.OnPosition({ 1, 70 });
+  health.OnLag({ 1, 60 }, start);
+  CHECK(health.IsLaggingFor({ 1, 60 }, start + 1ms));
 }
--- a/tests/statements/StatementServiceTests.cpp
+++ b/tests/statements/StatementServiceTests.cpp
@@ -30,6 +30,26 @@
         "DATAROW second\r\nCOMPLETE signature-i-primary\r\nREADY I -\r\n");
 }
 
+// Guards against an overloaded primary beside idle replicas: after one rejected read of a session
+// that had just written, reads that accept older data went to the primary too.
+TEST_CASE("A read that accepts older data uses a replica that lacks the newest commit",
+          "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fixture;
+  Caller writer(fixture.address, "orders");
+  writer.Send("QUERY w1 WRITE a second");
+  Caller reader(fixture.address, "glaze");
+  reader.Send("QUERY w2 WRITE a third");
+  fixture.near.behind = 1;
+  fixture.far.behind = 1;
+  reader.Send("QUERY r1 READ a");
+  CHECK(fixture.RanOn("r1") == "i-primary");
+  Caller browser(fixture.address, "catalogue");
+  browser.Send("QUERY r2 READ a");
+  CHECK(fixture.RanOn("r2") == "i-near");
+}
+
 // Guards against stale reads from a primary that was replaced while this proxy did not learn of it.
 TEST_CASE("A replaced primary serves no reads of a primary route", "[statements]")
 {
