Open few connections until the number of proxies is known

Cause: a proxy that had not yet heard how many proxies there are took itself for the only one and opened half of the connections that a server accepts. After a power loss all proxies do so at once: 7 x 8 connections to servers that accept 16. A new leader added to it, as it counted only the proxies whose first heartbeat had arrived.

An unknown number now means one connection for each server. A new leader counts registered proxies until it could have heard from them (ControlLeader::CountProxies).

Ruled out: old grants beside new ones (the proxies had restarted), idle connections that are not closed (none were open). Servers that still count the connections of before the loss play a part only until 3 s after it.

--- a/src/oleanderledge/control/ControlLeader.cpp
+++ b/src/oleanderledge/control/ControlLeader.cpp
@@ -330,6 +330,22 @@
   return behind;
 }
 
+std::uint32_t ControlLeader::CountProxies(Instant aNow) const
+{
+  std::uint32_t count = 0;
+  for (const auto& [id, view] : this->heartbeats.Views()) {
+    const InstanceInfo& instance = view.last.instance;
+    const bool isUsable = this->heartbeats.IsUsable(id, instance.incarnation, aNow);
+    count += instance.role == InstanceRole::Proxy && isUsable ? 1 : 0;
+  }
+  for (const auto& [id, instance] : this->state.Instances()) {
+    const bool isUnknown =
+      this->heartbeats.HealthOf(id, instance.incarnation, aNow) == InstanceHealth::Unknown;
+    count += instance.role == InstanceRole::Proxy && !instance.leaving && isUnknown ? 1 : 0;
+  }
+  return count;
+}
+
 void ControlLeader::LogVerdict(LogEvent aEvent,
                                const std::string& aName,
                                IncarnationVerdict aVerdict,
--- a/src/oleanderledge/control/ControlLeader.hpp
+++ b/src/oleanderledge/control/ControlLeader.hpp
@@ -63,6 +63,9 @@
                        Instant aNow,
                        ControlActions& aActions);
 
+  /// Number of proxies that are alive and not leaving. Until a new leader has heard from a
+  /// registered proxy, or could have, the proxy counts as alive.
+  std::uint32_t CountProxies(Instant aNow) const;
   const HeartbeatMonitor& Heartbeats() const { return this->heartbeats; }
   const AnnouncementMonitor& Slots() const { return this->slots; }
 
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -123,6 +123,7 @@
   this->connectionAllocator.OnLeadershipGained(now);
   this->positionDistributor.Clear();
   this->leader.OnLeadershipGained(now, actions);
+  this->UpdateProxyCount(now);
   this->Execute(actions);
 }
 
@@ -386,12 +387,11 @@
 void ControlDaemon::UpdateProxyCount(Instant aNow)
 {
   this->proxiesCountedAt = aNow;
-  this->proxyCount = 0;
+  this->proxyCount = this->leader.CountProxies(aNow);
   const HeartbeatMonitor& heartbeats = this->leader.Heartbeats();
   for (const auto& [id, view] : heartbeats.Views()) {
     const InstanceInfo& instance = view.last.instance;
     const bool isProxy = instance.role == InstanceRole::Proxy;
-    this->proxyCount += isProxy && heartbeats.IsUsable(id, instance.incarnation, aNow) ? 1 : 0;
     if (isProxy && heartbeats.HealthOf(id, instance.incarnation, aNow) == InstanceHealth::Dead) {
       this->positionDistributor.RemoveProxy(id);
     }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -55,8 +55,10 @@
   };
   const ServiceRow* row = aDirectory.FindService(this->service);
   const std::uint32_t connectionLimit = row == nullptr ? 1 : row->connectionLimit;
+  // While the number of proxies is not known, each of them opens as few connections as possible:
+  // after a power loss all start at the same time.
   const std::uint32_t share =
-    connectionLimit / kProvisionalShareDivisor / std::max(1U, aProxyCount);
+    aProxyCount == 0 ? 0 : connectionLimit / kProvisionalShareDivisor / aProxyCount;
   for (const auto& [name, backend] : aDirectory.Backends()) {
     if (backend.service != this->service) {
       continue;
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -56,7 +56,7 @@
   StatementServiceSettings settings;
   std::shared_ptr<const Directory> directory;
   DrainDeadlineMap drainDeadlines;
-  std::uint32_t proxyCount = 1;
+  std::uint32_t proxyCount = 0; ///< Live proxies; 0 if not known.
   QTcpServer server;
   LinkServer linkServer;
   RelayClient relayClient;
--- a/tests/statements/ServiceWithReplicas.hpp
+++ b/tests/statements/ServiceWithReplicas.hpp
@@ -23,7 +23,8 @@
 class ServiceWithReplicas
 {
 public:
-  ServiceWithReplicas()
+  /// `aProxyCount` is the number of proxies that the service is told; 0 if it is told none.
+  explicit ServiceWithReplicas(std::uint32_t aProxyCount = 1)
     : primary(this->group, "i-primary")
     , near(this->group, "i-near")
     , far(this->group, "i-far")
@@ -34,6 +35,7 @@
     this->address = FreeAddress();
     this->linkAddress = FreeAddress();
     this->service = NewProxy("proxy-1", this->address, this->linkAddress);
+    this->service->SetProxyCount(aProxyCount);
     this->update.services = { { "ledger", 10, 0, 1, false } };
     this->update.configurationNumber = 1;
     this->AddRoute("orders", ReadConsistency::Primary);
--- a/tests/statements/StatementServiceTests.cpp
+++ b/tests/statements/StatementServiceTests.cpp
@@ -190,6 +190,25 @@
   CHECK(fixture.primary.MostConnections() == 2);
 }
 
+// Guards against proxies that all start after a power loss and each open half of the connections
+// that a server accepts: the server rejected most of them, and opening them took its slots.
+TEST_CASE("A proxy opens few connections until it knows how many proxies there are", "[statements]")
+{
+  const Application application;
+  ServiceWithReplicas fixture(0);
+  Caller first(fixture.address, "orders");
+  Caller second(fixture.address, "orders");
+  first.Send("QUERY b1 BEGIN");
+  first.Send("QUERY r1 READ a");
+  second.Send("QUERY b2 BEGIN");
+  CHECK(second.Send("QUERY r2 READ a").starts_with("ERROR OVERLOAD "));
+  CHECK(fixture.primary.MostConnections() == 1);
+  fixture.service->SetProxyCount(2);
+  Caller third(fixture.address, "orders");
+  CHECK(third.Send("QUERY r3 READ a").starts_with("DATAROW "));
+  CHECK(fixture.primary.MostConnections() == 2);
+}
+
 TEST_CASE("Outcomes and latencies are counted by priority", "[statements]")
 {
   const Application application;
