consensus: postpone an own pre-vote after granting one to another member

Cause: after a power loss of all members several of them finish their pre-vote within one round trip, become candidates of the same term and divide the votes.

A member that grants a pre-vote now waits 100 to 200 ms before its own one, and of two simultaneous pre-votes the one of the lower member id goes on. Votes are unchanged, so is the time for which a restarted member grants none (the leader lease depends on it).

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -271,6 +271,9 @@
   if (aRequest.preVote) {
     reply.granted = aRequest.term > this->hardState.term && this->IsLogUpToDate(aRequest);
     reply.term = reply.granted ? aRequest.term : this->hardState.term;
+    if (reply.granted) {
+      this->YieldTo(aRequest.candidate, aNow);
+    }
     this->SendWhenDurable(aRequest.candidate, reply);
     return;
   }
@@ -289,6 +292,25 @@
   this->SendWhenDurable(aRequest.candidate, reply);
 }
 
+/// Postpones an own pre-vote after granting one to `aCandidate`, so that several members that
+/// restart together do not divide the votes. Of two simultaneous pre-votes the one of the lower id
+/// goes on.
+void RaftNode::YieldTo(std::string_view aCandidate, Instant aNow)
+{
+  if (this->role == RaftRole::PreCandidate && aCandidate < this->self) {
+    this->role = RaftRole::Follower;
+    this->votes.clear();
+  }
+  if (this->role != RaftRole::Follower) {
+    return;
+  }
+  const Duration shortest = this->settings.electionTimeoutMin / 3;
+  std::uniform_int_distribution<std::int64_t> pauseDistribution(shortest.count(),
+                                                                shortest.count() * 2);
+  this->electionDeadline =
+    std::max(this->electionDeadline, aNow + Duration(pauseDistribution(this->random)));
+}
+
 void RaftNode::Handle(const VoteReply& aReply, Instant aNow)
 {
   if (!aReply.granted) {
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oleanderledge {
@@ -156,6 +157,7 @@
   /// True while this member leads or may have confirmed a leader lease that has not expired.
   bool ShouldRejectVotes(Instant aNow) const;
   bool IsLogUpToDate(const VoteRequest& aRequest) const;
+  void YieldTo(std::string_view aCandidate, Instant aNow);
   void StartElection(bool aPreVote, Instant aNow);
   /// Moves on to the next stage of the election once a majority has granted its votes.
   void CountVotes(Instant aNow);
--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -262,8 +262,11 @@
   // A few messages are delayed, so that newer ones overtake them.
   const std::int64_t delay =
     this->random() % 20 == 0 ? this->RandomBetween(1000, 60000) : this->RandomBetween(200, 3000);
-  this->network.push(
-    { this->now + delay, this->nextOrder++, aInstance, target->second, std::move(aSend.message) });
+  this->network.push({ this->now + this->extraDelay + delay,
+                       this->nextOrder++,
+                       aInstance,
+                       target->second,
+                       std::move(aSend.message) });
 }
 
 /// A member must not confirm anything to another member before it is on its own disk.
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -57,6 +57,8 @@
   void HealNetwork();
   /// Suspends an instance: it handles no event for a duration. Messages to it are delayed.
   void Freeze(std::size_t aInstance, std::int64_t aMicroseconds);
+  /// Adds a delay to each message, for members in different regions.
+  void SetExtraDelay(std::int64_t aMicroseconds) { this->extraDelay = aMicroseconds; }
   /// Drops messages at random, `aLoss` in a thousand.
   void SetLossPerMille(unsigned aLoss) { this->lossPerMille = aLoss; }
 
@@ -149,6 +151,7 @@
   std::uint64_t nextProposal = 0;
   std::uint64_t nextIdentity = 0;
   unsigned lossPerMille = 0;
+  std::int64_t extraDelay = 0;
   std::size_t acknowledged = 0;
   std::vector<Instance> instances;
   std::map<std::string, std::size_t> instanceOfMember;
--- a/tests/consensus/RaftNodeTests.cpp
+++ b/tests/consensus/RaftNodeTests.cpp
@@ -250,6 +250,33 @@
   CHECK(SentMessages<VoteReply>(written)[0].granted);
 }
 
+// Guards against callers that wait for another election after a power loss: members that start
+// within 0.3 s of each other became candidates in the same round trip and divided the votes.
+TEST_CASE("Members that restart together elect a leader without dividing their votes")
+{
+  constexpr std::uint64_t kGroups = 200;
+  std::size_t divided = 0;
+  for (std::uint64_t seed = 1; seed <= kGroups; ++seed) {
+    FakeGroup group(seed, 5);
+    group.SetExtraDelay(12 * FakeGroup::kMillisecond);
+    REQUIRE(WaitForLeader(group));
+    group.Run(kSecond);
+    const std::uint64_t termBefore = group.Node(*group.Leader())->Term();
+    for (std::size_t at = 0; at < 5; ++at) {
+      group.Crash(at);
+    }
+    for (std::size_t at = 0; at < 5; ++at) {
+      group.Restart(at);
+      group.Run(75 * FakeGroup::kMillisecond);
+    }
+    REQUIRE(WaitForLeader(group));
+    divided += group.Node(*group.Leader())->Term() > termBefore + 1 ? 1 : 0;
+    REQUIRE(group.Violation() == std::nullopt);
+  }
+  INFO("groups with divided votes: " << divided);
+  CHECK(divided <= kGroups / 50);
+}
+
 // Guards against committing an entry of an earlier term because a majority stores it: another
 // leader can still replace it.
 TEST_CASE("A new leader commits entries of earlier terms only together with one of its own term")
