Try the next control address if no link is ready after 150 ms

Cause: a proxy that starts before the control instances sends its first connection request to a machine without power, which does not answer, and waited 0.6 s before it tried another address. After a power loss all proxies do so.

An address without a ready link is now left after 150 ms; the time doubles with each address in turn up to 1.2 s, so that proxies do not keep leaving control instances that are crowded.

Tests: a case of ControlContactTests; the existing one on silent addresses now states that the link is ready, and keeps its bounds.

--- a/src/oleanderledge/daemon/ControlContact.cpp
+++ b/src/oleanderledge/daemon/ControlContact.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Checks of a pending link within its timeout, so that the next address is used soon after it.
+constexpr int kChecksPerLinkTimeout = 3;
+
 /// Index derived from the instance id, so that the heartbeats of the proxies spread over the
 /// control instances.
 std::size_t InitialAddressIndex(const InstanceInfo& aSelf, std::size_t aCount)
@@ -85,8 +88,11 @@
 
 const std::string& ControlContact::SelectAddress(Instant aNow)
 {
-  const Instant lastContact = std::max(this->addressSelectedAt, this->lastAcceptedSentAt);
-  if (aNow - lastContact > this->timing.addressTimeout && this->addressSelectedAt != Instant{}) {
+  const Instant lastContact = this->linkReadyAt
+                                ? std::max(*this->linkReadyAt, this->lastAcceptedSentAt)
+                                : this->addressSelectedAt;
+  const Duration timeout = this->linkReadyAt ? this->timing.addressTimeout : this->LinkTimeout();
+  if (aNow - lastContact > timeout && this->addressSelectedAt != Instant{}) {
     this->UseNextAddress(aNow);
   }
   if (this->addressSelectedAt == Instant{}) {
@@ -95,6 +101,24 @@
   return this->addresses[this->addressIndex];
 }
 
+void ControlContact::HandleLinkReady(Instant aNow)
+{
+  this->linkReadyAt = aNow;
+  this->failedLinks = 0;
+}
+
+Duration ControlContact::LinkTimeout() const
+{
+  Duration timeout = this->timing.linkTimeout;
+  for (std::uint32_t failed = 0; failed < this->failedLinks; ++failed) {
+    if (timeout >= this->timing.linkTimeoutMax) {
+      return this->timing.linkTimeoutMax;
+    }
+    timeout *= 2;
+  }
+  return std::min(timeout, this->timing.linkTimeoutMax);
+}
+
 void ControlContact::SetConfiguredAddresses(std::vector<std::string> aAddresses)
 {
   this->configuredAddresses = std::move(aAddresses);
@@ -127,12 +151,17 @@
 
 void ControlContact::UseNextAddress(Instant aNow)
 {
+  this->failedLinks += this->linkReadyAt ? 0 : 1;
+  this->linkReadyAt.reset();
   this->addressIndex = (this->addressIndex + 1) % this->addresses.size();
   this->addressSelectedAt = aNow;
 }
 
 Duration ControlContact::NextInterval() const
 {
+  if (!this->linkReadyAt) {
+    return std::min(this->LinkTimeout() / kChecksPerLinkTimeout, this->timing.heartbeatInterval);
+  }
   for (const auto& [name, row] : this->directory->Databases()) {
     if (row.owner != this->self.id || row.phase == FailoverPhase::Steady) {
       continue;
--- a/src/oleanderledge/daemon/ControlContact.hpp
+++ b/src/oleanderledge/daemon/ControlContact.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,11 @@
   Duration leaseLength = std::chrono::milliseconds(1000);
   /// The next control address is used after this time without an accepted reply.
   Duration addressTimeout = std::chrono::milliseconds(450);
+  /// The next control address is used if no link to the current one is ready after this time: a
+  /// round trip between regions takes 24 ms, and an instance without power does not answer at all.
+  /// Doubles with each address in turn that fails, so that a crowded instance can catch up.
+  Duration linkTimeout = std::chrono::milliseconds(150);
+  Duration linkTimeoutMax = std::chrono::milliseconds(1200);
 };
 
 /// The proxy's view of the control group: the directory in force, whether it is current, and which
@@ -51,12 +57,14 @@
   bool IsReady(Instant aNow) const;
 
   /// Returns the control address to use at `aNow`. Selects the next one if the address in use has
-  /// had no accepted reply for `addressTimeout`.
+  /// had no ready link for the link timeout, or no accepted reply for `addressTimeout`.
   const std::string& SelectAddress(Instant aNow);
+  /// The link to the address in use is ready.
+  void HandleLinkReady(Instant aNow);
   /// The link to the address in use has closed: selects the next address.
   void HandleLinkClosed(Instant aNow);
 
-  /// Time until the next heartbeat.
+  /// Time until the next heartbeat, or until the next check of a link that is not ready.
   Duration NextInterval() const;
 
   /// Time at which the newest accepted heartbeat was sent.
@@ -74,6 +82,7 @@
 
 private:
   void UseNextAddress(Instant aNow);
+  Duration LinkTimeout() const;
   /// Rebuilds the list: the addresses that the leader named, then those from the settings.
   void MergeAddresses();
 
@@ -85,6 +94,8 @@
   std::shared_ptr<const Directory> directory;
   std::size_t addressIndex = 0;
   Instant addressSelectedAt{};
+  std::optional<Instant> linkReadyAt; ///< Of the link to the address in use.
+  std::uint32_t failedLinks = 0;      ///< Addresses in turn to which no link became ready.
   Instant lastAcceptedSentAt{};
   bool hasContact = false;
   std::uint64_t sequence = 0;
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -68,7 +68,10 @@
                               .count()));
   this->linkAddress = address;
   this->link = new LinkConnection(this->contact.Self(), address, this->latency, this);
-  QObject::connect(this->link, &LinkConnection::Ready, this, &ControlClient::SendNow);
+  QObject::connect(this->link, &LinkConnection::Ready, this, [this] {
+    this->contact.HandleLinkReady(MonotonicNow());
+    this->SendNow();
+  });
   QObject::connect(this->link, &LinkConnection::Received, this, &ControlClient::HandleMessage);
   QObject::connect(this->link, &LinkConnection::Closed, this, [this] {
     this->contact.HandleLinkClosed(MonotonicNow());
--- a/tests/daemon/ControlContactTests.cpp
+++ b/tests/daemon/ControlContactTests.cpp
@@ -81,8 +81,34 @@
                  "The next control address is used after the current one gives no reply")
 {
   const std::string first = this->contact.SelectAddress(this->now);
+  this->contact.HandleLinkReady(this->now);
   CHECK(this->contact.SelectAddress(this->now + 400ms) == first);
   const std::string second = this->contact.SelectAddress(this->now + 500ms);
   CHECK(second != first);
+  this->contact.HandleLinkReady(this->now + 500ms);
   CHECK(this->contact.SelectAddress(this->now + 1000ms) == first);
 }
+
+// Guards against a proxy that starts before the control instances and waits 0.6 s for the link to
+// one that has no power, while others could serve it.
+TEST_CASE_METHOD(ConnectedProxy, "The next control address is used soon if no link becomes ready")
+{
+  const std::string first = this->contact.SelectAddress(this->now);
+  CHECK(this->contact.NextInterval() == 50ms);
+  CHECK(this->contact.SelectAddress(this->now + 150ms) == first);
+  CHECK(this->contact.SelectAddress(this->now + 151ms) != first);
+  SECTION("each address in turn gets more time")
+  {
+    CHECK(this->contact.SelectAddress(this->now + 451ms) != first);
+    CHECK(this->contact.SelectAddress(this->now + 452ms) == first);
+    CHECK(this->contact.SelectAddress(this->now + 1052ms) == first);
+    CHECK(this->contact.NextInterval() == 200ms);
+  }
+  SECTION("a link that is ready ends it")
+  {
+    this->contact.HandleLinkReady(this->now + 200ms);
+    CHECK(this->contact.SelectAddress(this->now + 650ms) != first);
+    CHECK(this->contact.SelectAddress(this->now + 651ms) == first);
+    CHECK(this->contact.NextInterval() == 50ms);
+  }
+}
