control: a drained owner's lease bars other owners until it ends

Cause: when an owner reported that its database had drained for a planned change, the leader treated its lease as ended. If the change was then abandoned, the owner went on acknowledging writes under the lease that it still held for up to 1 s, while the leader could assign the database to another epoch at once, for example when the owner was restarted beside its old, paused process. Two processes then held a lease in the same term.

Ruled out: delayed replies to the old process (the incarnation is checked), the leases of an earlier leader, the drift allowance.

The release of a term now only allows the same epoch a later term at once. Any other owner waits until the lease has ended; a renewal in the same term takes the release back.

--- a/src/oleanderledge/control/FailoverCoordinator.cpp
+++ b/src/oleanderledge/control/FailoverCoordinator.cpp
@@ -414,7 +414,7 @@
   if (!this->IsDrained(aRecord)) {
     return;
   }
-  this->leases.ReleaseTerm(row.name, row.ownerEpoch, row.term, aNow);
+  this->leases.ReleaseTerm(row.name, row.ownerEpoch, row.term);
   if (aProgress.timeline && !aProgress.timeline->fenced) {
     aProgress.timeline->fenced = aNow;
   }
--- a/src/oleanderledge/control/LeaseTable.cpp
+++ b/src/oleanderledge/control/LeaseTable.cpp
@@ -20,9 +20,11 @@
     return std::nullopt;
   }
   const bool isSame = lease.epoch == aEpoch && lease.term == aTerm;
-  if (!isSame && lease.end > aNow && lease.epoch > lease.releasedEpoch) {
+  const bool isLaterTerm = lease.isTermReleased && lease.epoch == aEpoch && lease.term < aTerm;
+  if (!isSame && !isLaterTerm && lease.end > aNow && lease.epoch > lease.releasedEpoch) {
     return std::nullopt;
   }
+  lease.isTermReleased = false;
   lease.epoch = aEpoch;
   lease.term = aTerm;
   lease.end = std::max(lease.end, aNow + this->timings.LeaseUpperBound());
@@ -38,14 +40,11 @@
   }
 }
 
-void LeaseTable::ReleaseTerm(std::string_view aDatabase,
-                             std::uint64_t aEpoch,
-                             std::uint64_t aTerm,
-                             Instant aNow)
+void LeaseTable::ReleaseTerm(std::string_view aDatabase, std::uint64_t aEpoch, std::uint64_t aTerm)
 {
   Lease& lease = this->leases[std::string(aDatabase)];
   if (lease.epoch == aEpoch && lease.term <= aTerm) {
-    lease.end = std::min(lease.end, aNow);
+    lease.isTermReleased = true;
   }
 }
 
--- a/src/oleanderledge/control/LeaseTable.hpp
+++ b/src/oleanderledge/control/LeaseTable.hpp
@@ -35,11 +35,10 @@
 
   /// The owner confirmed that it acknowledges no more writes under the epoch.
   void Release(std::string_view aDatabase, std::uint64_t aEpoch, Instant aNow);
-  /// The owner confirmed that it acknowledges no more writes in the term. It keeps the epoch.
-  void ReleaseTerm(std::string_view aDatabase,
-                   std::uint64_t aEpoch,
-                   std::uint64_t aTerm,
-                   Instant aNow);
+  /// The owner confirmed that it acknowledges no more writes in the term while its database drains.
+  /// It keeps the epoch, and may be granted a later term at once. If the drain is abandoned, it
+  /// resumes under the lease that it has, which therefore still bars other epochs.
+  void ReleaseTerm(std::string_view aDatabase, std::uint64_t aEpoch, std::uint64_t aTerm);
 
   bool IsReleased(std::string_view aDatabase, std::uint64_t aEpoch) const;
   /// True if no lease of the epoch or of an earlier one can be in use any more.
@@ -52,6 +51,7 @@
     std::uint64_t term = 0;
     Instant end{};                   ///< Latest time at which it may be in use.
     std::uint64_t releasedEpoch = 0; ///< Highest epoch that its owner released.
+    bool isTermReleased = false;     ///< Its owner released the term since the last grant.
   };
 
   ControlTimings timings;
