control: a new leader allocates connections once all proxies have reported

Cause: after its election a leader waited 0.6 s for the demands of the proxies before it granted connections.

The leader now allocates as soon as the proxies that were registered at its election have reported. In a fleet that is started for the first time none is registered, and it waits as before.

Test: a case of ConnectionAllocatorTests with and without a silent proxy.

--- a/src/oleanderledge/control/ConnectionAllocator.cpp
+++ b/src/oleanderledge/control/ConnectionAllocator.cpp
@@ -34,6 +34,12 @@
   this->leaderSince = aNow;
   this->proxies.clear();
   this->plans.clear();
+  this->expectedProxies.clear();
+  for (const auto& [id, instance] : this->state.Instances()) {
+    if (instance.role == InstanceRole::Proxy && !instance.leaving) {
+      this->expectedProxies.push_back(id);
+    }
+  }
 }
 
 void ConnectionAllocator::OnBackendReports(const InstanceInfo& aProxy,
@@ -51,13 +57,22 @@
 
 void ConnectionAllocator::OnTick(Instant aNow)
 {
-  if (aNow - this->leaderSince < this->timings.firstAllocationDelay ||
-      aNow - this->allocatedAt < this->timings.allocationInterval) {
+  const bool isTooEarly =
+    aNow - this->leaderSince < this->timings.firstAllocationDelay && !this->HaveAllReported();
+  if (isTooEarly || aNow - this->allocatedAt < this->timings.allocationInterval) {
     return;
   }
   this->AllocateAll(aNow);
 }
 
+bool ConnectionAllocator::HaveAllReported() const
+{
+  return !this->expectedProxies.empty() &&
+         std::ranges::all_of(this->expectedProxies, [this](const std::string& aId) {
+           return this->proxies.contains(aId);
+         });
+}
+
 void ConnectionAllocator::AllocateAll(Instant aNow)
 {
   this->allocatedAt = aNow;
--- a/src/oleanderledge/control/ConnectionAllocator.hpp
+++ b/src/oleanderledge/control/ConnectionAllocator.hpp
@@ -22,8 +22,8 @@
   /// The connections of a proxy that did not report for this time are allocated to others. A
   /// backend server keeps the connections of a proxy that lost power for as long.
   Duration proxyRemovalTimeout = std::chrono::milliseconds(3000);
-  /// Time between the election of a leader and its first allocation, so that all proxies have
-  /// reported: three heartbeats.
+  /// Longest time between the election of a leader and its first allocation, for which it waits
+  /// until all registered proxies have reported: three heartbeats.
   Duration firstAllocationDelay = std::chrono::milliseconds(600);
 };
 
@@ -66,6 +66,9 @@
     std::uint32_t DemandFor(std::string_view aBackend) const;
   };
 
+  /// True if every proxy that was registered when this leader was elected has reported since. False
+  /// if there was none, as in a fleet that is started for the first time.
+  bool HaveAllReported() const;
   void AllocateAll(Instant aNow);
   /// Grants each proxy connections of its own.
   void AllocateDirect(const std::string& aBackend, std::uint32_t aLimit);
@@ -76,6 +79,7 @@
   AllocationTimings timings;
   Instant leaderSince{};
   Instant allocatedAt{};
+  std::vector<std::string> expectedProxies; ///< Ids registered when this leader was elected.
   std::map<std::string, ProxyState, std::less<>> proxies; ///< By id.
   std::map<std::string, RelayPlan, std::less<>> plans;    ///< By backend server.
 };
--- a/tests/control/ConnectionAllocatorTests.cpp
+++ b/tests/control/ConnectionAllocatorTests.cpp
@@ -152,3 +152,32 @@
     return aEach.second.relays.empty() && aEach.second.connections >= 2;
   }));
 }
+
+// Guards against proxies that serve with a provisional share for 0.6 s after a power loss, while
+// statements that waited for the power arrive.
+TEST_CASE("A new leader allocates as soon as all registered proxies have reported",
+          "[connection-allocator]")
+{
+  AllocatorFixture fixture;
+  std::uint64_t index = 2;
+  for (const InstanceInfo& proxy : fixture.proxies) {
+    InstanceInfo registered = proxy;
+    registered.role = InstanceRole::Proxy;
+    fixture.state.Apply(++index, EncodeCommand(RegisterInstance{ registered }));
+  }
+  fixture.allocator.OnLeadershipGained(fixture.now);
+  fixture.grants.clear();
+  SECTION("all report")
+  {
+    fixture.RunFor(400ms);
+    CHECK(fixture.TotalConnections() == 10);
+  }
+  SECTION("one is silent")
+  {
+    fixture.silent.insert("proxy-0");
+    fixture.RunFor(400ms);
+    CHECK(fixture.grants.empty());
+    fixture.RunFor(600ms);
+    CHECK(fixture.TotalConnections() == 10);
+  }
+}
