Refuse statements at their arrival if their forecast wait is too long

Cause: a statement that got no connection was refused at the end of its wait, a quarter of its route's target, also if the queue ahead of it showed from the start that it would not be served.

WaitForecast (pure) measures how fast waiting requests of a service are given connections, those that need the primary apart. A new one that would wait for more than one and a half of what it may is refused at once, with the time at which the queue will have room; refused callers are given different times, at the rate of service. The wait of the others is a fifth of the target.

--- a/src/oleanderledge/statements/internal/ConnectionRelay.cpp
+++ b/src/oleanderledge/statements/internal/ConnectionRelay.cpp
@@ -74,8 +74,8 @@
   dispatcher->RequestConnection(
     ticket,
     std::move(request),
-    [this, key](const std::optional<Placement>& aPlacement, StatementError aError) {
-      this->HandlePlaced(key, aPlacement, aError);
+    [this, key](const std::optional<Placement>& aPlacement, const PlacementRefusal& aRefusal) {
+      this->HandlePlaced(key, aPlacement, aRefusal.error);
     });
 }
 
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -15,6 +15,10 @@
 /// other proxies may hold more than an equal share.
 constexpr std::uint32_t kProvisionalShareDivisor = 2;
 
+/// A request is refused at its arrival if its forecast wait exceeds the allowed one by half of it.
+/// A forecast that is too long would refuse a request that could have been served.
+constexpr int kForecastMarginHalves = 3;
+
 void LogRow(const BackendRow& aRow, std::uint64_t aDirectoryVersion)
 {
   WriteLog(LogEvent::BackendRowReceived,
@@ -104,6 +108,11 @@
                                           PlacementRequest aRequest,
                                           Callback aCallback)
 {
+  const Instant now = MonotonicNow();
+  if (const auto refusal = this->ForecastRefusal(aRequest, now)) {
+    aCallback(std::nullopt, *refusal);
+    return;
+  }
   const auto position =
     std::ranges::upper_bound(this->waiting, aRequest.priority, {}, [](const WaitingRequest& aEach) {
       return aEach.request.priority;
@@ -115,6 +124,46 @@
   this->DispatchWaiting();
 }
 
+std::optional<PlacementRefusal> ServiceDispatcher::ForecastRefusal(const PlacementRequest& aRequest,
+                                                                   Instant aNow)
+{
+  // Requests of other proxies were admitted there.
+  if (!aRequest.backend.empty()) {
+    return std::nullopt;
+  }
+  WaitForecast& forecastOfKind = aRequest.needsPrimary ? this->primaryForecast : this->forecast;
+  const std::size_t ahead = this->CountAhead(aRequest);
+  const auto expected = forecastOfKind.ExpectedWait(ahead, aNow);
+  const Duration allowed = aRequest.deadline - aNow;
+  if (ahead == 0 || !expected || *expected * 2 <= allowed * kForecastMarginHalves) {
+    return std::nullopt;
+  }
+  return PlacementRefusal{ StatementError::Overloaded,
+                           forecastOfKind.NextReturn(*expected - allowed, aNow) };
+}
+
+std::size_t ServiceDispatcher::CountAhead(const PlacementRequest& aRequest) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->waiting, [&aRequest](const WaitingRequest& aEach) {
+      return aEach.request.backend.empty() && aEach.request.priority <= aRequest.priority &&
+             (!aRequest.needsPrimary || aEach.request.needsPrimary);
+    }));
+}
+
+void ServiceDispatcher::UpdateForecasts(Instant aNow)
+{
+  bool isAnyWaiting = false;
+  bool isPrimaryAwaited = false;
+  for (const WaitingRequest& each : this->waiting) {
+    isAnyWaiting = isAnyWaiting || each.request.backend.empty();
+    isPrimaryAwaited =
+      isPrimaryAwaited || (each.request.backend.empty() && each.request.needsPrimary);
+  }
+  this->forecast.SetWaiting(isAnyWaiting, aNow);
+  this->primaryForecast.SetWaiting(isPrimaryAwaited, aNow);
+}
+
 void ServiceDispatcher::Cancel(Ticket aTicket)
 {
   std::erase_if(this->waiting,
@@ -247,7 +296,7 @@
   std::map<BackendPool*, std::vector<ConnectionRequest>> wanted;
   for (std::size_t index = 0; index < this->waiting.size();) {
     if (!this->HasServerFor(this->waiting[index].request, now)) {
-      this->TakeWaiting(index).callback(std::nullopt, StatementError::Unavailable);
+      this->TakeWaiting(index).callback(std::nullopt, { StatementError::Unavailable, {} });
       continue;
     }
     const Choice choice = this->ChoosePool(this->waiting[index].request, now);
@@ -265,13 +314,19 @@
       continue;
     }
     const WaitingRequest waiter = this->TakeWaiting(index);
+    if (waiter.request.backend.empty()) {
+      this->forecast.OnPlaced(now);
+      if (choice.placement.onPrimary) {
+        this->primaryForecast.OnPlaced(now);
+      }
+    }
     if (choice.pool->Row().draining) {
       this->RecordDrainingUse(*choice.pool);
     }
     Placement placement = choice.placement;
     placement.pool = choice.pool;
     placement.connection = choice.pool->Take(*waiter.request.settings);
-    waiter.callback(placement, {});
+    waiter.callback(placement, PlacementRefusal{});
   }
   for (const auto& [pool, requests] : wanted) {
     while (pool->OpeningCount() < requests.size() && pool->CanOpen(now)) {
@@ -281,6 +336,7 @@
   for (const auto& [name, pool] : this->pools) {
     pool->ReleaseIdleRelayed();
   }
+  this->UpdateForecasts(now);
   this->isDispatching = false;
 }
 
@@ -328,8 +384,9 @@
     const bool isUnreachable =
       (waiter.request.needsPrimary && this->PrimaryPool(now) == nullptr) ||
       (chosen != this->pools.end() && chosen->second->Health().IsFailing());
-    waiter.callback(std::nullopt,
-                    isUnreachable ? StatementError::Unavailable : StatementError::Overloaded);
+    waiter.callback(
+      std::nullopt,
+      { isUnreachable ? StatementError::Unavailable : StatementError::Overloaded, {} });
   }
   if (this->waiting.empty()) {
     this->expiryTimer.stop();
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -4,6 +4,7 @@
 #include "oleanderledge/statements/PositionHistory.hpp"
 #include "oleanderledge/statements/ReadPlacement.hpp"
 #include "oleanderledge/statements/StatementService.hpp"
+#include "oleanderledge/statements/WaitForecast.hpp"
 #include "oleanderledge/statements/internal/BackendPool.hpp"
 
 #include <QObject>
@@ -53,6 +54,14 @@
   std::optional<LogPosition> await;
 };
 
+/// Why a request got no connection.
+struct PlacementRefusal
+{
+  StatementError error = StatementError::Overloaded;
+  /// Time after which to send it again; nothing if it is not known.
+  std::optional<Duration> retryAfter;
+};
+
 /// Assigns statements of one service to connections to its backend servers. Waiting statements are
 /// served by priority, then in order of arrival.
 class ServiceDispatcher : public QObject
@@ -60,10 +69,11 @@
   Q_OBJECT
 
 public:
-  /// Receives a connection, or std::nullopt and the error: Unavailable, at once, if no server may
+  /// Receives a connection, or std::nullopt and the reason: Unavailable, at once, if no server may
   /// be given new work; Unavailable if the request needs the primary and no server can be used as
-  /// primary, or if the backend server that it names is failing; otherwise Overloaded.
-  using Callback = std::function<void(std::optional<Placement>, StatementError)>;
+  /// primary, or if the backend server that it names is failing; otherwise Overloaded, at once if
+  /// the forecast wait ends after the deadline of the request.
+  using Callback = std::function<void(std::optional<Placement>, const PlacementRefusal&)>;
   using Ticket = std::uint64_t;
 
   ServiceDispatcher(const StatementProtocol& aProtocol,
@@ -137,6 +147,11 @@
   /// False if every server that the request could use has left or may not be given new work.
   bool HasServerFor(const PlacementRequest& aRequest, Instant aNow) const;
   Choice ChoosePool(const PlacementRequest& aRequest, Instant aNow) const;
+  /// The reason to refuse a request at its arrival, because it would wait beyond its deadline.
+  std::optional<PlacementRefusal> ForecastRefusal(const PlacementRequest& aRequest, Instant aNow);
+  /// Number of waiting requests that are served before a new one.
+  std::size_t CountAhead(const PlacementRequest& aRequest) const;
+  void UpdateForecasts(Instant aNow);
   /// Counts a use of a draining server, and logs the first one of each drain.
   void RecordDrainingUse(const BackendPool& aPool);
   /// Pool of the server to treat as primary; null if there is none. If the one named by the control
@@ -167,6 +182,9 @@
   std::map<std::string, std::int64_t, std::less<>> loggedDrains;
   std::uint64_t drainingUseCount = 0;
   std::vector<WaitingRequest> waiting; ///< By priority, then arrival.
+  /// Of requests that need the primary, and of all requests of this proxy's callers.
+  WaitForecast primaryForecast;
+  WaitForecast forecast;
   Ticket lastTicket = 0;
   bool isDispatching = false;
   bool isDispatchScheduled = false;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -10,7 +10,7 @@
 constexpr int kMaxAttempts = 4;
 /// A statement waits for a connection for at most the target latency of its route divided by this.
 /// A later rejection would leave the caller no time to try another proxy.
-constexpr int kTargetWaitDivisor = 4;
+constexpr int kTargetWaitDivisor = 5;
 /// Lower bound of that limit, for routes with a short target latency.
 constexpr Duration kMinWait = std::chrono::milliseconds(50);
 
@@ -52,6 +52,14 @@
                RetryAfterText(kRetryAfterFailover);
 }
 
+std::string RefusalText(const PlacementRefusal& aRefusal)
+{
+  return aRefusal.retryAfter
+           ? "the queue for connections is too long; " +
+               RetryAfterText(std::chrono::ceil<std::chrono::milliseconds>(*aRefusal.retryAfter))
+           : RefusalText(aRefusal.error);
+}
+
 } // namespace
 
 StatementSession::StatementSession(const StatementProtocol& aProtocol,
@@ -285,14 +293,15 @@
                             this->route->consistency == ReadConsistency::Primary;
   PlacementRequest request = this->NewPlacementRequest(this->transaction.arrivedAt, needsPrimary);
   request.excluded = this->transaction.excluded;
-  this->RequestPlacement(std::move(request),
-                         [this](std::optional<Placement> aPlacement, StatementError aError) {
-                           if (!aPlacement) {
-                             this->FailTransaction(aError, RefusalText(aError));
-                             return;
-                           }
-                           this->StartTransaction(*aPlacement);
-                         });
+  this->RequestPlacement(
+    std::move(request),
+    [this](std::optional<Placement> aPlacement, const PlacementRefusal& aRefusal) {
+      if (!aPlacement) {
+        this->FailTransaction(aRefusal.error, RefusalText(aRefusal));
+        return;
+      }
+      this->StartTransaction(*aPlacement);
+    });
 }
 
 void StatementSession::StartTransaction(const Placement& aPlacement)
@@ -457,15 +466,16 @@
     this->IsWrite(this->running->statement) || this->route->consistency == ReadConsistency::Primary;
   PlacementRequest request = this->NewPlacementRequest(this->running->arrivedAt, needsPrimary);
   request.excluded = this->running->excluded;
-  this->RequestPlacement(std::move(request),
-                         [this](std::optional<Placement> aPlacement, StatementError aError) {
-                           if (!aPlacement) {
-                             this->AnswerError(aError, RefusalText(aError));
-                             return;
-                           }
-                           this->placement = *aPlacement;
-                           this->StartSingleStatement();
-                         });
+  this->RequestPlacement(
+    std::move(request),
+    [this](std::optional<Placement> aPlacement, const PlacementRefusal& aRefusal) {
+      if (!aPlacement) {
+        this->AnswerError(aRefusal.error, RefusalText(aRefusal));
+        return;
+      }
+      this->placement = *aPlacement;
+      this->StartSingleStatement();
+    });
 }
 
 void StatementSession::StartSingleStatement()
@@ -825,13 +835,13 @@
   ServiceDispatcher* dispatcher = this->Dispatcher();
   const ServiceDispatcher::Ticket requested = dispatcher->NewTicket();
   this->ticket = requested;
-  dispatcher->RequestConnection(
-    requested,
-    std::move(aRequest),
-    [this, done = std::move(aDone)](std::optional<Placement> aPlacement, StatementError aError) {
-      this->ticket.reset();
-      done(aPlacement, aError);
-    });
+  dispatcher->RequestConnection(requested,
+                                std::move(aRequest),
+                                [this, done = std::move(aDone)](std::optional<Placement> aPlacement,
+                                                                const PlacementRefusal& aRefusal) {
+                                  this->ticket.reset();
+                                  done(aPlacement, aRefusal);
+                                });
 }
 
 ServiceDispatcher* StatementSession::Dispatcher()
--- a/src/oleanderledge/statements/statements.hpp
+++ b/src/oleanderledge/statements/statements.hpp
@@ -11,3 +11,4 @@
 #include "oleanderledge/statements/StatementService.hpp"
 #include "oleanderledge/statements/StatementTypes.hpp"
 #include "oleanderledge/statements/StatusProbe.hpp"
+#include "oleanderledge/statements/WaitForecast.hpp"
