A starting proxy stays with a control instance that has no leader yet

Cause: a proxy left its control instance after 450 ms without an accepted reply, also when that instance replied that there was no leader.

Before its first accepted reply a proxy now stays for 1.5 s with an instance that replies. Later the 450 ms hold, as an instance without a leader may then be cut off from the others.

Test: a case of ControlContactTests.

--- a/src/oleanderledge/daemon/ControlContact.cpp
+++ b/src/oleanderledge/daemon/ControlContact.cpp
@@ -50,6 +50,9 @@
   const bool isForThisProcess =
     aReply.instance == this->self.id && aReply.incarnation == this->self.incarnation &&
     aReply.sequence <= this->sequence && aReply.sentUs <= ToMicroseconds(aNow);
+  if (isForThisProcess) {
+    this->repliedAt = aNow;
+  }
   if (!isForThisProcess || !aReply.accepted) {
     return false;
   }
@@ -91,7 +94,7 @@
   const Instant lastContact = this->linkReadyAt
                                 ? std::max(*this->linkReadyAt, this->lastAcceptedSentAt)
                                 : this->addressSelectedAt;
-  const Duration timeout = this->linkReadyAt ? this->timing.addressTimeout : this->LinkTimeout();
+  const Duration timeout = this->linkReadyAt ? this->AddressTimeout(aNow) : this->LinkTimeout();
   if (aNow - lastContact > timeout && this->addressSelectedAt != Instant{}) {
     this->UseNextAddress(aNow);
   }
@@ -107,6 +110,13 @@
   this->failedLinks = 0;
 }
 
+Duration ControlContact::AddressTimeout(Instant aNow) const
+{
+  const bool isReplying = this->repliedAt && aNow - *this->repliedAt <= this->timing.addressTimeout;
+  return isReplying && !this->hasContact ? this->timing.leaderlessTimeout
+                                         : this->timing.addressTimeout;
+}
+
 Duration ControlContact::LinkTimeout() const
 {
   Duration timeout = this->timing.linkTimeout;
@@ -153,6 +163,7 @@
 {
   this->failedLinks += this->linkReadyAt ? 0 : 1;
   this->linkReadyAt.reset();
+  this->repliedAt.reset();
   this->addressIndex = (this->addressIndex + 1) % this->addresses.size();
   this->addressSelectedAt = aNow;
 }
--- a/src/oleanderledge/daemon/ControlContact.hpp
+++ b/src/oleanderledge/daemon/ControlContact.hpp
@@ -22,6 +22,10 @@
   Duration leaseLength = std::chrono::milliseconds(1000);
   /// The next control address is used after this time without an accepted reply.
   Duration addressTimeout = std::chrono::milliseconds(450);
+  /// Takes the place of `addressTimeout` before the first accepted reply, while the current address
+  /// replies that there is no leader: after a power loss the others have none either, and a new
+  /// link costs time. Longer than two elections.
+  Duration leaderlessTimeout = std::chrono::milliseconds(1500);
   /// The next control address is used if no link to the current one is ready after this time: a
   /// round trip between regions takes 24 ms, and an instance without power does not answer at all.
   /// Doubles with each address in turn that fails, so that a crowded instance can catch up.
@@ -83,6 +87,7 @@
 private:
   void UseNextAddress(Instant aNow);
   Duration LinkTimeout() const;
+  Duration AddressTimeout(Instant aNow) const;
   /// Rebuilds the list: the addresses that the leader named, then those from the settings.
   void MergeAddresses();
 
@@ -95,6 +100,7 @@
   std::size_t addressIndex = 0;
   Instant addressSelectedAt{};
   std::optional<Instant> linkReadyAt; ///< Of the link to the address in use.
+  std::optional<Instant> repliedAt;   ///< Last reply, accepted or not, of the address in use.
   std::uint32_t failedLinks = 0;      ///< Addresses in turn to which no link became ready.
   Instant lastAcceptedSentAt{};
   bool hasContact = false;
--- a/tests/daemon/ControlContactTests.cpp
+++ b/tests/daemon/ControlContactTests.cpp
@@ -112,3 +112,46 @@
     CHECK(this->contact.NextInterval() == 50ms);
   }
 }
+
+// Guards against proxies that leave their control instance just when a leader has been elected, and
+// wait for another link.
+TEST_CASE("A proxy that starts stays with a control instance that has no leader yet")
+{
+  InstanceInfo self;
+  self.id = "mora-entry-1";
+  ControlContact contact(self, { "127.0.0.1:1", "127.0.0.1:2" }, {});
+  const Instant start{ 10s };
+  const std::string first = contact.SelectAddress(start);
+  contact.HandleLinkReady(start);
+  Instant now = start;
+  const auto reply = [&contact, &now](bool aIsAccepted) {
+    const Heartbeat sent = contact.MakeHeartbeat({}, {}, now);
+    HeartbeatReply answer;
+    answer.instance = sent.instance.id;
+    answer.sequence = sent.sequence;
+    answer.sentUs = sent.sentUs;
+    answer.accepted = aIsAccepted;
+    return contact.HandleReply(answer, now);
+  };
+  for (now = start; now <= start + 1400ms; now += 200ms) {
+    CHECK_FALSE(reply(false));
+    CHECK(contact.SelectAddress(now) == first);
+  }
+  SECTION("not for ever")
+  {
+    CHECK_FALSE(reply(false));
+    CHECK(contact.SelectAddress(now) != first);
+  }
+  SECTION("not if it falls silent")
+  {
+    CHECK(contact.SelectAddress(start + 1851ms) != first);
+  }
+  SECTION("nor once it had a leader, as it may be cut off from the others")
+  {
+    now = start + 1450ms;
+    CHECK(reply(true));
+    now = start + 1901ms;
+    CHECK_FALSE(reply(false));
+    CHECK(contact.SelectAddress(now) != first);
+  }
+}
