No forecast of waits in the first 300 ms of a queue

Cause: after a power loss the first requests wait until connections have been opened.

A forecast now needs a whole window of 300 ms in which requests waited.

--- a/src/oleanderledge/statements/WaitForecast.cpp
+++ b/src/oleanderledge/statements/WaitForecast.cpp
@@ -6,12 +6,9 @@
 
 namespace {
 
-/// Length of the windows in which placements are counted. In two of them a server with two slots
-/// completes about 40 statements.
-constexpr Duration kWindowLength = std::chrono::milliseconds(150);
-/// Shortest time of observation. Opening a connection between regions takes 40 ms, for which
-/// requests wait without any queue.
-constexpr Duration kMinObservation = std::chrono::milliseconds(100);
+/// Length of the windows in which placements are counted. Nothing is forecast in the first one, as
+/// few requests are placed while connections are being opened, for example after a power loss.
+constexpr Duration kWindowLength = std::chrono::milliseconds(300);
 /// Limits of the returned time until a refused request is sent again.
 constexpr Duration kMinReturn = std::chrono::milliseconds(100);
 constexpr Duration kMaxReturn = std::chrono::milliseconds(2000);
@@ -48,13 +45,14 @@
 
 std::optional<Duration> WaitForecast::PlacementInterval(Instant aNow) const
 {
-  const Instant start = this->previous ? this->previous->start : this->current.start;
-  const std::uint32_t placed = this->current.placed + (this->previous ? this->previous->placed : 0);
-  const Duration observed = aNow - start;
-  if (!this->isWaiting || observed < kMinObservation || placed == 0) {
+  if (!this->isWaiting || !this->previous) {
     return std::nullopt;
   }
-  return observed / placed;
+  const std::uint32_t placed = this->current.placed + this->previous->placed;
+  if (placed == 0) {
+    return std::nullopt;
+  }
+  return (aNow - this->previous->start) / placed;
 }
 
 std::optional<Duration> WaitForecast::ExpectedWait(std::size_t aAhead, Instant aNow) const
