A control instance on a full disk waits for room instead of ending

Cause: any failed write ended the process, as the end of the file was then unknown.

A write that the disk refuses leaves a known state if the part that was written can be cut off: the log is cut back to its last whole record, and a temporary file is discarded. Such failures have the new code StorageFull, and the driver tries the same batches again each 0.5 s. A failed sync still ends the process, since the kernel may have dropped the pages.

--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -31,6 +31,8 @@
   LogEventInfo{ LogEvent::TornRecordCut, "torn_record_cut", Warning },
   LogEventInfo{ LogEvent::StorageFailed, "storage_failed", Error },
   LogEventInfo{ LogEvent::StorageOpened, "storage_opened", Info },
+  LogEventInfo{ LogEvent::StorageFull, "storage_full", Error },
+  LogEventInfo{ LogEvent::StorageRecovered, "storage_recovered", Info },
   LogEventInfo{ LogEvent::ControlLeading, "control_leading", Info },
   LogEventInfo{ LogEvent::ControlNotLeading, "control_not_leading", Warning },
   LogEventInfo{ LogEvent::ControlCommandUnknown, "control_command_unknown", Error },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -36,6 +36,8 @@
   TornRecordCut = 1401,
   StorageFailed = 1402,
   StorageOpened = 1403,
+  StorageFull = 1404,
+  StorageRecovered = 1405,
   // 1500: control.
   ControlLeading = 1501,
   ControlNotLeading = 1502,
--- a/src/oleanderledge/base/ResultCode.hpp
+++ b/src/oleanderledge/base/ResultCode.hpp
@@ -53,6 +53,7 @@
   StorageCorrupt = 1501,
   StorageWriteFailed = 1502,
   StorageOpenFailed = 1503,
+  StorageFull = 1504,
   // Settings and command line.
   SettingsInvalid = 1601,
   UsageError = 1602,
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kMaintenanceInterval(100);
+/// Time until a write that the disk refused is tried again.
+constexpr std::chrono::milliseconds kDiskRetryInterval(500);
 constexpr Duration kJoinRequestInterval = std::chrono::milliseconds(300);
 /// Below the maximum frame size of a link, with room for the other fields of the request.
 constexpr std::size_t kMaxCommandBytes = std::size_t{ 8 } * 1024 * 1024;
@@ -171,7 +173,7 @@
   if (join == nullptr && sender.empty()) {
     return false;
   }
-  if (!this->node) {
+  if (!this->node || this->isDiskFull) {
     return true;
   }
   const Instant now = MonotonicNow();
@@ -406,18 +408,36 @@
 void ConsensusDriver::FlushWrites()
 {
   this->writesScheduled = false;
-  const std::vector<PersistBatch> batches = std::exchange(this->pendingWrites, {});
+  std::vector<PersistBatch> batches = std::exchange(this->pendingWrites, {});
   if (batches.empty() || !this->node) {
     return;
   }
   const auto written = this->storage->Persist(batches);
+  if (!written && written.error().code == ResultCode::StorageFull) {
+    this->pendingWrites = std::move(batches);
+    this->WaitForDisk(written.error().message);
+    return;
+  }
   if (!written) {
     this->StopWithError(written.error().code, written.error().message);
     return;
   }
+  if (std::exchange(this->isDiskFull, false)) {
+    WriteLog(LogEvent::StorageRecovered, "batches=" + std::to_string(batches.size()));
+  }
   this->ExecuteActions(this->node->OnPersisted(batches.back().sequence, MonotonicNow()));
 }
 
+void ConsensusDriver::WaitForDisk(const std::string& aReason)
+{
+  if (!std::exchange(this->isDiskFull, true)) {
+    WriteLog(LogEvent::StorageFull, "folder=" + this->settings.dataFolder + " reason=" + aReason);
+  }
+  // Writes that come meanwhile wait for the same attempt.
+  this->writesScheduled = true;
+  QTimer::singleShot(kDiskRetryInterval, this, &ConsensusDriver::FlushWrites);
+}
+
 // --- ReplicatedLog ------------------------------------------------------------------------------
 
 std::uint64_t ConsensusDriver::AddProposalCallback(ProposeCallback aCallback)
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -142,6 +142,8 @@
   void CompactIfDue();
   void ScheduleWrites();
   void FlushWrites();
+  /// Schedules another attempt to store the pending writes.
+  void WaitForDisk(const std::string& aReason);
   void StopWithError(ResultCode aCode, const std::string& aReason);
   std::uint64_t AddProposalCallback(ProposeCallback aCallback);
   void CompleteProposal(const ProposalResultAction& aResult);
@@ -169,6 +171,9 @@
   bool isLeading = false;
   std::vector<PersistBatch> pendingWrites;
   bool writesScheduled = false;
+  /// The disk refused a write, which is tried again. Meanwhile the member receives no consensus
+  /// messages: a leader steps down, and nothing is acknowledged that is not stored.
+  bool isDiskFull = false;
   std::map<std::uint64_t, ProposeCallback> proposalCallbacks;
   std::uint64_t nextProposal = 0;
   /// Last index applied to `state`, which lags behind the node while actions are pending.
--- a/src/oleanderledge/storage/FileSystem.cpp
+++ b/src/oleanderledge/storage/FileSystem.cpp
@@ -29,7 +29,10 @@
   BOOST_OUTCOME_TRY(file, aFiles.Open(temporary));
   // A crash may have left a temporary file behind.
   BOOST_OUTCOME_TRY(file->Truncate(0));
-  BOOST_OUTCOME_TRY(AppendAll(*file, aContent));
+  if (const auto written = AppendAll(*file, aContent); !written) {
+    BOOST_OUTCOME_TRY(file->Truncate(0));
+    return Fail(ResultCode::StorageFull, written.error().message);
+  }
   BOOST_OUTCOME_TRY(file->Sync());
   BOOST_OUTCOME_TRY(aFiles.Rename(temporary, path));
   return aFiles.SyncFolder(aFolder);
--- a/src/oleanderledge/storage/FileSystem.hpp
+++ b/src/oleanderledge/storage/FileSystem.hpp
@@ -33,7 +33,8 @@
   /// Returns the whole content, or nothing if the file does not exist. Fails with
   /// StorageOpenFailed.
   virtual Result<std::optional<std::string>> Read(const std::string& aPath) = 0;
-  /// Opens a file for appending; creates it if it does not exist. Fails with StorageOpenFailed.
+  /// Opens a file for appending; creates it if it does not exist. Fails with StorageOpenFailed, or
+  /// with StorageFull if the disk has no room for it.
   virtual Result<std::unique_ptr<File>> Open(const std::string& aPath) = 0;
   /// Renames a file and replaces the target atomically. Not durable before SyncFolder(). Fails with
   /// StorageWriteFailed.
@@ -55,7 +56,8 @@
 
 /// Replaces a file so that a crash leaves either the old or the new content: writes and syncs a
 /// temporary file, renames it and syncs the folder. Fails with StorageOpenFailed or
-/// StorageWriteFailed.
+/// StorageWriteFailed, or with StorageFull if the disk refused the content; the file is then
+/// unchanged, and the call may be repeated.
 Result<void> ReplaceFile(FileSystem& aFiles,
                          const std::string& aFolder,
                          const std::string& aName,
--- a/src/oleanderledge/storage/MemberStorage.cpp
+++ b/src/oleanderledge/storage/MemberStorage.cpp
@@ -167,7 +167,7 @@
     BOOST_OUTCOME_TRY(file->Truncate(content.validBytes));
     BOOST_OUTCOME_TRY(file->Sync());
   }
-  this->wal.emplace(std::move(file), content.payloads.size());
+  this->wal.emplace(std::move(file), content.payloads.size(), content.validBytes);
   return boost::outcome_v2::success();
 }
 
@@ -177,7 +177,7 @@
     return Fail(ResultCode::StorageWriteFailed, "an earlier write failed");
   }
   auto written = this->WriteBatches(aBatches);
-  if (!written) {
+  if (!written && written.error().code != ResultCode::StorageFull) {
     this->hasFailed = true;
     WriteLog(LogEvent::StorageFailed,
              "folder=" + this->folder + " reason=" + written.error().message);
@@ -216,10 +216,10 @@
                                 std::string(kSnapshotFileName),
                                 EncodeSnapshotFile(*aBatch.snapshot)));
   const std::string payload = EncodePayload(aBatch.hardState, std::span(&aBatch, 1));
-  BOOST_OUTCOME_TRY(ReplaceFile(
-    this->files, this->folder, std::string(kLogFileName), WriteAheadLog::Encode({ payload })));
+  const std::string content = WriteAheadLog::Encode({ payload });
+  BOOST_OUTCOME_TRY(ReplaceFile(this->files, this->folder, std::string(kLogFileName), content));
   BOOST_OUTCOME_TRY(file, this->files.Open(this->PathOf(kLogFileName)));
-  this->wal.emplace(std::move(file), 1);
+  this->wal.emplace(std::move(file), 1, content.size());
   return boost::outcome_v2::success();
 }
 
--- a/src/oleanderledge/storage/PosixFileSystem.cpp
+++ b/src/oleanderledge/storage/PosixFileSystem.cpp
@@ -109,7 +109,9 @@
   const int descriptor =
     ::open(aPath.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, kFileMode);
   if (descriptor < 0) {
-    return Fail(ResultCode::StorageOpenFailed, ErrorText("open " + aPath));
+    const ResultCode code =
+      errno == ENOSPC ? ResultCode::StorageFull : ResultCode::StorageOpenFailed;
+    return Fail(code, ErrorText("open " + aPath));
   }
   return std::unique_ptr<File>(std::make_unique<PosixFile>(descriptor, aPath));
 }
--- a/src/oleanderledge/storage/WriteAheadLog.cpp
+++ b/src/oleanderledge/storage/WriteAheadLog.cpp
@@ -101,11 +101,18 @@
   if (this->hasFailed) {
     return Fail(ResultCode::StorageWriteFailed, "an earlier write failed");
   }
-  // Cleared only on success: after a failed write or sync, the end of the file is unknown.
+  // Cleared on success, and if a part of the record could be cut off: after a failed sync, the end
+  // of the file is unknown.
   this->hasFailed = true;
-  BOOST_OUTCOME_TRY(AppendAll(*this->file, EncodeRecord(this->recordCount + 1, aPayload)));
+  const std::string record = EncodeRecord(this->recordCount + 1, aPayload);
+  if (const auto written = AppendAll(*this->file, record); !written) {
+    BOOST_OUTCOME_TRY(this->file->Truncate(this->size));
+    this->hasFailed = false;
+    return Fail(ResultCode::StorageFull, written.error().message);
+  }
   BOOST_OUTCOME_TRY(this->file->Sync());
   ++this->recordCount;
+  this->size += record.size();
   this->hasFailed = false;
   return boost::outcome_v2::success();
 }
--- a/src/oleanderledge/storage/WriteAheadLog.hpp
+++ b/src/oleanderledge/storage/WriteAheadLog.hpp
@@ -36,19 +36,23 @@
   /// Encodes a new file with one record per payload.
   static std::string Encode(const std::vector<std::string>& aPayloads);
 
-  /// Appends to a file that contains `aRecordCount` records.
-  WriteAheadLog(std::unique_ptr<File> aFile, std::uint64_t aRecordCount)
+  /// Appends to a file of `aSize` bytes that contains `aRecordCount` records.
+  WriteAheadLog(std::unique_ptr<File> aFile, std::uint64_t aRecordCount, std::uint64_t aSize)
     : file(std::move(aFile))
     , recordCount(aRecordCount)
+    , size(aSize)
   {
   }
 
-  /// Writes one record durably. Fails with StorageWriteFailed; after a failure every call fails.
+  /// Writes one record durably. Fails with StorageFull if the disk refused the record; the file is
+  /// then as before, and the call may be repeated. Fails with StorageWriteFailed after other
+  /// errors, and from then on.
   Result<void> Append(std::string_view aPayload);
 
 private:
   std::unique_ptr<File> file;
   std::uint64_t recordCount;
+  std::uint64_t size; ///< Of the magic number and all records.
   bool hasFailed = false;
 };
 
--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -290,3 +290,42 @@
   CHECK_FALSE(instance.leadership.isLeading);
   CHECK(instance.state.text == "kept;");
 }
+
+// Guards against a control instance that ends, or that acknowledges commands that it cannot store,
+// while its disk is full.
+TEST_CASE("A driver on a full disk confirms nothing and goes on once there is room")
+{
+  EnsureApplication();
+  DriverGroup group(1);
+  ControlInstance& instance = group.instances.front();
+  MemoryFileSystem files;
+  ConsensusDriverSettings settings;
+  settings.dataFolder = "data";
+  settings.initialMembers = group.initial;
+  instance.driver = std::make_unique<ConsensusDriver>(
+    instance.info, settings, files, instance.state, instance.leadership, nullptr);
+  bool hasFailed = false;
+  QObject::connect(instance.driver.get(),
+                   &ConsensusDriver::Failed,
+                   instance.driver.get(),
+                   [&hasFailed] { hasFailed = true; });
+  REQUIRE(instance.driver->Start());
+  REQUIRE(group.WaitForLeader());
+  REQUIRE(group.Commit("kept"));
+  files.freeBytes = 0;
+  std::optional<ResultCode> outcome;
+  instance.driver->Propose("waiting", [&outcome](const Result<std::uint64_t>& aResult) {
+    outcome = aResult ? ResultCode::Ok : aResult.error().code;
+  });
+  QElapsedTimer elapsed;
+  elapsed.start();
+  REQUIRE(group.WaitFor([&outcome, &elapsed] { return outcome || elapsed.elapsed() > 1200; }));
+  CHECK_FALSE(outcome.has_value());
+  CHECK_FALSE(hasFailed);
+  CHECK(instance.state.text == "kept;");
+  files.freeBytes = SIZE_MAX;
+  REQUIRE(group.WaitFor([&outcome] { return outcome.has_value(); }));
+  CHECK(*outcome == ResultCode::Ok);
+  CHECK(instance.state.text == "kept;waiting;");
+  CHECK_FALSE(hasFailed);
+}
