control: send no directory before the state of a restarted member is confirmed

Found by following what a restarted member may send, for the report on servers and keys that came back after a restart.

RaftNode::HasConfirmedState() is true once the member has applied what a leader of the same term had committed when it was first heard. The publisher starts then. Proxies that already have a directory are not concerned, as they never go back to an older one.

Tests: RaftNodeTests, and a daemon with a restored state and no leader, which sent the old class before.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -662,6 +662,10 @@
     reply.matchIndex = this->MergeEntries(aRequest);
     this->commitIndex =
       std::max(this->commitIndex, std::min(aRequest.commitIndex, reply.matchIndex));
+    // A leader knows what is committed once an entry of its own term is.
+    if (!this->confirmedCommit && this->log.TermAt(aRequest.commitIndex) == aRequest.term) {
+      this->confirmedCommit = aRequest.commitIndex;
+    }
   }
   this->SendWhenDurable(aRequest.leader, reply);
 }
@@ -813,6 +817,7 @@
   }
   if (aEntry.kind == LogEntryKind::TermStart && aEntry.term == this->hardState.term) {
     this->leadershipEstablished = true;
+    this->confirmedCommit = this->confirmedCommit.value_or(aEntry.index);
     this->actions.emplace_back(LeadershipGainedAction{ this->hardState.term });
   }
   if (aEntry.kind == LogEntryKind::Membership && !this->MembershipChangePending() &&
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -99,6 +99,13 @@
   /// True if this member holds the leader lease, or received a request of the leader within the
   /// minimum election timeout.
   bool HasCurrentLeader(Instant aNow) const;
+  /// True if, since its start, this member has applied everything that a leader had committed when
+  /// it was first heard, or has led itself. Before that, the state may be that of an old snapshot.
+  bool HasConfirmedState() const
+  {
+    return this->leadershipEstablished ||
+           (this->confirmedCommit && this->appliedIndex >= *this->confirmedCommit);
+  }
   std::uint64_t CommitIndex() const { return this->commitIndex; }
   std::uint64_t AppliedIndex() const { return this->appliedIndex; }
   const RaftLog& Log() const { return this->log; }
@@ -224,6 +231,8 @@
   bool leadershipEstablished = false;
   std::uint64_t commitIndex = 0;
   std::uint64_t appliedIndex = 0;
+  /// Commit index of a leader of the same term, when one was first heard since the start.
+  std::optional<std::uint64_t> confirmedCommit;
   std::uint64_t durableIndex = 0; ///< Last entry on this member's disk.
 
   Instant electionDeadline{};
--- a/src/oleanderledge/consensus/ReplicatedLog.hpp
+++ b/src/oleanderledge/consensus/ReplicatedLog.hpp
@@ -73,6 +73,9 @@
   /// True while this member holds the leader lease, or received a request of the leader within the
   /// minimum election timeout.
   virtual bool HasCurrentLeader(Instant aNow) const = 0;
+  /// True if the applied state was confirmed by a leader since the start of this process. Before
+  /// that, it may lack commands that were committed long ago.
+  virtual bool HasConfirmedState() const = 0;
   /// The leader of the current term, or a member with an empty id if it is unknown.
   virtual ControlMember Leader() const = 0;
   virtual std::uint64_t Term() const = 0;
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -490,6 +490,12 @@
   return this->isLeading && this->node && this->node->HasLeaderLease(aNow);
 }
 
+bool ConsensusDriver::HasConfirmedState() const
+{
+  return this->node && this->node->HasConfirmedState() &&
+         this->appliedIndex >= this->node->AppliedIndex();
+}
+
 bool ConsensusDriver::HasCurrentLeader(Instant aNow) const
 {
   return this->node && this->node->HasCurrentLeader(aNow);
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -108,6 +108,7 @@
   void Propose(std::string aCommand, ProposeCallback aCallback) override;
   bool HasLeaderLease(Instant aNow) const override;
   bool HasCurrentLeader(Instant aNow) const override;
+  bool HasConfirmedState() const override;
   ControlMember Leader() const override;
   std::uint64_t Term() const override;
   std::uint64_t AppliedIndex() const override;
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -124,6 +124,7 @@
   this->positionDistributor.Clear();
   this->leader.OnLeadershipGained(now, actions);
   this->UpdateProxyCount(now);
+  this->publisher->Start();
   this->Execute(actions);
 }
 
@@ -359,6 +360,9 @@
 {
   const Instant now = MonotonicNow();
   const bool isLeading = this->leader.IsLeading();
+  if (this->Log().HasConfirmedState()) {
+    this->publisher->Start();
+  }
   ControlActions actions;
   if (now - this->lastOwnHeartbeatAt >= kOwnHeartbeatInterval) {
     this->lastOwnHeartbeatAt = now;
--- a/src/oleanderledge/control/internal/DirectoryPublisher.cpp
+++ b/src/oleanderledge/control/internal/DirectoryPublisher.cpp
@@ -1,5 +1,7 @@
 #include "oleanderledge/control/internal/DirectoryPublisher.hpp"
 
+#include <utility>
+
 namespace oleanderledge {
 
 DirectoryPublisher::DirectoryPublisher(const ControlState& aState, QObject* aParent)
@@ -50,6 +52,14 @@
     Qt::QueuedConnection);
 }
 
+void DirectoryPublisher::Start()
+{
+  if (std::exchange(this->isStarted, true)) {
+    return;
+  }
+  this->PublishToAll();
+}
+
 void DirectoryPublisher::PublishToAll()
 {
   for (auto& [id, proxy] : this->proxies) {
@@ -59,7 +69,7 @@
 
 void DirectoryPublisher::PublishTo(Proxy& aProxy)
 {
-  if (aProxy.sentVersion >= this->state.DirectoryVersion()) {
+  if (!this->isStarted || aProxy.sentVersion >= this->state.DirectoryVersion()) {
     return;
   }
   DirectoryUpdate update = this->state.ChangesSince(aProxy.sentVersion);
--- a/src/oleanderledge/control/internal/DirectoryPublisher.hpp
+++ b/src/oleanderledge/control/internal/DirectoryPublisher.hpp
@@ -13,6 +13,9 @@
 
 /// Sends directory rows to the proxies that have a link to this control member, as soon as the rows
 /// are committed. Each proxy gets only rows that it does not have yet.
+///
+/// Sends nothing before Start(): the state of a member that has just started may be old, and a
+/// proxy that has just started too would use servers that have left and routes that were withdrawn.
 class DirectoryPublisher : public QObject
 {
   Q_OBJECT
@@ -20,6 +23,9 @@
 public:
   DirectoryPublisher(const ControlState& aState, QObject* aParent);
 
+  /// The state was confirmed by a leader: sends rows from now on. No effect if it was called
+  /// before.
+  void Start();
   /// Sends the rows that the sender of a heartbeat lacks. Its newest link replaces earlier ones; on
   /// a new link, the heartbeat tells which version the sender has.
   void OnHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat);
@@ -46,6 +52,7 @@
   const ControlState& state;
   std::map<std::string, Proxy> proxies; ///< By instance id.
   bool isScheduled = false;
+  bool isStarted = false;
 };
 
 } // namespace oleanderledge
--- a/tests/consensus/RaftNodeTests.cpp
+++ b/tests/consensus/RaftNodeTests.cpp
@@ -250,6 +250,45 @@
   CHECK(SentMessages<VoteReply>(written)[0].granted);
 }
 
+// Guards against a control instance that starts with an old snapshot and gives it to proxies: they
+// would use servers that have left and routes that were withdrawn, until it hears of a leader.
+TEST_CASE("The state of a restarted member is confirmed only by what a leader has committed")
+{
+  PersistentState stored = FoundedState(Voters({ "a", "b", "c" }));
+  stored.hardState.term = 2;
+  stored.entries.push_back({ 2, 2, {}, LogEntryKind::TermStart });
+  stored.entries.push_back({ 2, 3, "old", LogEntryKind::Command });
+  RaftNode node = StartNode("b", stored);
+  node.Start();
+  CHECK_FALSE(node.HasConfirmedState());
+  SECTION("a leader of the same term names its commit index")
+  {
+    const Instant now = kStart + std::chrono::milliseconds(10);
+    node.OnMessage(MakeAppendRequest(2, "a", 3, 2, 4, { { 2, 4, "new", LogEntryKind::Command } }),
+                   now);
+    CHECK_FALSE(node.HasConfirmedState());
+    node.OnPersisted(1, now);
+    CHECK(node.AppliedIndex() == 4);
+    CHECK(node.HasConfirmedState());
+  }
+  SECTION("a new leader has committed nothing of its own term yet")
+  {
+    const Instant now = kStart + std::chrono::milliseconds(10);
+    node.OnMessage(MakeAppendRequest(3, "a", 3, 2, 1, { { 3, 4, {}, LogEntryKind::TermStart } }),
+                   now);
+    node.OnPersisted(1, now);
+    CHECK_FALSE(node.HasConfirmedState());
+    node.OnMessage(MakeAppendRequest(3, "a", 4, 3, 4, {}), now);
+    CHECK(node.AppliedIndex() == 4);
+    CHECK(node.HasConfirmedState());
+  }
+  SECTION("heartbeats during the transfer of a snapshot say nothing")
+  {
+    node.OnMessage(MakeAppendRequest(2, "a", 0, 0, 0, {}), kStart + std::chrono::milliseconds(10));
+    CHECK_FALSE(node.HasConfirmedState());
+  }
+}
+
 // Guards against callers that wait for another election after a power loss: members that start
 // within 0.3 s of each other became candidates in the same round trip and divided the votes.
 TEST_CASE("Members that restart together elect a leader without dividing their votes")
--- a/tests/control/ControlDaemonTests.cpp
+++ b/tests/control/ControlDaemonTests.cpp
@@ -13,25 +13,48 @@
 
 namespace {
 
+ControlMember OnlyMember()
+{
+  return { "m1", "control-1", "127.0.0.1:1", true };
+}
+
+/// A member that has restored a stored state, with one class, and has not heard of a leader yet.
+class RestoredGroup : public LocalGroup
+{
+public:
+  RestoredGroup(ReplicatedState& aState, LeadershipListener& aListener)
+    : LocalGroup(OnlyMember(), aState, aListener)
+    , state(aState)
+  {
+  }
+
+  Result<void> Start(MessageHandler /*aOnMessage*/, FailureHandler /*aOnFailure*/) override
+  {
+    this->state.Apply(1, EncodeCommand(ChangeClass{ "r1", ClassAction::Create, "old", 50, 0, 0 }));
+    return boost::outcome_v2::success();
+  }
+  void Elect() { LocalGroup::Start({}, {}); }
+
+private:
+  ReplicatedState& state;
+};
+
 /// A control group of one daemon, with one proxy link and HTTP access.
 class DaemonFixture : private WithApplication
 {
 public:
-  DaemonFixture()
+  explicit DaemonFixture(ControlDaemon::GroupFactory aNewGroup = [](ReplicatedState& aState,
+                                                                    LeadershipListener& aListener) {
+    return std::make_unique<LocalGroup>(OnlyMember(), aState, aListener);
+  })
   {
     this->settings.instance = {
       "control-1", 1, InstanceRole::Control, "dalarna/mora-1", FreeAddress(), FreeAddress(), false
     };
     auto ownedBackends = std::make_unique<FakeBackends>();
     this->backends = ownedBackends.get();
-    const ControlMember self{ "m1", "control-1", this->settings.instance.linkAddress, true };
     this->daemon = std::make_unique<ControlDaemon>(
-      this->settings,
-      [self](ReplicatedState& aState, LeadershipListener& aListener) {
-        return std::make_unique<LocalGroup>(self, aState, aListener);
-      },
-      std::move(ownedBackends),
-      nullptr);
+      this->settings, std::move(aNewGroup), std::move(ownedBackends), nullptr);
     REQUIRE(this->daemon->Start());
   }
 
@@ -156,6 +179,23 @@
   CHECK(fixture.Request("/readyz").status == 200);
 }
 
+// Guards against proxies that use servers that have left and routes that were withdrawn: a control
+// instance gave them the state of its last snapshot when it had just started.
+TEST_CASE("A member that has just restarted sends no directory before its state is confirmed")
+{
+  RestoredGroup* group = nullptr;
+  DaemonFixture fixture([&group](ReplicatedState& aState, LeadershipListener& aListener) {
+    auto created = std::make_unique<RestoredGroup>(aState, aListener);
+    group = created.get();
+    return created;
+  });
+  fixture.ConnectProxy();
+  REQUIRE(WaitUntil([&fixture] { return fixture.lastReply.sequence > 3; }));
+  CHECK(fixture.directory.FindClass("old") == nullptr);
+  group->Elect();
+  CHECK(WaitUntil([&fixture] { return fixture.directory.FindClass("old") != nullptr; }));
+}
+
 // Guards an unplanned failover through links, HTTP and calls to backend servers: the owner reports
 // a silent primary and releases the database, then the replica is promoted and a new lease granted.
 TEST_CASE("A silent primary is replaced by its in-sync replica")
--- a/tests/control/LocalLog.hpp
+++ b/tests/control/LocalLog.hpp
@@ -20,6 +20,7 @@
   void Propose(std::string aCommand, ProposeCallback aCallback) override;
   bool HasLeaderLease(Instant aNow) const override;
   bool HasCurrentLeader(Instant aNow) const override;
+  bool HasConfirmedState() const override { return this->term > 0; }
   ControlMember Leader() const override;
   std::uint64_t Term() const override { return this->term; }
   std::uint64_t AppliedIndex() const override { return this->appliedIndex; }
