Keep the only control address with its link; state what Persist() fails with

With one control address, a ready link was taken for lost after 450 ms without a leader, so that the proxy sent heartbeats each 50 ms until it had one. Found in a reading of the change; a test holds it. Comments on full disks and formatting.

--- a/src/oleanderledge/base/ResultCode.cpp
+++ b/src/oleanderledge/base/ResultCode.cpp
@@ -201,7 +201,7 @@
                   "storage_full",
                   "53100",
                   NotRun,
-                  "the disk refused a write; nothing was stored" },
+                  "the disk refused a write, which is tried again" },
   ResultCodeInfo{ ResultCode::SettingsInvalid,
                   "settings_invalid",
                   "F0000",
--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -293,8 +293,8 @@
 }
 
 /// Postpones an own pre-vote after granting one to `aCandidate`, so that several members that
-/// restart together do not divide the votes. Of two simultaneous pre-votes the one of the lower id
-/// goes on.
+/// restart together do not become candidates of the same term and divide the votes. Of two
+/// simultaneous pre-votes the one of the lower member id goes on.
 void RaftNode::YieldTo(std::string_view aCandidate, Instant aNow)
 {
   if (this->role == RaftRole::PreCandidate && aCandidate < this->self) {
--- a/src/oleanderledge/daemon/ControlContact.cpp
+++ b/src/oleanderledge/daemon/ControlContact.cpp
@@ -95,7 +95,8 @@
                                 ? std::max(*this->linkReadyAt, this->lastAcceptedSentAt)
                                 : this->addressSelectedAt;
   const Duration timeout = this->linkReadyAt ? this->AddressTimeout(aNow) : this->LinkTimeout();
-  if (aNow - lastContact > timeout && this->addressSelectedAt != Instant{}) {
+  const bool hasOther = this->addresses.size() > 1;
+  if (hasOther && aNow - lastContact > timeout && this->addressSelectedAt != Instant{}) {
     this->UseNextAddress(aNow);
   }
   if (this->addressSelectedAt == Instant{}) {
--- a/src/oleanderledge/statements/BackendHealth.cpp
+++ b/src/oleanderledge/statements/BackendHealth.cpp
@@ -59,8 +59,7 @@
 void BackendHealth::OnLag(const LogPosition& aRequired, Instant aNow)
 {
   this->OnReachable(aNow);
-  this->lacking =
-    this->lagBackoff.IsActive(aNow) ? std::min(this->lacking, aRequired) : aRequired;
+  this->lacking = this->lagBackoff.IsActive(aNow) ? std::min(this->lacking, aRequired) : aRequired;
   this->lagBackoff.Start(aNow, kInitialLagBackoff, kMaxLagBackoff);
   if (this->reached && aRequired <= *this->reached) {
     // The log was rolled back, as another server was promoted.
--- a/src/oleanderledge/storage/MemberStorage.hpp
+++ b/src/oleanderledge/storage/MemberStorage.hpp
@@ -19,8 +19,8 @@
   /// Truncates an incomplete last record of the log.
   ///
   /// Fails with StorageCorrupt, and leaves the files unchanged, if a file is damaged or missing;
-  /// with StorageOpenFailed if the folder is locked or cannot be read; with StorageWriteFailed if a
-  /// write fails.
+  /// with StorageOpenFailed if the folder is locked or cannot be read; with StorageWriteFailed or
+  /// StorageFull if a write fails.
   static Result<std::unique_ptr<MemberStorage>> Open(FileSystem& aFiles,
                                                      const std::string& aFolder);
 
@@ -30,9 +30,11 @@
   /// Moves out the state that the folder contained when it was opened. May be called once.
   PersistentState TakeLoadedState() { return std::move(this->loaded); }
 
-  /// Makes batches durable, in order and with as few syncs as possible. Fails with
-  /// StorageWriteFailed or StorageOpenFailed. After a failure nothing more is written and every
-  /// call fails with StorageWriteFailed, because the state of the files is unknown until a restart.
+  /// Makes batches durable, in order and with as few syncs as possible. Fails with StorageFull if
+  /// the disk refused a write; the call may then be repeated with the same batches, and further
+  /// ones after them. Fails with StorageWriteFailed or StorageOpenFailed after other errors; from
+  /// then on nothing is written and every call fails with StorageWriteFailed, because the state of
+  /// the files is unknown until a restart.
   Result<void> Persist(std::span<const PersistBatch> aBatches);
 
 private:
--- a/tests/daemon/ControlContactTests.cpp
+++ b/tests/daemon/ControlContactTests.cpp
@@ -155,3 +155,18 @@
     CHECK(contact.SelectAddress(now) != first);
   }
 }
+
+// Guards against a proxy with one control address that takes its ready link for lost.
+TEST_CASE("The only control address is kept, with its link, while there is no leader")
+{
+  InstanceInfo self;
+  self.id = "mora-entry-1";
+  ControlContact contact(self, { "127.0.0.1:1" }, {});
+  const Instant start{ 10s };
+  contact.SelectAddress(start);
+  contact.HandleLinkReady(start);
+  CHECK(contact.SelectAddress(start + 5s) == "127.0.0.1:1");
+  CHECK(contact.NextInterval() == 200ms);
+  contact.HandleLinkClosed(start + 6s);
+  CHECK(contact.NextInterval() == 50ms);
+}
