--- a/tests/control/ControlDaemonTests.cpp
+++ b/tests/control/ControlDaemonTests.cpp
@@ -43,18 +43,18 @@
 class DaemonFixture : private WithApplication
 {
 public:
-  explicit DaemonFixture(ControlDaemon::GroupFactory aNewGroup = [](ReplicatedState& aState,
-                                                                    LeadershipListener& aListener) {
-    return std::make_unique<LocalGroup>(OnlyMember(), aState, aListener);
-  })
+  explicit DaemonFixture(const ControlDaemon::GroupFactory& aNewGroup =
+                           [](ReplicatedState& aState, LeadershipListener& aListener) {
+                             return std::make_unique<LocalGroup>(OnlyMember(), aState, aListener);
+                           })
   {
     this->settings.instance = {
       "control-1", 1, InstanceRole::Control, "dalarna/mora-1", FreeAddress(), FreeAddress(), false
     };
     auto ownedBackends = std::make_unique<FakeBackends>();
     this->backends = ownedBackends.get();
-    this->daemon = std::make_unique<ControlDaemon>(
-      this->settings, std::move(aNewGroup), std::move(ownedBackends), nullptr);
+    this->daemon =
+      std::make_unique<ControlDaemon>(this->settings, aNewGroup, std::move(ownedBackends), nullptr);
     REQUIRE(this->daemon->Start());
   }
 
