--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -176,6 +176,43 @@
   static QCoreApplication application(count, arguments);
 }
 
+/// A running group of one driver whose disk can fail, with one committed command, "kept".
+class DriverOnMemoryDisk
+{
+public:
+  DriverOnMemoryDisk()
+  {
+    ControlInstance& instance = this->group.instances.front();
+    ConsensusDriverSettings settings;
+    settings.dataFolder = "data";
+    settings.initialMembers = this->group.initial;
+    instance.driver = std::make_unique<ConsensusDriver>(
+      instance.info, settings, this->files, instance.state, instance.leadership, nullptr);
+    QObject::connect(instance.driver.get(),
+                     &ConsensusDriver::Failed,
+                     instance.driver.get(),
+                     [this](const Error& aError) { this->failure = aError.code; });
+    REQUIRE(instance.driver->Start());
+    REQUIRE(this->group.WaitForLeader());
+    REQUIRE(this->group.Commit("kept"));
+  }
+
+  /// Proposes a command; `outcome` is set once it is known.
+  void Propose(const std::string& aCommand)
+  {
+    this->group.instances.front().driver->Propose(
+      aCommand, [this](const Result<std::uint64_t>& aResult) {
+        this->outcome = aResult ? ResultCode::Ok : aResult.error().code;
+      });
+  }
+
+  // The driver in `group` uses the others until its end.
+  MemoryFileSystem files;
+  std::optional<ResultCode> failure; ///< Reported by the driver when it stopped.
+  std::optional<ResultCode> outcome; ///< Of the proposed command.
+  DriverGroup group{ 1 };
+};
+
 } // namespace
 
 // Guards against a group that cannot be founded over real links, or that loses committed commands
@@ -262,30 +299,13 @@
 TEST_CASE("A failed sync stops the driver, and the pending proposal has an unknown outcome")
 {
   EnsureApplication();
-  DriverGroup group(1);
-  ControlInstance& instance = group.instances.front();
-  MemoryFileSystem files;
-  ConsensusDriverSettings settings;
-  settings.dataFolder = "data";
-  settings.initialMembers = group.initial;
-  instance.driver = std::make_unique<ConsensusDriver>(
-    instance.info, settings, files, instance.state, instance.leadership, nullptr);
-  std::optional<ResultCode> failure;
-  QObject::connect(instance.driver.get(),
-                   &ConsensusDriver::Failed,
-                   instance.driver.get(),
-                   [&failure](const Error& aError) { failure = aError.code; });
-  REQUIRE(instance.driver->Start());
-  REQUIRE(group.WaitForLeader());
-  REQUIRE(group.Commit("kept"));
-  files.failSyncs = true;
-  std::optional<ResultCode> outcome;
-  instance.driver->Propose("lost", [&outcome](const Result<std::uint64_t>& aResult) {
-    outcome = aResult ? ResultCode::Ok : aResult.error().code;
-  });
-  REQUIRE(group.WaitFor([&failure] { return failure.has_value(); }));
-  CHECK(*failure == ResultCode::StorageWriteFailed);
-  CHECK(outcome == ResultCode::OutcomeUnknown);
+  DriverOnMemoryDisk fixture;
+  ControlInstance& instance = fixture.group.instances.front();
+  fixture.files.failSyncs = true;
+  fixture.Propose("lost");
+  REQUIRE(fixture.group.WaitFor([&fixture] { return fixture.failure.has_value(); }));
+  CHECK(*fixture.failure == ResultCode::StorageWriteFailed);
+  CHECK(fixture.outcome == ResultCode::OutcomeUnknown);
   CHECK_FALSE(instance.driver->HasLeaderLease(MonotonicNow()));
   CHECK_FALSE(instance.leadership.isLeading);
   CHECK(instance.state.text == "kept;");
@@ -296,36 +316,20 @@
 TEST_CASE("A driver on a full disk confirms nothing and goes on once there is room")
 {
   EnsureApplication();
-  DriverGroup group(1);
-  ControlInstance& instance = group.instances.front();
-  MemoryFileSystem files;
-  ConsensusDriverSettings settings;
-  settings.dataFolder = "data";
-  settings.initialMembers = group.initial;
-  instance.driver = std::make_unique<ConsensusDriver>(
-    instance.info, settings, files, instance.state, instance.leadership, nullptr);
-  bool hasFailed = false;
-  QObject::connect(instance.driver.get(),
-                   &ConsensusDriver::Failed,
-                   instance.driver.get(),
-                   [&hasFailed] { hasFailed = true; });
-  REQUIRE(instance.driver->Start());
-  REQUIRE(group.WaitForLeader());
-  REQUIRE(group.Commit("kept"));
-  files.freeBytes = 0;
-  std::optional<ResultCode> outcome;
-  instance.driver->Propose("waiting", [&outcome](const Result<std::uint64_t>& aResult) {
-    outcome = aResult ? ResultCode::Ok : aResult.error().code;
-  });
+  DriverOnMemoryDisk fixture;
+  ControlInstance& instance = fixture.group.instances.front();
+  fixture.files.freeBytes = 0;
+  fixture.Propose("waiting");
   QElapsedTimer elapsed;
   elapsed.start();
-  REQUIRE(group.WaitFor([&outcome, &elapsed] { return outcome || elapsed.elapsed() > 1200; }));
-  CHECK_FALSE(outcome.has_value());
-  CHECK_FALSE(hasFailed);
+  REQUIRE(fixture.group.WaitFor(
+    [&fixture, &elapsed] { return fixture.outcome || elapsed.elapsed() > 1200; }));
+  CHECK_FALSE(fixture.outcome.has_value());
+  CHECK_FALSE(fixture.failure.has_value());
   CHECK(instance.state.text == "kept;");
-  files.freeBytes = SIZE_MAX;
-  REQUIRE(group.WaitFor([&outcome] { return outcome.has_value(); }));
-  CHECK(*outcome == ResultCode::Ok);
+  fixture.files.freeBytes = SIZE_MAX;
+  REQUIRE(fixture.group.WaitFor([&fixture] { return fixture.outcome.has_value(); }));
+  CHECK(*fixture.outcome == ResultCode::Ok);
   CHECK(instance.state.text == "kept;waiting;");
-  CHECK_FALSE(hasFailed);
+  CHECK_FALSE(fixture.failure.has_value());
 }
