--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -1,6 +1,7 @@
 """Runs a case: cleans up after it and turns its result into the exit code."""
 
 import asyncio
+import logging
 import os
 import signal
 import sys
@@ -8,6 +9,7 @@
 
 from fleet import CannotRun, Record
 
+logging.getLogger("asyncio").setLevel(logging.CRITICAL)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -126,7 +126,10 @@
         self.drain_acknowledged = asyncio.Event()
         self.slots = asyncio.Semaphore(service.slots)
         self.runs = []
-        self.feed, self.feed_done = None, 0.0
+        self.feed = None
+        self.status_calls = 0
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.server = self.tasks = None
         service.servers[name] = self
 
@@ -148,9 +151,18 @@
         for writer in list(self.connections):
             writer.transport.abort()
 
+    async def go_dark(self, seconds):
+        """Answers nothing and sends nothing for a while."""
+        self.record.add(self.name, f"is silent for {seconds:.2f} s")
+        self.awake.clear()
+        await asyncio.sleep(seconds)
+        self.awake.set()
+        self.record.add(self.name, "answers again")
+
     async def beat(self):
         target = None
         while self.is_running:
+            await self.awake.wait()
             self.beat_now.clear()
             self.sequence += 1
             state = self.state
@@ -253,6 +265,7 @@
         try:
             if self.distance_s:
                 await asyncio.sleep(self.distance_s * 3)  # Handshake of TCP, way of the STARTUP.
+            await self.awake.wait()
             word, _, rest = (await reader.readuntil(b"\r\n")).decode().rstrip("\r\n").partition(" ")
             fields = rest.split(" ")
             wrong = word != "STARTUP" or fields[0] != self.service.name or \
@@ -265,6 +278,7 @@
                 line = (await reader.readuntil(b"\r\n")).decode().rstrip("\r\n")
                 if self.distance_s:
                     await asyncio.sleep(self.distance_s * 2)  # Way back of READY, and the request.
+                await self.awake.wait()
                 if line == "TERMINATE":
                     return
                 _, statement_id, text = line.split(" ", 2)
@@ -293,6 +307,7 @@
             words = words[2:]
         verb = words[0]
         if verb == "STATUS":
+            self.status_calls += 1
             return (f"DATAROW {self.role()} {self.service.term} {self.position()} 0 0 0 "
                     f"{len(self.connections)}\r\n"), "COMPLETE -\r\n"
         if verb == "ROLLBACK":
