--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import math
 import random
 import signal
 import time
@@ -15,12 +14,12 @@
                       wait_until)
 
 GRACE_S = BOUNDS["grace_period_s"]
-CLIENTS = 12
+CLIENTS = 8
 
 
 def work_s():
-    """work_ms of stock-lookup in the site file: mean = 22.0, spread = 0.7, max = 170.0."""
-    return min(0.170, random.lognormvariate(math.log(0.022) - 0.7**2 / 2, 0.7))
+    """Heavy ones of the stock-lookups of the site file, whose work_ms has max = 170.0."""
+    return random.uniform(0.08, 0.17)
 
 
 async def play(record, cleanups):
@@ -55,12 +54,14 @@
             try:
                 _, outcome, _ = await client.query(f"READ item-{index}-{number}")
                 answered.append((sent, outcome))
+                if outcome != "ok":
+                    await asyncio.sleep(0.2)
             except Closed as closed:
                 cut.append((sent, time.monotonic(), str(closed)))
                 return
 
     clients = [asyncio.create_task(look_up(index)) for index in range(CLIENTS)]
-    if not await wait_until(lambda: sum(each[1] == "ok" for each in answered) > 500, 20):
+    if not await wait_until(lambda: sum(each[1] == "ok" for each in answered) > 100, 20):
         raise CannotRun("the fleet does not serve")
     await asyncio.sleep(5)  # contact_window_ms without any disruption
     state["stop"] = time.monotonic()
