--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -114,7 +114,7 @@
 
     def __init__(self, service, name, work_s=0.01, replication_s=None, distance_s=0.0):
         self.service, self.name, self.record = service, name, service.record
-        self.work_s = work_s if callable(work_s) else lambda: work_s
+        self.work_s = work_s if callable(work_s) else lambda text: work_s
         # Delay of the log on its way from the primary, and one-way delay to all callers.
         self.replication_s = replication_s or (lambda: 0.001)
         self.distance_s = distance_s
@@ -344,7 +344,7 @@
         self.record.add(self.name, f"runs {statement_id} {text}")
         self.runs.append((time.monotonic(), statement_id, text))
         async with self.slots:
-            await asyncio.sleep(self.work_s())
+            await asyncio.sleep(self.work_s(text))
         if verb == "COMMIT":
             written = session["writes"]
             session.update(in_tx=False, writes=[])
