A stopping proxy refuses new statements and answers all that it has passed on

What callers saw: after the SIGTERM of a proxy, callers that send one statement after the other were served for 5.5 s.

Cause: a graceful stop never ended the acceptance of statements.

Ruled out: sessions opened during the stop (none), and statements of the first seconds that ran for long (none).

Why this works: from the time at which open transactions are aborted no statement is sent to a server, so whatever was sent is answered long before the end; what is not answered 0.2 s before the end is answered then. Refusals promise that nothing was executed, so callers may resend. Sessions are closed only after 50 ms without a statement, because the next one may be on its way.

--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -2,6 +2,13 @@
 
 namespace oleanderledge {
 
+namespace {
+
+/// Time before the end of a graceful stop that is left for the last answers to reach callers.
+constexpr std::chrono::milliseconds kLastAnswerTime{ 200 };
+
+} // namespace
+
 StatementTrafficWorker::StatementTrafficWorker(InstanceInfo aSelf,
                                                std::unique_ptr<StatementProtocol> aProtocol,
                                                Settings aSettings)
@@ -17,6 +24,8 @@
   serviceSettings.callersAddress = this->settings.callersAddress;
   serviceSettings.self = this->self;
   serviceSettings.regionOfZone = this->settings.fleet.regionOfZone;
+  serviceSettings.answerUnfinishedAfter =
+    std::chrono::milliseconds(this->settings.fleet.stopLimitMs) - kLastAnswerTime;
   auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
   if (!created) {
     return Fail(created.error().code, created.error().message);
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -23,8 +23,12 @@
   /// Delay between the start of a graceful stop and the closing of idle sessions and of the
   /// listening socket for callers. The load balancer has to detect the stop first.
   Duration closeIdleSessionsAfter = std::chrono::milliseconds(2500);
-  /// Delay between the start of a graceful stop and the abort of open transactions.
+  /// Delay between the start of a graceful stop and the abort of open transactions. From then on
+  /// new statements are refused.
   Duration abortTransactionsAfter = std::chrono::milliseconds(3000);
+  /// Delay between the start of a graceful stop and the answer to statements whose backend server
+  /// has not answered yet.
+  Duration answerUnfinishedAfter = std::chrono::milliseconds(5300);
 };
 
 /// Log position of a service's primary at a time when it was confirmed as primary. It covers every
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kIdleCheckInterval = std::chrono::seconds(1);
 /// Pending connections of callers. All sessions of an availability zone may reconnect at once.
 constexpr int kListenBacklog = 1024;
+/// A stopping proxy closes sessions that were idle for this time. The next statement of a caller
+/// that does not pause between statements may be on its way, and would be lost with the connection.
+constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -230,16 +233,28 @@
     return;
   }
   this->server.close();
-  const bool endsTransactions = aNow - this->stopStarted >= this->settings.abortTransactionsAfter;
+  const bool endsTransactions = this->RefusesNewWork();
+  const bool endsStatements = aNow - this->stopStarted >= this->settings.answerUnfinishedAfter;
   for (StatementSession* session : std::set(this->sessions)) {
-    if (session->IsIdle()) {
+    if (session->IsIdleSince(aNow - kIdleBeforeClose)) {
       session->Close();
-    } else if (endsTransactions) {
+      continue;
+    }
+    if (endsStatements) {
+      session->EndStatement();
+    }
+    if (endsTransactions) {
       session->AbortTransaction("the proxy is stopping");
     }
   }
 }
 
+bool StatementServer::RefusesNewWork() const
+{
+  return this->isStopping &&
+         MonotonicNow() - this->stopStarted >= this->settings.abortTransactionsAfter;
+}
+
 bool StatementServer::IsIdle() const
 {
   return this->sessions.empty() && this->relay.IsIdle();
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -42,6 +42,7 @@
 private:
   const Directory& CurrentDirectory() const override { return *this->directory; }
   ServiceDispatcher& DispatcherOf(const std::string& aService) override;
+  bool RefusesNewWork() const override;
   void CountOutcome(std::uint32_t aPriority,
                     std::optional<StatementError> aError,
                     Duration aTook) override;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -38,6 +38,8 @@
 /// about this time.
 constexpr std::chrono::milliseconds kRetryAfterOverload(200);
 constexpr std::chrono::milliseconds kRetryAfterFailover(1000);
+/// The load balancer connects a caller of a stopping proxy to another one at once.
+constexpr std::chrono::milliseconds kRetryAfterStop(0);
 
 bool IsRefusal(StatementError aError)
 {
@@ -101,10 +103,11 @@
   this->socket->disconnectFromHost();
 }
 
-bool StatementSession::IsIdle() const
+bool StatementSession::IsIdleSince(Instant aSince) const
 {
   return !this->running && this->receivedMessages.empty() &&
-         this->transaction.state == TransactionState::Idle;
+         this->transaction.state == TransactionState::Idle &&
+         this->transaction.lastActivity <= aSince;
 }
 
 void StatementSession::ReadAvailable()
@@ -155,7 +158,7 @@
   std::optional<StatementError> refusal;
   if (this->isStarted) {
     refusal = StatementError::Malformed;
-  } else if (directory.ConfigurationNumber() == 0) {
+  } else if (directory.ConfigurationNumber() == 0 || this->host.RefusesNewWork()) {
     refusal = StatementError::Unavailable;
   } else if (directory.FindRoute(aStartUp.database) == nullptr) {
     refusal = StatementError::UnknownDatabase;
@@ -205,6 +208,10 @@
     }
     return;
   }
+  if (statement.kind != StatementKind::Rollback && this->host.RefusesNewWork()) {
+    this->RefuseWhileStopping();
+    return;
+  }
   this->transaction.lastActivity = this->running->arrivedAt;
   switch (statement.kind) {
     case StatementKind::Read:
@@ -237,6 +244,22 @@
   }
 }
 
+void StatementSession::RefuseWhileStopping()
+{
+  const bool inTransaction = this->transaction.state == TransactionState::Open;
+  const bool isCommit = this->running->statement.kind == StatementKind::Commit;
+  if (inTransaction) {
+    this->EndTransaction();
+    this->transaction.state = isCommit ? TransactionState::Idle : TransactionState::Failed;
+  }
+  this->AnswerError(inTransaction ? StatementError::Aborted : StatementError::Unavailable,
+                    "the proxy is stopping; " + RetryAfterText(kRetryAfterStop));
+  // Statements that were received together with this one are refused before the session closes.
+  if (this->receivedMessages.empty()) {
+    this->Close();
+  }
+}
+
 void StatementSession::HandleLocally(const Statement& aStatement)
 {
   switch (aStatement.kind) {
@@ -448,7 +471,11 @@
 
 void StatementSession::AbortTransaction(std::string_view aReason)
 {
-  if (this->running || this->transaction.state != TransactionState::Open) {
+  if (this->running || this->transaction.state == TransactionState::Idle) {
+    return;
+  }
+  if (this->transaction.state == TransactionState::Failed) {
+    this->Close();
     return;
   }
   this->EndTransaction();
@@ -757,6 +784,18 @@
                           std::chrono::milliseconds(this->route->statementTimeoutMs)) {
     return;
   }
+  this->GiveUp(StatementError::TimedOut, "the statement timed out");
+}
+
+void StatementSession::EndStatement()
+{
+  if (this->running && this->route) {
+    this->GiveUp(StatementError::Unknown, "the proxy is stopping");
+  }
+}
+
+void StatementSession::GiveUp(StatementError aErrorIfExecuted, std::string_view aReason)
+{
   const bool wasSent = this->running->isSent;
   const bool inTransaction = this->transaction.state == TransactionState::Open;
   const bool isCommit = this->running->statement.kind == StatementKind::Commit;
@@ -776,13 +815,12 @@
   this->transaction = Transaction{};
   if (inTransaction && !isCommit) {
     this->transaction.state = TransactionState::Failed;
-    this->AnswerError(StatementError::Aborted, "the statement timed out");
+    this->AnswerError(StatementError::Aborted, aReason);
     return;
   }
   // In a transaction only COMMIT reaches this point; it has no effect if nothing was written.
   const bool mayHaveRun = wasSent && (!inTransaction || hasWritten);
-  this->AnswerError(mayHaveRun ? StatementError::TimedOut : StatementError::Unavailable,
-                    "the statement timed out");
+  this->AnswerError(mayHaveRun ? aErrorIfExecuted : StatementError::Unavailable, aReason);
 }
 
 /// Retries a single read elsewhere if its server counts as failing and has not answered it within
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -23,6 +23,9 @@
   virtual ~SessionHost() = default;
   virtual const Directory& CurrentDirectory() const = 0;
   virtual ServiceDispatcher& DispatcherOf(const std::string& aService) = 0;
+  /// True once a graceful stop has lasted so long that a new statement might not be answered before
+  /// the process ends.
+  virtual bool RefusesNewWork() const = 0;
   /// Counts a finished statement by the priority of its route; std::nullopt means success. `aTook`
   /// is the time from arrival to answer.
   virtual void CountOutcome(std::uint32_t aPriority,
@@ -49,11 +52,15 @@
   /// Enforces the time limits of the start-up, the statement and an idle transaction, and retries a
   /// single read whose server does not respond. Called periodically.
   void CheckTimeLimits(Instant aNow);
-  /// True if no request is pending and no transaction is open.
-  bool IsIdle() const;
+  /// True if no request is pending, no transaction is open and the last answer was sent by
+  /// `aSince`.
+  bool IsIdleSince(Instant aSince) const;
   /// Rolls back an open transaction, tells the caller that it was aborted and closes the session.
-  /// No effect while a statement runs or if no transaction is open.
+  /// Also closes a session whose transaction has failed. No effect while a statement runs or
+  /// without a transaction.
   void AbortTransaction(std::string_view aReason);
+  /// Answers the running statement, if any, without waiting for its backend server any longer.
+  void EndStatement();
   void Close();
 
 Q_SIGNALS:
@@ -99,6 +106,9 @@
   void ProcessNext();
   void Handle(StartUp aStartUp);
   void Handle(Statement aStatement);
+  /// Answers the running statement, which was not sent, with an error that promises that nothing
+  /// was executed, rolls back an open transaction and closes the session.
+  void RefuseWhileStopping();
   /// Executes a statement that needs no backend server, or starts a transaction.
   void HandleLocally(const Statement& aStatement);
 
@@ -137,6 +147,9 @@
   void OnConnectionUnusable(const StatementResult& aResult);
 
   void RetryReadIfUnresponsive(Instant aNow);
+  /// Answers the running statement and drops its connection. `aErrorIfExecuted` is the answer if
+  /// the statement may have been executed.
+  void GiveUp(StatementError aErrorIfExecuted, std::string_view aReason);
   bool IsWrite(const Statement& aStatement) const;
   /// Requests a connection from the dispatcher; EndTransaction() cancels.
   void RequestPlacement(PlacementRequest aRequest, ServiceDispatcher::Callback aDone);
--- a/tests/statements/ServiceWithReplicas.hpp
+++ b/tests/statements/ServiceWithReplicas.hpp
@@ -23,8 +23,10 @@
 class ServiceWithReplicas
 {
 public:
-  /// `aProxyCount` is the number of proxies that the service is told; 0 if it is told none.
-  explicit ServiceWithReplicas(std::uint32_t aProxyCount = 1)
+  /// `aProxyCount` is the number of proxies that the service is told; 0 if it is told none. Of
+  /// `aSettings` only the times of a graceful stop are used.
+  explicit ServiceWithReplicas(std::uint32_t aProxyCount = 1,
+                               const StatementServiceSettings& aSettings = {})
     : primary(this->group, "i-primary")
     , near(this->group, "i-near")
     , far(this->group, "i-far")
@@ -34,7 +36,7 @@
     this->group.items["a"] = "first";
     this->address = FreeAddress();
     this->linkAddress = FreeAddress();
-    this->service = NewProxy("proxy-1", this->address, this->linkAddress);
+    this->service = NewProxy("proxy-1", this->address, this->linkAddress, aSettings);
     this->service->SetProxyCount(aProxyCount);
     this->update.services = { { "ledger", 10, 0, 1, false } };
     this->update.configurationNumber = 1;
@@ -49,9 +51,10 @@
 
   static std::unique_ptr<StatementService> NewProxy(const std::string& aId,
                                                     const std::string& aCallersAddress,
-                                                    const std::string& aLinkAddress)
+                                                    const std::string& aLinkAddress,
+                                                    const StatementServiceSettings& aSettings = {})
   {
-    StatementServiceSettings settings;
+    StatementServiceSettings settings = aSettings;
     settings.callersAddress = aCallersAddress;
     settings.self.id = aId;
     settings.self.zone = "east/near-zone";
