A stopping relay refuses the statements of other proxies before its process ends

What callers saw: a transaction over a borrowed connection went on while the proxy that lends it was stopping. A COMMIT in progress at the end of that process got the answer "unknown"; an open transaction was cut there.

Cause: the same as for the proxy's own sessions. The relay took no new uses, but statements of open ones until its process ended.

Evidence: the new case of RelayTests, in which a caller never pauses inside a transaction over a relay, fails without the change (the relay never becomes idle).

Why this works: after the time limit for open transactions the relay sends no statement to a server; it answers with "aborted", or "unavailable" outside a transaction, so the borrowing proxy can promise that nothing is kept.

--- a/src/oleanderledge/statements/internal/ConnectionRelay.cpp
+++ b/src/oleanderledge/statements/internal/ConnectionRelay.cpp
@@ -6,8 +6,11 @@
 
 namespace oleanderledge {
 
-ConnectionRelay::ConnectionRelay(DispatcherLookup aLookup, QObject* aParent)
+ConnectionRelay::ConnectionRelay(const StatementProtocol& aProtocol,
+                                 DispatcherLookup aLookup,
+                                 QObject* aParent)
   : QObject(aParent)
+  , protocol(aProtocol)
   , lookup(std::move(aLookup))
 {
 }
@@ -116,11 +119,30 @@
     aLink->Close();
     return;
   }
+  if (this->refusesStatements) {
+    this->RefuseStatement(key, *found->second);
+    return;
+  }
   found->second->connection->Run(aMessage.request, [this, key](const StatementResult& aResult) {
     this->HandleResult(key, aResult);
   });
 }
 
+void ConnectionRelay::RefuseStatement(const ChannelKey& aKey, const RelayedUse& aUse)
+{
+  const bool inTransaction = aUse.state != TransactionState::Idle;
+  const auto error = inTransaction ? StatementError::Aborted : StatementError::Unavailable;
+  RelayResult message;
+  message.channel = aKey.second;
+  message.hasError = true;
+  message.error = static_cast<std::uint8_t>(error);
+  message.errorText =
+    this->protocol.Failure(error, "the proxy that lends the connection is stopping");
+  message.transactionState =
+    static_cast<std::uint8_t>(inTransaction ? TransactionState::Failed : TransactionState::Idle);
+  aKey.first->Send(message);
+}
+
 void ConnectionRelay::HandleResult(const ChannelKey& aKey, const StatementResult& aResult)
 {
   const auto found = this->uses.find(aKey);
--- a/src/oleanderledge/statements/internal/ConnectionRelay.hpp
+++ b/src/oleanderledge/statements/internal/ConnectionRelay.hpp
@@ -23,7 +23,7 @@
   /// Returns the dispatcher of the service of a backend server; null if the server is unknown.
   using DispatcherLookup = std::function<ServiceDispatcher*(const std::string& aBackend)>;
 
-  ConnectionRelay(DispatcherLookup aLookup, QObject* aParent);
+  ConnectionRelay(const StatementProtocol& aProtocol, DispatcherLookup aLookup, QObject* aParent);
   ~ConnectionRelay() override;
 
   /// Takes ownership of an accepted link of another proxy.
@@ -31,6 +31,9 @@
 
   /// Rejects new requests from now on.
   void BeginStop() { this->isStopping = true; }
+  /// Refuses all statements from now on, because this process might end before their answers. Open
+  /// transactions are rolled back once their proxies return the connections.
+  void RefuseStatements() { this->refusesStatements = true; }
   /// True if no other proxy uses or requests a connection.
   bool IsIdle() const { return this->uses.empty(); }
   /// Number of times that a connection was lent since the start.
@@ -57,15 +60,20 @@
                     const std::optional<Placement>& aPlacement,
                     StatementError aError);
   void HandleResult(const ChannelKey& aKey, const StatementResult& aResult);
+  /// Answers a statement, which was not sent to the server, with a promise that it was not
+  /// executed.
+  void RefuseStatement(const ChannelKey& aKey, const RelayedUse& aUse);
   void HandleClosed(LinkConnection* aLink);
   /// Releases the connection, or cancels the request, of a proxy that has disconnected.
   void ReleaseOrphaned(RelayedUse& aUse);
   static void Refuse(const ChannelKey& aKey, RelayOutcome aOutcome);
 
+  const StatementProtocol& protocol;
   DispatcherLookup lookup;
   std::map<ChannelKey, std::unique_ptr<RelayedUse>> uses;
   std::uint64_t useCount = 0;
   bool isStopping = false;
+  bool refusesStatements = false;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -29,7 +29,10 @@
   , directory(std::make_shared<Directory>())
   , linkServer(this->settings.self, {}, nullptr)
   , relayClient(this->settings.self, nullptr)
-  , relay([this](const std::string& aBackend) { return this->FindDispatcherOf(aBackend); }, nullptr)
+  , relay(
+      *this->protocol,
+      [this](const std::string& aBackend) { return this->FindDispatcherOf(aBackend); },
+      nullptr)
 {
   QObject::connect(&this->linkServer, &LinkServer::Accepted, this, [this](LinkConnection* aLink) {
     this->relay.AcceptLink(aLink);
@@ -234,6 +237,9 @@
   }
   this->server.close();
   const bool endsTransactions = this->RefusesNewWork();
+  if (endsTransactions) {
+    this->relay.RefuseStatements();
+  }
   const bool endsStatements = aNow - this->stopStarted >= this->settings.answerUnfinishedAfter;
   for (StatementSession* session : std::set(this->sessions)) {
     if (session->IsIdleSince(aNow - kIdleBeforeClose)) {
--- a/tests/statements/RelayTests.cpp
+++ b/tests/statements/RelayTests.cpp
@@ -1,3 +1,4 @@
+#include "tests/statements/BusyCaller.hpp"
 #include "tests/statements/ServiceWithReplicas.hpp"
 
 using namespace oleanderledge;
@@ -9,8 +10,10 @@
 class ProxyBehindRelay
 {
 public:
-  ProxyBehindRelay()
-    : address(FreeAddress())
+  /// Of `aRelaySettings` only the times of a graceful stop are used.
+  explicit ProxyBehindRelay(const StatementServiceSettings& aRelaySettings = {})
+    : relay(1, aRelaySettings)
+    , address(FreeAddress())
     , service(ServiceWithReplicas::NewProxy("proxy-2", this->address, FreeAddress()))
   {
     this->service->ApplyDirectory(std::make_shared<Directory>(this->relay.directory));
@@ -142,3 +145,18 @@
   CHECK(caller.Send("QUERY c1 COMMIT").starts_with("COMPLETE signature-i-primary"));
   CHECK(RunUntil([&proxy] { return proxy.relay.service->IsIdle(); }));
 }
+
+// Guards against a COMMIT whose outcome is unknown because the relay ended while it ran: a stopping
+// relay let transactions of other proxies go on until its process ended.
+TEST_CASE("A stopping relay ends transactions that never pause with a promise", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy(ShortStop());
+  BusyCaller caller(proxy.address, "orders", "BEGIN");
+  REQUIRE(RunUntil([&caller] { return caller.answers.size() > 20; }));
+  proxy.relay.service->BeginStop();
+  CHECK(RunUntil([&proxy] { return proxy.relay.service->IsIdle(); }));
+  CHECK(std::ranges::any_of(caller.answers,
+                            [](const auto& aEach) { return aEach.second == "ERROR ABORTED"; }));
+  CHECK(proxy.relay.group.items["a"] == "first");
+}
