A control member that stops hands its vote over, and replacements need both majorities

Cause: the group depended on the vote of an instance that had left. It was noticed only after 1.5 s, and then the old voter was removed before the new one voted, so that the group had four voters for 100 ms. Both leave one loss to bear, not two.

Ruled out: lost instances that are not admitted back (there was no leader to admit them).

Why this works: a stopping instance keeps its vote until a learner has it, or until its stop limit. A voter is replaced by two entries, of which the first needs, and the second needs until it is committed, a majority of the old and one of the new voters; so no step bears fewer losses than the state before. Removing first leaves four voters, promoting first six. The steps follow each other without the timer. A member whose vote ends with an uncommitted entry may still be elected: if only it has that entry, nobody else can be.

--- a/soak/ProcessFleet.cpp
+++ b/soak/ProcessFleet.cpp
@@ -72,6 +72,7 @@
     text += Line("  ", "control_plane", this->ControlPlaneAddress(index));
     text += Line("  ", "promotion", aPromotionAddress);
     text += "  registration_interval_ms: 300\n  tolerated_losses: 1\n  may_found_group: true\n";
+    text += Line("  ", "stop_limit_ms", "5000");
     this->AddProcess(name, "control", text);
   }
   for (std::size_t index = 0; index < kProxies; ++index) {
--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -22,6 +22,21 @@
   return aMembers;
 }
 
+std::vector<ControlMember> WithReplacement(std::vector<ControlMember> aMembers,
+                                           const std::string& aOutgoing,
+                                           const std::string& aIncoming)
+{
+  for (ControlMember& member : aMembers) {
+    if (member.id == aOutgoing) {
+      member.replacement = ReplacementPart::Outgoing;
+    } else if (member.id == aIncoming) {
+      member.voter = true;
+      member.replacement = ReplacementPart::Incoming;
+    }
+  }
+  return aMembers;
+}
+
 std::vector<ControlMember> WithPromotedMember(std::vector<ControlMember> aMembers,
                                               const std::string& aId)
 {
@@ -43,9 +58,22 @@
   }
 }
 
+void GroupMaintenance::OnLeaveRequest(const std::string& aMember, Instant aNow)
+{
+  this->leaveRequestedAt[aMember] = aNow;
+}
+
+bool GroupMaintenance::IsLeaving(const ControlMember& aMember, Instant aNow) const
+{
+  const auto found = this->leaveRequestedAt.find(aMember.id);
+  return found != this->leaveRequestedAt.end() &&
+         aNow - found->second <= this->settings.requestLifetime;
+}
+
 void GroupMaintenance::OnLeadershipGained(Instant aNow)
 {
   this->leadershipStart = aNow;
+  this->learnersSince.clear();
 }
 
 bool GroupMaintenance::ShouldRequestJoin(const RaftNode& aNode, Instant aNow)
@@ -67,6 +95,15 @@
     return std::nullopt;
   }
   const std::vector<ControlMember>& members = aNode.Members();
+  if (IsReplacementInProgress(members)) {
+    const auto outgoing =
+      std::ranges::find(members, ReplacementPart::Outgoing, &ControlMember::replacement);
+    // As a learner, a member that leaves hears that it does not vote any more.
+    const bool isInContact =
+      this->TimeSinceContact(aNode, outgoing->id, aNow) <= this->settings.lostVoterTimeout;
+    return WithReplacementCompleted(members,
+                                    isInContact && !this->IsSuperseded(members, *outgoing));
+  }
   if (auto admitted = this->NextAdmission(members, aNow)) {
     return admitted;
   }
@@ -74,22 +111,14 @@
   if (learner != nullptr && CountVoters(members) < this->settings.targetVoterCount) {
     return WithPromotedMember(members, learner->id);
   }
-  // The lost voter is removed before the learner is promoted. Promoting first would raise the
-  // required majority by one, and the commit could depend on the new voter's copy of the log.
-  const ControlMember* lost = this->FindLostVoter(aNode, aNow);
-  // In a group with more voters than the target, for example because the target is set too low,
-  // removed voters would not be replaced.
+  const ControlMember* replaced = this->FindVoterToReplace(aNode, aNow);
+  // A group that has more voters than the target is left alone: the target may be set too low.
   const bool isReplaceable = CountVoters(members) <= this->settings.targetVoterCount;
-  if (learner != nullptr && lost != nullptr && isReplaceable) {
-    return WithoutMember(members, lost->id);
+  if (learner != nullptr && replaced != nullptr && isReplaceable) {
+    return WithReplacement(members, replaced->id, learner->id);
   }
-  for (const ControlMember& member : members) {
-    if (!member.voter && this->IsSuperseded(members, member) &&
-        this->TimeSinceContact(aNode, member.id, aNow) > this->settings.lostVoterTimeout) {
-      return WithoutMember(members, member.id);
-    }
-  }
-  return std::nullopt;
+  const ControlMember* lost = this->FindLostLearner(aNode, aNow);
+  return lost == nullptr ? std::nullopt : std::optional(WithoutMember(members, lost->id));
 }
 
 std::optional<std::vector<ControlMember>> GroupMaintenance::NextAdmission(
@@ -97,7 +126,7 @@
   Instant aNow)
 {
   std::erase_if(this->pendingJoins, [this, aNow, &aMembers](const auto& aEntry) {
-    return aNow - aEntry.second.requestedAt > this->settings.joinRequestLifetime ||
+    return aNow - aEntry.second.requestedAt > this->settings.requestLifetime ||
            FindMember(aMembers, aEntry.first) != nullptr;
   });
   if (this->pendingJoins.empty()) {
@@ -141,7 +170,7 @@
   for (const ControlMember& member : aNode.Members()) {
     const auto found = aNode.Progress().find(member.id);
     if (member.voter || found == aNode.Progress().end() || !found->second.ackedRequestSentAt ||
-        this->IsSuperseded(aNode.Members(), member)) {
+        this->IsSuperseded(aNode.Members(), member) || this->IsLeaving(member, aNow)) {
       continue;
     }
     const std::uint64_t match = found->second.matchIndex;
@@ -156,11 +185,18 @@
   return best;
 }
 
-const ControlMember* GroupMaintenance::FindLostVoter(const RaftNode& aNode, Instant aNow) const
+const ControlMember* GroupMaintenance::FindVoterToReplace(const RaftNode& aNode, Instant aNow) const
 {
   const ControlMember* lost = nullptr;
+  const ControlMember* leaving = nullptr;
   for (const ControlMember& member : aNode.Members()) {
-    if (!member.voter || member.id == aNode.Self()) {
+    if (!member.voter) {
+      continue;
+    }
+    if (this->IsLeaving(member, aNow)) {
+      leaving = &member;
+    }
+    if (member.id == aNode.Self()) {
       continue;
     }
     const Duration sinceContact = this->TimeSinceContact(aNode, member.id, aNow);
@@ -173,6 +209,29 @@
       lost = &member;
     }
   }
+  return leaving != nullptr ? leaving : lost;
+}
+
+const ControlMember* GroupMaintenance::FindLostLearner(const RaftNode& aNode, Instant aNow)
+{
+  const ControlMember* lost = nullptr;
+  std::map<std::string, Instant, std::less<>> current;
+  for (const ControlMember& member : aNode.Members()) {
+    if (member.voter) {
+      continue;
+    }
+    const auto known = this->learnersSince.find(member.id);
+    const Instant since = known == this->learnersSince.end() ? aNow : known->second;
+    current[member.id] = since;
+    const Duration limit = this->IsSuperseded(aNode.Members(), member)
+                             ? this->settings.lostVoterTimeout
+                             : this->settings.lostLearnerTimeout;
+    // A learner that was just admitted has not replied yet.
+    if (std::min(this->TimeSinceContact(aNode, member.id, aNow), aNow - since) > limit) {
+      lost = &member;
+    }
+  }
+  this->learnersSince = std::move(current);
   return lost;
 }
 
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -21,16 +21,23 @@
   Duration lostVoterTimeout = std::chrono::seconds(10);
   /// Maximum number of entries by which a learner may lag behind the leader to be promoted.
   std::uint64_t maxPromotionLagEntries = 100;
-  /// A join request that is not repeated within this time is dropped.
-  Duration joinRequestLifetime = std::chrono::seconds(3);
+  /// A learner that has not replied for this long is removed. It may request to join again.
+  Duration lostLearnerTimeout = std::chrono::seconds(10);
+  /// A join or leave request that is not repeated within this time is dropped.
+  Duration requestLifetime = std::chrono::seconds(3);
   /// A member without a current leader for this long requests to join again, because it may have
   /// been removed from the group while it was unreachable.
   Duration leaderlessTimeout = std::chrono::seconds(3);
 };
 
 /// Decides on membership changes, without I/O. At the leader: admits members that request to join,
-/// replaces lost voters by learners that have caught up, and removes members whose instance has a
-/// newer member id. At any member: decides when to request to join.
+/// replaces voters that leave or are lost by learners that have caught up, and removes lost
+/// learners and members whose instance has a newer member id. At any member: decides when to
+/// request to join.
+///
+/// A voter is replaced in two changes: one that starts the replacement and one that completes it
+/// (see CheckMembershipChange()). Removing the old voter first, or promoting the learner first,
+/// would leave a group in between that bears the loss of fewer disks.
 class GroupMaintenance
 {
 public:
@@ -43,6 +50,9 @@
   /// address.
   void OnJoinRequest(const JoinRequest& aRequest, Instant aNow);
 
+  /// Records that a member is about to stop and should not vote any more.
+  void OnLeaveRequest(const std::string& aMember, Instant aNow);
+
   /// Must be called when leadership is gained. Members that have not replied to this leader count
   /// as unreachable from then on.
   void OnLeadershipGained(Instant aNow);
@@ -67,18 +77,24 @@
     const std::vector<ControlMember>& aMembers,
     Instant aNow);
   bool IsSuperseded(const std::vector<ControlMember>& aMembers, const ControlMember& aMember) const;
+  bool IsLeaving(const ControlMember& aMember, Instant aNow) const;
   /// Time since the newest request that the member replied to was sent, or since leadership was
   /// gained.
   Duration TimeSinceContact(const RaftNode& aNode, const std::string& aMember, Instant aNow) const;
   /// The reachable learner that has caught up furthest, or null.
   const ControlMember* FindPromotableLearner(const RaftNode& aNode, Instant aNow) const;
   /// The voter to replace next, or null.
-  const ControlMember* FindLostVoter(const RaftNode& aNode, Instant aNow) const;
+  const ControlMember* FindVoterToReplace(const RaftNode& aNode, Instant aNow) const;
+  /// The learner to remove next, or null.
+  const ControlMember* FindLostLearner(const RaftNode& aNode, Instant aNow);
 
   GroupMaintenanceSettings settings;
   Instant leadershipStart{};
   std::optional<Instant> leaderLastSeenAt;
-  std::map<std::string, PendingJoin> pendingJoins; ///< By member id.
+  std::map<std::string, PendingJoin> pendingJoins;              ///< By member id.
+  std::map<std::string, Instant, std::less<>> leaveRequestedAt; ///< By member id.
+  /// Since when this leader has known each learner, by member id.
+  std::map<std::string, Instant, std::less<>> learnersSince;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/consensus/Membership.cpp
+++ b/src/oleanderledge/consensus/Membership.cpp
@@ -12,7 +12,71 @@
 bool HasSameAttributes(const ControlMember& aLeft, const ControlMember& aRight)
 {
   return aLeft.instance == aRight.instance && aLeft.linkAddress == aRight.linkAddress &&
-         aLeft.voter == aRight.voter;
+         aLeft.voter == aRight.voter && aLeft.replacement == aRight.replacement;
+}
+
+/// Bits of the stored form of a member.
+constexpr std::uint8_t kVoterBit = 1;
+constexpr std::uint8_t kIncomingBit = 2;
+constexpr std::uint8_t kOutgoingBit = 4;
+
+std::uint8_t EncodeVoting(const ControlMember& aMember)
+{
+  switch (aMember.replacement) {
+    case ReplacementPart::Incoming:
+      return kVoterBit | kIncomingBit;
+    case ReplacementPart::Outgoing:
+      return kVoterBit | kOutgoingBit;
+    case ReplacementPart::None:
+      break;
+  }
+  return aMember.voter ? kVoterBit : 0;
+}
+
+void DecodeVoting(std::uint8_t aBits, ControlMember& aMember)
+{
+  aMember.voter = aBits != 0;
+  if ((aBits & kIncomingBit) != 0) {
+    aMember.replacement = ReplacementPart::Incoming;
+  } else if ((aBits & kOutgoingBit) != 0) {
+    aMember.replacement = ReplacementPart::Outgoing;
+  }
+}
+
+const ControlMember* FindPart(const std::vector<ControlMember>& aMembers, ReplacementPart aPart)
+{
+  const auto found = std::ranges::find(aMembers, aPart, &ControlMember::replacement);
+  return found == aMembers.end() ? nullptr : &*found;
+}
+
+/// True if `aNew` is `aOld` with a plain voter that became the outgoing one, and a learner that
+/// became the incoming one.
+bool StartsReplacement(const std::vector<ControlMember>& aOld,
+                       const std::vector<ControlMember>& aNew)
+{
+  const ControlMember* incoming = FindPart(aNew, ReplacementPart::Incoming);
+  const ControlMember* outgoing = FindPart(aNew, ReplacementPart::Outgoing);
+  if (IsReplacementInProgress(aOld) || incoming == nullptr || outgoing == nullptr) {
+    return false;
+  }
+  std::vector<ControlMember> expected = aOld;
+  for (ControlMember& member : expected) {
+    if (member.id == incoming->id && !member.voter) {
+      member.voter = true;
+      member.replacement = ReplacementPart::Incoming;
+    } else if (member.id == outgoing->id && member.voter) {
+      member.replacement = ReplacementPart::Outgoing;
+    }
+  }
+  return expected == aNew;
+}
+
+/// True if `aNew` is `aOld` with the replacement in progress completed.
+bool CompletesReplacement(const std::vector<ControlMember>& aOld,
+                          const std::vector<ControlMember>& aNew)
+{
+  return IsReplacementInProgress(aOld) && (aNew == WithReplacementCompleted(aOld, true) ||
+                                           aNew == WithReplacementCompleted(aOld, false));
 }
 
 void WriteMembers(ByteWriter& aWriter, const std::vector<ControlMember>& aMembers)
@@ -22,7 +86,7 @@
     aWriter.PutString(member.id);
     aWriter.PutString(member.instance);
     aWriter.PutString(member.linkAddress);
-    aWriter.PutU8(member.voter ? 1 : 0);
+    aWriter.PutU8(EncodeVoting(member));
   }
 }
 
@@ -35,7 +99,7 @@
     member.id = aReader.GetString();
     member.instance = aReader.GetString();
     member.linkAddress = aReader.GetString();
-    member.voter = aReader.GetU8() != 0;
+    DecodeVoting(aReader.GetU8(), member);
     members.push_back(std::move(member));
   }
   return members;
@@ -61,6 +125,28 @@
   return static_cast<std::size_t>(std::ranges::count_if(aMembers, &ControlMember::voter));
 }
 
+bool IsReplacementInProgress(const std::vector<ControlMember>& aMembers)
+{
+  return std::ranges::any_of(aMembers, [](const ControlMember& aMember) {
+    return aMember.replacement != ReplacementPart::None;
+  });
+}
+
+std::vector<ControlMember> WithReplacementCompleted(std::vector<ControlMember> aMembers,
+                                                    bool aKeepsOutgoing)
+{
+  if (!aKeepsOutgoing) {
+    std::erase_if(aMembers, [](const ControlMember& aMember) {
+      return aMember.replacement == ReplacementPart::Outgoing;
+    });
+  }
+  for (ControlMember& member : aMembers) {
+    member.voter = member.voter && member.replacement != ReplacementPart::Outgoing;
+    member.replacement = ReplacementPart::None;
+  }
+  return aMembers;
+}
+
 std::string EncodeMembers(const std::vector<ControlMember>& aMembers)
 {
   ByteWriter writer;
@@ -102,6 +188,13 @@
 Result<void> CheckMembershipChange(const std::vector<ControlMember>& aOld,
                                    const std::vector<ControlMember>& aNew)
 {
+  if (CompletesReplacement(aOld, aNew) || StartsReplacement(aOld, aNew)) {
+    return boost::outcome_v2::success();
+  }
+  if (IsReplacementInProgress(aOld) || IsReplacementInProgress(aNew)) {
+    return Fail(ResultCode::InvalidMembershipChange,
+                "while a voter is being replaced, only that change can be completed");
+  }
   std::set<std::string_view> ids;
   int differences = 0;
   for (const ControlMember& member : aNew) {
--- a/src/oleanderledge/consensus/Membership.hpp
+++ b/src/oleanderledge/consensus/Membership.hpp
@@ -3,6 +3,9 @@
 #include "oleanderledge/base/base.hpp"
 #include "oleanderledge/consensus/ReplicatedLog.hpp"
 
+#include <algorithm>
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,6 +21,45 @@
 
 std::size_t CountVoters(const std::vector<ControlMember>& aMembers);
 
+/// True while one voter is being replaced by another.
+bool IsReplacementInProgress(const std::vector<ControlMember>& aMembers);
+
+/// The highest value that a majority of the voters has reached. While a voter is being replaced,
+/// the lower of the values of both majorities. `aLowest` if there is no voter.
+template<class Value, class ValueOf>
+Value ValueAtMajority(const std::vector<ControlMember>& aMembers, ValueOf aValueOf, Value aLowest)
+{
+  std::optional<Value> reached;
+  for (const ReplacementPart excluded : { ReplacementPart::Incoming, ReplacementPart::Outgoing }) {
+    std::vector<Value> values;
+    for (const ControlMember& member : aMembers) {
+      if (member.voter && member.replacement != excluded) {
+        values.push_back(aValueOf(member));
+      }
+    }
+    std::ranges::sort(values, std::greater<>());
+    const Value value = values.empty() ? aLowest : values[values.size() / 2];
+    reached = reached ? std::min(*reached, value) : value;
+  }
+  return *reached;
+}
+
+/// True if the predicate holds for a majority of the voters; while a voter is being replaced, of
+/// the voters before and of those after the replacement.
+template<class Predicate>
+bool HoldsForMajority(const std::vector<ControlMember>& aMembers, Predicate aPredicate)
+{
+  const auto toNumber = [&aPredicate](const ControlMember& aMember) {
+    return aPredicate(aMember) ? 1 : 0;
+  };
+  return ValueAtMajority(aMembers, toNumber, 0) == 1;
+}
+
+/// The list after the replacement in progress: the incoming voter stays. The outgoing one becomes a
+/// learner, or is removed if `aKeepsOutgoing` is false.
+std::vector<ControlMember> WithReplacementCompleted(std::vector<ControlMember> aMembers,
+                                                    bool aKeepsOutgoing);
+
 /// Encodes a list of members as the command of a membership entry.
 std::string EncodeMembers(const std::vector<ControlMember>& aMembers);
 
@@ -38,10 +80,14 @@
 /// Inverse of EncodeSnapshotContent(). Fails with MalformedFrame.
 Result<SnapshotContent> DecodeSnapshotContent(std::string_view aBytes);
 
-/// Checks that a change adds one learner, or promotes, demotes or removes one member or changes its
-/// instance or address, and that at least one voter remains. As only one voter changes at a time,
-/// every majority of the old list intersects every majority of the new one. Fails with
-/// InvalidMembershipChange.
+/// Checks that a change is one of the following, and that at least one voter remains:
+/// - it adds one learner, or promotes, demotes or removes one member or changes its instance or
+///   address. As only one voter changes at a time, every majority of the old list intersects every
+///   majority of the new one.
+/// - it starts the replacement of a voter by a learner, which become outgoing and incoming.
+/// - it completes a replacement: the incoming voter stays, the outgoing one is demoted or removed.
+///   No other change is allowed while a replacement is in progress.
+/// Fails with InvalidMembershipChange.
 Result<void> CheckMembershipChange(const std::vector<ControlMember>& aOld,
                                    const std::vector<ControlMember>& aNew);
 
--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -59,7 +59,7 @@
       this->ReplicateToAll(true, aNow);
     }
   } else if (aNow >= this->electionDeadline) {
-    if (IsVoter(this->Members(), this->self)) {
+    if (this->MayCampaign()) {
       this->StartElection(true, aNow);
     } else {
       this->ResetElectionTimer(aNow);
@@ -200,6 +200,17 @@
   this->electionDeadline = aNow + Duration(timeoutDistribution(this->random));
 }
 
+bool RaftNode::MayCampaign() const
+{
+  if (IsVoter(this->Members(), this->self)) {
+    return true;
+  }
+  // If only this member has the uncommitted change that ends its vote, no member with a shorter log
+  // can win an election without its vote.
+  return this->MembershipChangePending() &&
+         IsVoter(this->log.MembersAt(this->commitIndex), this->self);
+}
+
 bool RaftNode::ShouldRejectVotes(Instant aNow) const
 {
   return this->role == RaftRole::Leader ||
@@ -247,10 +258,10 @@
   if (this->role == RaftRole::Candidate && this->lastDurableSequence >= this->ownVoteSequence) {
     this->votes.insert(this->self);
   }
-  const auto granted = std::ranges::count_if(this->Members(), [this](const ControlMember& aMember) {
-    return aMember.voter && this->votes.contains(aMember.id);
+  const bool isElected = HoldsForMajority(this->Members(), [this](const ControlMember& aMember) {
+    return this->votes.contains(aMember.id);
   });
-  if (static_cast<std::size_t>(granted) <= CountVoters(this->Members()) / 2) {
+  if (!isElected) {
     return;
   }
   if (this->role == RaftRole::PreCandidate) {
@@ -386,24 +397,17 @@
 /// `aNow`.
 Instant RaftNode::LastQuorumContact(Instant aNow) const
 {
-  std::vector<Instant> contacts;
-  for (const ControlMember& member : this->Members()) {
-    if (!member.voter) {
-      continue;
-    }
-    if (member.id == this->self) {
-      contacts.push_back(aNow);
-      continue;
-    }
-    const auto found = this->progress.find(member.id);
-    const bool confirmed = found != this->progress.end() && found->second.ackedRequestSentAt;
-    contacts.push_back(confirmed ? *found->second.ackedRequestSentAt : Instant::min());
-  }
-  std::ranges::sort(contacts, std::greater<>());
-  const std::size_t quorum = contacts.size() / 2 + 1;
   // Early enough for any lease to have expired, but safe from overflow in additions.
   const Instant longAgo{ Duration::min() / 2 };
-  return contacts.size() < quorum ? longAgo : std::max(contacts[quorum - 1], longAgo);
+  const auto contactOf = [this, aNow, longAgo](const ControlMember& aMember) {
+    if (aMember.id == this->self) {
+      return aNow;
+    }
+    const auto found = this->progress.find(aMember.id);
+    const bool confirmed = found != this->progress.end() && found->second.ackedRequestSentAt;
+    return confirmed ? *found->second.ackedRequestSentAt : longAgo;
+  };
+  return ValueAtMajority(this->Members(), contactOf, longAgo);
 }
 
 void RaftNode::CheckQuorum(Instant aNow)
@@ -555,24 +559,14 @@
 
 void RaftNode::AdvanceCommit()
 {
-  std::vector<std::uint64_t> matches;
-  for (const ControlMember& member : this->Members()) {
-    if (!member.voter) {
-      continue;
+  const auto matchOf = [this](const ControlMember& aMember) {
+    if (aMember.id == this->self) {
+      return this->durableIndex;
     }
-    if (member.id == this->self) {
-      matches.push_back(this->durableIndex);
-      continue;
-    }
-    const auto found = this->progress.find(member.id);
-    matches.push_back(found == this->progress.end() ? 0 : found->second.matchIndex);
-  }
-  std::ranges::sort(matches, std::greater<>());
-  const std::size_t quorum = matches.size() / 2 + 1;
-  if (matches.size() < quorum) {
-    return;
-  }
-  const std::uint64_t index = matches[quorum - 1];
+    const auto found = this->progress.find(aMember.id);
+    return found == this->progress.end() ? std::uint64_t{ 0 } : found->second.matchIndex;
+  };
+  const auto index = ValueAtMajority(this->Members(), matchOf, std::uint64_t{ 0 });
   // Entries of earlier terms are committed only together with one of this term: until then another
   // leader can still replace them, even if a majority stores them.
   if (index > this->commitIndex && this->log.TermAt(index) == this->hardState.term) {
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -39,7 +39,8 @@
 };
 
 /// One member of a Raft group as a deterministic state machine without I/O. Supports pre-vote,
-/// leader lease, learners, single-member membership changes and snapshots.
+/// leader lease, learners, membership changes of one member, the replacement of one voter by
+/// another and snapshots.
 ///
 /// Event methods take the current time and return the actions that the caller must carry out, in
 /// order. The node never reads a clock, file or socket. Replies and vote requests are sent only
@@ -161,6 +162,7 @@
 
   // Elections.
   void ResetElectionTimer(Instant aNow);
+  bool MayCampaign() const;
   /// True while this member leads or may have confirmed a leader lease that has not expired.
   bool ShouldRejectVotes(Instant aNow) const;
   bool IsLogUpToDate(const VoteRequest& aRequest) const;
--- a/src/oleanderledge/consensus/ReplicatedLog.hpp
+++ b/src/oleanderledge/consensus/ReplicatedLog.hpp
@@ -10,6 +10,15 @@
 
 namespace oleanderledge {
 
+/// Part of a voter in the replacement of one voter by another. While a replacement is in progress,
+/// decisions need a majority of the voters before it and a majority of the voters after it.
+enum class ReplacementPart : std::uint8_t
+{
+  None = 0,
+  Incoming = 1, ///< Counts only among the voters after the replacement.
+  Outgoing = 2, ///< Counts only among the voters before the replacement.
+};
+
 /// A member of the control group: its identity, where it runs and whether it votes.
 struct ControlMember
 {
@@ -17,13 +26,14 @@
   std::string instance;    ///< Instance id.
   std::string linkAddress; ///< "ip:port".
   bool voter = false;      ///< False: learner.
+  ReplacementPart replacement = ReplacementPart::None; ///< Of learners: None.
 
   bool operator==(const ControlMember&) const = default;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->id, this->instance, this->linkAddress, this->voter);
+    aVisitor(this->id, this->instance, this->linkAddress, this->voter, this->replacement);
   }
 };
 
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -44,6 +44,9 @@
   std::string text;
   for (const ControlMember& member : aMembers) {
     text += (text.empty() ? "" : ",") + member.instance + (member.voter ? ":voter" : ":learner");
+    if (member.replacement != ReplacementPart::None) {
+      text += member.replacement == ReplacementPart::Incoming ? "/incoming" : "/outgoing";
+    }
   }
   return text;
 }
@@ -169,8 +172,9 @@
     return false;
   }
   const auto* join = std::get_if<JoinRequest>(&aMessage);
+  const auto* leave = std::get_if<LeaveRequest>(&aMessage);
   const std::string sender = SenderOf(aMessage);
-  if (join == nullptr && sender.empty()) {
+  if (join == nullptr && leave == nullptr && sender.empty()) {
     return false;
   }
   if (!this->node || this->isDiskFull) {
@@ -181,6 +185,11 @@
     this->HandleJoinRequest(aPeer, *join, now);
     return true;
   }
+  if (leave != nullptr) {
+    this->maintenance.OnLeaveRequest(leave->memberId, now);
+    this->ProposeMembershipChange();
+    return true;
+  }
   this->instanceByMember[sender] = aPeer.id;
   this->ExecuteActions(this->node->OnMessage(aMessage, now));
   return true;
@@ -275,13 +284,51 @@
       return;
     }
   }
-  this->SendJoinRequest(now);
-  if (const auto members = this->maintenance.NextChange(*this->node, now)) {
+  if (this->isLeaving) {
+    this->SendLeaveRequest(now);
+  } else {
+    this->SendJoinRequest(now);
+  }
+  this->ProposeMembershipChange();
+}
+
+void ConsensusDriver::ProposeMembershipChange()
+{
+  if (!this->node) {
+    return;
+  }
+  if (const auto members = this->maintenance.NextChange(*this->node, MonotonicNow())) {
     WriteLog(LogEvent::MembershipChangeStarted, "members=" + FormatMembers(*members));
     this->ChangeMembers(*members, [](const Result<std::uint64_t>&) {});
   }
 }
 
+void ConsensusDriver::BeginLeave()
+{
+  this->isLeaving = true;
+  if (this->node) {
+    this->SendLeaveRequest(MonotonicNow());
+  }
+}
+
+bool ConsensusDriver::HasLeft() const
+{
+  return !this->node || !IsVoter(this->committedMembers, this->node->Self()) ||
+         CountVoters(this->committedMembers) == 1;
+}
+
+void ConsensusDriver::SendLeaveRequest(Instant aNow)
+{
+  const std::string& self = this->node->Self();
+  const std::string& leader = this->node->LeaderId();
+  if (leader == self) {
+    this->maintenance.OnLeaveRequest(self, aNow);
+    this->ProposeMembershipChange();
+  } else if (!leader.empty()) {
+    this->links.Send(this->InstanceOf(leader), LeaveRequest{ self }, aNow);
+  }
+}
+
 void ConsensusDriver::SendJoinRequest(Instant aNow)
 {
   if (!this->maintenance.ShouldRequestJoin(*this->node, aNow) ||
@@ -376,6 +423,10 @@
   } else if (const auto* members = std::get_if<MembersCommittedAction>(&aAction)) {
     this->committedMembers = members->members;
     WriteLog(LogEvent::MembersCommitted, "members=" + FormatMembers(members->members));
+    // The next change follows at once: until a replacement is complete, the group may bear the loss
+    // of fewer disks.
+    QMetaObject::invokeMethod(
+      this, &ConsensusDriver::ProposeMembershipChange, Qt::QueuedConnection);
   } else if (const auto* fault = std::get_if<FaultAction>(&aAction)) {
     this->StopWithError(ResultCode::StorageCorrupt, fault->reason);
   }
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -74,6 +74,12 @@
   /// `aState` rejects the stored snapshot, emits Failed and then returns StorageCorrupt.
   Result<void> Start();
 
+  /// Asks the leader, until Stop(), to replace this member as a voter.
+  void BeginLeave();
+  /// True if this member does not vote, or is the only voter. Until another member has replaced it,
+  /// the group bears the loss of fewer disks without it.
+  bool HasLeft() const;
+
   /// Leaves the protocol: closes all links and writes nothing more. Pending proposals end with
   /// OutcomeUnknown.
   void Stop();
@@ -132,6 +138,9 @@
   void OnMaintenanceTimer();
   void FoundGroup(const std::vector<ControlMember>& aMembers);
   void SendJoinRequest(Instant aNow);
+  void SendLeaveRequest(Instant aNow);
+  /// Proposes the next change of the members, if this member leads and one is due.
+  void ProposeMembershipChange();
   void HandleJoinRequest(const InstanceInfo& aPeer, const JoinRequest& aRequest, Instant aNow);
   std::string InstanceOf(const std::string& aMember) const;
   std::vector<std::string> KnownAddresses() const;
@@ -182,6 +191,7 @@
   std::uint64_t entriesSinceSnapshot = 0;
   std::uint64_t bytesSinceSnapshot = 0;
   Instant lastJoinRequestAt{};
+  bool isLeaving = false;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/ControlSettings.hpp
+++ b/src/oleanderledge/control/ControlSettings.hpp
@@ -30,6 +30,8 @@
   bool mayFoundGroup = true;
   /// A voter that was silent for this time is replaced by a learner that has caught up.
   Duration voterLostAfter = std::chrono::seconds(10);
+  /// Longest time for which a planned stop waits until another member votes in place of this one.
+  Duration leaveLimit = std::chrono::seconds(1);
 
   ControlTimings timings;
   ServiceTimings serviceTimings;
--- a/src/oleanderledge/control/internal/ConsensusControlGroup.hpp
+++ b/src/oleanderledge/control/internal/ConsensusControlGroup.hpp
@@ -18,6 +18,8 @@
                         LeadershipListener& aListener);
 
   Result<void> Start(MessageHandler aOnMessage, FailureHandler aOnFailure) override;
+  void BeginLeave() override { this->driver.BeginLeave(); }
+  bool HasLeft() const override { return this->driver.HasLeft(); }
   void Stop() override { this->driver.Stop(); }
   ReplicatedLog& Log() override { return this->driver; }
   const ReplicatedLog& Log() const override { return this->driver; }
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -102,7 +102,18 @@
 
 void ControlDaemon::BeginStop()
 {
-  if (this->isStopping) {
+  if (this->isStopping || this->leaveDeadline) {
+    return;
+  }
+  WriteLog(LogEvent::DaemonStopping, "instance=" + this->settings.instance.id);
+  this->leaveDeadline = MonotonicNow() + this->settings.leaveLimit;
+  this->group->BeginLeave();
+  this->StopIfLeft(MonotonicNow());
+}
+
+void ControlDaemon::StopIfLeft(Instant aNow)
+{
+  if (!this->leaveDeadline || (aNow < *this->leaveDeadline && !this->group->HasLeft())) {
     return;
   }
   this->isStopping = true;
@@ -230,7 +241,7 @@
 
 bool ControlDaemon::IsReady() const
 {
-  return !this->isStopping &&
+  return !this->isStopping && !this->leaveDeadline &&
          (this->IsCurrentLeader() || this->Log().HasCurrentLeader(MonotonicNow()));
 }
 
@@ -386,6 +397,7 @@
     this->connectionAllocator.OnTick(now);
   }
   this->Execute(actions);
+  this->StopIfLeft(now);
 }
 
 void ControlDaemon::UpdateProxyCount(Instant aNow)
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -75,7 +75,8 @@
   /// StorageOpenFailed or StorageWriteFailed.
   Result<void> Start();
 
-  /// Starts a graceful stop. `Stopped` is emitted when it is done.
+  /// Starts a graceful stop: waits until another member votes in place of this one, for at most
+  /// ControlSettings::leaveLimit. `Stopped` is emitted when it is done.
   void BeginStop();
 
 Q_SIGNALS:
@@ -105,6 +106,8 @@
   void HandleMemberMessage(const InstanceInfo& aPeer, const Message& aMessage);
   void HandleRelayedHeartbeats(const std::string& aPeer, const RelayedHeartbeats& aRelayed);
   void Tick();
+  /// Ends a graceful stop once the group does not depend on this member, or after its time limit.
+  void StopIfLeft(Instant aNow);
   /// Counts the proxies that are alive and not leaving, and removes dead ones from
   /// `positionDistributor`. Leader only.
   void UpdateProxyCount(Instant aNow);
@@ -159,6 +162,7 @@
   std::uint64_t announcementCount = 0;
   std::uint64_t heartbeatCount = 0;
   bool isStopping = false;
+  std::optional<Instant> leaveDeadline; ///< Set once a planned stop has begun.
   /// Id of the follower that relays an instance's heartbeats, by id of the instance.
   std::map<std::string, std::string> relayByInstance;
   /// HTTP addresses of control instances that sent a message, by instance id.
--- a/src/oleanderledge/control/internal/ControlGroup.hpp
+++ b/src/oleanderledge/control/internal/ControlGroup.hpp
@@ -23,6 +23,10 @@
   /// Restores the state and joins the group. May call the LeadershipListener before it returns.
   /// Fails with StorageCorrupt, StorageOpenFailed or StorageWriteFailed.
   virtual Result<void> Start(MessageHandler aOnMessage, FailureHandler aOnFailure) = 0;
+  /// Starts to hand the vote of this member over to another one, before a planned Stop().
+  virtual void BeginLeave() = 0;
+  /// True if the group does not depend on this member, so that it may stop.
+  virtual bool HasLeft() const = 0;
   /// Stops taking part. Open proposals end with OutcomeUnknown.
   virtual void Stop() = 0;
   virtual ReplicatedLog& Log() = 0;
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -52,6 +52,7 @@
   aControl.voterGoal = std::size_t{ aFleet.toleratedLosses } * 2 + 1;
   aControl.mayFoundGroup = aFleet.mayFoundGroup;
   aControl.voterLostAfter = kFleetVoterLostAfter;
+  aControl.leaveLimit = std::chrono::milliseconds(aFleet.stopLimitMs);
   aControl.serviceTimings.registrationInterval =
     std::chrono::milliseconds(aFleet.registrationIntervalMs);
 }
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -632,6 +632,18 @@
   }
 };
 
+/// Sent by a control member that is about to stop, to the leader, until it no longer votes.
+struct LeaveRequest
+{
+  std::string memberId;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->memberId);
+  }
+};
+
 /// Batch of heartbeats that a follower forwards to the leader.
 struct RelayedHeartbeats
 {
@@ -681,6 +693,7 @@
                              RelayOpened,
                              RelayStatement,
                              RelayResult,
-                             RelayClose>;
+                             RelayClose,
+                             LeaveRequest>;
 
 } // namespace oleanderledge
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -50,6 +50,9 @@
   void Restart(std::size_t aInstance);
   /// Crashes an instance and empties its disk.
   void LoseDisk(std::size_t aInstance);
+  /// Lets an instance ask to be replaced as a voter. It crashes once it does not vote any more.
+  void Leave(std::size_t aInstance) { this->instances[aInstance].isLeaving = true; }
+  void CancelLeave(std::size_t aInstance) { this->instances[aInstance].isLeaving = false; }
   /// Drops all messages between two instances until HealNetwork().
   void Cut(std::size_t aLeft, std::size_t aRight);
   /// Drops all messages between an instance and all others until HealNetwork().
@@ -108,6 +111,7 @@
     std::deque<Write> writes;
     std::uint64_t appliedIndex = 0;
     std::uint64_t appliedHash = 0;
+    bool isLeaving = false;
   };
   struct Delivery
   {
@@ -131,6 +135,7 @@
   void DeliverMessages();
   void CompleteWrites(std::size_t aInstance);
   void RunMaintenance(std::size_t aInstance);
+  void ContinueLeave(std::size_t aInstance);
   void ExecuteActions(std::size_t aInstance, RaftActions aActions);
   void SendOverNetwork(std::size_t aInstance, SendAction aSend);
   void CheckSend(std::size_t aInstance, const Message& aMessage);
--- a/tests/consensus/RaftNodeTests.cpp
+++ b/tests/consensus/RaftNodeTests.cpp
@@ -182,6 +182,48 @@
   }
 }
 
+// Guards against a group that bears the loss of fewer disks while a voter is being replaced as
+// planned: two of five instances lose their disks, at each moment from the start of the replacement
+// on, and committed commands are lost or no leader is elected any more.
+TEST_CASE("Two disks can be lost at every moment of the planned replacement of a voter")
+{
+  constexpr std::size_t kSpare = 5;
+  for (std::uint64_t seed = 1; seed <= 120; ++seed) {
+    INFO("seed " << seed);
+    FakeGroup group(seed, 5, 1);
+    REQUIRE(WaitForLeader(group));
+    group.Restart(kSpare);
+    REQUIRE(
+      group.RunUntil(10 * kSecond, [&group] { return group.CommittedMembers().size() == 6; }));
+    REQUIRE(group.Propose(20) == 20);
+    group.Run(kSecond);
+    const std::size_t leader = *group.Leader();
+    // The leader leaves for a third of the seeds, and the new member loses its disk for a half.
+    const std::size_t leaving = seed % 3 == 0 ? leader : (leader + 1) % 5;
+    const std::size_t firstLost = seed % 3 == 0 ? (leader + 2) % 5 : leader;
+    const std::size_t secondLost = seed % 2 == 0 ? kSpare : (leader + 3) % 5;
+    group.Leave(leaving);
+    group.Run(static_cast<std::int64_t>(seed) * 4 * FakeGroup::kMillisecond);
+    group.Propose(1);
+    group.Run(20 * FakeGroup::kMillisecond);
+    const std::uint64_t committed = group.LastCommitted();
+    for (const std::size_t lost : { firstLost, secondLost }) {
+      group.LoseDisk(lost);
+    }
+    group.Run(900 * FakeGroup::kMillisecond);
+    for (const std::size_t lost : { firstLost, secondLost }) {
+      group.Restart(lost);
+    }
+    const std::size_t before = group.Acknowledged();
+    CHECK(group.RunUntil(12 * kSecond, [&group, before] {
+      group.Propose(1);
+      return group.Acknowledged() > before;
+    }));
+    CHECK(group.LastCommitted() > committed);
+    CHECK(group.Violation() == std::nullopt);
+  }
+}
+
 // Guards against commands that are acknowledged before they are on disk and therefore lost when all
 // members crash.
 TEST_CASE("Hundreds of commands survive a crash of all members")
--- a/tests/control/LocalGroup.hpp
+++ b/tests/control/LocalGroup.hpp
@@ -19,6 +19,8 @@
     this->log.Start();
     return boost::outcome_v2::success();
   }
+  void BeginLeave() override {}
+  bool HasLeft() const override { return true; }
   void Stop() override {}
   ReplicatedLog& Log() override { return this->log; }
   const ReplicatedLog& Log() const override { return this->log; }
