Where replicas confirm commits, end them on the old primary before choosing the next

Cause: positions were compared while the old primary still acknowledged commits, and proxies let open transactions commit until the promotion. Nothing stopped the log between the reading and the promotion.

Ruled out: a wrong comparison of positions.

Why this works: the leader first commits the phase "closing". Proxies then send no commit any more, and report when the last one that they sent was answered. Positions that are read after that cover every acknowledged commit, because each is on one of the replicas and enough of them must answer. If none can be chosen the old primary goes on after 3 s. Services without sync_replicas are not affected.

Still open: a proxy that is cut off from control but reaches the old primary; the servers' own PAUSE and STEPDOWN are not used.

--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -63,6 +63,7 @@
   ServicePrimaryDecided = 1522,
   ServicePromotionAnswered = 1523,
   ServiceWithoutCandidate = 1524,
+  ServicePrimaryClosing = 1525,
   // 1600: owner.
   OwnershipChanged = 1601,
   OwnershipReleased = 1602,
--- a/src/oleanderledge/control/BackendTable.cpp
+++ b/src/oleanderledge/control/BackendTable.cpp
@@ -119,6 +119,18 @@
   return true;
 }
 
+bool BackendTable::Apply(std::uint64_t aIndex, const CloseServicePrimary& aCommand)
+{
+  const auto found = this->primaries.find(aCommand.service);
+  if (found == this->primaries.end() || found->second.version != aCommand.expectedVersion ||
+      found->second.phase != PrimaryPhase::Steady) {
+    return false;
+  }
+  found->second.phase = PrimaryPhase::Closing;
+  found->second.version = aIndex;
+  return true;
+}
+
 const BackendRow* BackendTable::Find(std::string_view aBackend) const
 {
   const auto found = this->backends.find(aBackend);
--- a/src/oleanderledge/control/BackendTable.hpp
+++ b/src/oleanderledge/control/BackendTable.hpp
@@ -22,6 +22,7 @@
   bool Apply(std::uint64_t aIndex, const AdoptServicePrimary& aCommand);
   bool Apply(std::uint64_t aIndex, const DecideServicePrimary& aCommand);
   bool Apply(std::uint64_t aIndex, const ConfirmServicePrimary& aCommand);
+  bool Apply(std::uint64_t aIndex, const CloseServicePrimary& aCommand);
 
   /// Rows by name; includes those of deleted backend servers.
   const std::map<std::string, BackendRow, std::less<>>& Backends() const { return this->backends; }
--- a/src/oleanderledge/control/ControlCommand.hpp
+++ b/src/oleanderledge/control/ControlCommand.hpp
@@ -325,6 +325,19 @@
   }
 };
 
+/// Ends commits on the primary of a service before its successor is chosen.
+struct CloseServicePrimary
+{
+  std::string service;
+  std::uint64_t expectedVersion = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->service, this->expectedVersion);
+  }
+};
+
 /// Any command. The index of the alternative is the type number in the log, so new types go at the
 /// end.
 using ControlCommand = std::variant<ChangeClass,
@@ -345,7 +358,8 @@
                                     RemoveBackend,
                                     AdoptServicePrimary,
                                     DecideServicePrimary,
-                                    ConfirmServicePrimary>;
+                                    ConfirmServicePrimary,
+                                    CloseServicePrimary>;
 
 /// Encodes a command for the log.
 std::string EncodeCommand(const ControlCommand& aCommand);
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -95,6 +95,10 @@
     this->StepPromotion(*row, progress, aNow, aActions);
     return;
   }
+  if (row != nullptr && row->phase == PrimaryPhase::Closing) {
+    this->StepClosing(*row, progress, aNow, aActions);
+    return;
+  }
   const BackendRow* claiming = this->ClaimingPrimary(aService);
   const BackendRow* current = row == nullptr ? nullptr : this->state.Backends().Find(row->backend);
   const bool isLost = current == nullptr || !current->claimsPrimary;
@@ -167,6 +171,63 @@
   return reachability.failingFor > this->timings.isolatedAfter ? "isolated" : "";
 }
 
+void ServiceCoordinator::StepClosing(const PrimaryRow& aRow,
+                                     Progress& aProgress,
+                                     Instant aNow,
+                                     ControlActions& aActions)
+{
+  if (aProgress.closedVersion != aRow.version) {
+    aProgress.closedVersion = aRow.version;
+    aProgress.closedAt = aNow;
+    // Positions that were read before may lack commits that were acknowledged since.
+    aProgress.queryRound.reset();
+  }
+  const Duration elapsed = aNow - aProgress.closedAt;
+  if (!this->HaveProxiesClosed(aRow, aNow) && elapsed < this->timings.closeTimeout) {
+    return;
+  }
+  const BackendRow* primary = this->state.Backends().Find(aRow.backend);
+  const bool canGoOn = primary != nullptr && primary->claimsPrimary &&
+                       this->SilenceOf(aRow.backend, aNow) <= this->timings.RegistrationTimeout();
+  if (canGoOn && elapsed > this->timings.reopenAfter) {
+    aProgress.queryRound.reset();
+    this->Propose(
+      aRow.name, AdoptServicePrimary{ aRow.name, aRow.version, aRow.backend }, aActions);
+    return;
+  }
+  this->ProposePrimary(aRow.name, aRow.version, "closed", aNow, aActions);
+}
+
+bool ServiceCoordinator::HaveProxiesClosed(const PrimaryRow& aRow, Instant aNow) const
+{
+  // A server that has ended takes no commits.
+  if (this->state.Backends().Find(aRow.backend) == nullptr) {
+    return true;
+  }
+  const auto hasClosed = [this, &aRow, aNow](const std::string& aProxy) {
+    const auto set = this->reports.find(aProxy);
+    if (set == this->reports.end() || aNow - set->second.at > this->timings.reportLifetime) {
+      return false;
+    }
+    const auto report = set->second.byBackend.find(aRow.backend);
+    return report != set->second.byBackend.end() && report->second.closedVersion == aRow.version;
+  };
+  return std::ranges::all_of(this->state.Instances(),
+                             [&hasClosed](const auto& aEach) {
+                               return aEach.second.role != InstanceRole::Proxy ||
+                                      aEach.second.leaving || hasClosed(aEach.first);
+                             }) &&
+         std::ranges::all_of(this->reports,
+                             [&hasClosed](const auto& aEach) { return hasClosed(aEach.first); });
+}
+
+std::uint32_t ServiceCoordinator::SyncReplicasOf(std::string_view aService) const
+{
+  const auto& services = this->state.Routes().Services();
+  const auto found = services.find(aService);
+  return found == services.end() ? 0 : found->second.syncReplicas;
+}
+
 void ServiceCoordinator::StepPromotion(const PrimaryRow& aRow,
                                        Progress& aProgress,
                                        Instant aNow,
@@ -253,6 +314,15 @@
     }
     queryRound.reset();
   }
+  // What the primary acknowledges after the positions were read may be missing on the candidate.
+  if (row != nullptr && row->phase == PrimaryPhase::Steady && this->SyncReplicasOf(aService) > 0) {
+    aActions.push_back(LogAction{ LogEvent::ServicePrimaryClosing,
+                                  "service=" + aService + " backend=" + replaced + " reason=" +
+                                    std::string(aReason) + " version=" + std::to_string(aVersion) +
+                                    " received=" + (positions.empty() ? "unknown" : positions) });
+    this->Propose(aService, CloseServicePrimary{ aService, aVersion }, aActions);
+    return;
+  }
   aActions.push_back(LogAction{ LogEvent::ServicePrimaryDecided,
                                 "service=" + aService + " backend=" + candidate->name +
                                   " replaces=" + replaced + " reason=" + std::string(aReason) +
@@ -388,9 +458,7 @@
   if (!isComplete && !isOver) {
     return nullptr;
   }
-  const auto service = this->state.Routes().Services().find(aService);
-  const std::uint32_t syncReplicas =
-    service == this->state.Routes().Services().end() ? 0 : service->second.syncReplicas;
+  const std::uint32_t syncReplicas = this->SyncReplicasOf(aService);
   // Each confirmed commit is on at least `syncReplicas` replicas, so one of the answering replicas
   // has it if fewer than `syncReplicas` did not answer.
   const std::size_t replicas = static_cast<std::size_t>(std::ranges::count_if(
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -32,6 +32,12 @@
   /// confirm the commits of the service and too few positions are known, the queries are repeated
   /// instead. Several round trips between regions, which take 24 ms.
   Duration positionQueryTimeout = std::chrono::milliseconds(250);
+  /// Where replicas confirm commits, positions are compared only after all proxies have ended their
+  /// commits on the old primary, or after this time: some intervals of their heartbeats.
+  Duration closeTimeout = std::chrono::milliseconds(1500);
+  /// If no successor can be chosen within this time after the commits were ended, the old primary
+  /// goes on, provided that it still registers.
+  Duration reopenAfter = std::chrono::milliseconds(3000);
   /// Interval between two promotion calls for one decision.
   Duration callRetryInterval = std::chrono::milliseconds(150);
   /// Another server is chosen if a promotion is not confirmed within this time.
@@ -130,6 +136,8 @@
     std::uint64_t fence = 0;
     Instant noPrimarySince{};
     Instant confirmedAt{};
+    std::uint64_t closedVersion = 0; ///< Row version in which the commits were ended, if they were.
+    Instant closedAt{};              ///< When this leader first saw that version.
     /// Version of the row for which the lack of a candidate was logged last.
     std::optional<std::uint64_t> loggedWithoutCandidate;
   };
@@ -142,15 +150,24 @@
   };
 
   void StepService(const std::string& aService, Instant aNow, ControlActions& aActions);
+  /// Waits until no proxy commits on the old primary any more, then proposes its successor.
+  void StepClosing(const PrimaryRow& aRow,
+                   Progress& aProgress,
+                   Instant aNow,
+                   ControlActions& aActions);
+  /// True if all proxies have reported that they commit nothing more on the old primary.
+  bool HaveProxiesClosed(const PrimaryRow& aRow, Instant aNow) const;
+  std::uint32_t SyncReplicasOf(std::string_view aService) const;
   /// Calls for the decided promotion, or decides again if this member did not decide it, if it was
   /// refused or took longer than `promotionTimeout`, or if the server was removed.
   void StepPromotion(const PrimaryRow& aRow,
                      Progress& aProgress,
                      Instant aNow,
                      ControlActions& aActions);
-  /// Proposes the next primary. Proposes nothing yet if position queries are pending or there is no
-  /// candidate. `aVersion` is the row version on which the decision is based. `aReason` is
-  /// logged; `new_holder` and `promotion_timeout` also change which servers may be chosen.
+  /// Proposes the next primary, or, where replicas confirm commits, the end of commits on the
+  /// present one. Proposes nothing yet if position queries are pending or there is no candidate.
+  /// `aVersion` is the row version on which the decision is based. `aReason` is logged;
+  /// `new_holder` and `promotion_timeout` also change which servers may be chosen.
   void ProposePrimary(const std::string& aService,
                       std::uint64_t aVersion,
                       std::string_view aReason,
--- a/src/oleanderledge/control/internal/ControlJson.cpp
+++ b/src/oleanderledge/control/internal/ControlJson.cpp
@@ -9,6 +9,19 @@
 
 namespace {
 
+const char* PhaseName(PrimaryPhase aPhase)
+{
+  switch (aPhase) {
+    case PrimaryPhase::Promoting:
+      return "promoting";
+    case PrimaryPhase::Closing:
+      return "closing";
+    case PrimaryPhase::Steady:
+      break;
+  }
+  return "steady";
+}
+
 constexpr int kHttpOk = 200;
 constexpr int kHttpBadRequest = 400;
 constexpr int kHttpNotFound = 404;
@@ -186,12 +199,11 @@
                                   { "address", ToQString(backend.address) },
                                   { "draining", backend.draining } });
     }
-    services.append(
-      QJsonObject{ { "name", ToQString(name) },
-                   { "primary", ToQString(row.backend) },
-                   { "phase", row.phase == PrimaryPhase::Steady ? "steady" : "promoting" },
-                   { "fence", NumberToJson(row.fence) },
-                   { "servers", servers } });
+    services.append(QJsonObject{ { "name", ToQString(name) },
+                                 { "primary", ToQString(row.backend) },
+                                 { "phase", PhaseName(row.phase) },
+                                 { "fence", NumberToJson(row.fence) },
+                                 { "servers", servers } });
   }
   return services;
 }
--- a/src/oleanderledge/link/RouteRows.hpp
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -105,6 +105,9 @@
 {
   Steady = 0,
   Promoting = 1, ///< `backend` is chosen, and its promotion is not confirmed yet.
+  /// `backend` is being replaced and its successor is not chosen yet. Proxies commit nothing more
+  /// there. Used only for services whose commits wait for replicas.
+  Closing = 2,
 };
 
 /// The primary of a service.
@@ -133,11 +136,15 @@
   std::int64_t failingMs = 0; ///< Time since the first failure after the last success; 0: none.
   std::int64_t answeredMsAgo = -1; ///< Time since the last answer; -1: none yet.
   std::uint32_t demand = 0; ///< Peak of connections in use or waited for since the last report.
+  /// Version of the row of the service's primary, if this server is named there, is being replaced
+  /// and the proxy has no commit in progress and starts none; otherwise 0.
+  std::uint64_t closedVersion = 0;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->backend, this->failingMs, this->answeredMsAgo, this->demand);
+    aVisitor(
+      this->backend, this->failingMs, this->answeredMsAgo, this->demand, this->closedVersion);
   }
 };
 
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -59,6 +59,7 @@
   };
   const ServiceRow* row = aDirectory.FindService(this->service);
   const std::uint32_t connectionLimit = row == nullptr ? 1 : row->connectionLimit;
+  this->isSynchronous = row != nullptr && row->syncReplicas > 0;
   // While the number of proxies is not known, each of them opens as few connections as possible:
   // after a power loss all start at the same time.
   const std::uint32_t share =
@@ -94,7 +95,7 @@
   const PrimaryRow* primaryRow = aDirectory.FindPrimary(this->service);
   if (primaryRow != nullptr && primaryRow->version != this->primaryVersion) {
     this->primaryVersion = primaryRow->version;
-    this->isPromoting = primaryRow->phase == PrimaryPhase::Promoting;
+    this->primaryPhase = primaryRow->phase;
     if (this->primary != primaryRow->backend) {
       this->primary = primaryRow->backend;
       this->positions.Clear();
@@ -224,6 +225,10 @@
       // 0 means that the server is not failing.
       report.failingMs = std::max<std::int64_t>(report.failingMs, 1);
     }
+    const bool hasCommits = this->commitMarker.use_count() > 1;
+    if (name == this->primary && this->RefusesCommits() && !hasCommits) {
+      report.closedVersion = this->primaryVersion;
+    }
     if (health.LastAnswer()) {
       report.answeredMsAgo = milliseconds(aNow - *health.LastAnswer());
     }
@@ -235,7 +240,7 @@
 std::string ServiceDispatcher::DescribePools(Instant aNow) const
 {
   std::string text = "service=" + this->service + " primary=" + this->primary +
-                     (this->isPromoting ? " promoting=yes" : "") +
+                     (this->IsReplacingPrimary() ? " promoting=yes" : "") +
                      " waiting=" + std::to_string(this->waiting.size()) + " pools=";
   const char* separator = "";
   for (const auto& [name, pool] : this->pools) {
@@ -423,7 +428,7 @@
 BackendPool* ServiceDispatcher::PrimaryPool(Instant aNow) const
 {
   // Writes on the old primary would be lost in the promotion.
-  if (this->isPromoting) {
+  if (this->IsReplacingPrimary()) {
     return nullptr;
   }
   const auto named = this->pools.find(this->primary);
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -75,6 +75,8 @@
   /// the forecast wait ends after the deadline of the request.
   using Callback = std::function<void(std::optional<Placement>, const PlacementRefusal&)>;
   using Ticket = std::uint64_t;
+  /// Exists while a commit is in progress.
+  using CommitToken = std::shared_ptr<const void>;
 
   ServiceDispatcher(const StatementProtocol& aProtocol,
                     std::string aService,
@@ -82,6 +84,11 @@
                     RelayClient& aRelayClient,
                     QObject* aParent);
 
+  /// True while the primary is being replaced and commits of the service wait for replicas. What
+  /// the old primary acknowledges then may be missing on its successor.
+  bool RefusesCommits() const { return this->IsReplacingPrimary() && this->isSynchronous; }
+  CommitToken BeginCommit() const { return this->commitMarker; }
+
   void ApplyDirectory(const Directory& aDirectory,
                       const std::map<std::string, std::string, std::less<>>& aRegionOfZone,
                       std::uint32_t aProxyCount,
@@ -123,6 +130,7 @@
   const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
 
 private:
+  bool IsReplacingPrimary() const { return this->primaryPhase != PrimaryPhase::Steady; }
   struct WaitingRequest
   {
     Ticket ticket = 0;
@@ -173,7 +181,9 @@
   std::map<std::string, ZoneDistance, std::less<>> distances;
   std::string primary;
   std::uint64_t primaryVersion = 0;
-  bool isPromoting = false;
+  PrimaryPhase primaryPhase = PrimaryPhase::Steady;
+  bool isSynchronous = false; ///< Commits of the service wait for replicas.
+  CommitToken commitMarker = std::make_shared<int>(0); ///< Shared by the tokens of all commits.
   /// Servers that are not tried as primary, and until when.
   std::map<std::string, Instant, std::less<>> notPrimaryUntil;
   PositionHistory positions;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -590,6 +590,7 @@
   const Instant limit =
     this->running->arrivedAt + std::chrono::milliseconds(this->route->statementTimeoutMs);
   this->running->isSent = false;
+  this->running->commit.reset();
   if (this->running->attempts >= kMaxAttempts || MonotonicNow() >= limit) {
     this->AnswerError(aError, aText);
     return;
@@ -715,7 +716,25 @@
     this->MoveToOtherServer();
     return;
   }
+  if (this->IsCommitRefused()) {
+    if (inTransaction) {
+      const bool isCommit = this->running->statement.kind == StatementKind::Commit;
+      this->EndTransaction();
+      this->transaction.state = isCommit ? TransactionState::Idle : TransactionState::Failed;
+      this->AnswerError(StatementError::Aborted,
+                        "the primary is being replaced; " + RetryAfterText(kRetryAfterFailover));
+    } else {
+      this->MoveToOtherServer();
+    }
+    return;
+  }
   const Statement& statement = this->running->statement;
+  const bool mayCommit = inTransaction
+                           ? statement.kind == StatementKind::Commit && this->transaction.hasWritten
+                           : this->IsWrite(statement);
+  if (mayCommit) {
+    this->running->commit = this->Dispatcher()->BeginCommit();
+  }
   std::string request;
   if (statement.kind == StatementKind::Execute) {
     const StatementTemplate& definition = this->prepared[statement.name];
@@ -738,6 +757,16 @@
   });
 }
 
+bool StatementSession::IsCommitRefused()
+{
+  const bool writes = this->IsWrite(this->running->statement);
+  const bool isAffected =
+    this->transaction.state == TransactionState::Open
+      ? this->transaction.onPrimary && (writes || this->transaction.hasWritten)
+      : writes;
+  return isAffected && this->Dispatcher()->RefusesCommits();
+}
+
 void StatementSession::MoveToOtherServer()
 {
   if (this->transaction.state == TransactionState::Open) {
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -78,7 +78,8 @@
   {
     Statement statement;
     Instant arrivedAt{};
-    bool isSent = false; ///< The statement itself was sent to a backend server.
+    bool isSent = false;                   ///< The statement itself was sent to a backend server.
+    ServiceDispatcher::CommitToken commit; ///< Set while the statement may commit.
     Instant sentAt{};
     int attempts = 0;
     std::set<std::string, std::less<>> excluded; ///< Backend servers that failed to execute it.
@@ -139,6 +140,9 @@
   void RunPreparatory(const std::string& aRequest,
                       std::function<void(const StatementResult&)> aDone);
   void SendStatement(const std::optional<LogPosition>& aAwait);
+  /// True if the running statement, or the transaction that it belongs to, would commit on a
+  /// primary that is being replaced.
+  bool IsCommitRefused();
   /// Places the running statement, the first one on its connection, anew, because its server may
   /// not be given new work any more.
   void MoveToOtherServer();
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -45,6 +45,15 @@
     this->reports[aProxy][aBackend] = { aBackend, aFailingMs, aFailingMs == 0 ? 10 : 5000, 0 };
   }
 
+  /// Lets replicas confirm the commits of the service.
+  void SetSyncReplicas(std::uint32_t aCount)
+  {
+    RouteConfiguration configuration;
+    configuration.number = 1;
+    configuration.services = { { "ledger", 10, aCount, 0, false } };
+    this->Commit(StoreRouteConfiguration{ configuration });
+  }
+
   /// Advances the time in ticks. Each live server registers once per registration interval.
   void RunFor(Duration aTime)
   {
@@ -223,10 +232,7 @@
           "[services]")
 {
   ServiceFixture fixture;
-  RouteConfiguration configuration;
-  configuration.number = 1;
-  configuration.services = { { "ledger", 10, 1, 0, false } };
-  fixture.Commit(StoreRouteConfiguration{ configuration });
+  fixture.SetSyncReplicas(1);
   fixture.received = { { "b", { 1, 10 } } };
   fixture.RunFor(2s);
   fixture.live.erase("a");
@@ -238,6 +244,67 @@
   CHECK(fixture.PrimaryName() == "c");
 }
 
+// Guards against a promotion that loses acknowledged commits: positions were compared while the
+// primary still acknowledged commits, so a replica with an equal position could lack later ones.
+TEST_CASE("If replicas confirm commits, positions decide once no proxy commits on the old primary",
+          "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.Report("p1", "a", 0);
+  fixture.Report("p2", "a", 0);
+  fixture.RunFor(2s);
+  fixture.Register("a", true, true);
+  fixture.RunFor(200ms);
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Closing);
+  CHECK(fixture.PrimaryName() == "a");
+  // The last commits reach only "c".
+  fixture.received["c"] = { 1, 12 };
+  fixture.reports["p1"]["a"].closedVersion = fixture.RecordedPrimary().version;
+  fixture.RunFor(400ms);
+  CHECK(fixture.calls.empty());
+  fixture.reports["p2"]["a"].closedVersion = fixture.RecordedPrimary().version;
+  fixture.RunFor(100ms);
+  REQUIRE(fixture.calls.size() == 1);
+  CHECK(fixture.PrimaryName() == "c");
+}
+
+// Guards against a service without a primary because of one proxy that is out of contact.
+TEST_CASE("A proxy that does not end its commits delays a promotion only for a time", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.Register("a", true, true);
+  fixture.RunFor(1s);
+  CHECK(fixture.calls.empty());
+  fixture.RunFor(1s);
+  CHECK(fixture.calls.size() == 1);
+}
+
+// Guards against a service that stays without commits because its positions cannot be read.
+TEST_CASE("The old primary goes on if no successor can be chosen after its commits were ended",
+          "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.live.erase("a");
+  fixture.Register("a", true, true);
+  fixture.RunFor(200ms);
+  REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Closing);
+  fixture.received.erase("b");
+  for (int part = 0; part < 4; ++part) {
+    fixture.RunFor(1s);
+    fixture.Register("a", true, true);
+  }
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+  CHECK(fixture.PrimaryName() == "a");
+  CHECK(fixture.calls.empty());
+}
+
 TEST_CASE("A primary that drains is replaced at once", "[services]")
 {
   ServiceFixture fixture;
--- a/tests/statements/ServiceWithReplicas.hpp
+++ b/tests/statements/ServiceWithReplicas.hpp
@@ -104,6 +104,17 @@
     this->Publish();
   }
 
+  /// Publishes that the primary is being replaced. Commits of the service wait for replicas.
+  void ClosePrimary()
+  {
+    ++this->version;
+    this->update.services.front().syncReplicas = 1;
+    this->update.services.front().version = this->version;
+    this->update.primaries.front().phase = PrimaryPhase::Closing;
+    this->update.primaries.front().version = this->version;
+    this->Publish();
+  }
+
   /// Publishes that a server drains and that its drain deadline has passed.
   void EndDrainOf(const std::string& aBackend)
   {
