A new leader keeps the server of a promotion that it takes over

What callers saw: sync_replicas 1, a replica that received nothing, a crash of the primary, and the control leader killed during the promotion of the other replica.

Cause: an open decision of another leader was made again without positions, by reachability and then by name, and without a look at whether the decided server led.

Ruled out: a late call of the first leader (holder and fence differ), an exclusion of the decided server.

Why this works: the decided server was chosen by positions. If it has registered as primary since, the promotion is confirmed; if not, it is decided again under the new fence; if it cannot be promoted any more, positions are asked for as usual.

--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -239,11 +239,18 @@
     aProgress.decidedAt = aNow;
   }
   const BackendRow* decided = this->state.Backends().Find(aRow.backend);
-  // A decision of another control instance is made again under a new fence, because a fence is
-  // used by one holder only.
-  const bool isOwn = aRow.holder == this->self;
-  if (!isOwn || decided == nullptr) {
-    this->ProposePrimary(aRow.name, aRow.version, isOwn ? "left" : "new_holder", aNow, aActions);
+  // The answer to the call may be lost, or may have gone to an earlier leader.
+  if (decided != nullptr && decided->claimsPrimary && decided->version > aRow.version) {
+    aProgress.confirmedAt = aNow;
+    this->Propose(aRow.name, ConfirmServicePrimary{ aRow.name, aRow.fence }, aActions);
+    return;
+  }
+  if (decided == nullptr) {
+    this->ProposePrimary(aRow.name, aRow.version, "left", aNow, aActions);
+    return;
+  }
+  if (aRow.holder != this->self) {
+    this->TakeOverPromotion(aRow, *decided, aNow, aActions);
     return;
   }
   const auto refused = this->refusedAt.find(aRow.backend);
@@ -262,6 +269,26 @@
   aActions.push_back(PromoteBackendAction{ aRow.name, aRow.backend, aRow.fence });
 }
 
+/// Makes the decision of another control instance again, because a fence is used by one holder
+/// only. The server stays the same if it can: it was chosen by positions, and may lead by now.
+void ServiceCoordinator::TakeOverPromotion(const PrimaryRow& aRow,
+                                           const BackendRow& aDecided,
+                                           Instant aNow,
+                                           ControlActions& aActions)
+{
+  if (!this->ExclusionReason(aDecided, "", aNow).empty()) {
+    this->ProposePrimary(aRow.name, aRow.version, "new_holder", aNow, aActions);
+    return;
+  }
+  aActions.push_back(LogAction{
+    LogEvent::ServicePrimaryDecided,
+    "service=" + aRow.name + " backend=" + aDecided.name + " replaces=" + aDecided.name +
+      " reason=new_holder version=" + std::to_string(aRow.version) + " received=unknown" });
+  this->Propose(aRow.name,
+                DecideServicePrimary{ aRow.name, aRow.version, aDecided.name, this->self },
+                aActions);
+}
+
 void ServiceCoordinator::OnPromotionAnswer(const std::string& aService,
                                            std::uint64_t aFence,
                                            PromotionOutcome aOutcome,
@@ -292,18 +319,13 @@
 {
   const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
   const std::string replaced = row == nullptr ? "" : row->backend;
-  // A decision taken over from another control instance may keep its server, so none is excluded.
-  const bool isTakenOver = aReason == "new_holder";
-  const BackendRow* candidate = isTakenOver
-                                  ? this->BestCandidate(aService, "", aNow)
-                                  : this->MostAdvancedCandidate(aService, replaced, aNow, aActions);
+  const BackendRow* candidate = this->MostAdvancedCandidate(aService, replaced, aNow, aActions);
   // Without another candidate, the same server is decided again under a new fence.
   if (candidate == nullptr && aReason == "promotion_timeout") {
     candidate = this->state.Backends().Find(replaced);
   }
   if (candidate == nullptr) {
-    this->LogWithoutCandidate(
-      aService, aVersion, aReason, isTakenOver ? "" : replaced, aNow, aActions);
+    this->LogWithoutCandidate(aService, aVersion, aReason, replaced, aNow, aActions);
     return;
   }
   std::string positions;
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -150,6 +150,10 @@
   };
 
   void StepService(const std::string& aService, Instant aNow, ControlActions& aActions);
+  void TakeOverPromotion(const PrimaryRow& aRow,
+                         const BackendRow& aDecided,
+                         Instant aNow,
+                         ControlActions& aActions);
   /// Waits until no proxy commits on the old primary any more, then proposes its successor.
   void StepClosing(const PrimaryRow& aRow,
                    Progress& aProgress,
@@ -167,7 +171,7 @@
   /// Proposes the next primary, or, where replicas confirm commits, the end of commits on the
   /// present one. Proposes nothing yet if position queries are pending or there is no candidate.
   /// `aVersion` is the row version on which the decision is based. `aReason` is logged;
-  /// `new_holder` and `promotion_timeout` also change which servers may be chosen.
+  /// `promotion_timeout` also changes which servers may be chosen.
   void ProposePrimary(const std::string& aService,
                       std::uint64_t aVersion,
                       std::string_view aReason,
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -104,6 +104,23 @@
     }
   }
 
+  /// Commands that a new leader proposes first, which are committed.
+  std::vector<ControlCommand> TakeOver()
+  {
+    ServiceCoordinator successor(this->state, "control-2", {});
+    successor.OnLeadershipGained(this->now);
+    ControlActions actions;
+    successor.OnTick(this->now, actions);
+    std::vector<ControlCommand> commands;
+    for (const ControlAction& action : actions) {
+      if (const auto* propose = std::get_if<ProposeAction>(&action)) {
+        commands.push_back(propose->command);
+        this->Commit(propose->command);
+      }
+    }
+    return commands;
+  }
+
   void Commit(const ControlCommand& aCommand)
   {
     this->state.Apply(++this->index, EncodeCommand(aCommand));
@@ -360,6 +377,57 @@
   CHECK(fixture.RecordedPrimary().fence > first.fence);
 }
 
+// Guards against the loss of commits that the decided server has: a new leader had the first server
+// by name promoted, without asking for positions.
+TEST_CASE("A new leader keeps the server that was decided before", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.received = { { "b", { 1, 10 } }, { "c", { 1, 12 } } };
+  fixture.RunFor(2s);
+  fixture.answer = PromotionOutcome::Unanswered;
+  fixture.Register("a", true, true);
+  fixture.RunFor(100ms);
+  REQUIRE(fixture.PrimaryName() == "c");
+  fixture.TakeOver();
+  CHECK(fixture.PrimaryName() == "c");
+  CHECK(fixture.RecordedPrimary().holder == "control-2");
+}
+
+// Guards against a second promotion after the first one was carried out, but its answer went to a
+// leader that had ended.
+TEST_CASE("A new leader accepts a decided server that leads", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.received = { { "b", { 1, 10 } }, { "c", { 1, 12 } } };
+  fixture.RunFor(2s);
+  fixture.answer = PromotionOutcome::Unanswered;
+  fixture.Register("a", true, true);
+  fixture.RunFor(100ms);
+  REQUIRE(fixture.PrimaryName() == "c");
+  fixture.Register("c", true);
+  const std::vector<ControlCommand> commands = fixture.TakeOver();
+  REQUIRE(commands.size() == 1);
+  CHECK(std::holds_alternative<ConfirmServicePrimary>(commands.front()));
+  CHECK(fixture.PrimaryName() == "c");
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+}
+
+// Guards against the same loss if the decided server has ended meanwhile.
+TEST_CASE("A new leader asks for positions if the decided server has ended", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.RunFor(2s);
+  fixture.live.erase("a");
+  fixture.Report("p1", "a", 3000);
+  fixture.reports["p1"]["a"].closedVersion = 0;
+  fixture.answer = PromotionOutcome::Unanswered;
+  fixture.RunFor(4s);
+  REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Promoting);
+  fixture.Commit(RemoveBackend{ fixture.PrimaryName(), 1 });
+  CHECK(fixture.TakeOver().empty());
+}
+
 TEST_CASE("An unanswered promotion is repeated under the same fence", "[services]")
 {
   ServiceFixture fixture;
