consensus: one function starts a replacement; expired leave requests are dropped

The list with a replacement started was built twice, in GroupMaintenance and in the check of membership changes.

--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -22,21 +22,6 @@
   return aMembers;
 }
 
-std::vector<ControlMember> WithReplacement(std::vector<ControlMember> aMembers,
-                                           const std::string& aOutgoing,
-                                           const std::string& aIncoming)
-{
-  for (ControlMember& member : aMembers) {
-    if (member.id == aOutgoing) {
-      member.replacement = ReplacementPart::Outgoing;
-    } else if (member.id == aIncoming) {
-      member.voter = true;
-      member.replacement = ReplacementPart::Incoming;
-    }
-  }
-  return aMembers;
-}
-
 std::vector<ControlMember> WithPromotedMember(std::vector<ControlMember> aMembers,
                                               const std::string& aId)
 {
@@ -63,13 +48,6 @@
   this->leaveRequestedAt[aMember] = aNow;
 }
 
-bool GroupMaintenance::IsLeaving(const ControlMember& aMember, Instant aNow) const
-{
-  const auto found = this->leaveRequestedAt.find(aMember.id);
-  return found != this->leaveRequestedAt.end() &&
-         aNow - found->second <= this->settings.requestLifetime;
-}
-
 void GroupMaintenance::OnLeadershipGained(Instant aNow)
 {
   this->leadershipStart = aNow;
@@ -94,6 +72,9 @@
   if (!aNode.IsLeadershipEstablished() || aNode.MembershipChangePending()) {
     return std::nullopt;
   }
+  std::erase_if(this->leaveRequestedAt, [this, aNow](const auto& aEntry) {
+    return aNow - aEntry.second > this->settings.requestLifetime;
+  });
   const std::vector<ControlMember>& members = aNode.Members();
   if (IsReplacementInProgress(members)) {
     const auto outgoing =
@@ -115,7 +96,7 @@
   // A group that has more voters than the target is left alone: the target may be set too low.
   const bool isReplaceable = CountVoters(members) <= this->settings.targetVoterCount;
   if (learner != nullptr && replaced != nullptr && isReplaceable) {
-    return WithReplacement(members, replaced->id, learner->id);
+    return WithReplacementStarted(members, replaced->id, learner->id);
   }
   const ControlMember* lost = this->FindLostLearner(aNode, aNow);
   return lost == nullptr ? std::nullopt : std::optional(WithoutMember(members, lost->id));
@@ -170,7 +151,7 @@
   for (const ControlMember& member : aNode.Members()) {
     const auto found = aNode.Progress().find(member.id);
     if (member.voter || found == aNode.Progress().end() || !found->second.ackedRequestSentAt ||
-        this->IsSuperseded(aNode.Members(), member) || this->IsLeaving(member, aNow)) {
+        this->IsSuperseded(aNode.Members(), member) || this->leaveRequestedAt.contains(member.id)) {
       continue;
     }
     const std::uint64_t match = found->second.matchIndex;
@@ -193,7 +174,7 @@
     if (!member.voter) {
       continue;
     }
-    if (this->IsLeaving(member, aNow)) {
+    if (this->leaveRequestedAt.contains(member.id)) {
       leaving = &member;
     }
     if (member.id == aNode.Self()) {
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -77,7 +77,6 @@
     const std::vector<ControlMember>& aMembers,
     Instant aNow);
   bool IsSuperseded(const std::vector<ControlMember>& aMembers, const ControlMember& aMember) const;
-  bool IsLeaving(const ControlMember& aMember, Instant aNow) const;
   /// Time since the newest request that the member replied to was sent, or since leadership was
   /// gained.
   Duration TimeSinceContact(const RaftNode& aNode, const std::string& aMember, Instant aNow) const;
--- a/src/oleanderledge/consensus/Membership.cpp
+++ b/src/oleanderledge/consensus/Membership.cpp
@@ -59,16 +59,9 @@
   if (IsReplacementInProgress(aOld) || incoming == nullptr || outgoing == nullptr) {
     return false;
   }
-  std::vector<ControlMember> expected = aOld;
-  for (ControlMember& member : expected) {
-    if (member.id == incoming->id && !member.voter) {
-      member.voter = true;
-      member.replacement = ReplacementPart::Incoming;
-    } else if (member.id == outgoing->id && member.voter) {
-      member.replacement = ReplacementPart::Outgoing;
-    }
-  }
-  return expected == aNew;
+  const ControlMember* incomingBefore = FindMember(aOld, incoming->id);
+  return incomingBefore != nullptr && !incomingBefore->voter && IsVoter(aOld, outgoing->id) &&
+         aNew == WithReplacementStarted(aOld, outgoing->id, incoming->id);
 }
 
 /// True if `aNew` is `aOld` with the replacement in progress completed.
@@ -132,6 +125,21 @@
   });
 }
 
+std::vector<ControlMember> WithReplacementStarted(std::vector<ControlMember> aMembers,
+                                                  std::string_view aOutgoing,
+                                                  std::string_view aIncoming)
+{
+  for (ControlMember& member : aMembers) {
+    if (member.id == aOutgoing) {
+      member.replacement = ReplacementPart::Outgoing;
+    } else if (member.id == aIncoming) {
+      member.voter = true;
+      member.replacement = ReplacementPart::Incoming;
+    }
+  }
+  return aMembers;
+}
+
 std::vector<ControlMember> WithReplacementCompleted(std::vector<ControlMember> aMembers,
                                                     bool aKeepsOutgoing)
 {
--- a/src/oleanderledge/consensus/Membership.hpp
+++ b/src/oleanderledge/consensus/Membership.hpp
@@ -55,6 +55,11 @@
   return ValueAtMajority(aMembers, toNumber, 0) == 1;
 }
 
+/// The list after the start of the replacement of a voter by a learner, given by their ids.
+std::vector<ControlMember> WithReplacementStarted(std::vector<ControlMember> aMembers,
+                                                  std::string_view aOutgoing,
+                                                  std::string_view aIncoming);
+
 /// The list after the replacement in progress: the incoming voter stays. The outgoing one becomes a
 /// learner, or is removed if `aKeepsOutgoing` is false.
 std::vector<ControlMember> WithReplacementCompleted(std::vector<ControlMember> aMembers,
