A primary that answers again is not replaced

Callers lost their open transactions and some 0.7 s of writes to a change of primary that was not needed any more (services with sync_replicas).

Cause: the reason for the change was looked at when the phase "closing" began, and not when the successor was decided or the platform was called. Ruled out: a late answer of the position queries (the round has the positions of that moment).

The reason is asked for again in each step of "closing" and before the first call of a decision. A new leader waits for its reports first. E1526 states that the primary is kept, E1522 the reason of the change.

Tests: with the two checks taken out, "A primary that answers again while commits are ended on it goes on" and "A primary that answers again before the promotion call goes on" failed; they pass with them. The fixture now lets a draining server say so in each registration; it had said the opposite, which the coordinator rightly takes as the end of the drain.

--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -58,6 +58,7 @@
   LogEventInfo{ LogEvent::ServicePromotionAnswered, "service_promotion_answered", Info },
   LogEventInfo{ LogEvent::ServiceWithoutCandidate, "service_without_candidate", Warning },
   LogEventInfo{ LogEvent::ServicePrimaryClosing, "service_primary_closing", Info },
+  LogEventInfo{ LogEvent::ServicePrimaryKept, "service_primary_kept", Info },
   LogEventInfo{ LogEvent::OwnershipChanged, "ownership_changed", Info },
   LogEventInfo{ LogEvent::OwnershipReleased, "ownership_released", Info },
   LogEventInfo{ LogEvent::OwnerLeaseExpired, "owner_lease_expired", Warning },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -64,6 +64,7 @@
   ServicePromotionAnswered = 1523,
   ServiceWithoutCandidate = 1524,
   ServicePrimaryClosing = 1525,
+  ServicePrimaryKept = 1526,
   // 1600: owner.
   OwnershipChanged = 1601,
   OwnershipReleased = 1602,
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace oleanderledge {
 
@@ -186,6 +187,14 @@
     aProgress.queryRound.reset();
   }
   const Duration elapsed = aNow - aProgress.closedAt;
+  const std::string_view reason = this->ReplacementReason(aRow, aNow);
+  if (reason.empty()) {
+    // A new leader does not know yet whether the primary is silent.
+    if (aNow - this->leaderSince >= this->timings.registrationInterval) {
+      this->KeepPrimary(aRow, aRow.backend, aProgress, aActions);
+    }
+    return;
+  }
   if (!this->HaveProxiesClosed(aRow, aNow) && elapsed < this->timings.closeTimeout) {
     return;
   }
@@ -193,12 +202,24 @@
   const bool canGoOn = primary != nullptr && primary->claimsPrimary &&
                        this->SilenceOf(aRow.backend, aNow) <= this->timings.RegistrationTimeout();
   if (canGoOn && elapsed > this->timings.reopenAfter) {
-    aProgress.queryRound.reset();
-    this->Propose(
-      aRow.name, AdoptServicePrimary{ aRow.name, aRow.version, aRow.backend }, aActions);
+    this->KeepPrimary(aRow, aRow.backend, aProgress, aActions);
     return;
   }
-  this->ProposePrimary(aRow.name, aRow.version, "closed", aNow, aActions);
+  this->ProposePrimary(aRow.name, aRow.version, reason, aNow, aActions);
+}
+
+void ServiceCoordinator::KeepPrimary(const PrimaryRow& aRow,
+                                     std::string aPrimary,
+                                     Progress& aProgress,
+                                     ControlActions& aActions)
+{
+  aProgress.queryRound.reset();
+  aProgress.replaced.reset();
+  aActions.push_back(LogAction{ LogEvent::ServicePrimaryKept,
+                                "service=" + aRow.name + " backend=" + aPrimary +
+                                  " version=" + std::to_string(aRow.version) });
+  this->Propose(
+    aRow.name, AdoptServicePrimary{ aRow.name, aRow.version, std::move(aPrimary) }, aActions);
 }
 
 bool ServiceCoordinator::HaveProxiesClosed(const PrimaryRow& aRow, Instant aNow) const
@@ -237,9 +258,11 @@
                                        ControlActions& aActions)
 {
   if (aProgress.fence != aRow.fence) {
+    std::optional<PrimaryRow> replaced = std::exchange(aProgress.replaced, std::nullopt);
     aProgress = Progress{};
     aProgress.fence = aRow.fence;
     aProgress.decidedAt = aNow;
+    aProgress.replaced = std::move(replaced);
   }
   const BackendRow* decided = this->state.Backends().Find(aRow.backend);
   // The answer to the call may be lost, or may have gone to an earlier leader.
@@ -267,6 +290,12 @@
   if (aProgress.callPending || aNow - aProgress.calledAt < this->timings.callRetryInterval) {
     return;
   }
+  // The primary may have answered again while the decision was being committed.
+  if (aProgress.replaced && aProgress.calledAt == Instant{} &&
+      this->ReplacementReason(*aProgress.replaced, aNow).empty()) {
+    this->KeepPrimary(aRow, aProgress.replaced->backend, aProgress, aActions);
+    return;
+  }
   aProgress.callPending = true;
   aProgress.calledAt = aNow;
   aActions.push_back(PromoteBackendAction{ aRow.name, aRow.backend, aRow.fence });
@@ -353,6 +382,8 @@
                                   " replaces=" + replaced + " reason=" + std::string(aReason) +
                                   " version=" + std::to_string(aVersion) +
                                   " received=" + (positions.empty() ? "unknown" : positions) });
+  const bool isReplacement = row != nullptr && row->phase != PrimaryPhase::Promoting;
+  this->progressByService[aService].replaced = isReplacement ? std::optional(*row) : std::nullopt;
   this->Propose(
     aService, DecideServicePrimary{ aService, aVersion, candidate->name, this->self }, aActions);
 }
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -141,6 +141,8 @@
     std::uint64_t fence = 0;
     Instant noPrimarySince{};
     Instant confirmedAt{};
+    /// Row of the primary that this leader's decision replaces, as long as it may still be kept.
+    std::optional<PrimaryRow> replaced;
     std::uint64_t closedVersion = 0; ///< Row version in which the commits were ended, if they were.
     Instant closedAt{};              ///< When this leader first saw that version.
     /// Version of the row for which the lack of a candidate was logged last.
@@ -164,6 +166,12 @@
                    Progress& aProgress,
                    Instant aNow,
                    ControlActions& aActions);
+  /// Ends a change of primary before a promotion was called for: the primary that was to be
+  /// replaced goes on.
+  void KeepPrimary(const PrimaryRow& aRow,
+                   std::string aPrimary,
+                   Progress& aProgress,
+                   ControlActions& aActions);
   /// True if all proxies have reported that they commit nothing more on the old primary.
   bool HaveProxiesClosed(const PrimaryRow& aRow, Instant aNow) const;
   std::uint32_t SyncReplicasOf(std::string_view aService) const;
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -65,7 +65,8 @@
         for (const std::string& name : this->live) {
           this->Register(name,
                          this->PrimaryName() == name &&
-                           this->RecordedPrimary().phase == PrimaryPhase::Steady);
+                           this->RecordedPrimary().phase != PrimaryPhase::Promoting,
+                         this->IsDraining(name));
         }
       }
       for (const auto& [proxy, byBackend] : this->reports) {
@@ -106,6 +107,12 @@
     }
   }
 
+  bool IsDraining(const std::string& aName) const
+  {
+    const BackendRow* row = this->state.Backends().Find(aName);
+    return row != nullptr && row->draining;
+  }
+
   /// Commands that a new leader proposes first, which are committed.
   std::vector<ControlCommand> TakeOver()
   {
@@ -325,6 +332,70 @@
   CHECK(fixture.calls.empty());
 }
 
+// Guards against a promotion for a silence that has ended: the reason was not looked at again while
+// the proxies ended their commits.
+TEST_CASE("A primary that answers again while commits are ended on it goes on", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.live.erase("a");
+  fixture.Report("p1", "a", 800);
+  while (fixture.RecordedPrimary().phase == PrimaryPhase::Steady) {
+    fixture.RunFor(20ms);
+  }
+  REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Closing);
+  fixture.live.insert("a");
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(40ms);
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+  fixture.RunFor(4s);
+  CHECK(fixture.PrimaryName() == "a");
+  CHECK(fixture.calls.empty());
+}
+
+// Guards against the same where the primary answers while the decision is being committed.
+TEST_CASE("A primary that answers again before the promotion call goes on", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.live.erase("a");
+  fixture.Report("p1", "a", 800);
+  while (fixture.RecordedPrimary().phase == PrimaryPhase::Steady) {
+    fixture.RunFor(20ms);
+  }
+  REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Promoting);
+  REQUIRE(fixture.calls.empty());
+  fixture.live.insert("a");
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(4s);
+  CHECK(fixture.PrimaryName() == "a");
+  CHECK(fixture.calls.empty());
+}
+
+// Guards against a new leader that keeps a lost primary because it has no reports about it yet.
+TEST_CASE("A new leader that takes over the end of commits replaces a lost primary", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.live.erase("a");
+  fixture.Report("p1", "a", 800);
+  while (fixture.RecordedPrimary().phase == PrimaryPhase::Steady) {
+    fixture.RunFor(20ms);
+  }
+  const std::uint64_t closing = fixture.RecordedPrimary().version;
+  fixture.coordinator.OnLeadershipGained(fixture.now);
+  fixture.RunFor(1s);
+  CHECK(fixture.RecordedPrimary().version == closing);
+  fixture.RunFor(3s);
+  CHECK(fixture.calls.size() == 1);
+  CHECK(fixture.PrimaryName() != "a");
+}
+
 TEST_CASE("A primary that drains is replaced at once", "[services]")
 {
   ServiceFixture fixture;
