Where replicas confirm commits, a proxy commits only in contact with control

Callers had commits confirmed that the promoted server lacked (LOST), if their proxy was cut off from the control group but not from the primary.

Cause: the proxy took its directory for current, however old, and passed on confirmations that it received after the change; the leader did not wait for proxies that were leaving or known to its predecessor alone.

A proxy commits, and confirms commits, only for 1.3 s after it sent the newest heartbeat whose answer shows that the primary is not being replaced. The leader waits for 1.5 s, or until all proxies that it heard of in that time have ended their commits. Refusals are immediate and name the time to return; a commit confirmed too late has an unknown outcome.

The fixture ServiceWithReplicas is in contact when it publishes.

--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -69,9 +69,9 @@
   if (!this->isLeading) {
     return;
   }
-  std::erase_if(this->reports, [this, aNow](const auto& aEach) {
-    return aNow - aEach.second.at > this->timings.reportLifetime;
-  });
+  const Duration kept = std::max(this->timings.reportLifetime, this->timings.closeTimeout);
+  std::erase_if(this->reports,
+                [aNow, kept](const auto& aEach) { return aNow - aEach.second.at > kept; });
   std::set<std::string> services;
   for (const auto& [name, backend] : this->state.Backends().Backends()) {
     if (this->state.Routes().MayHaveService(backend.service)) {
@@ -228,21 +228,16 @@
   if (this->state.Backends().Find(aRow.backend) == nullptr) {
     return true;
   }
-  const auto hasClosed = [this, &aRow, aNow](const std::string& aProxy) {
-    const auto set = this->reports.find(aProxy);
-    if (set == this->reports.end() || aNow - set->second.at > this->timings.reportLifetime) {
-      return false;
-    }
-    const auto report = set->second.byBackend.find(aRow.backend);
-    return report != set->second.byBackend.end() && report->second.closedVersion == aRow.version;
-  };
-  return std::ranges::all_of(this->state.Instances(),
-                             [&hasClosed](const auto& aEach) {
-                               return aEach.second.role != InstanceRole::Proxy ||
-                                      aEach.second.leaving || hasClosed(aEach.first);
-                             }) &&
-         std::ranges::all_of(this->reports,
-                             [&hasClosed](const auto& aEach) { return hasClosed(aEach.first); });
+  // Proxies that the previous leader answered may commit, and may be unknown here.
+  if (aNow - this->leaderSince < this->timings.closeTimeout) {
+    return false;
+  }
+  // A proxy that has sent nothing for `closeTimeout` commits nothing more; see kCommitValidity.
+  return std::ranges::all_of(this->reports, [this, &aRow, aNow](const auto& aEach) {
+    const auto report = aEach.second.byBackend.find(aRow.backend);
+    return aNow - aEach.second.at > this->timings.closeTimeout ||
+           (report != aEach.second.byBackend.end() && report->second.closedVersion == aRow.version);
+  });
 }
 
 std::uint32_t ServiceCoordinator::SyncReplicasOf(std::string_view aService) const
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -33,8 +33,9 @@
   /// instead. Several round trips between regions, which take 24 ms.
   Duration positionQueryTimeout = std::chrono::milliseconds(250);
   /// Where replicas confirm commits, positions are compared only after all proxies have ended their
-  /// commits on the old primary, or after this time: some intervals of their heartbeats.
-  Duration closeTimeout = std::chrono::milliseconds(1500);
+  /// commits on the old primary, or after this time, in which a proxy that is cut off has ended
+  /// them by itself. The allowance covers clocks that run at different rates.
+  Duration closeTimeout = kCommitValidity + std::chrono::milliseconds(200);
   /// If no successor can be chosen within this time after the commits were ended, the old primary
   /// goes on, provided that it still registers.
   Duration reopenAfter = std::chrono::milliseconds(3000);
@@ -172,7 +173,7 @@
                    std::string aPrimary,
                    Progress& aProgress,
                    ControlActions& aActions);
-  /// True if all proxies have reported that they commit nothing more on the old primary.
+  /// True if all proxies that may still commit on the old primary have reported that they do not.
   bool HaveProxiesClosed(const PrimaryRow& aRow, Instant aNow) const;
   std::uint32_t SyncReplicasOf(std::string_view aService) const;
   /// Calls for the decided promotion, or decides again if this member did not decide it, if it was
--- a/src/oleanderledge/daemon/DrainDeadlines.hpp
+++ b/src/oleanderledge/daemon/DrainDeadlines.hpp
@@ -26,6 +26,13 @@
   /// Records a reply that the leader accepted.
   void RecordReply(const HeartbeatReply& aReply);
 
+  /// Sending time of the newest heartbeat that the leader answered while it had nothing newer than
+  /// the directory; the epoch if there is none.
+  Instant DirectoryCurrentAt(const Directory& aDirectory) const
+  {
+    return this->LastSentBefore(aDirectory.Version() + 1);
+  }
+
   /// Returns the deadlines of the draining servers in the directory, by name.
   const DrainDeadlineMap& Update(const Directory& aDirectory);
 
--- a/src/oleanderledge/daemon/internal/PostgresTrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/PostgresTrafficWorker.hpp
@@ -26,6 +26,8 @@
   void ApplyLeases(const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent) override;
   /// Ignored: the owner of a database limits the work of departing slots itself.
   void SetDrainDeadlines(const DrainDeadlineMap& /*aDeadlines*/) override {}
+  /// Not used: the leases of databases limit commits.
+  void SetDirectoryCurrentAt(Instant /*aHeartbeatSent*/) override {}
   /// Ignored, like connection grants: the owner of a database holds all connections to it.
   void SetProxyCount(std::uint32_t /*aCount*/) override {}
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& /*aGrants*/) override {}
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -73,14 +73,22 @@
   QObject::connect(this->client, &ControlClient::DirectoryChanged, this, [this] {
     const auto directory = this->contact.CurrentDirectory();
     this->RunInTrafficThread(
-      [directory, deadlines = this->drainDeadlines.Update(*directory)](TrafficWorker& aWorker) {
+      [directory,
+       deadlines = this->drainDeadlines.Update(*directory),
+       currentAt = this->drainDeadlines.DirectoryCurrentAt(*directory)](TrafficWorker& aWorker) {
         aWorker.SetDrainDeadlines(deadlines);
         aWorker.ApplyDirectory(directory);
+        aWorker.SetDirectoryCurrentAt(currentAt);
       });
   });
   QObject::connect(
     this->client, &ControlClient::ReplyAccepted, this, [this](const HeartbeatReply& aReply) {
       this->drainDeadlines.RecordReply(aReply);
+      const auto directory = this->contact.CurrentDirectory();
+      this->RunInTrafficThread(
+        [currentAt = this->drainDeadlines.DirectoryCurrentAt(*directory)](TrafficWorker& aWorker) {
+          aWorker.SetDirectoryCurrentAt(currentAt);
+        });
     });
   QObject::connect(
     this->client, &ControlClient::ProxyCountChanged, this, [this](std::uint32_t aCount) {
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -44,6 +44,11 @@
   this->service->SetDrainDeadlines(aDeadlines);
 }
 
+void StatementTrafficWorker::SetDirectoryCurrentAt(Instant aHeartbeatSent)
+{
+  this->service->SetDirectoryCurrentAt(aHeartbeatSent);
+}
+
 void StatementTrafficWorker::SetProxyCount(std::uint32_t aCount)
 {
   this->service->SetProxyCount(aCount);
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
@@ -19,6 +19,7 @@
   Result<void> Start() override;
   void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
   void SetDrainDeadlines(const DrainDeadlineMap& aDeadlines) override;
+  void SetDirectoryCurrentAt(Instant aHeartbeatSent) override;
   /// Ignored: there are no leases, because backend servers enforce by themselves that only one of
   /// them acts as primary.
   void ApplyLeases(const std::vector<LeaseGrant>& /*aLeases*/, Instant /*aHeartbeatSent*/) override
--- a/src/oleanderledge/daemon/internal/TrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.hpp
@@ -22,6 +22,8 @@
   virtual void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) = 0;
   /// Called before the ApplyDirectory() of the directory that the deadlines belong to.
   virtual void SetDrainDeadlines(const DrainDeadlineMap& aDeadlines) = 0;
+  /// The directory that was applied last was current when a heartbeat of this time was sent.
+  virtual void SetDirectoryCurrentAt(Instant aHeartbeatSent) = 0;
   /// `aHeartbeatSent` is the time from which the leases count.
   virtual void ApplyLeases(const std::vector<LeaseGrant>& aLeases, Instant aHeartbeatSent) = 0;
   /// Number of live proxies, this one included.
--- a/src/oleanderledge/link/RouteRows.hpp
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "oleanderledge/base/base.hpp"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -100,6 +102,13 @@
   }
 };
 
+/// Where replicas confirm commits, a proxy commits, and confirms commits to its callers, only
+/// within this time after it sent the newest heartbeat whose answer shows that the primary is not
+/// being replaced. The control leader waits longer before it chooses a successor, so it need not
+/// hear of a proxy that is cut off. Longer than an election of a control leader and a new link to
+/// it.
+constexpr Duration kCommitValidity = std::chrono::milliseconds(1300);
+
 /// Phase of a change of the primary of a service.
 enum class PrimaryPhase : std::uint8_t
 {
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -72,6 +72,9 @@
   virtual void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) = 0;
   /// Sets the deadlines of draining backend servers, from the next directory on.
   virtual void SetDrainDeadlines(const DrainDeadlineMap& aDeadlines) = 0;
+  /// The directory that was applied last was current when a heartbeat of this time was sent.
+  /// Extends the time in which commits are allowed that replicas confirm; see kCommitValidity.
+  virtual void SetDirectoryCurrentAt(Instant aHeartbeatSent) = 0;
   /// Sets the number of proxies that share the connection limits of the backend servers.
   virtual void SetProxyCount(std::uint32_t aCount) = 0;
   /// Sets the connections to backend servers that this proxy may hold. Without a grant it limits
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -96,6 +96,10 @@
   if (primaryRow != nullptr && primaryRow->version != this->primaryVersion) {
     this->primaryVersion = primaryRow->version;
     this->primaryPhase = primaryRow->phase;
+    this->primaryFence = primaryRow->fence;
+    if (!this->IsReplacingPrimary()) {
+      this->steadyAt = this->directoryCurrentAt;
+    }
     if (this->primary != primaryRow->backend) {
       this->primary = primaryRow->backend;
       this->positions.Clear();
@@ -191,6 +195,25 @@
   this->notPrimaryUntil[aBackend] = aNow + kNotPrimaryPause;
 }
 
+void ServiceDispatcher::SetDirectoryCurrentAt(Instant aHeartbeatSent)
+{
+  this->directoryCurrentAt = std::max(this->directoryCurrentAt, aHeartbeatSent);
+  if (!this->IsReplacingPrimary()) {
+    this->steadyAt = this->directoryCurrentAt;
+  }
+}
+
+bool ServiceDispatcher::RefusesCommits(Instant aNow) const
+{
+  return this->isSynchronous && (this->IsReplacingPrimary() || this->MayPrimaryBeReplaced(aNow));
+}
+
+bool ServiceDispatcher::IsCommitKept(const CommitToken& aToken, Instant aNow) const
+{
+  return !this->isSynchronous ||
+         (aToken.fence == this->primaryFence && !this->MayPrimaryBeReplaced(aNow));
+}
+
 void ServiceDispatcher::ApplyGrant(const ConnectionGrant& aGrant)
 {
   const auto found = this->pools.find(aGrant.backend);
@@ -226,7 +249,7 @@
       report.failingMs = std::max<std::int64_t>(report.failingMs, 1);
     }
     const bool hasCommits = this->commitMarker.use_count() > 1;
-    if (name == this->primary && this->RefusesCommits() && !hasCommits) {
+    if (name == this->primary && this->isSynchronous && this->IsReplacingPrimary() && !hasCommits) {
       report.closedVersion = this->primaryVersion;
     }
     if (health.LastAnswer()) {
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -76,7 +76,11 @@
   using Callback = std::function<void(std::optional<Placement>, const PlacementRefusal&)>;
   using Ticket = std::uint64_t;
   /// Exists while a commit is in progress.
-  using CommitToken = std::shared_ptr<const void>;
+  struct CommitToken
+  {
+    std::shared_ptr<const void> marker;
+    std::uint64_t fence = 0; ///< Of the primary that the directory named when it was sent.
+  };
 
   ServiceDispatcher(const StatementProtocol& aProtocol,
                     std::string aService,
@@ -84,10 +88,16 @@
                     RelayClient& aRelayClient,
                     QObject* aParent);
 
-  /// True while the primary is being replaced and commits of the service wait for replicas. What
-  /// the old primary acknowledges then may be missing on its successor.
-  bool RefusesCommits() const { return this->IsReplacingPrimary() && this->isSynchronous; }
-  CommitToken BeginCommit() const { return this->commitMarker; }
+  /// True if commits of the service wait for replicas and the primary is being replaced, or may be
+  /// without this proxy knowing of it. What the old primary acknowledges then may be missing on its
+  /// successor.
+  bool RefusesCommits(Instant aNow) const;
+  bool IsReplacingPrimary() const { return this->primaryPhase != PrimaryPhase::Steady; }
+  CommitToken BeginCommit() const { return { this->commitMarker, this->primaryFence }; }
+  /// True if a commit that its server confirms at `aNow` cannot be missing on a successor.
+  bool IsCommitKept(const CommitToken& aToken, Instant aNow) const;
+  /// See StatementService::SetDirectoryCurrentAt().
+  void SetDirectoryCurrentAt(Instant aHeartbeatSent);
 
   void ApplyDirectory(const Directory& aDirectory,
                       const std::map<std::string, std::string, std::less<>>& aRegionOfZone,
@@ -130,7 +140,6 @@
   const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
 
 private:
-  bool IsReplacingPrimary() const { return this->primaryPhase != PrimaryPhase::Steady; }
   struct WaitingRequest
   {
     Ticket ticket = 0;
@@ -155,6 +164,8 @@
   /// False if every server that the request could use has left or may not be given new work.
   bool HasServerFor(const PlacementRequest& aRequest, Instant aNow) const;
   Choice ChoosePool(const PlacementRequest& aRequest, Instant aNow) const;
+  /// True if the primary may have been replaced without this proxy knowing of it.
+  bool MayPrimaryBeReplaced(Instant aNow) const { return aNow - this->steadyAt >= kCommitValidity; }
   /// The reason to refuse a request at its arrival, because it would wait beyond its deadline.
   std::optional<PlacementRefusal> ForecastRefusal(const PlacementRequest& aRequest, Instant aNow);
   /// Number of waiting requests that are served before a new one.
@@ -182,8 +193,15 @@
   std::string primary;
   std::uint64_t primaryVersion = 0;
   PrimaryPhase primaryPhase = PrimaryPhase::Steady;
+  std::uint64_t primaryFence = 0;
   bool isSynchronous = false; ///< Commits of the service wait for replicas.
-  CommitToken commitMarker = std::make_shared<int>(0); ///< Shared by the tokens of all commits.
+  /// Sending time of the newest heartbeat after which the directory was current.
+  Instant directoryCurrentAt{};
+  /// Sending time of the newest heartbeat after which the replacement of the primary, if there is
+  /// one, began.
+  Instant steadyAt{};
+  /// Shared by the tokens of all commits.
+  std::shared_ptr<const void> commitMarker = std::make_shared<int>(0);
   /// Servers that are not tried as primary, and until when.
   std::map<std::string, Instant, std::less<>> notPrimaryUntil;
   PositionHistory positions;
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -103,6 +103,14 @@
   this->drainDeadlines = aDeadlines;
 }
 
+void StatementServer::SetDirectoryCurrentAt(Instant aHeartbeatSent)
+{
+  this->directoryCurrentAt = std::max(this->directoryCurrentAt, aHeartbeatSent);
+  for (const auto& [name, dispatcher] : this->dispatchers) {
+    dispatcher->SetDirectoryCurrentAt(this->directoryCurrentAt);
+  }
+}
+
 void StatementServer::ApplyDirectoryTo(ServiceDispatcher& aDispatcher) const
 {
   aDispatcher.ApplyDirectory(
@@ -127,6 +135,7 @@
   auto* created = new ServiceDispatcher(
     *this->protocol, aService, this->settings.self.zone, this->relayClient, this);
   this->ApplyDirectoryTo(*created);
+  created->SetDirectoryCurrentAt(this->directoryCurrentAt);
   this->dispatchers.emplace(aService, created);
   return *created;
 }
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -30,6 +30,7 @@
 
   void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
   void SetDrainDeadlines(const DrainDeadlineMap& aDeadlines) override;
+  void SetDirectoryCurrentAt(Instant aHeartbeatSent) override;
   void SetProxyCount(std::uint32_t aCount) override;
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) override;
   std::vector<BackendReport> TakeBackendReports(Instant aNow) override;
@@ -57,6 +58,7 @@
   StatementServiceSettings settings;
   std::shared_ptr<const Directory> directory;
   DrainDeadlineMap drainDeadlines;
+  Instant directoryCurrentAt{};
   std::uint32_t proxyCount = 0; ///< Live proxies; 0 if not known.
   QTcpServer server;
   LinkServer linkServer;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -41,6 +41,9 @@
 /// The load balancer connects a caller of a stopping proxy to another one at once.
 constexpr std::chrono::milliseconds kRetryAfterStop(0);
 
+constexpr std::string_view kDoubtfulCommit =
+  "committed by a server that may have been replaced meanwhile";
+
 bool IsRefusal(StatementError aError)
 {
   return aError == StatementError::Overloaded || aError == StatementError::Unavailable;
@@ -444,6 +447,10 @@
     }
     this->ReleaseConnection(aResult.ready.state != TransactionState::Idle);
     this->transaction = Transaction{};
+    if (this->IsCommitDoubtful()) {
+      this->AnswerError(StatementError::Unknown, kDoubtfulCommit);
+      return;
+    }
   }
   this->Answer(aResult.rows + aResult.completed, std::nullopt);
 }
@@ -582,6 +589,10 @@
     this->lastCommit = *aResult.ready.position;
   }
   this->ReleaseConnection(inTransaction);
+  if (this->IsCommitDoubtful()) {
+    this->AnswerError(StatementError::Unknown, kDoubtfulCommit);
+    return;
+  }
   this->Answer(aResult.rows + aResult.completed, std::nullopt);
 }
 
@@ -717,15 +728,7 @@
     return;
   }
   if (this->IsCommitRefused()) {
-    if (inTransaction) {
-      const bool isCommit = this->running->statement.kind == StatementKind::Commit;
-      this->EndTransaction();
-      this->transaction.state = isCommit ? TransactionState::Idle : TransactionState::Failed;
-      this->AnswerError(StatementError::Aborted,
-                        "the primary is being replaced; " + RetryAfterText(kRetryAfterFailover));
-    } else {
-      this->MoveToOtherServer();
-    }
+    this->RefuseCommit();
     return;
   }
   const Statement& statement = this->running->statement;
@@ -764,7 +767,33 @@
     this->transaction.state == TransactionState::Open
       ? this->transaction.onPrimary && (writes || this->transaction.hasWritten)
       : writes;
-  return isAffected && this->Dispatcher()->RefusesCommits();
+  return isAffected && this->Dispatcher()->RefusesCommits(MonotonicNow());
+}
+
+void StatementSession::RefuseCommit()
+{
+  const bool isReplacing = this->Dispatcher()->IsReplacingPrimary();
+  const std::string reason =
+    (isReplacing ? "the primary is being replaced; "
+                 : "the proxy is out of contact with the control plane; ") +
+    RetryAfterText(kRetryAfterFailover);
+  if (this->transaction.state == TransactionState::Open) {
+    const bool isCommit = this->running->statement.kind == StatementKind::Commit;
+    this->EndTransaction();
+    this->transaction.state = isCommit ? TransactionState::Idle : TransactionState::Failed;
+    this->AnswerError(StatementError::Aborted, reason);
+  } else if (isReplacing) {
+    this->MoveToOtherServer();
+  } else {
+    this->ReleaseConnection(false);
+    this->AnswerError(StatementError::Unavailable, reason);
+  }
+}
+
+bool StatementSession::IsCommitDoubtful()
+{
+  return this->running->commit &&
+         !this->Dispatcher()->IsCommitKept(*this->running->commit, MonotonicNow());
 }
 
 void StatementSession::MoveToOtherServer()
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -78,8 +78,9 @@
   {
     Statement statement;
     Instant arrivedAt{};
-    bool isSent = false;                   ///< The statement itself was sent to a backend server.
-    ServiceDispatcher::CommitToken commit; ///< Set while the statement may commit.
+    bool isSent = false; ///< The statement itself was sent to a backend server.
+    /// Set while the statement may commit.
+    std::optional<ServiceDispatcher::CommitToken> commit;
     Instant sentAt{};
     int attempts = 0;
     std::set<std::string, std::less<>> excluded; ///< Backend servers that failed to execute it.
@@ -141,8 +142,14 @@
                       std::function<void(const StatementResult&)> aDone);
   void SendStatement(const std::optional<LogPosition>& aAwait);
   /// True if the running statement, or the transaction that it belongs to, would commit on a
-  /// primary that is being replaced.
+  /// primary that is being replaced, or may be.
   bool IsCommitRefused();
+  /// Answers the running statement, for which IsCommitRefused() holds, or has it wait for the
+  /// successor of the primary.
+  void RefuseCommit();
+  /// True if the running statement was a commit whose confirmation by its server may come from a
+  /// primary that is being replaced.
+  bool IsCommitDoubtful();
   /// Places the running statement, the first one on its connection, anew, because its server may
   /// not be given new work any more.
   void MoveToOtherServer();
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -310,6 +310,45 @@
   CHECK(fixture.calls.size() == 1);
 }
 
+// Guards against a proxy that lost its link shortly before, is not waited for, and commits on the
+// old primary after the positions were read.
+TEST_CASE("A proxy that reported shortly before may still commit and is waited for", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.Report("p1", "a", 0);
+  fixture.Report("p2", "a", 0);
+  fixture.RunFor(2s);
+  fixture.reports.erase("p2");
+  fixture.RunFor(1100ms);
+  fixture.Register("a", true, true);
+  fixture.RunFor(60ms);
+  REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Closing);
+  fixture.reports["p1"]["a"].closedVersion = fixture.RecordedPrimary().version;
+  fixture.RunFor(200ms);
+  CHECK(fixture.calls.empty());
+  fixture.RunFor(200ms);
+  CHECK(fixture.calls.size() == 1);
+}
+
+// Guards against the same with a proxy that was in contact with the previous leader only.
+TEST_CASE("A new leader waits for proxies that it does not know", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.Register("a", true, true);
+  fixture.RunFor(60ms);
+  REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Closing);
+  fixture.coordinator.OnLeadershipGained(fixture.now);
+  fixture.reports["p1"]["a"].closedVersion = fixture.RecordedPrimary().version;
+  fixture.RunFor(1300ms);
+  CHECK(fixture.calls.empty());
+  fixture.RunFor(400ms);
+  CHECK(fixture.calls.size() == 1);
+}
+
 // Guards against a service that stays without commits because its positions cannot be read.
 TEST_CASE("The old primary goes on if no successor can be chosen after its commits were ended",
           "[services]")
--- a/tests/daemon/DrainDeadlinesTests.cpp
+++ b/tests/daemon/DrainDeadlinesTests.cpp
@@ -92,3 +92,17 @@
     RC_ASSERT(found.empty() || found.at("a") <= acknowledgedAt + kUsable);
   });
 }
+
+// Guards against a proxy that takes its directory for current although the leader has a newer one.
+TEST_CASE("A directory was current at the last heartbeat that was answered with no newer version",
+          "[drain]")
+{
+  DrainDeadlines deadlines(kUsable);
+  CHECK(deadlines.DirectoryCurrentAt(DrainingDirectory(8, 9)) == Instant{});
+  deadlines.RecordReply(ReplyOf(7, Instant{ 10s }));
+  deadlines.RecordReply(ReplyOf(9, Instant{ 11s }));
+  deadlines.RecordReply(ReplyOf(10, Instant{ 12s }));
+  CHECK(deadlines.DirectoryCurrentAt(DrainingDirectory(8, 8)) == Instant{ 10s });
+  CHECK(deadlines.DirectoryCurrentAt(DrainingDirectory(8, 9)) == Instant{ 11s });
+  CHECK(deadlines.DirectoryCurrentAt(DrainingDirectory(8, 11)) == Instant{ 12s });
+}
--- a/tests/statements/ServiceWithReplicas.hpp
+++ b/tests/statements/ServiceWithReplicas.hpp
@@ -104,12 +104,20 @@
     this->Publish();
   }
 
-  /// Publishes that the primary is being replaced. Commits of the service wait for replicas.
-  void ClosePrimary()
+  /// Lets commits of the service wait for replicas.
+  void SetSyncReplicas()
   {
     ++this->version;
     this->update.services.front().syncReplicas = 1;
     this->update.services.front().version = this->version;
+    this->Publish();
+  }
+
+  /// Publishes that the primary is being replaced. Commits of the service wait for replicas.
+  void ClosePrimary()
+  {
+    this->SetSyncReplicas();
+    ++this->version;
     this->update.primaries.front().phase = PrimaryPhase::Closing;
     this->update.primaries.front().version = this->version;
     this->Publish();
@@ -134,6 +142,7 @@
     this->update.fromVersion = 0;
     this->directory.Apply(this->update);
     this->service->ApplyDirectory(std::make_shared<Directory>(this->directory));
+    this->service->SetDirectoryCurrentAt(MonotonicNow());
   }
 
   /// Id of the database that last executed the statement, or "nowhere".
