A replica that has left counts until the others hold its commits

A replica that holds the newest confirmed commits leaves, the other one has received nothing for a while, and the primary crashes: the other one was promoted at once and lacked acknowledged commits (LOST).

Cause: the number of positions that a choice needs was taken from the servers registered at that moment. A replica that drained was counted but not asked, so its departure could even end the wait for it.

A server that left counts as one that does not answer, until a server with its log has registered at its address or its departure is settled: enough replicas hold a position that the primary had afterwards (command SettleDepartures, E1527). Draining replicas are asked, and nothing is promoted while one is ahead. E1528 names the positions that are missing.

Tests: with departures not counted and draining replicas not asked, "A replica that left may hold commits that the others lack" and "A server is not promoted while a replica that drains is ahead of it" failed; they pass now. "A replica that left does not count once the others have caught up" guards progress.

--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -59,6 +59,8 @@
   LogEventInfo{ LogEvent::ServiceWithoutCandidate, "service_without_candidate", Warning },
   LogEventInfo{ LogEvent::ServicePrimaryClosing, "service_primary_closing", Info },
   LogEventInfo{ LogEvent::ServicePrimaryKept, "service_primary_kept", Info },
+  LogEventInfo{ LogEvent::ServiceDeparturesSettled, "service_departures_settled", Info },
+  LogEventInfo{ LogEvent::ServicePositionsMissing, "service_positions_missing", Warning },
   LogEventInfo{ LogEvent::OwnershipChanged, "ownership_changed", Info },
   LogEventInfo{ LogEvent::OwnershipReleased, "ownership_released", Info },
   LogEventInfo{ LogEvent::OwnerLeaseExpired, "owner_lease_expired", Warning },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -65,6 +65,8 @@
   ServiceWithoutCandidate = 1524,
   ServicePrimaryClosing = 1525,
   ServicePrimaryKept = 1526,
+  ServiceDeparturesSettled = 1527,
+  ServicePositionsMissing = 1528,
   // 1600: owner.
   OwnershipChanged = 1601,
   OwnershipReleased = 1602,
--- a/src/oleanderledge/control/BackendTable.cpp
+++ b/src/oleanderledge/control/BackendTable.cpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/link/internal/StructCodec.hpp"
 
+#include <algorithm>
 #include <tuple>
 
 namespace oleanderledge {
@@ -91,7 +92,8 @@
   if (row.version != aCommand.expectedVersion) {
     return false;
   }
-  row = { aCommand.service, aCommand.backend, PrimaryPhase::Steady, row.fence, {}, aIndex };
+  row = { aCommand.service, aCommand.backend,  PrimaryPhase::Steady, row.fence, {},
+          aIndex,           row.settledVersion };
   return true;
 }
 
@@ -102,8 +104,8 @@
     return false;
   }
   // The log index serves as the fence, because it grows with every decision of any leader.
-  row = { aCommand.service, aCommand.backend, PrimaryPhase::Promoting,
-          aIndex,           aCommand.holder,  aIndex };
+  row = { aCommand.service, aCommand.backend, PrimaryPhase::Promoting, aIndex,
+          aCommand.holder,  aIndex,           row.settledVersion };
   return true;
 }
 
@@ -131,6 +133,15 @@
   return true;
 }
 
+bool BackendTable::Apply(std::uint64_t /*aIndex*/, const SettleDepartures& aCommand)
+{
+  const auto found = this->primaries.find(aCommand.service);
+  if (found != this->primaries.end() && found->second.version == aCommand.expectedVersion) {
+    found->second.settledVersion = std::max(found->second.settledVersion, aCommand.departedVersion);
+  }
+  return false;
+}
+
 const BackendRow* BackendTable::Find(std::string_view aBackend) const
 {
   const auto found = this->backends.find(aBackend);
--- a/src/oleanderledge/control/BackendTable.hpp
+++ b/src/oleanderledge/control/BackendTable.hpp
@@ -23,6 +23,8 @@
   bool Apply(std::uint64_t aIndex, const DecideServicePrimary& aCommand);
   bool Apply(std::uint64_t aIndex, const ConfirmServicePrimary& aCommand);
   bool Apply(std::uint64_t aIndex, const CloseServicePrimary& aCommand);
+  /// Always returns false: proxies need not hear of it.
+  bool Apply(std::uint64_t aIndex, const SettleDepartures& aCommand);
 
   /// Rows by name; includes those of deleted backend servers.
   const std::map<std::string, BackendRow, std::less<>>& Backends() const { return this->backends; }
--- a/src/oleanderledge/control/ControlCommand.hpp
+++ b/src/oleanderledge/control/ControlCommand.hpp
@@ -338,6 +338,21 @@
   }
 };
 
+/// Records that servers which left the service up to `departedVersion` need not be asked for their
+/// positions any more.
+struct SettleDepartures
+{
+  std::string service;
+  std::uint64_t expectedVersion = 0;
+  std::uint64_t departedVersion = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->service, this->expectedVersion, this->departedVersion);
+  }
+};
+
 /// Any command. The index of the alternative is the type number in the log, so new types go at the
 /// end.
 using ControlCommand = std::variant<ChangeClass,
@@ -359,7 +374,8 @@
                                     AdoptServicePrimary,
                                     DecideServicePrimary,
                                     ConfirmServicePrimary,
-                                    CloseServicePrimary>;
+                                    CloseServicePrimary,
+                                    SettleDepartures>;
 
 /// Encodes a command for the log.
 std::string EncodeCommand(const ControlCommand& aCommand);
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -96,6 +96,12 @@
     this->StepPromotion(*row, progress, aNow, aActions);
     return;
   }
+  if (row != nullptr) {
+    this->StepSettling(*row, progress, aNow, aActions);
+    if (this->IsPending(aService)) {
+      return;
+    }
+  }
   if (row != nullptr && row->phase == PrimaryPhase::Closing) {
     this->StepClosing(*row, progress, aNow, aActions);
     return;
@@ -475,17 +481,164 @@
   return best;
 }
 
+std::vector<const BackendRow*> ServiceCoordinator::QueriedServers(std::string_view aService,
+                                                                  std::string_view aExcluded,
+                                                                  Instant aNow) const
+{
+  std::vector<const BackendRow*> servers = this->Candidates(aService, aExcluded, aNow);
+  if (this->SyncReplicasOf(aService) == 0) {
+    return servers;
+  }
+  for (const auto& [name, backend] : this->state.Backends().Backends()) {
+    if (!backend.deleted && backend.service == aService && backend.draining && name != aExcluded &&
+        this->SilenceOf(name, aNow) <= this->timings.RegistrationTimeout()) {
+      servers.push_back(&backend);
+    }
+  }
+  return servers;
+}
+
+void ServiceCoordinator::StepSettling(const PrimaryRow& aRow,
+                                      Progress& aProgress,
+                                      Instant aNow,
+                                      ControlActions& aActions)
+{
+  const std::uint32_t syncReplicas = this->SyncReplicasOf(aRow.name);
+  std::uint64_t departedVersion = 0;
+  std::vector<const BackendRow*> servers;
+  for (const auto& [name, backend] : this->state.Backends().Backends()) {
+    if (backend.service != aRow.name) {
+      continue;
+    }
+    if (backend.deleted) {
+      departedVersion = std::max(departedVersion, backend.version);
+    } else {
+      servers.push_back(&backend);
+    }
+  }
+  std::optional<Settling>& settling = aProgress.settling;
+  if (syncReplicas == 0 || departedVersion <= aRow.settledVersion) {
+    settling.reset();
+    return;
+  }
+  const bool isNew = !settling || settling->departedVersion != departedVersion ||
+                     settling->rowVersion != aRow.version;
+  if (isNew) {
+    settling = Settling{ departedVersion, aRow.version, std::nullopt, {} };
+    this->StartPositionQueries(settling->round, servers, aNow, aActions);
+    return;
+  }
+  const PositionQueryRound& round = settling->round;
+  const Duration elapsed = aNow - round.startedAt;
+  if (round.answered.size() < round.queried.size() &&
+      elapsed < this->timings.positionQueryTimeout) {
+    return;
+  }
+  const auto primary = round.received.find(aRow.backend);
+  if (!settling->target && primary != round.received.end()) {
+    settling->target = primary->second;
+  }
+  const auto holders = std::ranges::count_if(round.received, [&](const auto& aEach) {
+    return aEach.first != aRow.backend && settling->target && aEach.second >= *settling->target;
+  });
+  if (settling->target && holders >= static_cast<std::ptrdiff_t>(syncReplicas)) {
+    aActions.push_back(LogAction{
+      LogEvent::ServiceDeparturesSettled,
+      "service=" + aRow.name + " backend=" + aRow.backend + " version=" +
+        std::to_string(departedVersion) + " position=" + std::to_string(settling->target->term) +
+        "." + std::to_string(settling->target->offset) + " holders=" + std::to_string(holders) });
+    this->Propose(
+      aRow.name, SettleDepartures{ aRow.name, aRow.version, departedVersion }, aActions);
+    settling.reset();
+    return;
+  }
+  if (elapsed >= this->timings.settlingInterval) {
+    this->StartPositionQueries(settling->round, servers, aNow, aActions);
+  }
+}
+
+std::vector<std::string> ServiceCoordinator::UnsettledDepartures(std::string_view aService) const
+{
+  const auto& backends = this->state.Backends().Backends();
+  const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
+  const std::uint64_t settledVersion = row == nullptr ? 0 : row->settledVersion;
+  std::vector<std::string> departures;
+  for (const auto& [name, backend] : backends) {
+    if (!backend.deleted || backend.service != aService || backend.version <= settledVersion) {
+      continue;
+    }
+    const bool hasSuccessor = std::ranges::any_of(backends, [&backend](const auto& aEach) {
+      return !aEach.second.deleted && aEach.second.service == backend.service &&
+             aEach.second.address == backend.address;
+    });
+    if (!hasSuccessor) {
+      departures.push_back(name);
+    }
+  }
+  return departures;
+}
+
+bool ServiceCoordinator::MayLackCommits(const std::string& aService,
+                                        const BackendRow* aChosen,
+                                        const PositionQueryRound& aRound) const
+{
+  const std::uint32_t syncReplicas = this->SyncReplicasOf(aService);
+  if (syncReplicas == 0) {
+    return false;
+  }
+  // A server that drains, and is not chosen, may be ahead until the others have caught up.
+  const auto chosen = aRound.received.find(aChosen == nullptr ? "" : aChosen->name);
+  if (chosen != aRound.received.end() &&
+      std::ranges::any_of(aRound.received,
+                          [&chosen](const auto& aEach) { return aEach.second > chosen->second; })) {
+    return true;
+  }
+  // Each confirmed commit is on its primary and on `syncReplicas` replicas, so one of the answering
+  // servers has it if at most `syncReplicas` did not answer.
+  const auto live =
+    std::ranges::count_if(this->state.Backends().Backends(), [&aService](const auto& aEach) {
+      return !aEach.second.deleted && aEach.second.service == aService;
+    });
+  const std::size_t servers =
+    static_cast<std::size_t>(live) + this->UnsettledDepartures(aService).size();
+  return aRound.received.size() + syncReplicas < servers;
+}
+
+void ServiceCoordinator::LogMissingPositions(const std::string& aService, ControlActions& aActions)
+{
+  Progress& progress = this->progressByService[aService];
+  const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
+  const std::uint64_t version = row == nullptr ? 0 : row->version;
+  if (progress.loggedMissingPositions == version) {
+    return;
+  }
+  progress.loggedMissingPositions = version;
+  std::string answered;
+  for (const auto& [name, position] : progress.queryRound->received) {
+    answered += (answered.empty() ? "" : ",") + name + ":" + std::to_string(position.term) + "." +
+                std::to_string(position.offset);
+  }
+  std::string left;
+  for (const std::string& name : this->UnsettledDepartures(aService)) {
+    left += (left.empty() ? "" : ",") + name;
+  }
+  aActions.push_back(LogAction{ LogEvent::ServicePositionsMissing,
+                                "service=" + aService + " version=" + std::to_string(version) +
+                                  " received=" + (answered.empty() ? "none" : answered) +
+                                  " left=" + (left.empty() ? "none" : left) });
+}
+
 void ServiceCoordinator::StartPositionQueries(PositionQueryRound& aRound,
-                                              const std::vector<const BackendRow*>& aCandidates,
+                                              const std::vector<const BackendRow*>& aServers,
                                               Instant aNow,
                                               ControlActions& aActions)
 {
   aRound = {};
   aRound.number = ++this->lastRound;
   aRound.startedAt = aNow;
-  for (const BackendRow* candidate : aCandidates) {
-    aRound.queried.insert(candidate->name);
-    aActions.push_back(QueryPositionAction{ *candidate, aRound.number });
+  for (const BackendRow* server : aServers) {
+    aRound.queried.insert(server->name);
+    aActions.push_back(QueryPositionAction{ *server, aRound.number });
   }
 }
 
@@ -504,7 +657,8 @@
     queryRound && aNow - queryRound->startedAt >= this->timings.positionQueryTimeout * 2;
   if (!queryRound || isOutdated) {
     queryRound = PositionQueryRound();
-    this->StartPositionQueries(*queryRound, candidates, aNow, aActions);
+    this->StartPositionQueries(
+      *queryRound, this->QueriedServers(aService, aExcluded, aNow), aNow, aActions);
     return nullptr;
   }
   const bool isComplete = queryRound->answered.size() == queryRound->queried.size();
@@ -512,19 +666,6 @@
   if (!isComplete && !isOver) {
     return nullptr;
   }
-  const std::uint32_t syncReplicas = this->SyncReplicasOf(aService);
-  // Each confirmed commit is on at least `syncReplicas` replicas, so one of the answering replicas
-  // has it if fewer than `syncReplicas` did not answer.
-  const std::size_t replicas = static_cast<std::size_t>(std::ranges::count_if(
-    this->state.Backends().Backends(), [&aService, &aExcluded](const auto& aEach) {
-      return !aEach.second.deleted && aEach.second.service == aService && aEach.first != aExcluded;
-    }));
-  if (syncReplicas > 0 && queryRound->received.size() + syncReplicas < replicas + 1) {
-    if (isOver) {
-      this->StartPositionQueries(*queryRound, candidates, aNow, aActions);
-    }
-    return nullptr;
-  }
   const BackendRow* best = nullptr;
   for (const BackendRow* candidate : candidates) {
     const auto position = queryRound->received.find(candidate->name);
@@ -533,6 +674,14 @@
       best = candidate;
     }
   }
+  if (this->MayLackCommits(aService, best, *queryRound)) {
+    if (isOver) {
+      this->LogMissingPositions(aService, aActions);
+      this->StartPositionQueries(
+        *queryRound, this->QueriedServers(aService, aExcluded, aNow), aNow, aActions);
+    }
+    return nullptr;
+  }
   return best != nullptr ? best : this->BestCandidate(aService, aExcluded, aNow);
 }
 
@@ -540,13 +689,21 @@
                                     std::uint64_t aRound,
                                     const std::optional<LogPosition>& aReceived)
 {
-  for (auto& [service, progress] : this->progressByService) {
-    if (!progress.queryRound || progress.queryRound->number != aRound) {
-      continue;
+  const auto record = [&](PositionQueryRound& aQueried) {
+    if (aQueried.number != aRound) {
+      return;
     }
-    progress.queryRound->answered.insert(aBackend);
+    aQueried.answered.insert(aBackend);
     if (aReceived) {
-      progress.queryRound->received[aBackend] = *aReceived;
+      aQueried.received[aBackend] = *aReceived;
+    }
+  };
+  for (auto& [service, progress] : this->progressByService) {
+    if (progress.queryRound) {
+      record(*progress.queryRound);
+    }
+    if (progress.settling) {
+      record(progress.settling->round);
     }
   }
 }
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -36,6 +36,9 @@
   /// commits on the old primary, or after this time, in which a proxy that is cut off has ended
   /// them by itself. The allowance covers clocks that run at different rates.
   Duration closeTimeout = kCommitValidity + std::chrono::milliseconds(200);
+  /// Interval at which the servers of a service are asked whether they hold what a server that has
+  /// left confirmed.
+  Duration settlingInterval = std::chrono::milliseconds(500);
   /// If no successor can be chosen within this time after the commits were ended, the old primary
   /// goes on, provided that it still registers.
   Duration reopenAfter = std::chrono::milliseconds(3000);
@@ -133,9 +136,18 @@
     std::set<std::string, std::less<>> answered;
     std::map<std::string, LogPosition, std::less<>> received;
   };
+  /// Finds out whether the servers that remain hold all commits that servers which left confirmed.
+  struct Settling
+  {
+    std::uint64_t departedVersion = 0; ///< Of the server that left last.
+    std::uint64_t rowVersion = 0;
+    std::optional<LogPosition> target; ///< Of the primary, after that server had left.
+    PositionQueryRound round;
+  };
   struct Progress
   {
     std::optional<PositionQueryRound> queryRound;
+    std::optional<Settling> settling;
     bool callPending = false;
     Instant calledAt{};
     Instant decidedAt{};
@@ -148,6 +160,8 @@
     Instant closedAt{};              ///< When this leader first saw that version.
     /// Version of the row for which the lack of a candidate was logged last.
     std::optional<std::uint64_t> loggedWithoutCandidate;
+    /// The same for positions that are missing.
+    std::optional<std::uint64_t> loggedMissingPositions;
   };
   /// Recent reports of all proxies about one server.
   struct BackendReachability
@@ -176,6 +190,14 @@
   /// True if all proxies that may still commit on the old primary have reported that they do not.
   bool HaveProxiesClosed(const PrimaryRow& aRow, Instant aNow) const;
   std::uint32_t SyncReplicasOf(std::string_view aService) const;
+  /// Where replicas confirm commits: settles the departures of servers, see SettleDepartures.
+  void StepSettling(const PrimaryRow& aRow,
+                    Progress& aProgress,
+                    Instant aNow,
+                    ControlActions& aActions);
+  /// Servers that have left, may be the only ones besides the primary that hold some confirmed
+  /// commit, and have no successor, which holds their log, at their address.
+  std::vector<std::string> UnsettledDepartures(std::string_view aService) const;
   /// Calls for the decided promotion, or decides again if this member did not decide it, if it was
   /// refused or took longer than `promotionTimeout`, or if the server was removed.
   void StepPromotion(const PrimaryRow& aRow,
@@ -220,8 +242,20 @@
                                           std::string_view aExcluded,
                                           Instant aNow,
                                           ControlActions& aActions);
+  /// Servers whose positions count for the choice of a successor: the candidates and, where
+  /// replicas confirm commits, those that drain.
+  std::vector<const BackendRow*> QueriedServers(std::string_view aService,
+                                                std::string_view aExcluded,
+                                                Instant aNow) const;
+  /// True if, by the answers of the round, some server may hold a confirmed commit that the chosen
+  /// one, which may be null, lacks.
+  bool MayLackCommits(const std::string& aService,
+                      const BackendRow* aChosen,
+                      const PositionQueryRound& aRound) const;
+  /// Logs, once for each version of the row, which answers a decision waits for.
+  void LogMissingPositions(const std::string& aService, ControlActions& aActions);
   void StartPositionQueries(PositionQueryRound& aRound,
-                            const std::vector<const BackendRow*>& aCandidates,
+                            const std::vector<const BackendRow*>& aServers,
                             Instant aNow,
                             ControlActions& aActions);
   /// Time since the last registration of a server, or since this member became leader if that is
--- a/src/oleanderledge/link/RouteRows.hpp
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -130,11 +130,19 @@
   std::uint64_t fence = 0;
   std::string holder; ///< Control instance that performs the promotion.
   std::uint64_t version = 0;
+  /// The servers that remain hold all commits that servers which left up to this version confirmed.
+  std::uint64_t settledVersion = 0;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->name, this->backend, this->phase, this->fence, this->holder, this->version);
+    aVisitor(this->name,
+             this->backend,
+             this->phase,
+             this->fence,
+             this->holder,
+             this->version,
+             this->settledVersion);
   }
 };
 
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -54,6 +54,14 @@
     this->Commit(StoreRouteConfiguration{ configuration });
   }
 
+  /// A server deregisters and ends.
+  void Leave(const std::string& aName)
+  {
+    this->live.erase(aName);
+    this->received.erase(aName);
+    this->Commit(RemoveBackend{ aName, 1 });
+  }
+
   /// Advances the time in ticks. Each live server registers once per registration interval.
   void RunFor(Duration aTime)
   {
@@ -349,6 +357,72 @@
   CHECK(fixture.calls.size() == 1);
 }
 
+// Guards against a promotion that loses acknowledged commits: a replica that had left did not count
+// any more, so the position of the other one seemed to be enough.
+TEST_CASE("A replica that left may hold commits that the others lack", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.received = { { "b", { 1, 20 } }, { "c", { 1, 10 } } };
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.Leave("b");
+  fixture.RunFor(100ms);
+  fixture.live.erase("a");
+  fixture.Report("p1", "a", 5000);
+  fixture.RunFor(10s);
+  CHECK(fixture.calls.empty());
+  // A new server at its address has its log.
+  BackendRow successor = fixture.state.Backends().Backends().at("b");
+  successor.name = "d";
+  successor.startedUnixMs = 2;
+  fixture.Commit(UpdateBackend{ successor });
+  fixture.coordinator.OnRegistration(successor, fixture.now);
+  fixture.received["d"] = { 1, 20 };
+  fixture.RunFor(2s);
+  CHECK(fixture.PrimaryName() == "d");
+}
+
+// Guards against a service that stays without a primary because of a replica that left long ago.
+TEST_CASE("A replica that left does not count once the others have caught up", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.received = { { "a", { 1, 20 } }, { "b", { 1, 20 } }, { "c", { 1, 10 } } };
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.Leave("b");
+  fixture.RunFor(1s);
+  CHECK(fixture.RecordedPrimary().settledVersion == 0);
+  fixture.received["a"] = { 1, 25 };
+  fixture.received["c"] = { 1, 20 };
+  fixture.RunFor(1s);
+  CHECK(fixture.RecordedPrimary().settledVersion > 0);
+  fixture.received.erase("a");
+  fixture.live.erase("a");
+  fixture.Report("p1", "a", 5000);
+  fixture.RunFor(4s);
+  CHECK(fixture.PrimaryName() == "c");
+}
+
+// Guards against a replica that drains and is not asked although it may hold the newest commits.
+TEST_CASE("A server is not promoted while a replica that drains is ahead of it", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.received = { { "b", { 1, 10 } }, { "c", { 1, 20 } } };
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.Register("c", false, true);
+  fixture.live.erase("a");
+  fixture.Report("p1", "a", 5000);
+  fixture.RunFor(4s);
+  CHECK(fixture.calls.empty());
+  fixture.received["b"] = { 1, 20 };
+  fixture.RunFor(2s);
+  CHECK(fixture.PrimaryName() == "b");
+}
+
 // Guards against a service that stays without commits because its positions cannot be read.
 TEST_CASE("The old primary goes on if no successor can be chosen after its commits were ended",
           "[services]")
