Log the last steps of a process, and what one that does not end waits for

Nothing is logged after the event loop, so the logs cannot tell a wait in the destructors from one in the kernel.

E1803 now states the end of the event loop and of the objects, for control instances too. The soak adds the name, state and kernel wait of each thread to "did not end within 10 s".

--- a/soak/ChildProcess.cpp
+++ b/soak/ChildProcess.cpp
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 
 namespace oleanderledge::soak {
 
@@ -13,6 +15,14 @@
 
 constexpr mode_t kLogMode = 0644;
 
+std::string FirstLineOf(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath);
+  std::string line;
+  std::getline(file, line);
+  return line;
+}
+
 } // namespace
 
 ChildProcess::ChildProcess(const std::string& aProgram,
@@ -53,6 +63,22 @@
   }
 }
 
+std::string ChildProcess::DescribeThreads() const
+{
+  std::string text;
+  std::error_code error;
+  const std::string folder = "/proc/" + std::to_string(this->id) + "/task";
+  for (const auto& task : std::filesystem::directory_iterator(folder, error)) {
+    // The state follows the name, which is in parentheses and may contain blanks.
+    const std::string stat = FirstLineOf(task.path() / "stat");
+    const std::size_t nameEnd = stat.rfind(')');
+    const std::string state = nameEnd == std::string::npos ? "?" : stat.substr(nameEnd + 2, 1);
+    text += (text.empty() ? "" : ", ") + FirstLineOf(task.path() / "comm") + " " + state + " " +
+            FirstLineOf(task.path() / "wchan");
+  }
+  return text.empty() ? "no threads" : text;
+}
+
 bool ChildProcess::HasEnded()
 {
   if (!this->hasEnded) {
--- a/soak/ChildProcess.hpp
+++ b/soak/ChildProcess.hpp
@@ -25,6 +25,9 @@
   void Signal(int aSignal) const;
   /// Collects the process if it has ended.
   bool HasEnded();
+  /// What each thread of the process waits for, for a process that does not end: name, state and
+  /// kernel function.
+  std::string DescribeThreads() const;
   /// Status as of waitpid(); -1 if the process could not be started.
   int Status() const { return this->status; }
 
--- a/soak/ProcessFleet.cpp
+++ b/soak/ProcessFleet.cpp
@@ -133,7 +133,8 @@
     }
     if (!process.child->HasEnded()) {
       if (process.isEndExpected && now - process.endExpectedSince > kStopLimit) {
-        this->violations.Add(process.name + " did not end within 10 s");
+        this->violations.Add(
+          process.name + " did not end within 10 s; threads: " + process.child->DescribeThreads());
         process.endExpectedSince = now;
         process.child->Signal(SIGKILL);
       }
--- a/src/oleanderledge/cli/DaemonCommand.cpp
+++ b/src/oleanderledge/cli/DaemonCommand.cpp
@@ -27,6 +27,7 @@
     return ReportFailure(ExitCode::Usage, settings.error().message, "");
   }
   const auto finished = aRun(settings.value(), { FLAGS_metrics_log, path });
+  WriteLog(LogEvent::DaemonStopped, "instance=" + settings.value().instance + " step=objects");
   if (finished) {
     return ExitCode::Ok;
   }
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -39,6 +39,7 @@
   }
   WriteLog(LogEvent::DaemonStarted, "instance=" + aInstance);
   QCoreApplication::exec();
+  WriteLog(LogEvent::DaemonStopped, "instance=" + aInstance + " step=event_loop");
   return finished;
 }
 
