--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -59,7 +59,7 @@
   };
   const ServiceRow* row = aDirectory.FindService(this->service);
   const std::uint32_t connectionLimit = row == nullptr ? 1 : row->connectionLimit;
-  this->isSynchronous = row != nullptr && row->syncReplicas > 0;
+  this->commits.SetSynchronous(row != nullptr && row->syncReplicas > 0);
   // While the number of proxies is not known, each of them opens as few connections as possible:
   // after a power loss all start at the same time.
   const std::uint32_t share =
@@ -95,11 +95,7 @@
   const PrimaryRow* primaryRow = aDirectory.FindPrimary(this->service);
   if (primaryRow != nullptr && primaryRow->version != this->primaryVersion) {
     this->primaryVersion = primaryRow->version;
-    this->primaryPhase = primaryRow->phase;
-    this->primaryFence = primaryRow->fence;
-    if (!this->IsReplacingPrimary()) {
-      this->steadyAt = this->directoryCurrentAt;
-    }
+    this->commits.SetPrimary(primaryRow->phase, primaryRow->fence);
     if (this->primary != primaryRow->backend) {
       this->primary = primaryRow->backend;
       this->positions.Clear();
@@ -197,21 +193,7 @@
 
 void ServiceDispatcher::SetDirectoryCurrentAt(Instant aHeartbeatSent)
 {
-  this->directoryCurrentAt = std::max(this->directoryCurrentAt, aHeartbeatSent);
-  if (!this->IsReplacingPrimary()) {
-    this->steadyAt = this->directoryCurrentAt;
-  }
-}
-
-bool ServiceDispatcher::RefusesCommits(Instant aNow) const
-{
-  return this->isSynchronous && (this->IsReplacingPrimary() || this->MayPrimaryBeReplaced(aNow));
-}
-
-bool ServiceDispatcher::IsCommitKept(const CommitToken& aToken, Instant aNow) const
-{
-  return !this->isSynchronous ||
-         (aToken.fence == this->primaryFence && !this->MayPrimaryBeReplaced(aNow));
+  this->commits.SetDirectoryCurrentAt(aHeartbeatSent);
 }
 
 void ServiceDispatcher::ApplyGrant(const ConnectionGrant& aGrant)
@@ -249,7 +231,7 @@
       report.failingMs = std::max<std::int64_t>(report.failingMs, 1);
     }
     const bool hasCommits = this->commitMarker.use_count() > 1;
-    if (name == this->primary && this->isSynchronous && this->IsReplacingPrimary() && !hasCommits) {
+    if (name == this->primary && this->commits.MustEndCommits() && !hasCommits) {
       report.closedVersion = this->primaryVersion;
     }
     if (health.LastAnswer()) {
@@ -263,7 +245,7 @@
 std::string ServiceDispatcher::DescribePools(Instant aNow) const
 {
   std::string text = "service=" + this->service + " primary=" + this->primary +
-                     (this->IsReplacingPrimary() ? " promoting=yes" : "") +
+                     (this->commits.IsReplacingPrimary() ? " promoting=yes" : "") +
                      " waiting=" + std::to_string(this->waiting.size()) + " pools=";
   const char* separator = "";
   for (const auto& [name, pool] : this->pools) {
@@ -451,7 +433,7 @@
 BackendPool* ServiceDispatcher::PrimaryPool(Instant aNow) const
 {
   // Writes on the old primary would be lost in the promotion.
-  if (this->IsReplacingPrimary()) {
+  if (this->commits.IsReplacingPrimary()) {
     return nullptr;
   }
   const auto named = this->pools.find(this->primary);
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/link/link.hpp"
+#include "oleanderledge/statements/CommitGate.hpp"
 #include "oleanderledge/statements/PositionHistory.hpp"
 #include "oleanderledge/statements/ReadPlacement.hpp"
 #include "oleanderledge/statements/StatementService.hpp"
@@ -79,7 +80,7 @@
   struct CommitToken
   {
     std::shared_ptr<const void> marker;
-    std::uint64_t fence = 0; ///< Of the primary that the directory named when it was sent.
+    std::uint64_t fence = 0; ///< See CommitGate::Fence().
   };
 
   ServiceDispatcher(const StatementProtocol& aProtocol,
@@ -88,14 +89,9 @@
                     RelayClient& aRelayClient,
                     QObject* aParent);
 
-  /// True if commits of the service wait for replicas and the primary is being replaced, or may be
-  /// without this proxy knowing of it. What the old primary acknowledges then may be missing on its
-  /// successor.
-  bool RefusesCommits(Instant aNow) const;
-  bool IsReplacingPrimary() const { return this->primaryPhase != PrimaryPhase::Steady; }
-  CommitToken BeginCommit() const { return { this->commitMarker, this->primaryFence }; }
-  /// True if a commit that its server confirms at `aNow` cannot be missing on a successor.
-  bool IsCommitKept(const CommitToken& aToken, Instant aNow) const;
+  /// Whether commits may be sent, and their confirmations passed on.
+  const CommitGate& Commits() const { return this->commits; }
+  CommitToken BeginCommit() const { return { this->commitMarker, this->commits.Fence() }; }
   /// See StatementService::SetDirectoryCurrentAt().
   void SetDirectoryCurrentAt(Instant aHeartbeatSent);
 
@@ -164,8 +160,6 @@
   /// False if every server that the request could use has left or may not be given new work.
   bool HasServerFor(const PlacementRequest& aRequest, Instant aNow) const;
   Choice ChoosePool(const PlacementRequest& aRequest, Instant aNow) const;
-  /// True if the primary may have been replaced without this proxy knowing of it.
-  bool MayPrimaryBeReplaced(Instant aNow) const { return aNow - this->steadyAt >= kCommitValidity; }
   /// The reason to refuse a request at its arrival, because it would wait beyond its deadline.
   std::optional<PlacementRefusal> ForecastRefusal(const PlacementRequest& aRequest, Instant aNow);
   /// Number of waiting requests that are served before a new one.
@@ -192,14 +186,7 @@
   std::map<std::string, ZoneDistance, std::less<>> distances;
   std::string primary;
   std::uint64_t primaryVersion = 0;
-  PrimaryPhase primaryPhase = PrimaryPhase::Steady;
-  std::uint64_t primaryFence = 0;
-  bool isSynchronous = false; ///< Commits of the service wait for replicas.
-  /// Sending time of the newest heartbeat after which the directory was current.
-  Instant directoryCurrentAt{};
-  /// Sending time of the newest heartbeat after which the replacement of the primary, if there is
-  /// one, began.
-  Instant steadyAt{};
+  CommitGate commits;
   /// Shared by the tokens of all commits.
   std::shared_ptr<const void> commitMarker = std::make_shared<int>(0);
   /// Servers that are not tried as primary, and until when.
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -767,12 +767,12 @@
     this->transaction.state == TransactionState::Open
       ? this->transaction.onPrimary && (writes || this->transaction.hasWritten)
       : writes;
-  return isAffected && this->Dispatcher()->RefusesCommits(MonotonicNow());
+  return isAffected && this->Dispatcher()->Commits().RefusesCommits(MonotonicNow());
 }
 
 void StatementSession::RefuseCommit()
 {
-  const bool isReplacing = this->Dispatcher()->IsReplacingPrimary();
+  const bool isReplacing = this->Dispatcher()->Commits().IsReplacingPrimary();
   const std::string reason =
     (isReplacing ? "the primary is being replaced; "
                  : "the proxy is out of contact with the control plane; ") +
@@ -793,7 +793,7 @@
 bool StatementSession::IsCommitDoubtful()
 {
   return this->running->commit &&
-         !this->Dispatcher()->IsCommitKept(*this->running->commit, MonotonicNow());
+         !this->Dispatcher()->Commits().IsCommitKept(this->running->commit->fence, MonotonicNow());
 }
 
 void StatementSession::MoveToOtherServer()
