--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -197,7 +197,7 @@
   if (reason.empty()) {
     // A new leader does not know yet whether the primary is silent.
     if (aNow - this->leaderSince >= this->timings.registrationInterval) {
-      this->KeepPrimary(aRow, aRow.backend, aProgress, aActions);
+      this->KeepPrimary(aRow, aRow.backend, "answers_again", aProgress, aActions);
     }
     return;
   }
@@ -208,7 +208,7 @@
   const bool canGoOn = primary != nullptr && primary->claimsPrimary &&
                        this->SilenceOf(aRow.backend, aNow) <= this->timings.RegistrationTimeout();
   if (canGoOn && elapsed > this->timings.reopenAfter) {
-    this->KeepPrimary(aRow, aRow.backend, aProgress, aActions);
+    this->KeepPrimary(aRow, aRow.backend, "no_successor", aProgress, aActions);
     return;
   }
   this->ProposePrimary(aRow.name, aRow.version, reason, aNow, aActions);
@@ -216,6 +216,7 @@
 
 void ServiceCoordinator::KeepPrimary(const PrimaryRow& aRow,
                                      std::string aPrimary,
+                                     std::string_view aReason,
                                      Progress& aProgress,
                                      ControlActions& aActions)
 {
@@ -223,6 +224,7 @@
   aProgress.replaced.reset();
   aActions.push_back(LogAction{ LogEvent::ServicePrimaryKept,
                                 "service=" + aRow.name + " backend=" + aPrimary +
+                                  " reason=" + std::string(aReason) +
                                   " version=" + std::to_string(aRow.version) });
   this->Propose(
     aRow.name, AdoptServicePrimary{ aRow.name, aRow.version, std::move(aPrimary) }, aActions);
@@ -294,7 +296,7 @@
   // The primary may have answered again while the decision was being committed.
   if (aProgress.replaced && aProgress.calledAt == Instant{} &&
       this->ReplacementReason(*aProgress.replaced, aNow).empty()) {
-    this->KeepPrimary(aRow, aProgress.replaced->backend, aProgress, aActions);
+    this->KeepPrimary(aRow, aProgress.replaced->backend, "answers_again", aProgress, aActions);
     return;
   }
   aProgress.callPending = true;
@@ -563,16 +565,17 @@
   const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
   const std::uint64_t settledVersion = row == nullptr ? 0 : row->settledVersion;
   std::vector<std::string> departures;
-  for (const auto& [name, backend] : backends) {
-    if (!backend.deleted || backend.service != aService || backend.version <= settledVersion) {
+  for (const auto& each : backends) {
+    const BackendRow& departed = each.second;
+    if (!departed.deleted || departed.service != aService || departed.version <= settledVersion) {
       continue;
     }
-    const bool hasSuccessor = std::ranges::any_of(backends, [&backend](const auto& aEach) {
-      return !aEach.second.deleted && aEach.second.service == backend.service &&
-             aEach.second.address == backend.address;
+    const bool hasSuccessor = std::ranges::any_of(backends, [&departed](const auto& aOther) {
+      return !aOther.second.deleted && aOther.second.service == departed.service &&
+             aOther.second.address == departed.address;
     });
     if (!hasSuccessor) {
-      departures.push_back(name);
+      departures.push_back(departed.name);
     }
   }
   return departures;
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -185,6 +185,7 @@
   /// replaced goes on.
   void KeepPrimary(const PrimaryRow& aRow,
                    std::string aPrimary,
+                   std::string_view aReason,
                    Progress& aProgress,
                    ControlActions& aActions);
   /// True if all proxies that may still commit on the old primary have reported that they do not.
