tests, soak: one step for a lost primary; threads that end do not end the soak

Three cases of ServiceCoordinatorTests repeated the same five lines, which are a step of the fixture now; all assertions are as before. The listing of threads in the soak used an iterator that throws if a process ends while it is read.

--- a/soak/ChildProcess.cpp
+++ b/soak/ChildProcess.cpp
@@ -68,13 +68,17 @@
   std::string text;
   std::error_code error;
   const std::string folder = "/proc/" + std::to_string(this->id) + "/task";
-  for (const auto& task : std::filesystem::directory_iterator(folder, error)) {
+  // Threads may end meanwhile, which must not end the soak.
+  const std::filesystem::directory_iterator end;
+  for (std::filesystem::directory_iterator each(folder, error); !error && each != end;
+       each.increment(error)) {
+    const std::filesystem::path& task = *each;
     // The state follows the name, which is in parentheses and may contain blanks.
-    const std::string stat = FirstLineOf(task.path() / "stat");
+    const std::string stat = FirstLineOf(task / "stat");
     const std::size_t nameEnd = stat.rfind(')');
     const std::string state = nameEnd == std::string::npos ? "?" : stat.substr(nameEnd + 2, 1);
-    text += (text.empty() ? "" : ", ") + FirstLineOf(task.path() / "comm") + " " + state + " " +
-            FirstLineOf(task.path() / "wchan");
+    text += (text.empty() ? "" : ", ") + FirstLineOf(task / "comm") + " " + state + " " +
+            FirstLineOf(task / "wchan");
   }
   return text.empty() ? "no threads" : text;
 }
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -62,6 +62,16 @@
     this->Commit(RemoveBackend{ aName, 1 });
   }
 
+  /// The primary "a" falls silent, and the proxy "p1" reports it, until its replacement begins.
+  void LosePrimary()
+  {
+    this->live.erase("a");
+    this->Report("p1", "a", 800);
+    while (this->RecordedPrimary().phase == PrimaryPhase::Steady) {
+      this->RunFor(20ms);
+    }
+  }
+
   /// Advances the time in ticks. Each live server registers once per registration interval.
   void RunFor(Duration aTime)
   {
@@ -453,11 +463,7 @@
   fixture.SetSyncReplicas(1);
   fixture.Report("p1", "a", 0);
   fixture.RunFor(2s);
-  fixture.live.erase("a");
-  fixture.Report("p1", "a", 800);
-  while (fixture.RecordedPrimary().phase == PrimaryPhase::Steady) {
-    fixture.RunFor(20ms);
-  }
+  fixture.LosePrimary();
   REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Closing);
   fixture.live.insert("a");
   fixture.Report("p1", "a", 0);
@@ -474,11 +480,7 @@
   ServiceFixture fixture;
   fixture.Report("p1", "a", 0);
   fixture.RunFor(2s);
-  fixture.live.erase("a");
-  fixture.Report("p1", "a", 800);
-  while (fixture.RecordedPrimary().phase == PrimaryPhase::Steady) {
-    fixture.RunFor(20ms);
-  }
+  fixture.LosePrimary();
   REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Promoting);
   REQUIRE(fixture.calls.empty());
   fixture.live.insert("a");
@@ -495,11 +497,7 @@
   fixture.SetSyncReplicas(1);
   fixture.Report("p1", "a", 0);
   fixture.RunFor(2s);
-  fixture.live.erase("a");
-  fixture.Report("p1", "a", 800);
-  while (fixture.RecordedPrimary().phase == PrimaryPhase::Steady) {
-    fixture.RunFor(20ms);
-  }
+  fixture.LosePrimary();
   const std::uint64_t closing = fixture.RecordedPrimary().version;
   fixture.coordinator.OnLeadershipGained(fixture.now);
   fixture.RunFor(1s);
