consensus: log a missing or unconfirmed leader, slow writes, and requests refused for that

- E1309 leader_missing and E1310 leader_unconfirmed after 0.5 s and each further second, with role, term, log, votes, and for each voter whether it is linked or when it was last in contact; E1311 once there is a confirmed leader again.
- E1406 storage_slow for a write of 250 ms or more.
- E1529 request_without_leader with the reason of a 503.
- Gauges: current_leader and configuration_number of control instances, and configuration_number of proxies.

No logic changes.

--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -32,12 +32,16 @@
   ConsensusStopped = 1306,
   SnapshotRestored = 1307,
   MembershipChangeStarted = 1308,
+  LeaderMissing = 1309,
+  LeaderUnconfirmed = 1310,
+  LeaderFollowed = 1311,
   // 1400: storage.
   TornRecordCut = 1401,
   StorageFailed = 1402,
   StorageOpened = 1403,
   StorageFull = 1404,
   StorageRecovered = 1405,
+  StorageSlow = 1406,
   // 1500: control.
   ControlLeading = 1501,
   ControlNotLeading = 1502,
@@ -67,6 +71,7 @@
   ServicePrimaryKept = 1526,
   ServiceDeparturesSettled = 1527,
   ServicePositionsMissing = 1528,
+  RequestWithoutLeader = 1529,
   // 1600: owner.
   OwnershipChanged = 1601,
   OwnershipReleased = 1602,
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -108,7 +108,11 @@
            (this->confirmedCommit && this->appliedIndex >= *this->confirmedCommit);
   }
   std::uint64_t CommitIndex() const { return this->commitIndex; }
+  /// Last entry that is durable on this member.
+  std::uint64_t DurableIndex() const { return this->durableIndex; }
   std::uint64_t AppliedIndex() const { return this->appliedIndex; }
+  /// Ids of the members that have granted a vote or pre-vote in the present election.
+  const std::set<std::string, std::less<>>& Votes() const { return this->votes; }
   const RaftLog& Log() const { return this->log; }
   /// The latest list of members in the log, committed or not.
   const std::vector<ControlMember>& Members() const { return this->log.Members(); }
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds kMaintenanceInterval(100);
 /// Time until a write that the disk refused is tried again.
 constexpr std::chrono::milliseconds kDiskRetryInterval(500);
+/// A write that takes this long is logged. Just under the minimum election timeout of 300 ms.
+constexpr Duration kSlowWrite = std::chrono::milliseconds(250);
 constexpr Duration kJoinRequestInterval = std::chrono::milliseconds(300);
 /// Below the maximum frame size of a link, with room for the other fields of the request.
 constexpr std::size_t kMaxCommandBytes = std::size_t{ 8 } * 1024 * 1024;
@@ -278,6 +280,7 @@
   }
   const Instant now = MonotonicNow();
   this->links.RefreshLinks(this->KnownAddresses(), now);
+  this->LogLeaderStatus(now);
   if (!this->HasLog()) {
     if (const auto members = this->founding.FoundingMembers(this->node->Self(), now)) {
       this->FoundGroup(*members);
@@ -292,6 +295,17 @@
   this->ProposeMembershipChange();
 }
 
+void ConsensusDriver::LogLeaderStatus(Instant aNow)
+{
+  const auto status = this->leaderWatch.Observe(
+    *this->node,
+    [this](const ControlMember& aMember) { return this->links.IsLinked(aMember.instance); },
+    aNow);
+  if (status) {
+    WriteLog(status->event, status->detail);
+  }
+}
+
 void ConsensusDriver::ProposeMembershipChange()
 {
   if (!this->node) {
@@ -463,7 +477,14 @@
   if (batches.empty() || !this->node) {
     return;
   }
+  const Instant startedAt = MonotonicNow();
   const auto written = this->storage->Persist(batches);
+  const Duration took = MonotonicNow() - startedAt;
+  if (took >= kSlowWrite) {
+    WriteLog(LogEvent::StorageSlow,
+             "batches=" + std::to_string(batches.size()) +
+               " took_ms=" + std::to_string(took / std::chrono::milliseconds(1)));
+  }
   if (!written && written.error().code == ResultCode::StorageFull) {
     this->pendingWrites = std::move(batches);
     this->WaitForDisk(written.error().message);
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -137,6 +137,7 @@
   void OnRaftTimer();
   void OnMaintenanceTimer();
   void FoundGroup(const std::vector<ControlMember>& aMembers);
+  void LogLeaderStatus(Instant aNow);
   void SendJoinRequest(Instant aNow);
   void SendLeaveRequest(Instant aNow);
   /// Proposes the next change of the members, if this member leads and one is due.
@@ -167,6 +168,7 @@
   MemberLinks links;
   GroupFounding founding;
   GroupMaintenance maintenance;
+  LeaderWatch leaderWatch;
   std::unique_ptr<MemberStorage> storage;
   std::optional<RaftNode> node;
   std::vector<ControlMember> committedMembers;
--- a/src/oleanderledge/consensus/internal/MemberLinks.hpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.hpp
@@ -29,6 +29,9 @@
   /// no ready link or more than 8 MiB are queued on it.
   bool Send(const std::string& aInstance, const Message& aMessage, Instant aNow);
 
+  /// True if there is a ready link to an instance.
+  bool IsLinked(const std::string& aInstance) { return this->FindReadyEntry(aInstance) != nullptr; }
+
   /// Sends to every control instance with a ready link.
   void SendToAll(const Message& aMessage, Instant aNow);
 
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -258,6 +258,8 @@
     unsteady += record.row.phase != FailoverPhase::Steady ? 1 : 0;
   }
   return line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
+         line("current_leader", "gauge", this->Log().HasCurrentLeader(MonotonicNow()) ? 1 : 0) +
+         line("configuration_number", "gauge", this->state.Routes().Number()) +
          line("term", "gauge", this->Log().Term()) +
          line("applied_index", "gauge", this->Log().AppliedIndex()) +
          line("directory_version", "gauge", this->state.DirectoryVersion()) +
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -41,6 +41,8 @@
   MetricsRegistry& metrics = this->registry;
   metrics.SetGauge("oleanderledge_ready", {}, aIsReady ? 1.0 : 0.0);
   metrics.SetGauge("oleanderledge_directory_version", {}, ToDouble(aDirectory.Version()));
+  metrics.SetGauge(
+    "oleanderledge_configuration_number", {}, ToDouble(aDirectory.ConfigurationNumber()));
   metrics.SetGauge("oleanderledge_sessions", {}, ToDouble(aCounters.sessions));
   metrics.SetGauge("oleanderledge_waiting_units", {}, ToDouble(aCounters.waitingUnits));
   metrics.SetCounter("oleanderledge_units_forwarded_total", {}, ToDouble(aCounters.unitsForwarded));
--- a/src/oleanderledge/platform/ControlPlaneServer.cpp
+++ b/src/oleanderledge/platform/ControlPlaneServer.cpp
@@ -157,6 +157,9 @@
   const std::string leader = this->control.LeaderIpAddress();
   const auto [ownHost, port] = SplitAddress(this->ownAddress);
   if (leader.empty() || leader == ownHost) {
+    WriteLog(LogEvent::RequestWithoutLeader,
+             "path=" + aPath.left(kMaxLoggedPath).toStdString() +
+               " reason=" + (leader.empty() ? "no_leader" : "unconfirmed"));
     aReply.Send(kHttpUnavailable, kJsonType, "{}");
     return;
   }
