--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -245,10 +245,8 @@
       this->SendOverNetwork(aInstance, std::move(*send));
     } else if (auto* persist = std::get_if<PersistAction>(&action)) {
       const std::int64_t start = instance.writes.empty() ? this->now : instance.writes.back().dueAt;
-      // Some writes take longer than the replies of other members.
-      const std::int64_t length = this->random() % 10 == 0 ? this->RandomBetween(3000, 60000)
-                                                           : this->RandomBetween(100, 3000);
-      instance.writes.push_back({ start + length, std::move(persist->batch) });
+      instance.writes.push_back(
+        { start + this->DrawWriteTime(instance), std::move(persist->batch) });
     } else if (auto* apply = std::get_if<ApplyAction>(&action)) {
       this->Apply(aInstance, apply->entry);
     } else if (auto* restore = std::get_if<RestoreAction>(&action)) {
@@ -272,6 +270,16 @@
   this->CheckLeaders();
 }
 
+std::int64_t FakeGroup::DrawWriteTime(const Instance& aInstance)
+{
+  if (aInstance.writeTime) {
+    return this->RandomBetween(aInstance.writeTime->first, aInstance.writeTime->second);
+  }
+  // Some writes take longer than the replies of other members.
+  return this->random() % 10 == 0 ? this->RandomBetween(3000, 60000)
+                                  : this->RandomBetween(100, 3000);
+}
+
 void FakeGroup::SendOverNetwork(std::size_t aInstance, SendAction aSend)
 {
   const auto target = this->instanceOfMember.find(aSend.to);
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -62,6 +62,11 @@
   void Freeze(std::size_t aInstance, std::int64_t aMicroseconds);
   /// Adds a delay to each message, for members in different regions.
   void SetExtraDelay(std::int64_t aMicroseconds) { this->extraDelay = aMicroseconds; }
+  /// Makes each write of an instance take a random time in this range.
+  void SetWriteTime(std::size_t aInstance, std::int64_t aShortest, std::int64_t aLongest)
+  {
+    this->instances[aInstance].writeTime = { aShortest, aLongest };
+  }
   /// Drops messages at random, `aLoss` in a thousand.
   void SetLossPerMille(unsigned aLoss) { this->lossPerMille = aLoss; }
 
@@ -109,6 +114,8 @@
     std::int64_t frozenUntil = 0;
     std::int64_t maintenanceAt = 0;
     std::deque<Write> writes;
+    /// Shortest and longest time of a write; a mix of short and some longer ones if empty.
+    std::optional<std::pair<std::int64_t, std::int64_t>> writeTime;
     std::uint64_t appliedIndex = 0;
     std::uint64_t appliedHash = 0;
     bool isLeaving = false;
@@ -146,6 +153,7 @@
   void RecordViolation(const std::string& aWhat);
   bool IsFrozen(const Instance& aInstance) const { return aInstance.frozenUntil > this->now; }
   std::int64_t RandomBetween(std::int64_t aLow, std::int64_t aHigh);
+  std::int64_t DrawWriteTime(const Instance& aInstance);
   bool HasLiveMajority(const std::vector<ControlMember>& aMembers) const;
   ControlMember MemberOf(std::size_t aInstance) const;
 
