tests: in FakeGroup, batches that come during a write share the next one

The model wrote each batch for itself, one after the other, so that a leader with 500 proposals a second fell behind its followers, which receive several entries in one batch. ConsensusDriver has always stored all batches that are pending in one write, and the model now does the same. No assertion changes; the crash of an instance still keeps a random number of its oldest batches.

--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -244,9 +244,7 @@
       this->CheckSend(aInstance, send->message);
       this->SendOverNetwork(aInstance, std::move(*send));
     } else if (auto* persist = std::get_if<PersistAction>(&action)) {
-      const std::int64_t start = instance.writes.empty() ? this->now : instance.writes.back().dueAt;
-      instance.writes.push_back(
-        { start + this->DrawWriteTime(instance), std::move(persist->batch) });
+      instance.writes.push_back({ this->NextWriteDueAt(instance), std::move(persist->batch) });
     } else if (auto* apply = std::get_if<ApplyAction>(&action)) {
       this->Apply(aInstance, apply->entry);
     } else if (auto* restore = std::get_if<RestoreAction>(&action)) {
@@ -270,6 +268,17 @@
   this->CheckLeaders();
 }
 
+/// Batches that come during a write share the next one, as in ConsensusDriver.
+std::int64_t FakeGroup::NextWriteDueAt(const Instance& aInstance)
+{
+  if (aInstance.writes.empty()) {
+    return this->now + this->DrawWriteTime(aInstance);
+  }
+  const std::int64_t current = aInstance.writes.front().dueAt;
+  const std::int64_t last = aInstance.writes.back().dueAt;
+  return last > current ? last : current + this->DrawWriteTime(aInstance);
+}
+
 std::int64_t FakeGroup::DrawWriteTime(const Instance& aInstance)
 {
   if (aInstance.writeTime) {
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -67,6 +67,7 @@
   {
     this->instances[aInstance].writeTime = { aShortest, aLongest };
   }
+  void ResetWriteTime(std::size_t aInstance) { this->instances[aInstance].writeTime.reset(); }
   /// Drops messages at random, `aLoss` in a thousand.
   void SetLossPerMille(unsigned aLoss) { this->lossPerMille = aLoss; }
 
@@ -153,6 +154,7 @@
   void RecordViolation(const std::string& aWhat);
   bool IsFrozen(const Instance& aInstance) const { return aInstance.frozenUntil > this->now; }
   std::int64_t RandomBetween(std::int64_t aLow, std::int64_t aHigh);
+  std::int64_t NextWriteDueAt(const Instance& aInstance);
   std::int64_t DrawWriteTime(const Instance& aInstance);
   bool HasLiveMajority(const std::vector<ControlMember>& aMembers) const;
   ControlMember MemberOf(std::size_t aInstance) const;
