consensus: slow writes do not keep a group from electing or keeping a leader

What callers saw: with writes of about 300 ms or more on a majority of the control instances there is no leader: acknowledged versions are not published, proxies go on with the older one, and reads of the configuration get 503, although nothing is down.

Cause: the time limits of elections and of the leader lease (300 to 600 ms) left no time for writes. - A candidate asked for votes only after its own was stored, and dropped those that came after its next timeout. Now the requests go out at once, if the log that they claim is durable, and votes count for as long as the candidacy stands, also during a later pre-vote. A candidate leads only once its own vote is durable, as before. - Members took part in other elections while they stored a vote. Now they start none and grant no pre-vote until it is stored, and wait for the leader from then. - Heartbeats were answered after all pending writes. Now they are answered at once with what is durable, as long as the term and vote are. - A leader whose own disk hangs would keep its lease that way, and can confirm nothing. It steps down if entries that a majority stores are not durable on its own disk for longer than its recent writes explain, and a member whose disk is behind does not start elections.

Why it is safe: the claims in a request for votes are durable, and a durable log never becomes less up to date; a heartbeat is answered only in a stored term, and confirms only durable entries.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -18,6 +18,7 @@
   , hardState(aStored.hardState)
   , log(std::move(aStored))
   , lastLeaderContact(aNow)
+  , lastEventAt(aNow)
 {
   if (this->hardState.term < this->log.LastTerm()) {
     // A crash between the writes of the snapshot file and the log file of a batch leaves a hard
@@ -54,6 +55,9 @@
   if (this->role == RaftRole::Leader) {
     this->CheckQuorum(aNow);
   }
+  if (this->role == RaftRole::Leader) {
+    this->CheckOwnDisk(aNow);
+  }
   if (this->role == RaftRole::Leader) {
     if (aNow >= this->heartbeatDeadline) {
       this->ReplicateToAll(true, aNow);
@@ -86,10 +90,12 @@
 
 RaftActions RaftNode::OnPersisted(std::uint64_t aSequence, Instant aNow)
 {
+  const bool wasStoringHardState = this->IsStoringHardState();
   this->lastDurableSequence = std::max(this->lastDurableSequence, aSequence);
   while (!this->pendingBatches.empty() &&
          this->pendingBatches.front().sequence <= this->lastDurableSequence) {
     this->durableIndex = std::max(this->durableIndex, this->pendingBatches.front().lastIndex);
+    this->lastWriteTime = aNow - this->pendingBatches.front().issuedAt;
     this->pendingBatches.pop_front();
   }
   while (!this->deferredSends.empty() &&
@@ -98,9 +104,11 @@
     this->deferredSends.pop_front();
   }
   this->RestoreSnapshotIfDurable();
-  if (this->role == RaftRole::Candidate) {
-    this->CountVotes(aNow);
+  if (wasStoringHardState && !this->IsStoringHardState() && this->role != RaftRole::Leader) {
+    // The votes of an election travel only from now on.
+    this->ResetElectionTimer(aNow);
   }
+  this->CountVotes(aNow);
   if (this->role == RaftRole::Leader) {
     this->AdvanceCommit();
   }
@@ -202,6 +210,9 @@
 
 bool RaftNode::MayCampaign() const
 {
+  if (this->IsStoringHardState() || this->commitIndex > this->durableIndex) {
+    return false;
+  }
   if (IsVoter(this->Members(), this->self)) {
     return true;
   }
@@ -226,17 +237,19 @@
 void RaftNode::StartElection(bool aPreVote, Instant aNow)
 {
   this->ResetElectionTimer(aNow);
-  this->votes.clear();
+  this->preVotes.clear();
   this->leader.clear();
   std::uint64_t term = this->hardState.term + 1;
   if (aPreVote) {
     this->role = RaftRole::PreCandidate;
-    this->votes.insert(this->self);
+    this->preVotes.insert(this->self);
     // A pre-vote does not change the term and is therefore retried early: after a restart of the
     // whole group the first one often fails, because links to too few members are open.
     this->electionDeadline -= this->settings.electionTimeoutMin * 2 / 3;
   } else {
     this->role = RaftRole::Candidate;
+    this->candidacyTerm = term;
+    this->votes.clear();
     this->hardState = { term, this->self };
     this->hardStateChanged = true;
     this->ownVoteSequence = this->lastIssuedSequence + 1;
@@ -248,25 +261,42 @@
     if (!member.voter || member.id == this->self) {
       continue;
     }
-    this->SendWhenDurable(member.id, request);
+    // The request may precede the own vote, which counts only once it is durable. The log that it
+    // claims may not: after a crash, votes that are still on their way would elect a shorter one.
+    if (this->durableIndex == this->log.LastIndex()) {
+      this->Send(member.id, request);
+    } else {
+      this->SendWhenDurable(member.id, request);
+    }
+  }
+  if (aPreVote) {
+    this->CountPreVotes(aNow);
+  } else {
+    this->CountVotes(aNow);
+  }
+}
+
+void RaftNode::CountPreVotes(Instant aNow)
+{
+  const bool isSupported = HoldsForMajority(this->Members(), [this](const ControlMember& aMember) {
+    return this->preVotes.contains(aMember.id);
+  });
+  if (isSupported) {
+    this->StartElection(false, aNow);
   }
-  this->CountVotes(aNow);
 }
 
 void RaftNode::CountVotes(Instant aNow)
 {
-  if (this->role == RaftRole::Candidate && this->lastDurableSequence >= this->ownVoteSequence) {
-    this->votes.insert(this->self);
+  if (this->candidacyTerm != this->hardState.term ||
+      this->lastDurableSequence < this->ownVoteSequence) {
+    return;
   }
+  this->votes.insert(this->self);
   const bool isElected = HoldsForMajority(this->Members(), [this](const ControlMember& aMember) {
     return this->votes.contains(aMember.id);
   });
-  if (!isElected) {
-    return;
-  }
-  if (this->role == RaftRole::PreCandidate) {
-    this->StartElection(false, aNow);
-  } else if (this->role == RaftRole::Candidate) {
+  if (isElected) {
     this->BecomeLeader(aNow);
   }
 }
@@ -274,7 +304,8 @@
 void RaftNode::Handle(const VoteRequest& aRequest, Instant aNow)
 {
   VoteReply reply{ this->hardState.term, this->self, false, aRequest.preVote };
-  if (this->ShouldRejectVotes(aNow) || aRequest.term < this->hardState.term) {
+  const bool isBusy = aRequest.preVote && this->IsStoringHardState();
+  if (this->ShouldRejectVotes(aNow) || aRequest.term < this->hardState.term || isBusy) {
     // The newer term is not adopted either, or a candidate that cannot win would depose the leader.
     this->SendWhenDurable(aRequest.candidate, reply);
     return;
@@ -310,7 +341,7 @@
 {
   if (this->role == RaftRole::PreCandidate && aCandidate < this->self) {
     this->role = RaftRole::Follower;
-    this->votes.clear();
+    this->preVotes.clear();
   }
   if (this->role != RaftRole::Follower) {
     return;
@@ -332,9 +363,10 @@
   }
   const bool answersPreVote = aReply.preVote && this->role == RaftRole::PreCandidate &&
                               aReply.term == this->hardState.term + 1;
-  const bool answersVote =
-    !aReply.preVote && this->role == RaftRole::Candidate && aReply.term == this->hardState.term;
-  if (answersPreVote || answersVote) {
+  if (answersPreVote) {
+    this->preVotes.insert(aReply.voter);
+    this->CountPreVotes(aNow);
+  } else if (!aReply.preVote && aReply.term == this->candidacyTerm) {
     this->votes.insert(aReply.voter);
     this->CountVotes(aNow);
   }
@@ -356,6 +388,8 @@
   }
   this->role = RaftRole::Follower;
   this->leader = aLeader;
+  this->preVotes.clear();
+  this->candidacyTerm.reset();
   this->votes.clear();
   this->ResetElectionTimer(aNow);
 }
@@ -365,6 +399,9 @@
   this->role = RaftRole::Leader;
   this->leader = this->self;
   this->leadershipStart = aNow;
+  this->ownDiskCurrentAt = aNow;
+  this->preVotes.clear();
+  this->candidacyTerm.reset();
   this->votes.clear();
   this->incomingSnapshot.reset();
   this->progress.clear();
@@ -418,6 +455,16 @@
   }
 }
 
+void RaftNode::CheckOwnDisk(Instant aNow)
+{
+  if (this->durableIndex >= this->commitIndex) {
+    this->ownDiskCurrentAt = aNow;
+  } else if (aNow - this->ownDiskCurrentAt >
+             this->settings.electionTimeoutMax + 2 * this->lastWriteTime) {
+    this->BecomeFollower(this->hardState.term, {}, aNow);
+  }
+}
+
 void RaftNode::UpdateProgressMembers()
 {
   for (const ControlMember& member : this->Members()) {
@@ -661,7 +708,19 @@
       this->confirmedCommit = aRequest.commitIndex;
     }
   }
-  this->SendWhenDurable(aRequest.leader, reply);
+  this->ReplyToAppend(aRequest, reply);
+}
+
+void RaftNode::ReplyToAppend(const AppendRequest& aRequest, const AppendReply& aReply)
+{
+  const bool isHeartbeat = aReply.success && aRequest.entries.empty();
+  if (this->IsStoringHardState() || !isHeartbeat) {
+    this->SendWhenDurable(aRequest.leader, aReply);
+    return;
+  }
+  AppendReply durable = aReply;
+  durable.matchIndex = std::min(aReply.matchIndex, this->durableIndex);
+  this->Send(aRequest.leader, durable);
 }
 
 /// Appends missing entries and replaces conflicting ones. Returns the last index up to which the
@@ -859,6 +918,9 @@
   PersistBatch batch;
   batch.sequence = ++this->lastIssuedSequence;
   batch.hardState = this->hardState;
+  if (this->hardStateChanged) {
+    this->hardStateSequence = batch.sequence;
+  }
   batch.entries = std::exchange(this->unpersistedEntries, {});
   if (this->unpersistedSnapshot) {
     const std::uint64_t first = this->unpersistedSnapshot->lastIndex + 1;
@@ -866,7 +928,7 @@
     batch.snapshot = std::exchange(this->unpersistedSnapshot, std::nullopt);
   }
   this->hardStateChanged = false;
-  this->pendingBatches.push_back({ batch.sequence, this->log.LastIndex() });
+  this->pendingBatches.push_back({ batch.sequence, this->log.LastIndex(), this->lastEventAt });
   this->actions.emplace_back(PersistAction{ std::move(batch) });
 }
 
@@ -874,6 +936,7 @@
 /// state changes, and sends or defers the messages that depend on it.
 RaftActions RaftNode::FinishEvent(Instant aNow)
 {
+  this->lastEventAt = aNow;
   this->ApplyCommitted(aNow);
   this->IssuePersistBatch();
   for (SendAction& send : this->sendsAfterPersist) {
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -112,7 +112,10 @@
   std::uint64_t DurableIndex() const { return this->durableIndex; }
   std::uint64_t AppliedIndex() const { return this->appliedIndex; }
   /// Ids of the members that have granted a vote or pre-vote in the present election.
-  const std::set<std::string, std::less<>>& Votes() const { return this->votes; }
+  const std::set<std::string, std::less<>>& Votes() const
+  {
+    return this->role == RaftRole::PreCandidate ? this->preVotes : this->votes;
+  }
   const RaftLog& Log() const { return this->log; }
   /// The latest list of members in the log, committed or not.
   const std::vector<ControlMember>& Members() const { return this->log.Members(); }
@@ -135,6 +138,7 @@
   {
     std::uint64_t sequence;
     std::uint64_t lastIndex; ///< Last entry that is durable once the batch is.
+    Instant issuedAt;
   };
   struct PendingProposal
   {
@@ -172,8 +176,16 @@
   bool IsLogUpToDate(const VoteRequest& aRequest) const;
   void YieldTo(std::string_view aCandidate, Instant aNow);
   void StartElection(bool aPreVote, Instant aNow);
-  /// Moves on to the next stage of the election once a majority has granted its votes.
+  /// Becomes a candidate once a majority has granted its pre-votes.
+  void CountPreVotes(Instant aNow);
+  /// Becomes leader once a majority has granted its votes.
   void CountVotes(Instant aNow);
+  /// True while the term or the vote of this member is not yet durable. It takes part in no other
+  /// election meanwhile: its vote for that one would have to wait for this one.
+  bool IsStoringHardState() const
+  {
+    return this->hardStateChanged || this->lastDurableSequence < this->hardStateSequence;
+  }
   /// Adopts `aTerm` if it is newer. A leader fails its pending proposals.
   void BecomeFollower(std::uint64_t aTerm, const std::string& aLeader, Instant aNow);
   void BecomeLeader(Instant aNow);
@@ -186,6 +198,9 @@
   Instant LastQuorumContact(Instant aNow) const;
   /// Steps down if there was no contact with a quorum for the maximum election timeout.
   void CheckQuorum(Instant aNow);
+  /// Steps down if entries that a majority stores are not durable on this member for longer than
+  /// its recent writes explain: it can neither apply nor confirm them, and another member can.
+  void CheckOwnDisk(Instant aNow);
   /// Adds and removes progress entries so that they match the list of members.
   void UpdateProgressMembers();
   /// Records a reply and returns the progress of its sender. Steps down if the reply has a newer
@@ -209,6 +224,10 @@
   void AppendAsLeader(LogEntryKind aKind, std::string aCommand);
   void AdvanceCommit();
 
+  /// Answers a request of the current leader: a heartbeat at once, with what is durable, so that
+  /// slow writes do not end the leader lease; any other once everything before it is durable.
+  void ReplyToAppend(const AppendRequest& aRequest, const AppendReply& aReply);
+
   // Log and durability.
   std::uint64_t MergeEntries(const AppendRequest& aRequest);
   void TruncateFrom(std::uint64_t aIndex);
@@ -247,7 +266,13 @@
   /// have confirmed a leader lease shortly before a restart and does not store that.
   Instant lastLeaderContact{};
   Instant leadershipStart{};
-  std::set<std::string, std::less<>> votes; ///< Ids of the members that granted a vote or pre-vote.
+  std::set<std::string, std::less<>> preVotes; ///< Ids of the members that granted a pre-vote.
+  /// The term in which this member became a candidate. Votes for it count until the member follows
+  /// another leader or another term, also during a later pre-vote: with slow writes they come late.
+  std::optional<std::uint64_t> candidacyTerm;
+  std::set<std::string, std::less<>> votes; ///< Ids of the members that voted for the candidacy.
+  /// Last time at which everything that is committed was durable on this member, while it leads.
+  Instant ownDiskCurrentAt{};
   std::map<std::string, MemberProgress, std::less<>> progress;
   std::map<std::uint64_t, PendingProposal> pendingProposals; ///< By log index.
   std::optional<IncomingSnapshot> incomingSnapshot;
@@ -262,8 +287,11 @@
 
   std::uint64_t lastIssuedSequence = 0;
   std::uint64_t lastDurableSequence = 0;
-  std::uint64_t ownVoteSequence = 0; ///< Batch that stores this member's vote for itself.
+  std::uint64_t ownVoteSequence = 0;   ///< Batch that stores this member's vote for itself.
+  std::uint64_t hardStateSequence = 0; ///< Batch that stores the newest hard state.
   std::deque<PendingBatch> pendingBatches;
+  Duration lastWriteTime{ 0 }; ///< From the issue of a batch until it was durable.
+  Instant lastEventAt{};
   std::deque<DeferredSend> deferredSends;
 
   RaftActions actions; ///< Actions of the current event so far.
--- a/tests/consensus/RaftHistoryTests.cpp
+++ b/tests/consensus/RaftHistoryTests.cpp
@@ -29,8 +29,9 @@
   CrashAndRestart, ///< A crash and an immediate restart.
   SplitLeader,     ///< Drops all messages between the leader and two other instances.
   Leave,           ///< A planned stop.
+  SlowWrites,      ///< Each write of an instance takes up to three times Step::milliseconds.
 };
-constexpr std::uint8_t kFaultCount = 13; ///< Without Leave.
+constexpr std::uint8_t kFaultCount = 13; ///< Without Leave and SlowWrites.
 
 /// Placeholder for the instance that leads when the fault is injected.
 constexpr std::size_t kCurrentLeader = kMemberCount;
@@ -112,6 +113,9 @@
     case Fault::Leave:
       aGroup.Leave(instance);
       break;
+    case Fault::SlowWrites:
+      aGroup.SetWriteTime(instance, 0, aStep.milliseconds * 3 * FakeGroup::kMillisecond);
+      break;
   }
 }
 
@@ -122,6 +126,7 @@
   aGroup.HealNetwork();
   aGroup.SetLossPerMille(0);
   for (std::size_t at = 0; at < kMemberCount; ++at) {
+    aGroup.ResetWriteTime(at);
     aGroup.CancelLeave(at);
     aGroup.Restart(at);
   }
@@ -196,3 +201,22 @@
     CheckHistory(group, steps);
   });
 }
+
+// Guards against the same faults while the writes of some instances are slow.
+TEST_CASE("The log stays safe while the writes of some instances are slow")
+{
+  rc::prop("safety holds after every event, and the group recovers", [] {
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>()).as("network seed");
+    const auto slow = *rc::gen::container<std::vector<std::int64_t>>(
+                         kMemberCount, rc::gen::inRange<std::int64_t>(0, 1000))
+                         .as("longest write of each instance");
+    const auto steps =
+      *rc::gen::container<std::vector<Step>>(kStepCount, GenerateStep(kFaultCount + 2)).as("steps");
+    FakeGroup group(seed, kMemberCount);
+    RC_ASSERT(group.RunUntil(kRecoveryTimeoutUs, [&group] { return group.LastCommitted() > 0; }));
+    for (std::size_t at = 0; at < kMemberCount; ++at) {
+      group.SetWriteTime(at, 0, slow[at] * FakeGroup::kMillisecond);
+    }
+    CheckHistory(group, steps);
+  });
+}
--- a/tests/consensus/SlowWriteTests.cpp
+++ b/tests/consensus/SlowWriteTests.cpp
@@ -49,3 +49,28 @@
   CHECK(group.Node(*group.Leader())->Term() == term);
   CHECK_FALSE(group.Violation());
 }
+
+// Guards against a leader that is confirmed by the others but can store, and so acknowledge,
+// nothing.
+TEST_CASE("A leader whose disk hangs is replaced")
+{
+  constexpr std::size_t kCount = 5;
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4, 5, 6, 7, 8);
+  INFO("seed " << seed);
+  FakeGroup group(seed, kCount);
+  REQUIRE(WaitForLeader(group, 10 * kSecond));
+  const std::size_t hanging = *group.Leader();
+  group.SetWriteTime(hanging, 60 * kSecond, 60 * kSecond);
+  group.Propose(1);
+  group.Run(100 * FakeGroup::kMillisecond);
+  // The check of its disk, the election timeout, and an election.
+  CHECK(group.RunUntil(2 * kSecond, [&group, hanging] {
+    const auto leader = group.Leader();
+    return leader && *leader != hanging && group.Node(*leader)->IsLeadershipEstablished();
+  }));
+  const std::size_t before = group.Acknowledged();
+  group.Propose(1);
+  group.Run(kSecond);
+  CHECK(group.Acknowledged() == before + 1);
+  CHECK_FALSE(group.Violation());
+}
