consensus: store batches in a thread of their own

A write blocked the control thread: no heartbeat was sent or answered, and no message handled, until the disk had synced. A leader lost its lease with each write that took longer than 300 ms, and its followers started elections.

StorageWriter stores the pending batches in its own thread, one write at a time; batches that come meanwhile share the next one. RaftNode already treats writes as concurrent: replies and own votes wait for them. The founding batch is still stored at once; results of writes before it are dropped.

--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -1,6 +1,7 @@
 #include "oleanderledge/consensus/internal/ConsensusDriver.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -97,6 +98,10 @@
 {
   BOOST_OUTCOME_TRY(opened, MemberStorage::Open(this->files, this->settings.dataFolder));
   this->storage = std::move(opened);
+  this->writer =
+    std::make_unique<StorageWriter>(*this->storage, [this](StorageWriter::Written aWritten) {
+      this->HandleWritten(std::move(aWritten));
+    });
   PersistentState stored = this->storage->TakeLoadedState();
   if (stored.snapshot) {
     const auto content = DecodeSnapshotContent(*stored.snapshot->content);
@@ -355,10 +360,9 @@
 
 void ConsensusDriver::FoundGroup(const std::vector<ControlMember>& aMembers)
 {
-  this->FlushWrites();
-  if (!this->node) {
-    return;
-  }
+  // The founding batch replaces the terms and votes that were to be stored before it.
+  this->writer->WaitAndDiscard();
+  this->pendingWrites.clear();
   PersistBatch batch = RaftNode::FoundingBatch(aMembers);
   // This member may have adopted a newer term or voted since it started.
   batch.hardState.term = std::max(batch.hardState.term, this->node->Term() + 1);
@@ -473,31 +477,38 @@
 void ConsensusDriver::FlushWrites()
 {
   this->writesScheduled = false;
-  std::vector<PersistBatch> batches = std::exchange(this->pendingWrites, {});
-  if (batches.empty() || !this->node) {
+  if (this->pendingWrites.empty() || !this->node || this->writer->IsBusy()) {
     return;
   }
-  const Instant startedAt = MonotonicNow();
-  const auto written = this->storage->Persist(batches);
-  const Duration took = MonotonicNow() - startedAt;
-  if (took >= kSlowWrite) {
-    WriteLog(LogEvent::StorageSlow,
-             "batches=" + std::to_string(batches.size()) +
-               " took_ms=" + std::to_string(took / std::chrono::milliseconds(1)));
+  this->writer->Store(std::exchange(this->pendingWrites, {}));
+}
+
+void ConsensusDriver::HandleWritten(StorageWriter::Written aWritten)
+{
+  if (!this->node) {
+    return;
   }
-  if (!written && written.error().code == ResultCode::StorageFull) {
-    this->pendingWrites = std::move(batches);
-    this->WaitForDisk(written.error().message);
+  if (aWritten.took >= kSlowWrite) {
+    WriteLog(LogEvent::StorageSlow,
+             "batches=" + std::to_string(aWritten.batches.size()) +
+               " took_ms=" + std::to_string(aWritten.took / std::chrono::milliseconds(1)));
+  }
+  const std::uint64_t lastSequence = aWritten.batches.back().sequence;
+  if (!aWritten.result && aWritten.result.error().code == ResultCode::StorageFull) {
+    std::ranges::move(this->pendingWrites, std::back_inserter(aWritten.batches));
+    this->pendingWrites = std::move(aWritten.batches);
+    this->WaitForDisk(aWritten.result.error().message);
     return;
   }
-  if (!written) {
-    this->StopWithError(written.error().code, written.error().message);
+  if (!aWritten.result) {
+    this->StopWithError(aWritten.result.error().code, aWritten.result.error().message);
     return;
   }
   if (std::exchange(this->isDiskFull, false)) {
-    WriteLog(LogEvent::StorageRecovered, "batches=" + std::to_string(batches.size()));
+    WriteLog(LogEvent::StorageRecovered, "batches=" + std::to_string(aWritten.batches.size()));
   }
-  this->ExecuteActions(this->node->OnPersisted(batches.back().sequence, MonotonicNow()));
+  this->FlushWrites();
+  this->ExecuteActions(this->node->OnPersisted(lastSequence, MonotonicNow()));
 }
 
 void ConsensusDriver::WaitForDisk(const std::string& aReason)
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/consensus/consensus.hpp"
 #include "oleanderledge/consensus/internal/GroupFounding.hpp"
 #include "oleanderledge/consensus/internal/MemberLinks.hpp"
+#include "oleanderledge/consensus/internal/StorageWriter.hpp"
 #include "oleanderledge/storage/storage.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
@@ -39,7 +40,7 @@
 };
 
 /// The replicated log of one control instance: connects RaftNode to the data folder, Qt timers and
-/// links. Must be used in the control thread only.
+/// links. Must be used in the control thread only; writes run in a thread of their own.
 ///
 /// First start of a group: every initial instance has an empty data folder, creates a new member id
 /// and requests to join. The initial instance with the lowest id founds the group once all others
@@ -152,7 +153,9 @@
   void ArmRaftTimer();
   void CompactIfDue();
   void ScheduleWrites();
+  /// Starts to store the pending writes, unless a write is in progress.
   void FlushWrites();
+  void HandleWritten(StorageWriter::Written aWritten);
   /// Schedules another attempt to store the pending writes.
   void WaitForDisk(const std::string& aReason);
   void StopWithError(ResultCode aCode, const std::string& aReason);
@@ -170,6 +173,7 @@
   GroupMaintenance maintenance;
   LeaderWatch leaderWatch;
   std::unique_ptr<MemberStorage> storage;
+  std::unique_ptr<StorageWriter> writer; ///< Uses `storage`.
   std::optional<RaftNode> node;
   std::vector<ControlMember> committedMembers;
   /// Instance id of the peer that last sent messages of a member, by member id.
--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -9,8 +9,10 @@
 #include <QTcpServer>
 #include <QTemporaryDir>
 
+#include <atomic>
 #include <filesystem>
 #include <memory>
+#include <semaphore>
 
 using namespace oleanderledge;
 
@@ -333,3 +335,21 @@
   CHECK(instance.state.text == "kept;waiting;");
   CHECK_FALSE(fixture.failure.has_value());
 }
+
+// Guards against a control thread that handles no message or timer while a write is in progress.
+TEST_CASE("A driver whose disk is slow handles events during the write")
+{
+  EnsureApplication();
+  std::binary_semaphore isHandled{ 0 };
+  std::atomic<bool> wasHandledDuringWrite{ false };
+  DriverOnMemoryDisk fixture;
+  fixture.files.beforeSync = [&isHandled, &wasHandledDuringWrite] {
+    wasHandledDuringWrite = isHandled.try_acquire_for(std::chrono::seconds(2));
+  };
+  fixture.Propose("slow");
+  QTimer::singleShot(50, [&isHandled] { isHandled.release(); });
+  REQUIRE(fixture.group.WaitFor([&fixture] { return fixture.outcome.has_value(); }));
+  CHECK(*fixture.outcome == ResultCode::Ok);
+  CHECK(wasHandledDuringWrite);
+  CHECK(fixture.group.instances.front().state.text == "kept;slow;");
+}
--- a/tests/storage/MemoryFileSystem.cpp
+++ b/tests/storage/MemoryFileSystem.cpp
@@ -31,6 +31,9 @@
   Result<void> Sync() override
   {
     BOOST_OUTCOME_TRY(this->files.BeginOperation("sync"));
+    if (this->files.beforeSync) {
+      this->files.beforeSync();
+    }
     if (this->files.failSyncs) {
       return Fail(ResultCode::StorageWriteFailed, "input/output error");
     }
--- a/tests/storage/MemoryFileSystem.hpp
+++ b/tests/storage/MemoryFileSystem.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/storage/storage.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,6 +51,7 @@
   std::size_t maxAppendBytes = SIZE_MAX; ///< Longer appends are short writes.
   std::size_t freeBytes = SIZE_MAX;      ///< Remaining space; SIZE_MAX for unlimited.
   bool failSyncs = false;                ///< All syncs of files fail.
+  std::function<void()> beforeSync;      ///< If set, called before each sync of a file.
   std::size_t operationCount = 0;
   std::optional<std::size_t> firstFailingOperation; ///< Counted from 1.
 
