--- a/src/oleanderledge/storage/MemberStorage.cpp
+++ b/src/oleanderledge/storage/MemberStorage.cpp
@@ -5,8 +5,6 @@
 #include "oleanderledge/storage/MemberIdentity.hpp"
 #include "oleanderledge/storage/SnapshotFile.hpp"
 
-#include <algorithm>
-
 namespace oleanderledge {
 
 namespace {
@@ -30,22 +28,32 @@
   return writer.TakeBytes();
 }
 
-/// Appends an entry and removes those with the same or a higher index. Fails with StorageCorrupt if
-/// an index is skipped.
-Result<void> AppendEntry(std::vector<LogEntry>& aEntries, LogEntry aEntry)
+/// Removes the entries with the same or a higher index than `aEntry` and appends it, unless the
+/// snapshot covers it or conflicts with it: a crash between the two writes of StoreSnapshot()
+/// leaves a log that is older than the snapshot, and the entries stored after the restart follow
+/// the snapshot. Fails with StorageCorrupt if an index is skipped.
+Result<void> AppendEntry(PersistentState& aState, LogEntry aEntry)
 {
-  while (!aEntries.empty() && aEntries.back().index >= aEntry.index) {
-    aEntries.pop_back();
+  std::vector<LogEntry>& entries = aState.entries;
+  while (!entries.empty() && entries.back().index >= aEntry.index) {
+    entries.pop_back();
   }
-  if (!aEntries.empty() && aEntries.back().index + 1 != aEntry.index) {
-    return Fail(ResultCode::StorageCorrupt,
-                "entry " + std::to_string(aEntries.back().index + 1) + " is missing");
+  const std::uint64_t snapshotIndex = aState.snapshot ? aState.snapshot->lastIndex : 0;
+  const std::uint64_t snapshotTerm = aState.snapshot ? aState.snapshot->lastTerm : 0;
+  // What a snapshot covers is committed, so no entry of an earlier term follows it.
+  if (aEntry.index <= snapshotIndex || aEntry.term < snapshotTerm) {
+    return boost::outcome_v2::success();
   }
-  aEntries.push_back(std::move(aEntry));
+  const std::uint64_t next = (entries.empty() ? snapshotIndex : entries.back().index) + 1;
+  if (aEntry.index != next) {
+    return Fail(ResultCode::StorageCorrupt, "entry " + std::to_string(next) + " is missing");
+  }
+  entries.push_back(std::move(aEntry));
   return boost::outcome_v2::success();
 }
 
-/// Applies the payload of one log record to `aState`. Fails with StorageCorrupt.
+/// Applies the payload of one log record to `aState`, which has its snapshot already. Fails with
+/// StorageCorrupt.
 Result<void> DecodePayload(std::string_view aPayload, PersistentState& aState)
 {
   ByteReader reader(aPayload);
@@ -56,7 +64,7 @@
     if (!entry) {
       return Fail(ResultCode::StorageCorrupt, "malformed log entry: " + entry.error().message);
     }
-    BOOST_OUTCOME_TRY(AppendEntry(aState.entries, std::move(entry.value())));
+    BOOST_OUTCOME_TRY(AppendEntry(aState, std::move(entry.value())));
   }
   if (!reader.IsValid()) {
     return Fail(ResultCode::StorageCorrupt, "a log record has an invalid length");
@@ -64,28 +72,6 @@
   return boost::outcome_v2::success();
 }
 
-/// Removes the entries that the snapshot covers. A crash between the two writes of StoreSnapshot()
-/// leaves a log that is older than the snapshot.
-Result<void> DropEntriesCoveredBySnapshot(PersistentState& aState)
-{
-  std::vector<LogEntry>& entries = aState.entries;
-  const std::uint64_t last = aState.snapshot ? aState.snapshot->lastIndex : 0;
-  const auto atLast =
-    std::ranges::find_if(entries, [last](const LogEntry& aEach) { return aEach.index == last; });
-  const bool conflictsWithSnapshot =
-    atLast != entries.end() && atLast->term != aState.snapshot->lastTerm;
-  // If the log conflicts with the snapshot, its later entries do not follow the snapshot.
-  if (conflictsWithSnapshot) {
-    entries.clear();
-  }
-  std::erase_if(entries, [last](const LogEntry& aEach) { return aEach.index <= last; });
-  if (!entries.empty() && entries.front().index != last + 1) {
-    return Fail(ResultCode::StorageCorrupt,
-                "entry " + std::to_string(last + 1) + " after the snapshot is missing");
-  }
-  return boost::outcome_v2::success();
-}
-
 } // namespace
 
 MemberStorage::MemberStorage(FileSystem& aFiles, std::string aFolder)
@@ -158,7 +144,6 @@
   for (const std::string& payload : content.payloads) {
     BOOST_OUTCOME_TRY(DecodePayload(payload, this->loaded));
   }
-  BOOST_OUTCOME_TRY(DropEntriesCoveredBySnapshot(this->loaded));
   BOOST_OUTCOME_TRY(file, this->files.Open(this->PathOf(kLogFileName)));
   if (content.hasTornTail) {
     WriteLog(LogEvent::TornRecordCut,
--- a/tests/storage/MemberStorageTests.cpp
+++ b/tests/storage/MemberStorageTests.cpp
@@ -91,12 +91,17 @@
   return written;
 }
 
+std::uint64_t SnapshotIndexOf(const PersistentState& aState)
+{
+  return aState.snapshot ? aState.snapshot->lastIndex : 0;
+}
+
 std::uint64_t LastIndexOf(const PersistentState& aState)
 {
   if (!aState.entries.empty()) {
     return aState.entries.back().index;
   }
-  return aState.snapshot ? aState.snapshot->lastIndex : 0;
+  return SnapshotIndexOf(aState);
 }
 
 } // namespace
@@ -304,6 +309,151 @@
   }
 }
 
+/// True if `aState` has everything that `aEarlier` has; it may have further entries and a later
+/// snapshot.
+bool Includes(const PersistentState& aState, const PersistentState& aEarlier)
+{
+  const std::uint64_t snapshotIndex = SnapshotIndexOf(aState);
+  const bool hasEntries = std::ranges::all_of(aEarlier.entries, [&](const LogEntry& aEntry) {
+    return aEntry.index <= snapshotIndex ||
+           std::ranges::any_of(aState.entries, [&aEntry](const LogEntry& aEach) {
+             return aEach.index == aEntry.index && aEach.term == aEntry.term &&
+                    aEach.command == aEntry.command;
+           });
+  });
+  const bool hasHardState =
+    aState.hardState == aEarlier.hardState || aState.hardState.term > aEarlier.hardState.term;
+  return hasEntries && hasHardState && snapshotIndex >= SnapshotIndexOf(aEarlier) &&
+         LastIndexOf(aState) >= LastIndexOf(aEarlier);
+}
+
+/// A data folder after a first start that ended within WriteHistory(), and what a second start
+/// loaded and stored.
+class FolderAfterTwoStarts
+{
+public:
+  /// Each start fails from the given file operation on. Between the two nothing is lost, as after
+  /// the end of a process.
+  FolderAfterTwoStarts(std::size_t aFirstEndsAt, std::size_t aSecondEndsAt)
+  {
+    // Short writes, so that a start may also end in the middle of a record.
+    this->files.maxAppendBytes = 30;
+    this->files.firstFailingOperation = aFirstEndsAt;
+    if (auto opened = MemberStorage::Open(this->files, kFolder)) {
+      this->firstCompleted = WriteHistory(*opened.value()) == 6;
+    }
+    this->files.RestartProcess();
+    this->files.firstFailingOperation = aSecondEndsAt;
+    auto opened = MemberStorage::Open(this->files, kFolder);
+    this->secondCompleted = opened && this->WriteMore(*opened.value());
+  }
+
+  MemoryFileSystem files;
+  bool firstCompleted = false;
+  bool secondCompleted = false;
+  std::string memberId;     ///< Of the second start; empty if it could not open the folder.
+  PersistentState expected; ///< What the second start has loaded and what it has stored.
+
+private:
+  /// Writes entries and a snapshot. Returns false once a batch fails.
+  bool WriteMore(MemberStorage& aStorage)
+  {
+    this->memberId = aStorage.MemberId();
+    this->expected = aStorage.TakeLoadedState();
+    const std::uint64_t last = LastIndexOf(this->expected);
+    PersistBatch snapshot = SnapshotBatch(last + 1, { { 4, last + 2, "y" } });
+    snapshot.hardState.term = 4;
+    snapshot.snapshot->lastTerm = 4;
+    const std::vector<PersistBatch> batches{
+      BatchOf(4, { { 4, last + 1, "x" } }),
+      BatchOf(4, { { 4, last + 2, "y" } }),
+      snapshot,
+      BatchOf(4, { { 4, last + 3, "z" } }),
+    };
+    for (const PersistBatch& batch : batches) {
+      if (!PersistOne(aStorage, batch)) {
+        return false;
+      }
+      this->expected.hardState = batch.hardState;
+      if (batch.snapshot) {
+        this->expected.snapshot = batch.snapshot;
+        this->expected.entries.clear();
+      }
+      this->expected.entries.insert(
+        this->expected.entries.end(), batch.entries.begin(), batch.entries.end());
+    }
+    return true;
+  }
+};
+
+/// Opens folders after two starts that ended at each pair of file operations, the second one by
+/// `aEnd`, and checks that nothing is lost that the second start has loaded or stored.
+template<class End>
+void CheckFoldersAfterTwoStarts(End aEnd)
+{
+  bool firstCompleted = false;
+  for (std::size_t firstEndsAt = 1; !firstCompleted; ++firstEndsAt) {
+    bool secondCompleted = false;
+    for (std::size_t secondEndsAt = 1; !secondCompleted; ++secondEndsAt) {
+      FolderAfterTwoStarts folder(firstEndsAt, secondEndsAt);
+      firstCompleted = folder.firstCompleted;
+      secondCompleted = folder.secondCompleted;
+      aEnd(folder.files);
+      INFO("the first start ended at operation " << firstEndsAt << ", the second one at operation "
+                                                 << secondEndsAt);
+      const auto opened = MemberStorage::Open(folder.files, kFolder);
+      if (!opened) {
+        FAIL_CHECK(opened.error().message);
+        continue;
+      }
+      if (folder.memberId.empty()) {
+        continue;
+      }
+      CHECK(opened.value()->MemberId() == folder.memberId);
+      CHECK(Includes(opened.value()->TakeLoadedState(), folder.expected));
+    }
+  }
+}
+
+// Guards against a log that cannot be read, or that lacks stored entries, because a process was
+// killed between the two files of a snapshot and the next one appended to the log before it.
+TEST_CASE("What is loaded and stored after a kill at any file operation can be read again")
+{
+  CheckFoldersAfterTwoStarts([](MemoryFileSystem& aFiles) { aFiles.RestartProcess(); });
+}
+
+// Guards against losing the entries that follow a received snapshot, because a killed process left
+// a log that conflicts with it.
+TEST_CASE("Entries stored after a kill during a snapshot that replaces other entries are kept")
+{
+  bool hasCompleted = false;
+  for (std::size_t endsAt = 1; !hasCompleted; ++endsAt) {
+    MemoryFileSystem files;
+    {
+      const auto storage = OpenStorage(files);
+      const std::vector<LogEntry> replaced{ { 1, 1, "a" }, { 1, 2, "b" }, { 1, 3, "c" } };
+      REQUIRE(PersistOne(*storage, BatchOf(1, replaced)));
+      files.RestartProcess();
+      files.firstFailingOperation = endsAt;
+      PersistBatch received = SnapshotBatch(2, {});
+      received.snapshot->lastTerm = 2;
+      hasCompleted = PersistOne(*storage, received).has_value();
+      files.RestartProcess();
+    }
+    const auto storage = OpenStorage(files);
+    const PersistentState restarted = storage->TakeLoadedState();
+    if (!restarted.snapshot) {
+      continue;
+    }
+    CHECK(restarted.entries.empty());
+    const std::vector<LogEntry> following{ { 3, 3, "d" } };
+    REQUIRE(PersistOne(*storage, BatchOf(3, following)));
+    const PersistentState loaded = OpenStorage(files)->TakeLoadedState();
+    INFO("killed at operation " << endsAt);
+    CHECK(LastIndexOf(loaded) == 3);
+  }
+}
+
 // Guards against appending to the log after a snapshot could not be stored: it is unknown which of
 // the two files were replaced.
 TEST_CASE("After a failed snapshot every further write fails")
--- a/tests/storage/MemoryFileSystem.cpp
+++ b/tests/storage/MemoryFileSystem.cpp
@@ -24,7 +24,9 @@
       return Fail(ResultCode::StorageWriteFailed, "no space left on device");
     }
     this->files.freeBytes -= this->files.freeBytes == SIZE_MAX ? 0 : count;
-    this->content->bytes.append(aBytes.substr(0, count));
+    const std::string_view written = aBytes.substr(0, count);
+    this->content->unsynced.push_back({ this->content->bytes.size(), std::string(written) });
+    this->content->bytes.append(written);
     return count;
   }
 
@@ -38,12 +40,14 @@
       return Fail(ResultCode::StorageWriteFailed, "input/output error");
     }
     this->content->syncedBytes = this->content->bytes;
+    this->content->unsynced.clear();
     return boost::outcome_v2::success();
   }
 
   Result<void> Truncate(std::uint64_t aSize) override
   {
     BOOST_OUTCOME_TRY(this->files.BeginOperation("truncate"));
+    this->content->unsynced.push_back({ aSize, {} });
     this->content->bytes.resize(aSize);
     return boost::outcome_v2::success();
   }
@@ -53,13 +57,36 @@
   std::shared_ptr<MemoryFileSystem::Content> content;
 };
 
+/// The content of a file after a loss of power that did not lose all unsynced writes.
+std::string KeptBytes(const MemoryFileSystem::Content& aContent, std::mt19937_64& aRandom)
+{
+  std::string kept = aContent.syncedBytes;
+  for (const auto& [offset, bytes] : aContent.unsynced) {
+    const auto fate = aRandom() % 4;
+    if (fate == 0) {
+      continue;
+    }
+    if (bytes.empty()) {
+      kept.resize(offset);
+      continue;
+    }
+    // Only a part of a torn write reaches the disk: its beginning, or a range in the middle.
+    const bool isTorn = fate == 1;
+    const std::size_t first = isTorn && aRandom() % 2 == 0 ? aRandom() % bytes.size() : 0;
+    const std::size_t count = isTorn ? aRandom() % (bytes.size() - first + 1) : bytes.size();
+    kept.resize(std::max<std::size_t>(kept.size(), offset + first + count));
+    kept.replace(offset + first, count, bytes, first, count);
+  }
+  return kept;
+}
+
 } // namespace
 
-Result<void> MemoryFileSystem::BeginOperation(const std::string& aWhat)
+Result<void> MemoryFileSystem::BeginOperation(const std::string& aWhat, ResultCode aCode)
 {
   ++this->operationCount;
   if (this->firstFailingOperation && this->operationCount >= *this->firstFailingOperation) {
-    return Fail(ResultCode::StorageWriteFailed, aWhat + " failed");
+    return Fail(aCode, aWhat + " failed");
   }
   return boost::outcome_v2::success();
 }
@@ -73,44 +100,65 @@
 
 Result<std::unique_ptr<File>> MemoryFileSystem::Open(const std::string& aPath)
 {
-  auto& content = this->contentByPath[aPath];
-  if (!content) {
-    content = std::make_shared<Content>();
+  if (!this->contentByPath.contains(aPath)) {
+    BOOST_OUTCOME_TRY(this->BeginOperation("create", ResultCode::StorageOpenFailed));
+    this->SetName(aPath, std::make_shared<Content>());
   }
-  return std::unique_ptr<File>(std::make_unique<MemoryFile>(*this, content));
+  return std::unique_ptr<File>(std::make_unique<MemoryFile>(*this, this->contentByPath.at(aPath)));
 }
 
 Result<void> MemoryFileSystem::Rename(const std::string& aFrom, const std::string& aTo)
 {
   BOOST_OUTCOME_TRY(this->BeginOperation("rename"));
-  this->contentByPath[aTo] = this->contentByPath.at(aFrom);
-  this->contentByPath.erase(aFrom);
+  this->SetName(aTo, this->contentByPath.at(aFrom));
+  this->SetName(aFrom, nullptr);
   return boost::outcome_v2::success();
 }
 
 Result<void> MemoryFileSystem::SyncFolder(const std::string& /*aFolder*/)
 {
   BOOST_OUTCOME_TRY(this->BeginOperation("sync folder"));
-  this->syncedContentByPath = this->contentByPath;
+  this->unsyncedNames.clear();
   return boost::outcome_v2::success();
 }
 
+void MemoryFileSystem::SetName(const std::string& aPath, std::shared_ptr<Content> aContent)
+{
+  auto& history = this->unsyncedNames[aPath];
+  const auto found = this->contentByPath.find(aPath);
+  if (history.empty()) {
+    history.push_back(found == this->contentByPath.end() ? nullptr : found->second);
+  }
+  history.push_back(aContent);
+  if (aContent) {
+    this->contentByPath[aPath] = std::move(aContent);
+  } else {
+    this->contentByPath.erase(aPath);
+  }
+}
+
 void MemoryFileSystem::Crash(std::mt19937_64& aRandom)
 {
-  // Renames that were not synced may or may not have reached the disk.
-  if (aRandom() % 2 == 0) {
-    this->contentByPath = this->syncedContentByPath;
+  const bool losesAll = aRandom() % 4 == 0;
+  for (const auto& [path, history] : this->unsyncedNames) {
+    const auto& kept = history.at(losesAll ? 0 : aRandom() % history.size());
+    if (kept) {
+      this->contentByPath[path] = kept;
+    } else {
+      this->contentByPath.erase(path);
+    }
   }
+  // A file of which a rename is only partly durable has two names; these do not share later writes.
   for (auto& [path, content] : this->contentByPath) {
-    std::string kept = content->syncedBytes;
-    if (content->bytes.starts_with(kept)) {
-      const std::size_t unsynced = content->bytes.size() - kept.size();
-      kept = content->bytes.substr(0, kept.size() + aRandom() % (unsynced + 1));
-    }
-    content->bytes = kept;
-    content->syncedBytes = kept;
+    const std::string bytes = losesAll ? content->syncedBytes : KeptBytes(*content, aRandom);
+    content = std::make_shared<Content>(Content{ bytes, bytes, {} });
   }
-  this->syncedContentByPath = this->contentByPath;
+  this->unsyncedNames.clear();
+  this->RestartProcess();
+}
+
+void MemoryFileSystem::RestartProcess()
+{
   this->firstFailingOperation.reset();
   this->operationCount = 0;
 }
