storage: what is loaded at a start is durable before it is used

Callers saw (in tests; the users' runs keep no such record): a version of the configuration that was acknowledged was gone after a kill, a later loss of power and the loss of two disks; or a control instance ended with StorageCorrupt "the identity file is missing", "record N ... is damaged and later records exist" or "entry N is missing" at every start; or it came back with another member id.

Cause: Load() took what it read for durable. When a process is killed between a write and its sync, or between a rename and the sync of the folder, the next process reads the result all the same, but a loss of power may still take it back. The member confirmed such entries and its vote to the others, and appended to a log whose name was not durable.

Fix: Load() syncs the folder before it reads, and the log file before it returns, as it did already after it had cut a torn record. The other files get their name only after their content was synced. A start costs one sync of the folder and one of a file that is usually clean.

--- a/src/oleanderledge/storage/MemberStorage.cpp
+++ b/src/oleanderledge/storage/MemberStorage.cpp
@@ -95,8 +95,11 @@
   return storage;
 }
 
+/// A killed process may have left names and log records that are readable but not durable. Both are
+/// synced before the state is used, because the caller confirms it to other members.
 Result<void> MemberStorage::Load()
 {
+  BOOST_OUTCOME_TRY(this->files.SyncFolder(this->folder));
   BOOST_OUTCOME_TRY(identity, this->files.Read(this->PathOf(kIdentityFileName)));
   if (!identity) {
     BOOST_OUTCOME_TRY(this->CreateIdentity());
@@ -150,8 +153,8 @@
              "folder=" + this->folder + " bytes=" + std::to_string(content.validBytes) + ".." +
                std::to_string(aBytes.size()));
     BOOST_OUTCOME_TRY(file->Truncate(content.validBytes));
-    BOOST_OUTCOME_TRY(file->Sync());
   }
+  BOOST_OUTCOME_TRY(file->Sync());
   this->wal.emplace(std::move(file), content.payloads.size(), content.validBytes);
   return boost::outcome_v2::success();
 }
--- a/src/oleanderledge/storage/MemberStorage.hpp
+++ b/src/oleanderledge/storage/MemberStorage.hpp
@@ -16,11 +16,12 @@
 {
 public:
   /// Opens a folder. Creates it if it does not exist and gives an empty folder a new member id.
-  /// Truncates an incomplete last record of the log.
+  /// Truncates an incomplete last record of the log. The loaded state and the member id are durable
+  /// when this returns, also if an earlier process was killed before it had synced them.
   ///
   /// Fails with StorageCorrupt, and leaves the files unchanged, if a file is damaged or missing;
   /// with StorageOpenFailed if the folder is locked or cannot be read; with StorageWriteFailed or
-  /// StorageFull if a write fails.
+  /// StorageFull if a write or a sync fails.
   static Result<std::unique_ptr<MemberStorage>> Open(FileSystem& aFiles,
                                                      const std::string& aFolder);
 
--- a/tests/storage/MemberStorageTests.cpp
+++ b/tests/storage/MemberStorageTests.cpp
@@ -454,6 +454,17 @@
   }
 }
 
+// Guards against a member that reads and confirms what a killed process had not synced, and loses
+// it, or its identity, in a later loss of power.
+TEST_CASE("What is loaded and stored after a kill at any file operation survives a loss of power")
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    std::mt19937_64 random(seed);
+    INFO("seed " << seed);
+    CheckFoldersAfterTwoStarts([&random](MemoryFileSystem& aFiles) { aFiles.Crash(random); });
+  }
+}
+
 // Guards against appending to the log after a snapshot could not be stored: it is unknown which of
 // the two files were replaced.
 TEST_CASE("After a failed snapshot every further write fails")
