--- a/src/oleanderledge/storage/MemberStorage.cpp
+++ b/src/oleanderledge/storage/MemberStorage.cpp
@@ -173,18 +173,17 @@
   return written;
 }
 
+/// A batch with a snapshot contains the whole log after it and replaces all earlier batches. These
+/// are not written: if the disk refuses a later batch, the next attempt would otherwise append them
+/// to the log that the snapshot batch has already replaced.
 Result<void> MemberStorage::WriteBatches(std::span<const PersistBatch> aBatches)
 {
-  std::size_t start = 0;
-  for (std::size_t at = 0; at < aBatches.size(); ++at) {
-    if (!aBatches[at].snapshot) {
-      continue;
-    }
-    // A batch with a snapshot contains the whole log after it. The earlier batches are written
-    // nevertheless, as a crash may occur before the files of the snapshot batch are complete.
-    BOOST_OUTCOME_TRY(this->AppendBatches(aBatches.subspan(start, at - start)));
-    BOOST_OUTCOME_TRY(this->StoreSnapshot(aBatches[at]));
-    start = at + 1;
+  std::size_t start = aBatches.size();
+  while (start > 0 && !aBatches[start - 1].snapshot) {
+    --start;
+  }
+  if (start > 0) {
+    BOOST_OUTCOME_TRY(this->StoreSnapshot(aBatches[start - 1]));
   }
   return this->AppendBatches(aBatches.subspan(start));
 }
--- a/tests/storage/MemberStorageTests.cpp
+++ b/tests/storage/MemberStorageTests.cpp
@@ -277,6 +277,50 @@
   CHECK(refusals > 100);
 }
 
+// Guards against a folder that cannot be opened after batches with two snapshots were refused by a
+// full disk and the process ended at any file operation of the next attempt.
+TEST_CASE("A folder can be opened after any end of a repeated write of two snapshots")
+{
+  const bool losesPower = GENERATE(false, true);
+  const std::vector<PersistBatch> batches{
+    BatchOf(1, { { 1, 3, "c" } }),
+    SnapshotBatch(1, { { 1, 2, "b" }, { 1, 3, "c" } }),
+    BatchOf(2, { { 2, 4, "d" }, { 2, 5, "e" }, { 2, 6, "f" } }),
+    SnapshotBatch(5, { { 2, 6, "f" } }),
+    BatchOf(2, { { 2, 7, "g" } }),
+  };
+  std::mt19937_64 random(1);
+  bool isRefused = true;
+  for (std::size_t freeBytes = 0; isRefused; freeBytes += 5) {
+    bool hasCompleted = false;
+    for (std::size_t endsAt = 1; !hasCompleted; ++endsAt) {
+      MemoryFileSystem files;
+      {
+        const auto storage = OpenStorage(files);
+        REQUIRE(PersistOne(*storage, BatchOf(1, { { 1, 1, "a" }, { 1, 2, "b" } })));
+        files.freeBytes = freeBytes;
+        isRefused = !storage->Persist(batches);
+        files.freeBytes = SIZE_MAX;
+        files.RestartProcess();
+        files.firstFailingOperation = endsAt;
+        hasCompleted = storage->Persist(batches).has_value();
+      }
+      if (losesPower) {
+        files.Crash(random);
+      } else {
+        files.RestartProcess();
+      }
+      INFO("first " << freeBytes << " free bytes, then an end at operation " << endsAt);
+      const auto opened = MemberStorage::Open(files, kFolder);
+      if (!opened) {
+        FAIL_CHECK(opened.error().message);
+        continue;
+      }
+      CHECK(LastIndexOf(opened.value()->TakeLoadedState()) >= (hasCompleted ? 7 : 2));
+    }
+  }
+}
+
 // Guards against losing an acknowledged batch, or leaving a folder that cannot be opened, in a
 // crash between any two file operations.
 TEST_CASE("A crash at any file operation keeps every acknowledged batch")
