consensus: a full disk does not end the instance that founds the group

Callers saw (in a test): a control instance whose disk was full when it was to found the group ended with StorageFull, while a disk that is full at any other time is waited for.

Cause: FoundGroup() took each failed write for a lost disk. It would also have founded the group while earlier writes waited for room; these would have followed the founding batch on the disk, with their older hard state.

Fix: the founding waits for room, and the maintenance timer tries again.

Evidence: "A group is founded once a full disk has room" failed before ("failure" was set, and there was no leader once there was room) and passes now. The order of the waiting writes was found by reading; no run shows it.

--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -360,13 +360,21 @@
 
 void ConsensusDriver::FoundGroup(const std::vector<ControlMember>& aMembers)
 {
-  // The founding batch replaces the terms and votes that were to be stored before it.
-  this->writer->WaitAndDiscard();
-  this->pendingWrites.clear();
+  // Earlier writes must not follow the founding batch: their hard state is older. The maintenance
+  // timer tries again.
+  if (this->writer->IsBusy() || !this->pendingWrites.empty()) {
+    return;
+  }
   PersistBatch batch = RaftNode::FoundingBatch(aMembers);
   // This member may have adopted a newer term or voted since it started.
   batch.hardState.term = std::max(batch.hardState.term, this->node->Term() + 1);
   const auto written = this->storage->Persist(std::span(&batch, 1));
+  if (!written && written.error().code == ResultCode::StorageFull) {
+    // The maintenance timer tries again.
+    WriteLog(LogEvent::StorageFull,
+             "folder=" + this->settings.dataFolder + " reason=" + written.error().message);
+    return;
+  }
   if (!written) {
     this->StopWithError(written.error().code, written.error().message);
     return;
--- a/src/oleanderledge/consensus/internal/StorageWriter.cpp
+++ b/src/oleanderledge/consensus/internal/StorageWriter.cpp
@@ -21,19 +21,15 @@
 void StorageWriter::Store(std::vector<PersistBatch> aBatches)
 {
   this->isBusy = true;
-  const std::uint64_t number = ++this->writes;
   QMetaObject::invokeMethod(
     &this->worker,
-    [this, number, batches = std::move(aBatches)]() mutable {
+    [this, batches = std::move(aBatches)]() mutable {
       const Instant startedAt = MonotonicNow();
       Result<void> result = this->storage.Persist(batches);
       Written written{ std::move(batches), std::move(result), MonotonicNow() - startedAt };
       QMetaObject::invokeMethod(
         this,
-        [this, number, written = std::move(written)]() mutable {
-          if (number != this->writes) {
-            return;
-          }
+        [this, written = std::move(written)]() mutable {
           this->isBusy = false;
           this->onWritten(std::move(written));
         },
@@ -42,12 +38,4 @@
     Qt::QueuedConnection);
 }
 
-void StorageWriter::WaitAndDiscard()
-{
-  ++this->writes;
-  this->isBusy = false;
-  QMetaObject::invokeMethod(
-    &this->worker, [] {}, Qt::BlockingQueuedConnection);
-}
-
 } // namespace oleanderledge
--- a/src/oleanderledge/consensus/internal/StorageWriter.hpp
+++ b/src/oleanderledge/consensus/internal/StorageWriter.hpp
@@ -36,8 +36,6 @@
   bool IsBusy() const { return this->isBusy; }
   /// Starts a write. Must not be called while the writer is busy.
   void Store(std::vector<PersistBatch> aBatches);
-  /// Waits for the write in progress, if any, and drops its result.
-  void WaitAndDiscard();
 
 private:
   MemberStorage& storage;
@@ -45,7 +43,6 @@
   QThread thread;
   QObject worker; ///< Lives in `thread`.
   bool isBusy = false;
-  std::uint64_t writes = 0; ///< Number of the newest write; results of earlier ones are dropped.
 };
 
 } // namespace oleanderledge
--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -353,3 +353,33 @@
   CHECK(wasHandledDuringWrite);
   CHECK(fixture.group.instances.front().state.text == "kept;slow;");
 }
+
+// Guards against a control instance that ends because its disk is full when it founds the group.
+TEST_CASE("A group is founded once a full disk has room")
+{
+  EnsureApplication();
+  MemoryFileSystem files;
+  // Creates the identity, which a driver cannot do on a full disk.
+  REQUIRE(MemberStorage::Open(files, "data"));
+  files.freeBytes = 0;
+  DriverGroup group(1);
+  ControlInstance& instance = group.instances.front();
+  ConsensusDriverSettings settings;
+  settings.dataFolder = "data";
+  settings.initialMembers = group.initial;
+  instance.driver = std::make_unique<ConsensusDriver>(
+    instance.info, settings, files, instance.state, instance.leadership, nullptr);
+  std::optional<ResultCode> failure;
+  QObject::connect(instance.driver.get(),
+                   &ConsensusDriver::Failed,
+                   instance.driver.get(),
+                   [&failure](const Error& aError) { failure = aError.code; });
+  REQUIRE(instance.driver->Start());
+  QElapsedTimer elapsed;
+  elapsed.start();
+  REQUIRE(group.WaitFor([&elapsed] { return elapsed.elapsed() > 300; }));
+  CHECK_FALSE(failure.has_value());
+  files.freeBytes = SIZE_MAX;
+  REQUIRE(group.WaitForLeader());
+  CHECK(group.Commit("founded"));
+}
