tests: the simulated group stores its logs with MemberStorage

FakeGroup kept the batches of its members in a structure that lost the last ones at a crash. It now uses MemberStorage on a MemoryFileSystem. A crash is a kill or a loss of power at a random file operation of the pending writes, and a start may be interrupted in the same way, several times in a row.

--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// More file operations than the longest write of a batch has.
+constexpr std::int64_t kMaxOperationsBeforeCrash = 15;
 constexpr std::int64_t kMaintenanceIntervalUs = 100 * FakeGroup::kMillisecond;
 /// Just under half of the clock drift between two members that the leader lease allows.
 constexpr double kMaxClockRateError = 0.0099;
@@ -25,7 +27,7 @@
          aLeft.command == aRight.command && aLeft.kind == aRight.kind;
 }
 
-/// Simulates MemberStorage::Persist().
+/// Applies a batch to what the files contain.
 void WriteToDisk(PersistentState& aState, const PersistBatch& aBatch)
 {
   aState.hardState = aBatch.hardState;
@@ -78,7 +80,13 @@
     members.back().voter = true;
   }
   this->committedMembers = members;
-  WriteToDisk(this->instances[0].disk.state, RaftNode::FoundingBatch(members));
+  Disk& founder = this->instances[0].disk;
+  this->OpenDisk(0);
+  const PersistBatch founding = RaftNode::FoundingBatch(members);
+  if (!founder.storage->Persist(std::span(&founding, 1))) {
+    this->RecordViolation("the founding batch was not stored");
+  }
+  founder.storage.reset();
   for (std::size_t at = 0; at < aVoters; ++at) {
     this->Restart(at);
   }
@@ -187,6 +195,10 @@
   while (!instance.writes.empty() && instance.writes.front().dueAt <= this->now) {
     const PersistBatch batch = std::move(instance.writes.front().batch);
     instance.writes.pop_front();
+    if (!instance.disk.storage->Persist(std::span(&batch, 1))) {
+      this->RecordViolation("a batch was not stored");
+      return;
+    }
     WriteToDisk(instance.disk.state, batch);
     this->ExecuteActions(aInstance,
                          instance.node->OnPersisted(batch.sequence, this->ClockOf(instance)));
@@ -414,18 +426,55 @@
   }
 }
 
+void FakeGroup::OpenDisk(std::size_t aInstance)
+{
+  Disk& disk = this->instances[aInstance].disk;
+  while (!disk.storage) {
+    const bool isInterrupted = this->random() % 2 == 0;
+    if (isInterrupted) {
+      disk.files->firstFailingOperation = this->RandomBetween(1, kMaxOperationsBeforeCrash);
+    }
+    auto opened = MemberStorage::Open(*disk.files, "data");
+    if (opened) {
+      disk.storage = std::move(opened.value());
+      break;
+    }
+    if (!isInterrupted || opened.error().code == ResultCode::StorageCorrupt) {
+      this->RecordViolation("the data folder cannot be opened: " + opened.error().message);
+      return;
+    }
+    this->EndProcess(disk);
+  }
+  disk.files->RestartProcess();
+  disk.state = disk.storage->TakeLoadedState();
+}
+
+void FakeGroup::EndProcess(Disk& aDisk)
+{
+  aDisk.storage.reset();
+  if (this->random() % 2 == 0) {
+    aDisk.files->Crash(this->random);
+  }
+  aDisk.files->RestartProcess();
+}
+
 void FakeGroup::Crash(std::size_t aInstance)
 {
   Instance& instance = this->instances[aInstance];
   if (!instance.node) {
     return;
   }
-  // A random number of the oldest pending writes reaches the disk.
-  while (!instance.writes.empty() && this->random() % 2 == 0) {
+  instance.disk.files->RestartProcess();
+  // Mostly one of the first operations, so that often no pending write is complete.
+  instance.disk.files->firstFailingOperation =
+    this->RandomBetween(1, this->RandomBetween(1, kMaxOperationsBeforeCrash));
+  while (!instance.writes.empty() &&
+         instance.disk.storage->Persist(std::span(&instance.writes.front().batch, 1))) {
     WriteToDisk(instance.disk.state, instance.writes.front().batch);
     instance.writes.pop_front();
   }
   instance.writes.clear();
+  this->EndProcess(instance.disk);
   instance.node.reset();
   instance.frozenUntil = 0;
 }
@@ -440,6 +489,10 @@
     instance.disk.memberId = "m" + std::to_string(this->nextIdentity++);
     this->instanceOfMember[instance.disk.memberId] = aInstance;
   }
+  this->OpenDisk(aInstance);
+  if (this->violation) {
+    return;
+  }
   instance.appliedIndex = 0;
   instance.appliedHash = 0;
   instance.isLeaving = false;
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/consensus/consensus.hpp"
+#include "tests/storage/MemoryFileSystem.hpp"
 
 #include <cstdint>
 #include <map>
@@ -44,7 +45,8 @@
     return true;
   }
 
-  /// Stops an instance. A random number of its oldest pending writes still reach the disk.
+  /// Stops an instance at a random file operation of its pending writes, by a kill or a loss of
+  /// power.
   void Crash(std::size_t aInstance);
   /// Starts an instance that is not running. An empty disk gets a new member id.
   void Restart(std::size_t aInstance);
@@ -99,7 +101,9 @@
   struct Disk
   {
     std::string memberId;
-    PersistentState state;
+    std::unique_ptr<MemoryFileSystem> files = std::make_unique<MemoryFileSystem>();
+    std::unique_ptr<MemberStorage> storage; ///< Null while the instance is not running.
+    PersistentState state;                  ///< What the files contain.
   };
   struct Write
   {
@@ -142,6 +146,10 @@
   void HandleDueEvents();
   void DeliverMessages();
   void CompleteWrites(std::size_t aInstance);
+  /// Opens the data folder of an instance. The first attempts may end at a random file operation.
+  void OpenDisk(std::size_t aInstance);
+  /// Ends the process that uses a disk, by a kill or a loss of power.
+  void EndProcess(Disk& aDisk);
   void RunMaintenance(std::size_t aInstance);
   void ContinueLeave(std::size_t aInstance);
   void ExecuteActions(std::size_t aInstance, RaftActions aActions);
