tests: a follower knows the leader once it has the list of members

"A follower rejects proposals ..." expected each follower to know the leader in the moment in which the leader had its lease. Before, writes blocked the one thread of the test, and all members had the list by then. The test now waits for the same fact, which is still required of each follower.

--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -286,7 +286,10 @@
       code = aResult ? ResultCode::Ok : aResult.error().code;
     });
     CHECK(code == ResultCode::NotLeader);
-    CHECK(instance.driver->Leader().instance == group.Leader()->info.id);
+    CHECK(group.WaitFor([&group, &instance] {
+      const ControlInstance* leader = group.Leader();
+      return leader != nullptr && instance.driver->Leader().instance == leader->info.id;
+    }));
   }
   group.instances[1].Crash();
   group.instances[2].Crash();
