tests: silent links before an admission, and a follower on a slow link (both fail)

An instance that has just started at a new address sends its join requests on the links that it has. If those go silent for good before it is admitted, nothing closes them: a join request counts as no request, and nobody else opens a link to an instance that is not a member. It never joins. The platform counts it as back after catch_up_s, so two lost disks later the group has no majority.

A follower whose replies take longer than the minimum election timeout (300 ms) gets heartbeats but no entries. Its proxies get accepted replies through it and stay, with the old configuration.

--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -7,6 +7,7 @@
 #include <QElapsedTimer>
 #include <QEventLoop>
 #include <QTcpServer>
+#include <QTcpSocket>
 #include <QTemporaryDir>
 
 #include <atomic>
@@ -170,6 +171,57 @@
   std::deque<ControlInstance> instances;
 };
 
+/// Forwards connections to one address. Open ones can go silent for good, while new ones work.
+class LinkRelay
+{
+public:
+  explicit LinkRelay(const std::string& aTarget)
+    : target(SplitAddress(aTarget))
+  {
+    this->server.listen(QHostAddress::LocalHost, 0);
+    QObject::connect(
+      &this->server, &QTcpServer::newConnection, &this->server, [this] { this->Accept(); });
+  }
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(this->server.serverPort()); }
+  bool HasPassedReply() const { return this->hasPassedReply; }
+  void SilenceOpenConnections() { ++this->generation; }
+
+private:
+  void Accept()
+  {
+    QTcpSocket* caller = this->server.nextPendingConnection();
+    auto* called = new QTcpSocket(caller);
+    const auto [host, port] = this->target;
+    called->connectToHost(QHostAddress(QString::fromStdString(host)), port);
+    this->Forward(caller, called);
+    this->Forward(called, caller);
+    QObject::connect(
+      called, &QTcpSocket::readyRead, caller, [this] { this->hasPassedReply = true; });
+  }
+
+  void Forward(QTcpSocket* aFrom, QTcpSocket* aTo)
+  {
+    const auto isOpen = [this, opened = this->generation] { return this->generation == opened; };
+    QObject::connect(aFrom, &QTcpSocket::readyRead, aTo, [aFrom, aTo, isOpen] {
+      const QByteArray bytes = aFrom->readAll();
+      if (isOpen()) {
+        aTo->write(bytes);
+      }
+    });
+    QObject::connect(aFrom, &QTcpSocket::disconnected, aTo, [aTo, isOpen] {
+      if (isOpen()) {
+        aTo->disconnectFromHost();
+      }
+    });
+  }
+
+  std::pair<std::string, std::uint16_t> target;
+  QTcpServer server;
+  int generation = 0;
+  bool hasPassedReply = false;
+};
+
 void EnsureApplication()
 {
   static int count = 1;
@@ -269,6 +321,29 @@
   CHECK(group.AllReachState("before;after;"));
 }
 
+// Guards against a new instance that waits for its admission on dead connections, which leaves the
+// group one voter short for good.
+TEST_CASE("An instance whose links go silent before it is admitted joins over new ones")
+{
+  EnsureApplication();
+  DriverGroup group(3);
+  group.StartAll();
+  REQUIRE(group.WaitForLeader());
+  LinkRelay relay(group.Leader()->info.linkAddress);
+  ControlInstance joining;
+  joining.info = group.instances.front().info;
+  joining.info.id = "control-3";
+  joining.info.linkAddress = FreeAddress();
+  joining.Start({ { "control-0", relay.Address() } });
+  REQUIRE(group.WaitFor([&relay] { return relay.HasPassedReply(); }));
+  relay.SilenceOpenConnections();
+  CHECK(group.WaitFor([&group, &joining] {
+    const ControlInstance* leader = group.Leader();
+    return leader != nullptr &&
+           FindMember(leader->driver->Members(), joining.driver->MemberId()) != nullptr;
+  }));
+}
+
 // Guards against members that accept proposals although they cannot commit them: followers, and a
 // leader that has lost its quorum.
 TEST_CASE("A follower rejects proposals and a member without a quorum does not lead")
--- a/tests/consensus/RaftNodeTests.cpp
+++ b/tests/consensus/RaftNodeTests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
+
 using namespace oleanderledge;
 
 namespace {
@@ -88,6 +90,55 @@
   return node;
 }
 
+/// Handles the requests of a leader, except vote requests, as one follower. Its replies arrive
+/// after a round trip.
+class DistantFollower
+{
+public:
+  DistantFollower(std::string aId, Duration aRoundTrip)
+    : id(std::move(aId))
+    , roundTrip(aRoundTrip)
+  {
+  }
+
+  void HandleRequests(const RaftActions& aActions, Instant aNow)
+  {
+    for (const RaftAction& action : aActions) {
+      const auto* send = std::get_if<SendAction>(&action);
+      const auto* request = send == nullptr ? nullptr : std::get_if<AppendRequest>(&send->message);
+      if (request == nullptr || send->to != this->id) {
+        continue;
+      }
+      const bool isMatching = request->previousIndex <= this->lastIndex;
+      if (isMatching) {
+        this->lastIndex =
+          std::max(this->lastIndex, request->previousIndex + request->entries.size());
+      }
+      this->replies.emplace_back(
+        aNow + this->roundTrip,
+        AppendReply{ request->term, this->id, isMatching, this->lastIndex, request->round });
+    }
+  }
+
+  std::optional<AppendReply> TakeReply(Instant aNow)
+  {
+    if (this->replies.empty() || this->replies.front().first > aNow) {
+      return std::nullopt;
+    }
+    const AppendReply reply = this->replies.front().second;
+    this->replies.pop_front();
+    return reply;
+  }
+
+  std::uint64_t LastIndex() const { return this->lastIndex; }
+
+private:
+  std::string id;
+  Duration roundTrip;
+  std::uint64_t lastIndex = 1;
+  std::deque<std::pair<Instant, AppendReply>> replies;
+};
+
 bool AllApplied(const FakeGroup& aGroup, std::size_t aCount)
 {
   for (std::size_t at = 0; at < aCount; ++at) {
@@ -443,6 +494,42 @@
   CHECK(ActionsOf<LeadershipLostAction>(actions).size() == 1);
 }
 
+// Guards against a follower on a slow link that hears of a leader but gets no entries, so that its
+// proxies keep an old configuration.
+TEST_CASE("A follower with a round trip above the minimum election timeout receives new entries")
+{
+  RaftNode node = ElectedNode(FoundedState(Voters({ "a", "b", "c" })));
+  std::vector<DistantFollower> followers{ { "b", std::chrono::milliseconds(2) },
+                                          { "c", std::chrono::milliseconds(340) } };
+  Instant now = kStart + std::chrono::seconds(1);
+  const auto execute = [&node, &followers, &now](const RaftActions& aActions) {
+    for (DistantFollower& follower : followers) {
+      follower.HandleRequests(aActions, now);
+    }
+    for (const auto& write : ActionsOf<PersistAction>(aActions)) {
+      node.OnPersisted(write.batch.sequence, now);
+    }
+  };
+  const auto run = [&node, &followers, &now, &execute](Duration aDuration) {
+    const Instant end = now + aDuration;
+    for (; now < end; now += std::chrono::milliseconds(1)) {
+      execute(node.OnTick(now));
+      for (DistantFollower& follower : followers) {
+        while (const auto reply = follower.TakeReply(now)) {
+          execute(node.OnMessage(*reply, now));
+        }
+      }
+    }
+  };
+  run(std::chrono::seconds(2));
+  REQUIRE(node.Role() == RaftRole::Leader);
+  execute(node.Propose(1, "x", now));
+  run(std::chrono::seconds(3));
+  REQUIRE(node.Role() == RaftRole::Leader);
+  CHECK(followers[0].LastIndex() == node.Log().LastIndex());
+  CHECK(followers[1].LastIndex() == node.Log().LastIndex());
+}
+
 // Guards against a member that can never catch up because the entries that it lacks were discarded.
 TEST_CASE("A member that lacks discarded entries receives a snapshot in several pieces")
 {
