--- a/src/oleanderledge/consensus/internal/MemberLinks.cpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.cpp
@@ -11,6 +11,15 @@
 /// connection may be broken without having been reset, and a new one may use another network path.
 constexpr Duration kReplyTimeout = std::chrono::seconds(2);
 
+/// A link on which nothing has arrived for this long is pinged. Join requests and relayed
+/// heartbeats have no reply on their link, so without a ping a silent connection would carry them
+/// for good.
+constexpr Duration kPingInterval = std::chrono::milliseconds(500);
+
+/// If the time since the last check is longer, this process itself was suspended or blocked.
+/// Answers may then have arrived without being read, so the silence of peers is not counted.
+constexpr Duration kLateCheckThreshold = std::chrono::milliseconds(600);
+
 /// Messages for a peer are dropped while more than this is queued; the leader resends missing
 /// entries.
 constexpr std::int64_t kMaxQueuedBytes = std::int64_t{ 8 } * 1024 * 1024;
@@ -55,12 +64,12 @@
 
 void MemberLinks::OnReceived(LinkConnection* aLink, const Message& aMessage)
 {
-  for (Entry& entry : this->entries) {
-    if (entry.link == aLink) {
-      entry.unansweredSince.reset();
-    }
+  if (const auto* ping = std::get_if<LinkPing>(&aMessage)) {
+    aLink->Send(LinkPong{ ping->sentUs });
+    return;
   }
-  if (aLink->Peer().role == InstanceRole::Control) {
+  const bool isPong = std::holds_alternative<LinkPong>(aMessage);
+  if (!isPong && aLink->Peer().role == InstanceRole::Control) {
     Q_EMIT this->Received(aLink->Peer(), aMessage);
   }
 }
@@ -75,10 +84,10 @@
 
 void MemberLinks::RefreshLinks(const std::vector<std::string>& aAddresses, Instant aNow)
 {
-  for (const Entry& entry : this->entries) {
-    if (entry.unansweredSince && aNow - *entry.unansweredSince > kReplyTimeout) {
-      entry.link->Close();
-    }
+  const bool wasDelayed = aNow - this->lastRefresh > kLateCheckThreshold;
+  this->lastRefresh = aNow;
+  for (Entry& entry : this->entries) {
+    this->CheckLink(entry, wasDelayed, aNow);
   }
   for (const std::string& address : aAddresses) {
     if (address.empty() || address == this->selfInfo.linkAddress || this->HasLinkTo(address)) {
@@ -90,6 +99,29 @@
   }
 }
 
+void MemberLinks::CheckLink(Entry& aEntry, bool aWasDelayed, Instant aNow)
+{
+  // The link itself limits the time until the Hello of the peer.
+  if (!aEntry.link->IsReady()) {
+    return;
+  }
+  const Instant received = aEntry.link->LastReceivedAt();
+  if (aEntry.unansweredSince && received > *aEntry.unansweredSince) {
+    aEntry.unansweredSince.reset();
+  }
+  if (aEntry.unansweredSince && aWasDelayed) {
+    aEntry.unansweredSince = aNow;
+  }
+  if (aEntry.unansweredSince && aNow - *aEntry.unansweredSince > kReplyTimeout) {
+    aEntry.link->Close();
+    return;
+  }
+  if (!aEntry.unansweredSince && aNow - received > kPingInterval) {
+    aEntry.unansweredSince = aNow;
+    aEntry.link->Send(LinkPing{ ToMicroseconds(aNow) });
+  }
+}
+
 MemberLinks::Entry* MemberLinks::FindReadyEntry(const std::string& aInstance)
 {
   // Prefers the newest link, because an older one may lead to a previous process of the instance.
--- a/src/oleanderledge/consensus/internal/MemberLinks.hpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.hpp
@@ -21,8 +21,8 @@
   /// Uses an accepted link. The caller keeps its ownership.
   void AddAcceptedLink(LinkConnection* aLink);
 
-  /// Closes links on which no message has arrived for 2 s after a request, and opens links to those
-  /// addresses that have none. Called at regular intervals.
+  /// Pings idle links, closes those on which nothing has arrived for 2 s after a request or ping,
+  /// and opens links to those addresses that have none. Called at regular intervals.
   void RefreshLinks(const std::vector<std::string>& aAddresses, Instant aNow);
 
   /// Sends to an instance over its newest ready link. Returns false, without sending, if there is
@@ -46,10 +46,11 @@
   {
     LinkConnection* link = nullptr;
     std::string address; ///< Target of a link opened here; empty for accepted links.
-    /// Send time of the oldest request after which no message of the peer has arrived.
+    /// Send time of the oldest request or ping after which nothing has arrived.
     std::optional<Instant> unansweredSince;
   };
 
+  void CheckLink(Entry& aEntry, bool aWasDelayed, Instant aNow);
   void TrackLink(LinkConnection* aLink, const std::string& aAddress);
   void RemoveLink(LinkConnection* aLink);
   void OnReceived(LinkConnection* aLink, const Message& aMessage);
@@ -59,6 +60,7 @@
   InstanceInfo selfInfo;
   EmulatedLatency latency;
   std::vector<Entry> entries;
+  Instant lastRefresh{};
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/transport/LinkConnection.cpp
+++ b/src/oleanderledge/transport/LinkConnection.cpp
@@ -134,6 +134,7 @@
 void LinkConnection::ReadAvailable()
 {
   const QByteArray bytes = this->socket->readAll();
+  this->lastReceivedAt = MonotonicNow();
   this->reader.Feed({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
   while (!this->isClosed) {
     auto body = this->reader.Next();
--- a/src/oleanderledge/transport/LinkConnection.hpp
+++ b/src/oleanderledge/transport/LinkConnection.hpp
@@ -48,6 +48,9 @@
   /// Identity of the peer from its Hello; empty before Ready().
   const InstanceInfo& Peer() const { return this->peerInfo; }
 
+  /// When bytes of the peer last arrived, also if they do not complete a message.
+  Instant LastReceivedAt() const { return this->lastReceivedAt; }
+
   /// Bytes queued for sending; senders use it for back-pressure.
   std::int64_t QueuedBytes() const;
 
@@ -81,6 +84,7 @@
   FrameReader reader;
   std::deque<DelayedFrame> delayedFrames;
   std::int64_t delayedBytes = 0; ///< Size of all frames in `delayedFrames`.
+  Instant lastReceivedAt{};
   bool helloReceived = false;
   bool isClosed = false;
 };
