consensus: entries stop after the longest election timeout without a reply

Proxies leave a follower whose replies take over 450 ms, so 600 ms is enough to keep those that stay supplied.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -535,7 +535,7 @@
   aProgress.snapshotIndex = 0;
   const Instant lastContact =
     std::max(aProgress.ackedRequestSentAt.value_or(this->leadershipStart), this->leadershipStart);
-  const bool isActive = aNow - lastContact <= this->settings.replyTimeout;
+  const bool isActive = aNow - lastContact <= this->settings.electionTimeoutMax;
   const bool hasInFlightCapacity =
     aProgress.nextIndex <= aProgress.matchIndex + this->settings.maxInFlightEntries;
   const bool hasEntries = aProgress.nextIndex <= this->log.LastIndex();
--- a/src/oleanderledge/consensus/RaftSettings.hpp
+++ b/src/oleanderledge/consensus/RaftSettings.hpp
@@ -15,11 +15,9 @@
   /// from a leader, and after its own start.
   Duration electionTimeoutMin = std::chrono::milliseconds(300);
   /// Maximum election timeout. A leader that has had no contact with a quorum for this long steps
-  /// down.
+  /// down. A member that has not replied for this long receives only heartbeats. Proxies leave a
+  /// member whose replies come that late, so none of them waits there for entries.
   Duration electionTimeoutMax = std::chrono::milliseconds(600);
-  /// A member that has not replied for this long receives only heartbeats. Longer than the round
-  /// trip to a member whose heartbeats still arrive in time, or it would follow without entries.
-  Duration replyTimeout = std::chrono::seconds(2);
   /// Maximum difference between the clock rates of two members, in thousandths. The leader lease is
   /// shorter than the minimum election timeout by this fraction, so that it expires before a member
   /// with a faster clock can vote for another leader.
