tests, consensus: silent links to one instance, and of an instance that is not admitted

"Two silent links to one instance are replaced after one timeout": RefreshLinks() closes only the newest link, HasLinkTo() still finds the older one, and the next requests take that one for another 2 s. "An instance that requests to join replaces silent links after the reply timeout": a join request counts as a message without a reply, so the link is never closed.

--- /dev/null
+++ b/tests/consensus/MemberLinksTests.cpp
@@ -0,0 +1,146 @@
+#include "oleanderledge/consensus/internal/MemberLinks.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QTimer>
+
+#include <memory>
+#include <vector>
+
+using namespace oleanderledge;
+
+namespace {
+
+constexpr int kWaitTimeoutMs = 5000;
+/// The reply timeout of MemberLinks with some room for the interval of the refreshes.
+constexpr Duration kReconnectLimit = std::chrono::milliseconds(2500);
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(100);
+
+InstanceInfo Control(const std::string& aId)
+{
+  InstanceInfo info;
+  info.id = aId;
+  info.role = InstanceRole::Control;
+  info.zone = "dalarna/mora-1";
+  return info;
+}
+
+/// Listens on a free address, which it puts into `aInfo`.
+std::unique_ptr<LinkServer> Listen(InstanceInfo& aInfo)
+{
+  QTcpServer probe;
+  REQUIRE(probe.listen(QHostAddress::LocalHost, 0));
+  aInfo.linkAddress = "127.0.0.1:" + std::to_string(probe.serverPort());
+  probe.close();
+  auto server = std::make_unique<LinkServer>(aInfo, EmulatedLatency{}, nullptr);
+  REQUIRE(server->Listen(aInfo.linkAddress));
+  return server;
+}
+
+template<class Condition>
+bool WaitFor(Condition aCondition)
+{
+  QElapsedTimer timer;
+  timer.start();
+  while (!aCondition()) {
+    if (timer.elapsed() > kWaitTimeoutMs) {
+      return false;
+    }
+    QEventLoop loop;
+    QTimer::singleShot(5, &loop, &QEventLoop::quit);
+    loop.exec();
+  }
+  return true;
+}
+
+/// Links of one instance to a peer that accepts links and never answers on them.
+class SilentPeerFixture
+{
+public:
+  SilentPeerFixture()
+  {
+    if (QCoreApplication::instance() == nullptr) {
+      this->application = std::make_unique<QCoreApplication>(this->argumentCount, nullptr);
+    }
+    this->ownServer = Listen(this->self);
+    this->peerServer = Listen(this->peer);
+    this->links = std::make_unique<MemberLinks>(this->self, EmulatedLatency{}, nullptr);
+    QObject::connect(this->ownServer.get(),
+                     &LinkServer::Accepted,
+                     this->links.get(),
+                     [this](LinkConnection* aLink) {
+                       this->links->AddAcceptedLink(aLink);
+                       this->accepted.push_back(aLink);
+                     });
+    QObject::connect(
+      this->peerServer.get(), &LinkServer::Accepted, this->links.get(), [this] { ++this->opened; });
+    this->links->RefreshLinks({ this->peer.linkAddress }, this->now);
+    REQUIRE(WaitFor([this] { return this->opened == 1 && this->Sends(LeaveRequest{ "m0" }); }));
+  }
+
+  bool Sends(const Message& aMessage)
+  {
+    return this->links->Send(this->peer.id, aMessage, this->now);
+  }
+
+  /// Calls `aSend` and RefreshLinks() at regular intervals. Returns true if a new link to the peer
+  /// is opened in time.
+  template<class SendMessage>
+  bool Reconnects(SendMessage aSend)
+  {
+    const int before = this->opened;
+    this->now = MonotonicNow();
+    const Instant end = this->now + kReconnectLimit;
+    while (this->opened == before && this->now < end) {
+      aSend();
+      this->now += kRefreshInterval;
+      this->links->RefreshLinks({ this->peer.linkAddress }, this->now);
+      WaitFor([turns = 0]() mutable { return ++turns > 3; });
+    }
+    return WaitFor([this, before] { return this->opened > before; });
+  }
+
+  int argumentCount = 0;
+  std::unique_ptr<QCoreApplication> application; ///< Unless another test has created one.
+  InstanceInfo self = Control("control-0");
+  InstanceInfo peer = Control("control-1");
+  Instant now = MonotonicNow();
+  int opened = 0; ///< Links that the peer has accepted.
+  std::vector<LinkConnection*> accepted;
+  std::unique_ptr<LinkServer> ownServer;
+  std::unique_ptr<LinkServer> peerServer;
+  std::unique_ptr<MemberLinks> links;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SilentPeerFixture, "A silent link is replaced after the reply timeout")
+{
+  CHECK(this->Reconnects([this] { this->Sends(VoteRequest{ 1, "m0", 0, 0, true }); }));
+}
+
+// Guards against one reply timeout for each of several links to the same instance: instances that
+// start together open links to each other, and a loss of power leaves links that are not closed.
+TEST_CASE_METHOD(SilentPeerFixture,
+                 "Two silent links to one instance are replaced after one timeout")
+{
+  LinkConnection second(this->peer, this->self.linkAddress, EmulatedLatency{}, nullptr);
+  REQUIRE(WaitFor([this, &second] {
+    return second.IsReady() && this->accepted.size() == 1 && this->accepted[0]->IsReady();
+  }));
+  CHECK(this->Reconnects([this] { this->Sends(VoteRequest{ 1, "m0", 0, 0, true }); }));
+}
+
+// Guards against an instance that is never admitted: nobody answers its requests on a silent link,
+// and no other instance knows its address.
+TEST_CASE_METHOD(SilentPeerFixture,
+                 "An instance that requests to join replaces silent links after the reply timeout")
+{
+  CHECK(this->Reconnects([this] {
+    this->links->SendToAll(JoinRequest{ this->self, "m0", false }, this->now);
+  }));
+}
