--- a/tests/consensus/MemberLinksTests.cpp
+++ b/tests/consensus/MemberLinksTests.cpp
@@ -78,7 +78,8 @@
                      });
     QObject::connect(
       this->peerServer.get(), &LinkServer::Accepted, this->links.get(), [this] { ++this->opened; });
-    this->links->RefreshLinks({ this->peer.linkAddress }, this->now);
+    this->addresses = { this->peer.linkAddress };
+    this->links->RefreshLinks(this->addresses, this->now);
     REQUIRE(WaitFor([this] { return this->opened == 1 && this->Sends(LeaveRequest{ "m0" }); }));
   }
 
@@ -98,7 +99,7 @@
     while (this->opened == before && this->now < end) {
       aSend();
       this->now += kRefreshInterval;
-      this->links->RefreshLinks({ this->peer.linkAddress }, this->now);
+      this->links->RefreshLinks(this->addresses, this->now);
       WaitFor([turns = 0]() mutable { return ++turns > 3; });
     }
     return WaitFor([this, before] { return this->opened > before; });
@@ -109,6 +110,7 @@
   InstanceInfo self = Control("control-0");
   InstanceInfo peer = Control("control-1");
   Instant now = MonotonicNow();
+  std::vector<std::string> addresses;
   int opened = 0; ///< Links that the peer has accepted.
   std::vector<LinkConnection*> accepted;
   std::unique_ptr<LinkServer> ownServer;
@@ -135,6 +137,23 @@
   CHECK(this->Reconnects([this] { this->Sends(VoteRequest{ 1, "m0", 0, 0, true }); }));
 }
 
+// Guards against a leader that detects silent links to learners only after its election, one reply
+// timeout after those to the voters.
+TEST_CASE_METHOD(SilentPeerFixture, "A silent link without requests is replaced with the others")
+{
+  InstanceInfo learner = Control("control-2");
+  const auto learnerServer = Listen(learner);
+  int openedToLearner = 0;
+  QObject::connect(
+    learnerServer.get(), &LinkServer::Accepted, this->links.get(), [&] { ++openedToLearner; });
+  this->addresses.push_back(learner.linkAddress);
+  this->links->RefreshLinks(this->addresses, this->now);
+  REQUIRE(WaitFor([&] { return this->links->Send("control-2", LeaveRequest{ "m0" }, this->now); }));
+  CHECK(this->Reconnects([this] { this->Sends(VoteRequest{ 1, "m0", 0, 0, true }); }));
+  this->links->RefreshLinks(this->addresses, this->now);
+  CHECK(WaitFor([&] { return openedToLearner == 2; }));
+}
+
 // Guards against an instance that is never admitted: nobody answers its requests on a silent link,
 // and no other instance knows its address.
 TEST_CASE_METHOD(SilentPeerFixture,
