tests, consensus: an instance that lost its data folder takes over its own vote

"An instance that lost its data folder takes over its own vote, not that of another" fails on this code: a voter that leaves, or that has not replied for 1.5 s, is replaced first if the lost voter of the instance has been silent for less than 1 s. The group then keeps a voter that is lost for good.

--- a/tests/consensus/GroupMaintenanceTests.cpp
+++ b/tests/consensus/GroupMaintenanceTests.cpp
@@ -140,6 +140,25 @@
   CHECK_FALSE(maintenance.NextChange(node, now).has_value());
 }
 
+// Guards against an instance with two members that vote, the older of which is lost for good: if it
+// loses its data folder once more, the group has lost two voters.
+TEST_CASE("An instance that lost its data folder takes over its own vote, not that of another")
+{
+  RaftNode node = LeaderOf(
+    { Voter("a", "1"), Voter("b", "2"), Voter("c", "3"), { "d", "3", "127.0.0.1:1", false } });
+  GroupMaintenance maintenance = MaintenanceFor(3);
+  const Instant soon = kElected + std::chrono::milliseconds(500);
+  Confirm(node, { "b", "d" }, soon);
+  maintenance.OnLeaveRequest("b", soon);
+  CHECK_FALSE(maintenance.NextChange(node, soon).has_value());
+  const Instant later = kElected + std::chrono::milliseconds(1100);
+  Confirm(node, { "b", "d" }, later);
+  const auto changed = maintenance.NextChange(node, later);
+  REQUIRE(changed);
+  CHECK(FindMember(*changed, "c")->replacement == ReplacementPart::Outgoing);
+  CHECK(FindMember(*changed, "d")->replacement == ReplacementPart::Incoming);
+}
+
 // Guards against a list that grows with each instance that is replaced, and against the removal of
 // a learner before it could reply.
 TEST_CASE("A learner is removed after lostLearnerTimeout, counted from its admission")
