consensus: a learner first takes over the vote that its own instance lost

While the lost voter of an instance was silent for less than 1 s, its new member could replace another voter that left or was silent. Such a learner now waits until it can replace its own predecessor.

--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -143,6 +143,16 @@
   return aNow - (isConfirmed ? *found->second.ackedRequestSentAt : this->leadershipStart);
 }
 
+bool GroupMaintenance::MustWaitForOwnVote(const RaftNode& aNode,
+                                          const ControlMember& aLearner,
+                                          Instant aNow) const
+{
+  return std::ranges::any_of(aNode.Members(), [&](const ControlMember& aMember) {
+    return aMember.voter && aMember.instance == aLearner.instance &&
+           this->TimeSinceContact(aNode, aMember.id, aNow) <= kSupersededVoterTimeout;
+  });
+}
+
 const ControlMember* GroupMaintenance::FindPromotableLearner(const RaftNode& aNode,
                                                              Instant aNow) const
 {
@@ -151,7 +161,8 @@
   for (const ControlMember& member : aNode.Members()) {
     const auto found = aNode.Progress().find(member.id);
     if (member.voter || found == aNode.Progress().end() || !found->second.ackedRequestSentAt ||
-        this->IsSuperseded(aNode.Members(), member) || this->leaveRequestedAt.contains(member.id)) {
+        this->IsSuperseded(aNode.Members(), member) || this->leaveRequestedAt.contains(member.id) ||
+        this->MustWaitForOwnVote(aNode, member, aNow)) {
       continue;
     }
     const std::uint64_t match = found->second.matchIndex;
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -77,6 +77,10 @@
     const std::vector<ControlMember>& aMembers,
     Instant aNow);
   bool IsSuperseded(const std::vector<ControlMember>& aMembers, const ControlMember& aMember) const;
+  /// True if an earlier member of the instance of a learner still votes and may be in contact. The
+  /// learner then waits until it can take over that vote, because the group would keep a voter that
+  /// is lost for good if the learner took another one.
+  bool MustWaitForOwnVote(const RaftNode& aNode, const ControlMember& aLearner, Instant aNow) const;
   /// Time since the newest request that the member replied to was sent, or since leadership was
   /// gained.
   Duration TimeSinceContact(const RaftNode& aNode, const std::string& aMember, Instant aNow) const;
