consensus: the silence of a member link counts from what arrived last

One rule for all member links instead of two: a link on which nothing has arrived for 2 s is closed, and pinged after 0.5 s so that a working one is not silent. Whether a message expects a reply is no longer asked. With a ping of its own and 2 s from there, the second silent link to an instance was closed 0.6 s after the first.

--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -170,7 +170,7 @@
 
 bool ConsensusDriver::SendToInstance(const std::string& aInstance, const Message& aMessage)
 {
-  return this->links.Send(aInstance, aMessage, MonotonicNow());
+  return this->links.Send(aInstance, aMessage);
 }
 
 bool ConsensusDriver::HandleMessage(const InstanceInfo& aPeer, const Message& aMessage)
@@ -218,7 +218,7 @@
   // disagree about the leader could forward them in a loop.
   const std::string& leader = this->node->LeaderId();
   if (aPeer.id == aRequest.instance.id && !leader.empty()) {
-    this->links.Send(this->InstanceOf(leader), aRequest, aNow);
+    this->links.Send(this->InstanceOf(leader), aRequest);
   }
 }
 
@@ -344,7 +344,7 @@
     this->maintenance.OnLeaveRequest(self, aNow);
     this->ProposeMembershipChange();
   } else if (!leader.empty()) {
-    this->links.Send(this->InstanceOf(leader), LeaveRequest{ self }, aNow);
+    this->links.Send(this->InstanceOf(leader), LeaveRequest{ self });
   }
 }
 
@@ -355,7 +355,7 @@
     return;
   }
   this->lastJoinRequestAt = aNow;
-  this->links.SendToAll(JoinRequest{ this->selfInfo, this->node->Self(), this->HasLog() }, aNow);
+  this->links.SendToAll(JoinRequest{ this->selfInfo, this->node->Self(), this->HasLog() });
 }
 
 void ConsensusDriver::FoundGroup(const std::vector<ControlMember>& aMembers)
@@ -409,7 +409,7 @@
 void ConsensusDriver::ExecuteAction(const RaftAction& aAction)
 {
   if (const auto* send = std::get_if<SendAction>(&aAction)) {
-    this->links.Send(this->InstanceOf(send->to), send->message, MonotonicNow());
+    this->links.Send(this->InstanceOf(send->to), send->message);
   } else if (const auto* persist = std::get_if<PersistAction>(&aAction)) {
     this->pendingWrites.push_back(persist->batch);
     this->ScheduleWrites();
--- a/src/oleanderledge/consensus/internal/MemberLinks.cpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.cpp
@@ -7,13 +7,12 @@
 
 namespace {
 
-/// Members reply within a round trip. A link without a reply for this long is closed: its
-/// connection may be broken without having been reset, and a new one may use another network path.
+/// A link on which nothing has arrived for this long is closed: its connection may be broken
+/// without having been reset, and a new one may use another network path.
 constexpr Duration kReplyTimeout = std::chrono::seconds(2);
 
-/// A link on which nothing has arrived for this long is pinged. Join requests and relayed
-/// heartbeats have no reply on their link, so without a ping a silent connection would carry them
-/// for good.
+/// A link on which nothing has arrived for this long is pinged, as join requests and relayed
+/// heartbeats have no reply. Leaves the peer 1.5 s to answer.
 constexpr Duration kPingInterval = std::chrono::milliseconds(500);
 
 /// If the time since the last check is longer, this process itself was suspended or blocked.
@@ -24,13 +23,6 @@
 /// entries.
 constexpr std::int64_t kMaxQueuedBytes = std::int64_t{ 8 } * 1024 * 1024;
 
-bool ExpectsReply(const Message& aMessage)
-{
-  return std::holds_alternative<VoteRequest>(aMessage) ||
-         std::holds_alternative<AppendRequest>(aMessage) ||
-         std::holds_alternative<SnapshotRequest>(aMessage);
-}
-
 } // namespace
 
 MemberLinks::MemberLinks(InstanceInfo aSelf, const EmulatedLatency& aLatency, QObject* aParent)
@@ -47,7 +39,7 @@
 
 void MemberLinks::TrackLink(LinkConnection* aLink, const std::string& aAddress)
 {
-  this->entries.push_back({ aLink, aAddress, std::nullopt });
+  this->entries.push_back({ aLink, aAddress });
   QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
     this->OnReceived(aLink, aMessage);
   });
@@ -105,19 +97,14 @@
   if (!aEntry.link->IsReady()) {
     return;
   }
-  const Instant received = aEntry.link->LastReceivedAt();
-  if (aEntry.unansweredSince && received > *aEntry.unansweredSince) {
-    aEntry.unansweredSince.reset();
-  }
-  if (aEntry.unansweredSince && aWasDelayed) {
-    aEntry.unansweredSince = aNow;
+  if (aWasDelayed) {
+    aEntry.silenceCountedFrom = aNow;
   }
-  if (aEntry.unansweredSince && aNow - *aEntry.unansweredSince > kReplyTimeout) {
+  const Instant silentSince = std::max(aEntry.link->LastReceivedAt(), aEntry.silenceCountedFrom);
+  if (aNow - silentSince > kReplyTimeout) {
     aEntry.link->Close();
-    return;
-  }
-  if (!aEntry.unansweredSince && aNow - received > kPingInterval) {
-    aEntry.unansweredSince = aNow;
+  } else if (aNow - silentSince > kPingInterval && aEntry.pingedAt < silentSince) {
+    aEntry.pingedAt = aNow;
     aEntry.link->Send(LinkPing{ ToMicroseconds(aNow) });
   }
 }
@@ -132,20 +119,17 @@
   return found == this->entries.rend() ? nullptr : &*found;
 }
 
-bool MemberLinks::Send(const std::string& aInstance, const Message& aMessage, Instant aNow)
+bool MemberLinks::Send(const std::string& aInstance, const Message& aMessage)
 {
   Entry* entry = this->FindReadyEntry(aInstance);
   if (entry == nullptr || entry->link->QueuedBytes() > kMaxQueuedBytes) {
     return false;
   }
-  if (ExpectsReply(aMessage) && !entry->unansweredSince) {
-    entry->unansweredSince = aNow;
-  }
   entry->link->Send(aMessage);
   return true;
 }
 
-void MemberLinks::SendToAll(const Message& aMessage, Instant aNow)
+void MemberLinks::SendToAll(const Message& aMessage)
 {
   std::set<std::string> instances;
   for (const Entry& entry : this->entries) {
@@ -154,7 +138,7 @@
     }
   }
   for (const std::string& instance : instances) {
-    this->Send(instance, aMessage, aNow);
+    this->Send(instance, aMessage);
   }
 }
 
--- a/src/oleanderledge/consensus/internal/MemberLinks.hpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.hpp
@@ -4,7 +4,6 @@
 
 #include <QObject>
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,19 +20,19 @@
   /// Uses an accepted link. The caller keeps its ownership.
   void AddAcceptedLink(LinkConnection* aLink);
 
-  /// Pings idle links, closes those on which nothing has arrived for 2 s after a request or ping,
-  /// and opens links to those addresses that have none. Called at regular intervals.
+  /// Pings idle links, closes those on which nothing has arrived for 2 s, and opens links to those
+  /// addresses that have none. Called at regular intervals.
   void RefreshLinks(const std::vector<std::string>& aAddresses, Instant aNow);
 
   /// Sends to an instance over its newest ready link. Returns false, without sending, if there is
   /// no ready link or more than 8 MiB are queued on it.
-  bool Send(const std::string& aInstance, const Message& aMessage, Instant aNow);
+  bool Send(const std::string& aInstance, const Message& aMessage);
 
   /// True if there is a ready link to an instance.
   bool IsLinked(const std::string& aInstance) { return this->FindReadyEntry(aInstance) != nullptr; }
 
   /// Sends to every control instance with a ready link.
-  void SendToAll(const Message& aMessage, Instant aNow);
+  void SendToAll(const Message& aMessage);
 
   void CloseAll();
 
@@ -46,10 +45,11 @@
   {
     LinkConnection* link = nullptr;
     std::string address; ///< Target of a link opened here; empty for accepted links.
-    /// Send time of the oldest request or ping after which nothing has arrived.
-    std::optional<Instant> unansweredSince;
+    Instant pingedAt{};
+    Instant silenceCountedFrom{}; ///< Earlier silence may be that of this process.
   };
 
+  /// Pings or closes a link that is silent. With `aWasDelayed` its silence counts from `aNow` on.
   void CheckLink(Entry& aEntry, bool aWasDelayed, Instant aNow);
   void TrackLink(LinkConnection* aLink, const std::string& aAddress);
   void RemoveLink(LinkConnection* aLink);
--- a/tests/consensus/MemberLinksTests.cpp
+++ b/tests/consensus/MemberLinksTests.cpp
@@ -83,10 +83,7 @@
     REQUIRE(WaitFor([this] { return this->opened == 1 && this->Sends(LeaveRequest{ "m0" }); }));
   }
 
-  bool Sends(const Message& aMessage)
-  {
-    return this->links->Send(this->peer.id, aMessage, this->now);
-  }
+  bool Sends(const Message& aMessage) { return this->links->Send(this->peer.id, aMessage); }
 
   /// Calls `aSend` and RefreshLinks() at regular intervals. Returns true if a new link to the peer
   /// is opened in time.
@@ -148,7 +145,7 @@
     learnerServer.get(), &LinkServer::Accepted, this->links.get(), [&] { ++openedToLearner; });
   this->addresses.push_back(learner.linkAddress);
   this->links->RefreshLinks(this->addresses, this->now);
-  REQUIRE(WaitFor([&] { return this->links->Send("control-2", LeaveRequest{ "m0" }, this->now); }));
+  REQUIRE(WaitFor([&] { return this->links->Send("control-2", LeaveRequest{ "m0" }); }));
   CHECK(this->Reconnects([this] { this->Sends(VoteRequest{ 1, "m0", 0, 0, true }); }));
   this->links->RefreshLinks(this->addresses, this->now);
   CHECK(WaitFor([&] { return openedToLearner == 2; }));
@@ -160,6 +157,6 @@
                  "An instance that requests to join replaces silent links after the reply timeout")
 {
   CHECK(this->Reconnects([this] {
-    this->links->SendToAll(JoinRequest{ this->self, "m0", false }, this->now);
+    this->links->SendToAll(JoinRequest{ this->self, "m0", false });
   }));
 }
