tests, consensus: a message takes the link on which the peer was heard last

The case fails on this code: Send() takes the link that was added last, also if it is silent and the peer's requests arrive on another one.

--- a/tests/consensus/MemberLinksTests.cpp
+++ b/tests/consensus/MemberLinksTests.cpp
@@ -76,8 +76,13 @@
                        this->links->AddAcceptedLink(aLink);
                        this->accepted.push_back(aLink);
                      });
-    QObject::connect(
-      this->peerServer.get(), &LinkServer::Accepted, this->links.get(), [this] { ++this->opened; });
+    QObject::connect(this->peerServer.get(),
+                     &LinkServer::Accepted,
+                     this->links.get(),
+                     [this](LinkConnection* aLink) {
+                       ++this->opened;
+                       this->peerSide = aLink;
+                     });
     this->addresses = { this->peer.linkAddress };
     this->links->RefreshLinks(this->addresses, this->now);
     REQUIRE(WaitFor([this] { return this->opened == 1 && this->Sends(LeaveRequest{ "m0" }); }));
@@ -108,7 +113,8 @@
   InstanceInfo peer = Control("control-1");
   Instant now = MonotonicNow();
   std::vector<std::string> addresses;
-  int opened = 0; ///< Links that the peer has accepted.
+  int opened = 0;                     ///< Links that the peer has accepted.
+  LinkConnection* peerSide = nullptr; ///< The newest link that the peer has accepted.
   std::vector<LinkConnection*> accepted;
   std::unique_ptr<LinkServer> ownServer;
   std::unique_ptr<LinkServer> peerServer;
@@ -134,6 +140,28 @@
   CHECK(this->Reconnects([this] { this->Sends(VoteRequest{ 1, "m0", 0, 0, true }); }));
 }
 
+// Guards against replies that are lost on a newer, silent link, so that the requests of the leader
+// seem to be unanswered.
+TEST_CASE_METHOD(SilentPeerFixture, "A message takes the link on which the peer was heard last")
+{
+  LinkConnection second(this->peer, this->self.linkAddress, EmulatedLatency{}, nullptr);
+  REQUIRE(WaitFor([this, &second] { return second.IsReady() && this->accepted.size() == 1; }));
+  bool isHeard = false;
+  QObject::connect(
+    this->links.get(), &MemberLinks::Received, this->links.get(), [&isHeard] { isHeard = true; });
+  bool isAnswered = false;
+  QObject::connect(this->peerSide,
+                   &LinkConnection::Received,
+                   this->links.get(),
+                   [&isAnswered](const Message& aMessage) {
+                     isAnswered = isAnswered || std::holds_alternative<AppendReply>(aMessage);
+                   });
+  this->peerSide->Send(AppendRequest{ 1, "m1", 0, 0, 0, 1, {} });
+  REQUIRE(WaitFor([&isHeard] { return isHeard; }));
+  REQUIRE(this->Sends(AppendReply{ 1, "m0", true, 0, 1 }));
+  CHECK(WaitFor([&isAnswered] { return isAnswered; }));
+}
+
 // Guards against a leader that detects silent links to learners only after its election, one reply
 // timeout after those to the voters.
 TEST_CASE_METHOD(SilentPeerFixture, "A silent link without requests is replaced with the others")
