consensus: a message takes the link on which the peer was heard last

An instance answered its leader on the link that was added last, also if that one was silent and the requests arrived on another. The leader missed the replies for as long as the silent link stood. Now a message moves its link to the end of the list, from which Send() takes the first ready one. Pings do not count, so that they do not move the traffic between two working links.

--- a/src/oleanderledge/consensus/internal/MemberLinks.cpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.cpp
@@ -60,10 +60,14 @@
     aLink->Send(LinkPong{ ping->sentUs });
     return;
   }
-  const bool isPong = std::holds_alternative<LinkPong>(aMessage);
-  if (!isPong && aLink->Peer().role == InstanceRole::Control) {
-    Q_EMIT this->Received(aLink->Peer(), aMessage);
+  if (std::holds_alternative<LinkPong>(aMessage) || aLink->Peer().role != InstanceRole::Control) {
+    return;
+  }
+  const auto found = std::ranges::find(this->entries, aLink, &Entry::link);
+  if (found != this->entries.end()) {
+    std::rotate(found, found + 1, this->entries.end());
   }
+  Q_EMIT this->Received(aLink->Peer(), aMessage);
 }
 
 bool MemberLinks::HasLinkTo(const std::string& aAddress) const
@@ -111,7 +115,8 @@
 
 MemberLinks::Entry* MemberLinks::FindReadyEntry(const std::string& aInstance)
 {
-  // Prefers the newest link, because an older one may lead to a previous process of the instance.
+  // Prefers the link that is new or was heard last: an older one may be silent, or lead to a
+  // previous process of the instance.
   const auto found =
     std::find_if(this->entries.rbegin(), this->entries.rend(), [&aInstance](const Entry& aEntry) {
       return aEntry.link->IsReady() && aEntry.link->Peer().id == aInstance;
--- a/src/oleanderledge/consensus/internal/MemberLinks.hpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.hpp
@@ -24,8 +24,9 @@
   /// addresses that have none. Called at regular intervals.
   void RefreshLinks(const std::vector<std::string>& aAddresses, Instant aNow);
 
-  /// Sends to an instance over its newest ready link. Returns false, without sending, if there is
-  /// no ready link or more than 8 MiB are queued on it.
+  /// Sends to an instance over the ready link that was added last, or on which a message of the
+  /// instance has arrived since. Returns false, without sending, if there is no ready link or more
+  /// than 8 MiB are queued on it.
   bool Send(const std::string& aInstance, const Message& aMessage);
 
   /// True if there is a ready link to an instance.
@@ -59,7 +60,7 @@
 
   InstanceInfo selfInfo;
   EmulatedLatency latency;
-  std::vector<Entry> entries;
+  std::vector<Entry> entries; ///< Links that are new, or were heard last, at the end.
   Instant lastRefresh{};
 };
 
