--- a/tests/consensus/RaftNodeTests.cpp
+++ b/tests/consensus/RaftNodeTests.cpp
@@ -275,6 +275,111 @@
   }
 }
 
+/// Restarts instances in turn as planned: each gives up its vote, or stops after 5 s, and is back
+/// 200 ms later.
+class RollingRestart
+{
+public:
+  RollingRestart(FakeGroup& aGroup, std::vector<std::size_t> aInstances)
+    : group(aGroup)
+    , instances(std::move(aInstances))
+  {
+  }
+
+  void Run(std::int64_t aMicroseconds)
+  {
+    for (std::int64_t passed = 0; passed < aMicroseconds; passed += kStep) {
+      this->group.Run(kStep);
+      this->sinceChange += kStep;
+      this->Step();
+    }
+  }
+
+  /// Starts the instance that is down, if any, and restarts no more.
+  void End()
+  {
+    this->group.CancelLeave(this->Current());
+    if (this->group.Node(this->Current()) == nullptr) {
+      this->group.Restart(this->Current());
+    }
+  }
+
+  std::size_t Current() const { return this->instances[this->position]; }
+
+private:
+  static constexpr std::int64_t kStep = 10 * FakeGroup::kMillisecond;
+
+  void Step()
+  {
+    const bool isRunning = this->group.Node(this->Current()) != nullptr;
+    if (isRunning && !this->isLeaving && this->sinceChange >= kSecond / 2) {
+      this->group.Leave(this->Current());
+      this->isLeaving = true;
+      this->sinceChange = 0;
+    } else if (isRunning && this->isLeaving && this->sinceChange >= 5 * kSecond) {
+      this->group.Crash(this->Current());
+    } else if (!isRunning && !this->isDown) {
+      this->isDown = true;
+      this->sinceChange = 0;
+    } else if (!isRunning && this->sinceChange >= kSecond / 5) {
+      this->End();
+      this->position = (this->position + 1) % this->instances.size();
+      this->isLeaving = false;
+      this->isDown = false;
+      this->sinceChange = 0;
+    }
+  }
+
+  FakeGroup& group;
+  std::vector<std::size_t> instances;
+  std::size_t position = 0;
+  std::int64_t sinceChange = 0;
+  bool isLeaving = false;
+  bool isDown = false;
+};
+
+// Guards against a group that still depends on a voter that is gone long after its successor has
+// started, because every restarted voter gets the vote of the next one.
+TEST_CASE("Two disks can be lost 4 s after a successor has started, during a rolling restart")
+{
+  constexpr std::size_t kSpare = 5;
+  for (std::uint64_t seed = 1; seed <= 120; ++seed) {
+    INFO("seed " << seed);
+    FakeGroup group(seed, 5, 1);
+    REQUIRE(WaitForLeader(group));
+    REQUIRE(group.Propose(20) == 20);
+    group.Run(kSecond);
+    const std::size_t gone = (*group.Leader() + seed) % 5;
+    std::vector<std::size_t> staying;
+    for (std::size_t at = 0; at < 5; ++at) {
+      if (at != gone) {
+        staying.push_back(at);
+      }
+    }
+    RollingRestart roll(group, staying);
+    group.LoseDisk(gone);
+    roll.Run(kSecond);
+    group.Restart(kSpare);
+    roll.Run(4 * kSecond + static_cast<std::int64_t>(seed) * 50 * FakeGroup::kMillisecond);
+    staying.push_back(kSpare);
+    std::erase(staying, roll.Current());
+    const std::size_t firstLost = staying[seed % 4];
+    const std::size_t secondLost = staying[(seed + 1) % 4];
+    group.LoseDisk(firstLost);
+    group.LoseDisk(secondLost);
+    group.Run(900 * FakeGroup::kMillisecond);
+    roll.End();
+    group.Restart(firstLost);
+    group.Restart(secondLost);
+    const std::size_t before = group.Acknowledged();
+    CHECK(group.RunUntil(12 * kSecond, [&group, before] {
+      group.Propose(1);
+      return group.Acknowledged() > before;
+    }));
+    CHECK(group.Violation() == std::nullopt);
+  }
+}
+
 // Guards against commands that are acknowledged before they are on disk and therefore lost when all
 // members crash.
 TEST_CASE("Hundreds of commands survive a crash of all members")
