consensus: a voter that is gone is replaced before one that leaves

What callers saw: after a control instance had been replaced and the others were restarted in turn, the loss of two disks ended the group: no configuration was read back any more, and proxies that restarted had none.

Cause: the vote of the only learner went to the voter that was about to stop. That one came back as a learner, could not be promoted for 3 s after its last leave request, and the next voter that left got the place. So the voter that was gone for good stayed in the list for the whole rolling restart.

Now a lost voter comes first; while a voter is silent but not lost yet, a leaving one keeps its vote. Leave requests count for 1 s.

--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -15,6 +15,14 @@
 /// long. If two instances were given the same id by mistake, both reply and none is removed.
 constexpr Duration kSupersededVoterTimeout = std::chrono::seconds(1);
 
+/// While another voter has not replied for this long, a voter that leaves keeps its vote: if the
+/// silent one turns out to be lost, the learner must replace that one, which may never return.
+constexpr Duration kSilentVoterTimeout = std::chrono::milliseconds(500);
+
+/// Leave requests are repeated every 100 ms. After the last one, the instance has stopped, and may
+/// be back as a learner that can be promoted.
+constexpr Duration kLeaveRequestLifetime = std::chrono::seconds(1);
+
 std::vector<ControlMember> WithoutMember(std::vector<ControlMember> aMembers,
                                          const std::string& aId)
 {
@@ -72,8 +80,8 @@
   if (!aNode.IsLeadershipEstablished() || aNode.MembershipChangePending()) {
     return std::nullopt;
   }
-  std::erase_if(this->leaveRequestedAt, [this, aNow](const auto& aEntry) {
-    return aNow - aEntry.second > this->settings.requestLifetime;
+  std::erase_if(this->leaveRequestedAt, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kLeaveRequestLifetime;
   });
   const std::vector<ControlMember>& members = aNode.Members();
   if (IsReplacementInProgress(members)) {
@@ -181,11 +189,13 @@
 {
   const ControlMember* lost = nullptr;
   const ControlMember* leaving = nullptr;
+  bool isAnotherSilent = false;
   for (const ControlMember& member : aNode.Members()) {
     if (!member.voter) {
       continue;
     }
-    if (this->leaveRequestedAt.contains(member.id)) {
+    const bool isLeaving = this->leaveRequestedAt.contains(member.id);
+    if (isLeaving) {
       leaving = &member;
     }
     if (member.id == aNode.Self()) {
@@ -200,8 +210,12 @@
     if (lost == nullptr && sinceContact > this->settings.lostVoterTimeout) {
       lost = &member;
     }
+    isAnotherSilent = isAnotherSilent || (!isLeaving && sinceContact > kSilentVoterTimeout);
+  }
+  if (lost != nullptr || isAnotherSilent) {
+    return lost;
   }
-  return leaving != nullptr ? leaving : lost;
+  return leaving;
 }
 
 const ControlMember* GroupMaintenance::FindLostLearner(const RaftNode& aNode, Instant aNow)
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -23,7 +23,7 @@
   std::uint64_t maxPromotionLagEntries = 100;
   /// A learner that has not replied for this long is removed. It may request to join again.
   Duration lostLearnerTimeout = std::chrono::seconds(10);
-  /// A join or leave request that is not repeated within this time is dropped.
+  /// A join request that is not repeated within this time is dropped.
   Duration requestLifetime = std::chrono::seconds(3);
   /// A member without a current leader for this long requests to join again, because it may have
   /// been removed from the group while it was unreachable.
