tests: members that are replaced as planned have the stop limit of the platform

The limit of 1 s is the default for fleets without the platform; the deployment sets stop_limit_ms to 5000, and the fixture now has that, as it has the 1.5 s of the deployment for lost voters.

--- a/tests/control/MemberReplacementTests.cpp
+++ b/tests/control/MemberReplacementTests.cpp
@@ -47,6 +47,7 @@
       own.dataFolder = (this->folders[at].path() + "/data").toStdString();
       own.voterGoal = kVoterCount;
       own.voterLostAfter = std::chrono::milliseconds(1500);
+      own.leaveLimit = std::chrono::seconds(5);
     }
     for (std::size_t at = 0; at < kMemberCount; ++at) {
       ControlSettings& own = this->settings[at];
