storage: a large incomplete record does not delay the start

Callers saw (in a test): a control instance that was killed or lost power while it wrote a large record took tens of seconds of processor time to start, and did not vote meanwhile. A member that catches up writes records of 1 MB and more.

Cause: to tell an incomplete last record from a damaged earlier one, Scan() tries each offset in the rest of the file as the start of a later record. In binary data many offsets look like the start of a long one (a length made of one small integer, a number made of another), and the checksum of each was computed from its bytes: quadratic time.

Fix: the checksums of all prefixes are computed once, and that of any part follows from two of them. The same offsets are tried and the same records are found.

--- a/src/oleanderledge/storage/WriteAheadLog.cpp
+++ b/src/oleanderledge/storage/WriteAheadLog.cpp
@@ -2,6 +2,11 @@
 
 #include "oleanderledge/consensus/ByteCodec.hpp"
 
+#include <boost/crc.hpp>
+
+#include <array>
+#include <optional>
+
 namespace oleanderledge {
 
 namespace {
@@ -21,9 +26,16 @@
   return header.TakeBytes() + numbered;
 }
 
-/// Returns the payload, including the record number, of the record at the start of `aBytes`, or
-/// nothing if there is no valid record with a number of at least `aMinNumber`.
-std::optional<std::string_view> DecodeRecord(std::string_view aBytes, std::uint64_t aMinNumber)
+/// A record whose checksum has not been compared.
+struct RecordFrame
+{
+  std::uint32_t crc;
+  std::string_view payload; ///< Including the record number.
+};
+
+/// Returns the record at the start of `aBytes`, or nothing if it does not fit there or has a number
+/// below `aMinNumber`.
+std::optional<RecordFrame> DecodeFrame(std::string_view aBytes, std::uint64_t aMinNumber)
 {
   ByteReader reader(aBytes);
   const std::uint32_t length = reader.GetU32();
@@ -32,21 +44,75 @@
     return std::nullopt;
   }
   const std::string_view payload = reader.RemainingBytes().substr(0, length);
-  // The number is compared before the checksum is computed, because HasLaterRecord() tries every
-  // offset.
-  if (ByteReader(payload).GetU64() < aMinNumber || Crc32(payload) != crc) {
+  if (ByteReader(payload).GetU64() < aMinNumber) {
     return std::nullopt;
   }
-  return payload;
+  return RecordFrame{ crc, payload };
 }
 
+/// Computes the CRC-32 checksums of parts of some bytes in logarithmic time each.
+class PartChecksums
+{
+public:
+  explicit PartChecksums(std::string_view aBytes)
+  {
+    this->prefixes.reserve(aBytes.size() + 1);
+    boost::crc_32_type crc;
+    this->prefixes.push_back(crc.checksum());
+    for (const char byte : aBytes) {
+      crc.process_byte(static_cast<unsigned char>(byte));
+      this->prefixes.push_back(crc.checksum());
+    }
+    std::uint32_t power = kOne >> 8U;
+    for (std::uint32_t& each : this->powers) {
+      each = power;
+      power = Multiply(power, power);
+    }
+  }
+
+  /// Checksum of `aCount` bytes from the offset `aFirst` on.
+  std::uint32_t Of(std::size_t aFirst, std::size_t aCount) const
+  {
+    // The checksum of two parts is the sum of that of the second one and that of the first one
+    // times x^8 for each byte of the second one.
+    std::uint32_t shifted = this->prefixes[aFirst];
+    for (std::size_t at = 0; (aCount >> at) != 0; ++at) {
+      shifted = ((aCount >> at) & 1U) != 0 ? Multiply(shifted, this->powers.at(at)) : shifted;
+    }
+    return this->prefixes[aFirst + aCount] ^ shifted;
+  }
+
+private:
+  // Polynomials over GF(2) modulo that of the checksum, with the coefficient of x^0 in the highest
+  // bit.
+  static constexpr std::uint32_t kOne = 0x80000000U;
+  static constexpr std::uint32_t kPolynomial = 0xEDB88320U;
+
+  static std::uint32_t Multiply(std::uint32_t aLeft, std::uint32_t aRight)
+  {
+    std::uint32_t product = 0;
+    for (; aLeft != 0; aLeft <<= 1U) {
+      product ^= (aLeft & kOne) != 0 ? aRight : 0;
+      aRight = (aRight >> 1U) ^ ((aRight & 1U) != 0 ? kPolynomial : 0);
+    }
+    return product;
+  }
+
+  std::vector<std::uint32_t> prefixes;    ///< Checksums of the first n bytes.
+  std::array<std::uint32_t, 32> powers{}; ///< x^(8 * 2^n); a record has less than 2^32 bytes.
+};
+
 /// True if `aBytes` contains, after its start, a valid record with a number of at least `aNumber`.
 /// The bytes before it must then have been complete once, so they are damaged and not the result of
 /// an interrupted write.
 bool HasLaterRecord(std::string_view aBytes, std::uint64_t aNumber)
 {
+  // Every offset is tried, and many look like the start of a long record. Computing each checksum
+  // from the bytes took 25 s for an incomplete record of 1 MB.
+  const PartChecksums checksums(aBytes);
   for (std::size_t offset = 1; offset + kRecordHeaderBytes < aBytes.size(); ++offset) {
-    if (DecodeRecord(aBytes.substr(offset), aNumber)) {
+    const auto frame = DecodeFrame(aBytes.substr(offset), aNumber);
+    if (frame && checksums.Of(offset + kRecordHeaderBytes, frame->payload.size()) == frame->crc) {
       return true;
     }
   }
@@ -64,15 +130,16 @@
   std::string_view rest = aBytes.substr(kMagic.size());
   std::uint64_t number = 1;
   while (!rest.empty()) {
-    const auto payload = DecodeRecord(rest, number);
-    if (!payload) {
+    const auto frame = DecodeFrame(rest, number);
+    if (!frame || Crc32(frame->payload) != frame->crc) {
       break;
     }
-    if (ByteReader(*payload).GetU64() != number) {
+    const std::string_view payload = frame->payload;
+    if (ByteReader(payload).GetU64() != number) {
       return Fail(ResultCode::StorageCorrupt, "record " + std::to_string(number) + " is missing");
     }
-    content.payloads.emplace_back(payload->substr(kRecordNumberBytes));
-    rest.remove_prefix(kRecordHeaderBytes + payload->size());
+    content.payloads.emplace_back(payload.substr(kRecordNumberBytes));
+    rest.remove_prefix(kRecordHeaderBytes + payload.size());
     ++number;
   }
   content.validBytes = aBytes.size() - rest.size();
