consensus: a voter that is lost stays lost when another member becomes leader

A version was acknowledged, two disks were lost, and no leader was elected any more: reads got 503, and proxies that had not been restarted went on with the older version.

Cause: each new leader counted the silence of a voter from its own election, so a voter that is gone was replaced only by a leader that stayed for 1.5 s. Where leaders stay for less, as with slow or hanging disks, the group depended on the lost voter for as long as that lasted.

Fix: every member, whether it leads or not, records when it last heard of each other one: anything on a link (idle links are pinged), or a reply to its own requests. A new leader goes by that, after 200 ms in which a voter that is alive has answered its heartbeats. What arrives from an instance says nothing of an older member id that it had before it lost its disk.

--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -15,6 +15,10 @@
 /// long. If two instances were given the same id by mistake, both reply and none is removed.
 constexpr Duration kSupersededVoterTimeout = std::chrono::seconds(1);
 
+/// A new leader replaces no voter before this time, in which a voter that is alive has answered
+/// some of its heartbeats.
+constexpr Duration kMinLeadership = std::chrono::milliseconds(200);
+
 /// While another voter has not replied for this long, a voter that leaves keeps its vote: if the
 /// silent one turns out to be lost, the learner must replace that one, which may never return.
 constexpr Duration kSilentVoterTimeout = std::chrono::milliseconds(500);
@@ -62,6 +66,21 @@
   this->learnersSince.clear();
 }
 
+void GroupMaintenance::Observe(const RaftNode& aNode, const HeardAt& aHeardAt, Instant aNow)
+{
+  std::map<std::string, Instant, std::less<>> current;
+  for (const ControlMember& member : aNode.Members()) {
+    const auto known = this->contactAt.find(member.id);
+    Instant contact = known == this->contactAt.end() ? aNow : known->second;
+    // What arrives from an instance with a newer member id says nothing of the older one.
+    const auto heard =
+      this->IsSuperseded(aNode.Members(), member) ? std::nullopt : aHeardAt(member.instance);
+    contact = std::max(contact, heard.value_or(contact));
+    current.emplace(member.id, contact);
+  }
+  this->contactAt = std::move(current);
+}
+
 bool GroupMaintenance::ShouldRequestJoin(const RaftNode& aNode, Instant aNow)
 {
   if (!this->leaderLastSeenAt || aNode.HasCurrentLeader(aNow)) {
@@ -146,9 +165,12 @@
                                             const std::string& aMember,
                                             Instant aNow) const
 {
+  const auto observed = this->contactAt.find(aMember);
+  const Instant contact =
+    observed == this->contactAt.end() ? this->leadershipStart : observed->second;
   const auto found = aNode.Progress().find(aMember);
   const bool isConfirmed = found != aNode.Progress().end() && found->second.ackedRequestSentAt;
-  return aNow - (isConfirmed ? *found->second.ackedRequestSentAt : this->leadershipStart);
+  return aNow - std::max(contact, isConfirmed ? *found->second.ackedRequestSentAt : contact);
 }
 
 bool GroupMaintenance::MustWaitForOwnVote(const RaftNode& aNode,
@@ -187,6 +209,9 @@
 
 const ControlMember* GroupMaintenance::FindVoterToReplace(const RaftNode& aNode, Instant aNow) const
 {
+  if (aNow - this->leadershipStart < kMinLeadership) {
+    return nullptr;
+  }
   const ControlMember* lost = nullptr;
   const ControlMember* leaving = nullptr;
   bool isAnotherSilent = false;
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/consensus/RaftNode.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -53,10 +54,16 @@
   /// Records that a member is about to stop and should not vote any more.
   void OnLeaveRequest(const std::string& aMember, Instant aNow);
 
-  /// Must be called when leadership is gained. Members that have not replied to this leader count
-  /// as unreachable from then on.
+  /// Must be called when leadership is gained. Members that have not replied to this leader, and of
+  /// which Observe() knows nothing, count as unreachable from then on.
   void OnLeadershipGained(Instant aNow);
 
+  /// Time at which anything of an instance arrived last, if known.
+  using HeardAt = std::function<std::optional<Instant>(const std::string& aInstance)>;
+  /// Records when each member was in contact with this one. Must be called at regular intervals, in
+  /// every role: a voter that is lost stays lost when another member becomes leader.
+  void Observe(const RaftNode& aNode, const HeardAt& aHeardAt, Instant aNow);
+
   /// True if this member should send a join request. Must be called at regular intervals, because
   /// it also records when a leader was last known.
   bool ShouldRequestJoin(const RaftNode& aNode, Instant aNow);
@@ -81,8 +88,8 @@
   /// learner then waits until it can take over that vote, because the group would keep a voter that
   /// is lost for good if the learner took another one.
   bool MustWaitForOwnVote(const RaftNode& aNode, const ControlMember& aLearner, Instant aNow) const;
-  /// Time since the newest request that the member replied to was sent, or since leadership was
-  /// gained.
+  /// Time since the newest request that the member replied to was sent, or since it was in contact
+  /// according to Observe().
   Duration TimeSinceContact(const RaftNode& aNode, const std::string& aMember, Instant aNow) const;
   /// The reachable learner that has caught up furthest, or null.
   const ControlMember* FindPromotableLearner(const RaftNode& aNode, Instant aNow) const;
@@ -93,6 +100,8 @@
 
   GroupMaintenanceSettings settings;
   Instant leadershipStart{};
+  /// Last contact of each other member, or when it was first listed, by member id.
+  std::map<std::string, Instant, std::less<>> contactAt;
   std::optional<Instant> leaderLastSeenAt;
   std::map<std::string, PendingJoin> pendingJoins;              ///< By member id.
   std::map<std::string, Instant, std::less<>> leaveRequestedAt; ///< By member id.
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -286,6 +286,10 @@
   const Instant now = MonotonicNow();
   this->links.RefreshLinks(this->KnownAddresses(), now);
   this->LogLeaderStatus(now);
+  this->maintenance.Observe(
+    *this->node,
+    [this](const std::string& aInstance) { return this->links.HeardAt(aInstance); },
+    now);
   if (!this->HasLog()) {
     if (const auto members = this->founding.FoundingMembers(this->node->Self(), now)) {
       this->FoundGroup(*members);
--- a/src/oleanderledge/consensus/internal/MemberLinks.cpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.cpp
@@ -70,6 +70,19 @@
   Q_EMIT this->Received(aLink->Peer(), aMessage);
 }
 
+std::optional<Instant> MemberLinks::HeardAt(const std::string& aInstance) const
+{
+  std::optional<Instant> heardAt;
+  for (const Entry& entry : this->entries) {
+    if (!entry.link->IsReady() || entry.link->Peer().id != aInstance) {
+      continue;
+    }
+    const Instant heard = std::max(entry.link->LastReceivedAt(), entry.silenceCountedFrom);
+    heardAt = std::max(heard, heardAt.value_or(heard));
+  }
+  return heardAt;
+}
+
 bool MemberLinks::HasLinkTo(const std::string& aAddress) const
 {
   return std::ranges::any_of(this->entries, [&aAddress](const Entry& aEntry) {
--- a/src/oleanderledge/consensus/internal/MemberLinks.hpp
+++ b/src/oleanderledge/consensus/internal/MemberLinks.hpp
@@ -4,6 +4,7 @@
 
 #include <QObject>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
   /// than 8 MiB are queued on it.
   bool Send(const std::string& aInstance, const Message& aMessage);
 
+  /// When anything arrived from an instance on one of its links; empty if it has none.
+  std::optional<Instant> HeardAt(const std::string& aInstance) const;
+
   /// True if there is a ready link to an instance.
   bool IsLinked(const std::string& aInstance) { return this->FindReadyEntry(aInstance) != nullptr; }
 
--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -220,6 +220,20 @@
   }
 }
 
+/// Instances ping each other, also if neither of them leads.
+std::optional<Instant> FakeGroup::HeardAt(std::size_t aInstance, std::string_view aPeer) const
+{
+  for (std::size_t at = 0; at < this->instances.size(); ++at) {
+    const Instance& peer = this->instances[at];
+    const bool isReachable = at != aInstance && peer.node && !this->IsFrozen(peer) &&
+                             !this->cutLinks.contains({ at, aInstance });
+    if (isReachable && this->MemberOf(at).instance == aPeer) {
+      return this->ClockOf(this->instances[aInstance]);
+    }
+  }
+  return std::nullopt;
+}
+
 void FakeGroup::RunMaintenance(std::size_t aInstance)
 {
   Instance& instance = this->instances[aInstance];
@@ -230,6 +244,10 @@
       return;
     }
   }
+  instance.maintenance.Observe(
+    *instance.node,
+    [this, aInstance](const std::string& aPeer) { return this->HeardAt(aInstance, aPeer); },
+    this->ClockOf(instance));
   const auto leader = this->Leader();
   const bool asks = instance.maintenance.ShouldRequestJoin(*instance.node, this->ClockOf(instance));
   if (asks && leader && !this->cutLinks.contains({ aInstance, *leader })) {
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -151,6 +151,8 @@
   /// Ends the process that uses a disk, by a kill or a loss of power.
   void EndProcess(Disk& aDisk);
   void RunMaintenance(std::size_t aInstance);
+  /// When a peer, given by its instance id, was last heard on a link.
+  std::optional<Instant> HeardAt(std::size_t aInstance, std::string_view aPeer) const;
   void ContinueLeave(std::size_t aInstance);
   void ExecuteActions(std::size_t aInstance, RaftActions aActions);
   void SendOverNetwork(std::size_t aInstance, SendAction aSend);
