transport: listening ports accept again after an error of accept()

A port whose accept() failed, for instance for lack of file descriptors, stayed deaf until the process ended, although the kernel went on to complete connections: callers, proxies and control instances waited there for an answer. QTcpServer pauses after such an error and expects resumeAccepting(), which nobody called. All listening ports now resume after 100 ms.

Not covered: a port that has accepted a connection before does not pause. Qt keeps the first error of the socket (the TemporaryError of an empty queue), so it polls and accepts in a busy loop until descriptors are free, then goes on by itself.

--- a/src/oleanderledge/control/internal/ControlHttp.cpp
+++ b/src/oleanderledge/control/internal/ControlHttp.cpp
@@ -1,6 +1,7 @@
 #include "oleanderledge/control/internal/ControlHttp.hpp"
 
 #include "oleanderledge/control/internal/ControlJson.hpp"
+#include "oleanderledge/transport/AcceptRetry.hpp"
 #include "oleanderledge/transport/DeferredRoute.hpp"
 #include "oleanderledge/transport/HttpForwarder.hpp"
 #include "oleanderledge/transport/LinkConnection.hpp"
@@ -49,6 +50,7 @@
   if (this->server.listen(QHostAddress(QString::fromStdString(host)), port) == 0) {
     return Fail(ResultCode::ListenFailed, aAddress + ": the HTTP port cannot be opened");
   }
+  RetryAcceptingAfterErrors(this->server);
   return boost::outcome_v2::success();
 }
 
--- a/src/oleanderledge/entry/internal/CallerServer.cpp
+++ b/src/oleanderledge/entry/internal/CallerServer.cpp
@@ -41,6 +41,7 @@
     this->ExecuteActions(this->forwarder.Tick(MonotonicNow()));
   });
   QObject::connect(&this->server, &QTcpServer::newConnection, this, &CallerServer::AcceptPending);
+  RetryAcceptingAfterErrors(this->server);
   this->links->SetListener(this);
 }
 
--- a/src/oleanderledge/platform/ControlPlaneServer.cpp
+++ b/src/oleanderledge/platform/ControlPlaneServer.cpp
@@ -65,6 +65,7 @@
   if (this->server.listen(QHostAddress(QString::fromStdString(host)), port) == 0) {
     return Fail(ResultCode::ListenFailed, aAddress + ": the HTTP port cannot be opened");
   }
+  RetryAcceptingAfterErrors(this->server);
   return boost::outcome_v2::success();
 }
 
--- a/src/oleanderledge/platform/ReadinessServer.cpp
+++ b/src/oleanderledge/platform/ReadinessServer.cpp
@@ -23,6 +23,7 @@
   if (this->server.listen(QHostAddress(QString::fromStdString(host)), port) == 0) {
     return Fail(ResultCode::ListenFailed, aAddress + ": the readiness port cannot be opened");
   }
+  RetryAcceptingAfterErrors(this->server);
   return boost::outcome_v2::success();
 }
 
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -41,6 +41,7 @@
     &this->server, &QTcpServer::newConnection, this, &StatementServer::AcceptPending);
   QObject::connect(&this->checkTimer, &QTimer::timeout, this, &StatementServer::CheckTimeLimits);
   this->server.setMaxPendingConnections(kListenBacklog);
+  RetryAcceptingAfterErrors(this->server);
 }
 
 StatementServer::~StatementServer()
--- a/src/oleanderledge/transport/LinkServer.cpp
+++ b/src/oleanderledge/transport/LinkServer.cpp
@@ -1,5 +1,7 @@
 #include "oleanderledge/transport/LinkServer.hpp"
 
+#include "oleanderledge/transport/AcceptRetry.hpp"
+
 #include <QHostAddress>
 
 namespace oleanderledge {
@@ -10,6 +12,7 @@
   , latency(aLatency)
 {
   QObject::connect(&this->server, &QTcpServer::newConnection, this, &LinkServer::AcceptPending);
+  RetryAcceptingAfterErrors(this->server);
 }
 
 Result<void> LinkServer::Listen(const std::string& aAddress)
