--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -1,6 +1,7 @@
 #include "tests/consensus/FakeGroup.hpp"
 
 #include <algorithm>
+#include <climits>
 #include <cmath>
 #include <functional>
 
@@ -67,10 +68,9 @@
     const std::int64_t rate = this->RandomBetween(-2, 2);
     instance.clockRate =
       1.0 + kMaxClockRateError * static_cast<double>(std::clamp<std::int64_t>(rate, -1, 1));
-    GroupMaintenanceSettings maintenance;
-    maintenance.targetVoterCount = aVoters;
-    maintenance.lostVoterTimeout = std::chrono::milliseconds(1500);
-    instance.maintenance = GroupMaintenance(maintenance);
+    this->maintenanceSettings.targetVoterCount = aVoters;
+    this->maintenanceSettings.lostVoterTimeout = std::chrono::milliseconds(1500);
+    instance.maintenance = GroupMaintenance(this->maintenanceSettings);
   }
   std::vector<ControlMember> members;
   for (std::size_t at = 0; at < aVoters; ++at) {
@@ -176,7 +176,8 @@
     Delivery delivery = this->network.top();
     this->network.pop();
     Instance& receiver = this->instances[delivery.to];
-    if (!receiver.node || this->cutLinks.contains({ delivery.from, delivery.to })) {
+    if (!receiver.node || this->cutLinks.contains({ delivery.from, delivery.to }) ||
+        (this->usesLinks && !this->Carries(delivery.link, delivery.from, delivery.to))) {
       continue;
     }
     if (this->IsFrozen(receiver)) {
@@ -184,6 +185,12 @@
       this->network.push(std::move(delivery));
       continue;
     }
+    if (this->usesLinks) {
+      Link& link = this->links.at(delivery.link);
+      const std::size_t end = link.opener == delivery.to ? 0 : 1;
+      link.unansweredSince[end].reset();
+      link.receivedAt[end] = this->now;
+    }
     this->ExecuteActions(delivery.to,
                          receiver.node->OnMessage(delivery.message, this->ClockOf(receiver)));
   }
@@ -213,7 +220,14 @@
     this->Crash(aInstance);
     return;
   }
-  const auto leader = this->Leader();
+  auto leader = this->Leader();
+  if (this->usesLinks) {
+    leader.reset();
+    const std::size_t known = this->InstanceOfMember(node.LeaderId());
+    if (known == aInstance || this->Carries(this->FindLink(aInstance, known), aInstance, known)) {
+      leader = known;
+    }
+  }
   if (leader && !this->cutLinks.contains({ aInstance, *leader })) {
     Instance& receiver = this->instances[*leader];
     receiver.maintenance.OnLeaveRequest(node.Self(), this->ClockOf(receiver));
@@ -248,7 +262,11 @@
     *instance.node,
     [this, aInstance](const std::string& aPeer) { return this->HeardAt(aInstance, aPeer); },
     this->ClockOf(instance));
-  const auto leader = this->Leader();
+  if (this->usesLinks) {
+    this->RefreshLinks(aInstance);
+    this->SendJoinRequestOverLinks(aInstance);
+  }
+  const auto leader = this->usesLinks ? std::nullopt : this->Leader();
   const bool asks = instance.maintenance.ShouldRequestJoin(*instance.node, this->ClockOf(instance));
   if (asks && leader && !this->cutLinks.contains({ aInstance, *leader })) {
     JoinRequest request;
@@ -289,6 +307,10 @@
         this->committedMembersIndex = members->index;
         this->committedMembers = members->members;
       }
+      if (this->usesLinks) {
+        // As ConsensusDriver, which proposes the next change at once.
+        instance.maintenanceAt = this->now;
+      }
     } else if (std::holds_alternative<LeadershipGainedAction>(action)) {
       instance.maintenance.OnLeadershipGained(this->ClockOf(instance));
     } else if (auto* fault = std::get_if<FaultAction>(&action)) {
@@ -328,6 +350,19 @@
       this->cutLinks.contains({ aInstance, target->second })) {
     return;
   }
+  std::uint64_t link = 0;
+  if (this->usesLinks) {
+    link = this->FindLink(aInstance, target->second);
+    if (link == 0) {
+      return;
+    }
+    const bool expectsReply = std::holds_alternative<VoteRequest>(aSend.message) ||
+                              std::holds_alternative<AppendRequest>(aSend.message) ||
+                              std::holds_alternative<SnapshotRequest>(aSend.message);
+    if (expectsReply) {
+      this->ExpectReply(link, aInstance);
+    }
+  }
   // A few messages are delayed, so that newer ones overtake them.
   const std::int64_t delay =
     this->random() % 20 == 0 ? this->RandomBetween(1000, 60000) : this->RandomBetween(200, 3000);
@@ -335,7 +370,8 @@
                        this->nextOrder++,
                        aInstance,
                        target->second,
-                       std::move(aSend.message) });
+                       std::move(aSend.message),
+                       link });
 }
 
 /// A member must not confirm anything to another member before it is on its own disk.
@@ -494,6 +530,7 @@
   instance.writes.clear();
   this->EndProcess(instance.disk);
   instance.node.reset();
+  this->DropLinksOf(aInstance);
   instance.frozenUntil = 0;
 }
 
@@ -515,6 +552,10 @@
   instance.appliedHash = 0;
   instance.isLeaving = false;
   instance.maintenanceAt = this->now;
+  instance.joinRequestedAt = 0;
+  if (this->usesLinks) {
+    instance.maintenance = GroupMaintenance(this->maintenanceSettings);
+  }
   instance.node.emplace(instance.disk.memberId,
                         this->settings,
                         instance.disk.state,
@@ -616,6 +657,307 @@
   });
 }
 
+int FakeGroup::BearableDiskLosses(const std::vector<ControlMember>& aMembers) const
+{
+  int bearable = INT_MAX;
+  for (const ReplacementPart excluded : { ReplacementPart::Incoming, ReplacementPart::Outgoing }) {
+    int voters = 0;
+    int live = 0;
+    for (const ControlMember& member : aMembers) {
+      if (!member.voter || member.replacement == excluded) {
+        continue;
+      }
+      ++voters;
+      live += this->instances[this->InstanceOfMember(member.id)].disk.memberId == member.id ? 1 : 0;
+    }
+    bearable = std::min(bearable, live - (voters / 2 + 1));
+  }
+  return bearable;
+}
+
+int FakeGroup::BearableDiskLosses() const
+{
+  int bearable = this->BearableDiskLosses(this->committedMembers);
+  for (const Instance& instance : this->instances) {
+    if (instance.node && instance.node->Log().MembersIndex() > this->committedMembersIndex) {
+      bearable = std::min(bearable, this->BearableDiskLosses(instance.node->Members()));
+    }
+  }
+  return bearable;
+}
+
+bool FakeGroup::HasConfirmedLeader() const
+{
+  return std::ranges::any_of(this->instances, [this](const Instance& aInstance) {
+    return aInstance.node && !this->IsFrozen(aInstance) &&
+           aInstance.node->HasLeaderLease(this->ClockOf(aInstance));
+  });
+}
+
+std::string FakeGroup::DescribeMembers() const
+{
+  const auto format = [this](const std::vector<ControlMember>& aMembers) {
+    std::string text;
+    for (const ControlMember& member : aMembers) {
+      const bool isLost =
+        this->instances[this->InstanceOfMember(member.id)].disk.memberId != member.id;
+      text += (text.empty() ? "" : ",") + member.instance + "(" + member.id + ")" +
+              (member.voter ? ":voter" : ":learner") + (isLost ? "!lost" : "");
+      if (member.replacement != ReplacementPart::None) {
+        text += member.replacement == ReplacementPart::Incoming ? "/incoming" : "/outgoing";
+      }
+    }
+    return text;
+  };
+  std::string text = "committed " + format(this->committedMembers);
+  for (std::size_t at = 0; at < this->instances.size(); ++at) {
+    const auto& node = this->instances[at].node;
+    if (node) {
+      text += "\n  i" + std::to_string(at) + " role " +
+              std::to_string(static_cast<int>(node->Role())) + " term " +
+              std::to_string(node->Term()) + " last " + std::to_string(node->Log().LastIndex()) +
+              " commit " + std::to_string(node->CommitIndex()) + ": " + format(node->Members());
+    }
+  }
+  return text;
+}
+
+// --- Links --------------------------------------------------------------------------------------
+
+namespace {
+
+/// As MemberLinks and LinkConnection.
+constexpr std::int64_t kReplyTimeoutUs = 2000 * FakeGroup::kMillisecond;
+constexpr std::int64_t kHelloTimeoutUs = 3000 * FakeGroup::kMillisecond;
+constexpr std::int64_t kJoinRequestIntervalUs = 300 * FakeGroup::kMillisecond;
+/// Time after which the opening packet of a connection is sent again.
+constexpr std::int64_t kConnectRetryUs = 1000 * FakeGroup::kMillisecond;
+
+} // namespace
+
+void FakeGroup::UseLinks(std::size_t aTargetVoters)
+{
+  this->usesLinks = true;
+  this->maintenanceSettings.targetVoterCount = aTargetVoters;
+  for (Instance& instance : this->instances) {
+    instance.maintenance = GroupMaintenance(this->maintenanceSettings);
+  }
+}
+
+void FakeGroup::SilenceLinks()
+{
+  for (auto& [id, link] : this->links) {
+    link.isSilent = link.isSilent || link.isReady;
+  }
+}
+
+/// The instance of a member id; the number of instances if it is unknown.
+std::size_t FakeGroup::InstanceOfMember(const std::string& aMember) const
+{
+  const auto found = this->instanceOfMember.find(aMember);
+  return found == this->instanceOfMember.end() ? this->instances.size() : found->second;
+}
+
+/// As ConsensusDriver::KnownAddresses().
+std::set<std::size_t> FakeGroup::KnownInstances(std::size_t aInstance) const
+{
+  const Instance& instance = this->instances[aInstance];
+  const std::vector<ControlMember>& members = instance.node->Members();
+  std::set<std::size_t> known;
+  for (const ControlMember& member : members) {
+    known.insert(this->InstanceOfMember(member.id));
+  }
+  const bool isMember = std::ranges::any_of(members, [&instance](const ControlMember& aMember) {
+    return aMember.id == instance.node->Self();
+  });
+  if (!isMember || !instance.node->HasCurrentLeader(this->ClockOf(instance))) {
+    known.insert(instance.seeds.begin(), instance.seeds.end());
+  }
+  known.erase(aInstance);
+  return known;
+}
+
+void FakeGroup::CloseLinkAt(Link& aLink, std::size_t aInstance)
+{
+  const std::size_t end = aLink.opener == aInstance ? 0 : 1;
+  const std::size_t peer = end == 0 ? aLink.target : aLink.opener;
+  aLink.isOpen[end] = false;
+  if (!aLink.isSilent && !this->cutLinks.contains({ aInstance, peer })) {
+    aLink.isOpen[1 - end] = false;
+  }
+}
+
+void FakeGroup::ConnectLink(Link& aLink)
+{
+  const bool isReachable = this->instances[aLink.opener].node &&
+                           this->instances[aLink.target].node &&
+                           !this->cutLinks.contains({ aLink.opener, aLink.target }) &&
+                           !this->cutLinks.contains({ aLink.target, aLink.opener });
+  if (isReachable) {
+    aLink.isReady = true;
+    aLink.receivedAt = { this->now, this->now };
+    aLink.isOpen = { true, true };
+  }
+}
+
+void FakeGroup::ExpectReply(std::uint64_t aLink, std::size_t aInstance)
+{
+  Link& link = this->links.at(aLink);
+  auto& since = link.unansweredSince[link.opener == aInstance ? 0 : 1];
+  since = since.value_or(this->now);
+}
+
+void FakeGroup::CloseSilentLinks(std::size_t aInstance)
+{
+  const auto endOf = [aInstance](const Link& aLink) {
+    return aLink.opener == aInstance ? std::size_t{ 0 } : std::size_t{ 1 };
+  };
+  for (const auto& [id, unanswered] : this->links) {
+    const bool isOwn = unanswered.opener == aInstance || unanswered.target == aInstance;
+    const auto since = unanswered.unansweredSince[endOf(unanswered)];
+    if (!isOwn || !unanswered.isOpen[endOf(unanswered)] || !since ||
+        this->now - *since <= kReplyTimeoutUs) {
+      continue;
+    }
+    for (auto& [other, link] : this->links) {
+      const bool isOwnLink = link.opener == aInstance || link.target == aInstance;
+      if (isOwnLink && link.isReady && (other == id || link.receivedAt[endOf(link)] <= *since)) {
+        this->CloseLinkAt(link, aInstance);
+      }
+    }
+  }
+}
+
+void FakeGroup::RefreshLinks(std::size_t aInstance)
+{
+  this->CloseSilentLinks(aInstance);
+  std::erase_if(this->links, [](const auto& aEntry) {
+    return !aEntry.second.isOpen[0] && !aEntry.second.isOpen[1];
+  });
+  std::set<std::size_t> linked;
+  for (auto& [id, link] : this->links) {
+    if (link.opener != aInstance && link.target != aInstance) {
+      continue;
+    }
+    const std::size_t end = link.opener == aInstance ? 0 : 1;
+    if (!link.isOpen[end]) {
+      continue;
+    }
+    const std::int64_t age = this->now - link.openedAt;
+    if (!link.isReady && age >= kConnectRetryUs && age < kConnectRetryUs + kMaintenanceIntervalUs) {
+      this->ConnectLink(link);
+    }
+    const bool isHanging = !link.isReady && age > kHelloTimeoutUs;
+    if (isHanging) {
+      this->CloseLinkAt(link, aInstance);
+      continue;
+    }
+    linked.insert(end == 0 ? link.target : link.opener);
+  }
+  for (const std::size_t known : this->KnownInstances(aInstance)) {
+    if (known >= this->instances.size() || linked.contains(known)) {
+      continue;
+    }
+    Link link{ aInstance, known, this->now };
+    this->ConnectLink(link);
+    this->links.emplace(this->nextLink++, link);
+  }
+}
+
+void FakeGroup::DropLinksOf(std::size_t aInstance)
+{
+  // After a loss of power the other end learns nothing; after a kill the connection is closed.
+  const bool losesPower = this->usesLinks && this->random() % 2 == 0;
+  for (auto& [id, link] : this->links) {
+    if (link.opener != aInstance && link.target != aInstance) {
+      continue;
+    }
+    if (losesPower) {
+      link.isOpen[link.opener == aInstance ? 0 : 1] = false;
+    } else {
+      this->CloseLinkAt(link, aInstance);
+    }
+  }
+}
+
+std::uint64_t FakeGroup::FindLink(std::size_t aFrom, std::size_t aTo) const
+{
+  std::uint64_t found = 0;
+  std::int64_t heardAt = -1;
+  for (const auto& [id, link] : this->links) {
+    const bool isOutward = link.opener == aFrom && link.target == aTo;
+    const bool isInward = link.opener == aTo && link.target == aFrom;
+    const std::size_t end = isOutward ? 0 : 1;
+    if ((isOutward || isInward) && link.isReady && link.isOpen[end] &&
+        link.receivedAt[end] >= heardAt) {
+      found = id;
+      heardAt = link.receivedAt[end];
+    }
+  }
+  return found;
+}
+
+bool FakeGroup::Carries(std::uint64_t aLink, std::size_t aFrom, std::size_t aTo)
+{
+  const auto found = this->links.find(aLink);
+  if (found == this->links.end() || found->second.isSilent ||
+      this->cutLinks.contains({ aFrom, aTo }) || !this->instances[aTo].node) {
+    return false;
+  }
+  Link& link = found->second;
+  const std::size_t receiving = link.opener == aTo ? 0 : 1;
+  if (!link.isOpen[receiving]) {
+    // The receiver resets a connection that it does not know.
+    link.isOpen[1 - receiving] = false;
+    return false;
+  }
+  return true;
+}
+
+/// As ConsensusDriver::SendJoinRequest() and HandleJoinRequest(), without a delay.
+void FakeGroup::SendJoinRequestOverLinks(std::size_t aInstance)
+{
+  Instance& instance = this->instances[aInstance];
+  const bool asks = instance.maintenance.ShouldRequestJoin(*instance.node, this->ClockOf(instance));
+  if (!asks || instance.isLeaving ||
+      this->now - instance.joinRequestedAt < kJoinRequestIntervalUs) {
+    return;
+  }
+  instance.joinRequestedAt = this->now;
+  const ControlMember self = this->MemberOf(aInstance);
+  JoinRequest request;
+  request.memberId = self.id;
+  request.instance.id = self.instance;
+  request.instance.linkAddress = self.linkAddress;
+  for (std::size_t at = 0; at < this->instances.size(); ++at) {
+    Instance& receiver = this->instances[at];
+    const std::uint64_t link = this->FindLink(aInstance, at);
+    if (at != aInstance && link != 0) {
+      this->ExpectReply(link, aInstance);
+    }
+    if (at == aInstance || !receiver.node || this->IsFrozen(receiver) ||
+        !this->Carries(link, aInstance, at)) {
+      continue;
+    }
+    Link& carrying = this->links.at(link);
+    const std::size_t end = carrying.opener == at ? 0 : 1;
+    carrying.unansweredSince[end].reset();
+    carrying.receivedAt[end] = this->now;
+    std::size_t leader = at;
+    if (receiver.node->Role() != RaftRole::Leader) {
+      leader = this->InstanceOfMember(receiver.node->LeaderId());
+      if (leader >= this->instances.size() || leader == at || !this->instances[leader].node ||
+          this->IsFrozen(this->instances[leader]) ||
+          this->instances[leader].node->Role() != RaftRole::Leader ||
+          !this->Carries(this->FindLink(at, leader), at, leader)) {
+        continue;
+      }
+    }
+    Instance& leading = this->instances[leader];
+    leading.maintenance.OnJoinRequest(request, this->ClockOf(leading));
+  }
+}
+
 bool FakeGroup::CanHaveQuorum() const
 {
   if (!this->HasLiveMajority(this->committedMembers)) {
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/consensus/consensus.hpp"
 #include "tests/storage/MemoryFileSystem.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -57,6 +58,8 @@
   void CancelLeave(std::size_t aInstance) { this->instances[aInstance].isLeaving = false; }
   /// Drops all messages between two instances until HealNetwork().
   void Cut(std::size_t aLeft, std::size_t aRight);
+  /// Drops the messages from one instance to another until HealNetwork().
+  void CutOneWay(std::size_t aFrom, std::size_t aTo) { this->cutLinks.insert({ aFrom, aTo }); }
   /// Drops all messages between an instance and all others until HealNetwork().
   void Isolate(std::size_t aInstance);
   void HealNetwork();
@@ -73,6 +76,19 @@
   /// Drops messages at random, `aLoss` in a thousand.
   void SetLossPerMille(unsigned aLoss) { this->lossPerMille = aLoss; }
 
+  /// Sends over links as MemberLinks does: an instance opens links only to the members of its own
+  /// list and, unless it is a member with a current leader, to its seeds. Join and leave requests
+  /// also take these links. A restart then forgets what GroupMaintenance recorded.
+  void UseLinks(std::size_t aTargetVoters);
+  void SetSeeds(std::size_t aInstance, std::vector<std::size_t> aSeeds)
+  {
+    this->instances[aInstance].seeds = std::move(aSeeds);
+  }
+  /// All open links carry no more messages, without being closed. New links work.
+  void SilenceLinks();
+  /// Replaces the source of random choices, so that a copy of a group takes another course.
+  void Reseed(std::uint64_t aSeed) { this->random.seed(aSeed); }
+
   /// Proposes commands at the current leader. Returns how many were proposed: 0 if there is no
   /// leader or it is suspended.
   std::size_t Propose(std::size_t aCount);
@@ -88,6 +104,19 @@
   /// Number of proposals, including membership changes, that were reported as committed.
   std::size_t Acknowledged() const { return this->acknowledged; }
   std::uint64_t AppliedIndexOf(std::size_t aInstance) const;
+  std::int64_t Now() const { return this->now; }
+  bool IsRunning(std::size_t aInstance) const
+  {
+    return this->instances[aInstance].node.has_value();
+  }
+  /// True if an instance that is not suspended holds a leader lease.
+  bool HasConfirmedLeader() const;
+  /// How many more disks may be lost, whichever they are, so that a majority of the voters still
+  /// has its disk: in the committed list and in every newer list of a running instance. Negative if
+  /// there is no such majority.
+  int BearableDiskLosses() const;
+  /// Member lists in the format of E1303: the committed one, then the one of each running instance.
+  std::string DescribeMembers() const;
   /// True if a majority of the voters still has its disk, in the committed list and in the latest
   /// list of every running instance.
   bool CanHaveQuorum() const;
@@ -124,6 +153,21 @@
     std::uint64_t appliedIndex = 0;
     std::uint64_t appliedHash = 0;
     bool isLeaving = false;
+    std::vector<std::size_t> seeds;
+    std::int64_t joinRequestedAt = 0;
+  };
+  /// A connection between two instances. Its ends may disagree whether it is open.
+  struct Link
+  {
+    std::size_t opener;
+    std::size_t target;
+    std::int64_t openedAt;
+    bool isReady = false;
+    bool isSilent = false;
+    /// By end: the opener, then the target.
+    std::array<bool, 2> isOpen{ true, false };
+    std::array<std::optional<std::int64_t>, 2> unansweredSince{};
+    std::array<std::int64_t, 2> receivedAt{};
   };
   struct Delivery
   {
@@ -132,6 +176,7 @@
     std::size_t from;
     std::size_t to;
     Message message;
+    std::uint64_t link = 0; ///< Only with UseLinks().
     bool operator>(const Delivery& aOther) const
     {
       return std::pair(this->dueAt, this->order) > std::pair(aOther.dueAt, aOther.order);
@@ -168,8 +213,24 @@
   std::int64_t DrawWriteTime(const Instance& aInstance);
   bool HasLiveMajority(const std::vector<ControlMember>& aMembers) const;
   ControlMember MemberOf(std::size_t aInstance) const;
+  int BearableDiskLosses(const std::vector<ControlMember>& aMembers) const;
+  std::size_t InstanceOfMember(const std::string& aMember) const;
+  std::set<std::size_t> KnownInstances(std::size_t aInstance) const;
+  void RefreshLinks(std::size_t aInstance);
+  void CloseSilentLinks(std::size_t aInstance);
+  void ExpectReply(std::uint64_t aLink, std::size_t aInstance);
+  void CloseLinkAt(Link& aLink, std::size_t aInstance);
+  /// Completes the opening of a link if both instances run and reach each other.
+  void ConnectLink(Link& aLink);
+  void DropLinksOf(std::size_t aInstance);
+  /// The ready link of an instance on which it heard another one last; 0 if there is none.
+  std::uint64_t FindLink(std::size_t aFrom, std::size_t aTo) const;
+  /// True if a message that is sent over the link arrives.
+  bool Carries(std::uint64_t aLink, std::size_t aFrom, std::size_t aTo);
+  void SendJoinRequestOverLinks(std::size_t aInstance);
 
   RaftSettings settings;
+  GroupMaintenanceSettings maintenanceSettings;
   std::mt19937_64 random;
   std::int64_t now = 1'000'000;
   std::uint64_t nextOrder = 0;
@@ -181,6 +242,9 @@
   std::vector<Instance> instances;
   std::map<std::string, std::size_t> instanceOfMember;
   std::set<std::pair<std::size_t, std::size_t>> cutLinks;
+  bool usesLinks = false;
+  std::uint64_t nextLink = 1;
+  std::map<std::uint64_t, Link> links;
   std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>> network;
 
   std::map<std::uint64_t, std::string> leaderOfTerm;
