--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -686,6 +686,15 @@
   return bearable;
 }
 
+std::uint64_t FakeGroup::NewestMembersIndex() const
+{
+  std::uint64_t newest = 0;
+  for (const Instance& instance : this->instances) {
+    newest = std::max(newest, instance.node ? instance.node->Log().MembersIndex() : 0);
+  }
+  return newest;
+}
+
 bool FakeGroup::HasConfirmedLeader() const
 {
   return std::ranges::any_of(this->instances, [this](const Instance& aInstance) {
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -111,6 +111,8 @@
   }
   /// True if an instance that is not suspended holds a leader lease.
   bool HasConfirmedLeader() const;
+  /// Index of the newest member list of any running instance.
+  std::uint64_t NewestMembersIndex() const;
   /// How many more disks may be lost, whichever they are, so that a majority of the voters still
   /// has its disk: in the committed list and in every newer list of a running instance. Negative if
   /// there is no such majority.
--- a/tests/consensus/FinalFaultTests.cpp
+++ b/tests/consensus/FinalFaultTests.cpp
@@ -34,7 +34,9 @@
 constexpr std::int64_t kLengthMs = 11'000; ///< Of the time in which final faults strike.
 constexpr std::int64_t kStrikeStrideMs = 2000;
 constexpr std::int64_t kRestMs = 9000;
-constexpr std::int64_t kMeasureIntervalMs = 20;
+constexpr std::int64_t kPartMs = 2; ///< Time between two looks at the group.
+/// Number of copies that are struck when a new list of members was proposed.
+constexpr std::uint64_t kStrikesAtChange = 3;
 constexpr std::int64_t kProposeIntervalUs = 40 * kMs;
 constexpr std::int64_t kNever = INT64_MAX / 2;
 
@@ -160,6 +162,18 @@
     }));
   }
 
+  /// Suspends up to two machines besides the leader, so that few others confirm the next commands.
+  void SuspendTwo(std::int64_t aMicroseconds)
+  {
+    const std::size_t leader = this->Resolve(kLeader);
+    std::vector<std::size_t> others = this->Existing();
+    std::erase(others, leader);
+    std::ranges::shuffle(others, this->random);
+    for (std::size_t at = 0; at < std::min<std::size_t>(2, others.size()); ++at) {
+      this->group.Freeze(others[at], aMicroseconds);
+    }
+  }
+
   /// Strikes the final fault and brings everything back. Returns what broke, if anything.
   std::optional<std::string> StrikeAndRecover(Strike aStrike, Victims aVictims)
   {
@@ -764,6 +778,10 @@
 {
   std::mt19937_64 random(aSeed);
   aCore.Reseed(random());
+  if (random() % 2 == 0) {
+    aCore.SuspendTwo(static_cast<std::int64_t>(random() % 200) * kMs);
+  }
+  aCore.Group().Run(static_cast<std::int64_t>(random() % 8) * kMs);
   if (random() % 3 != 0) {
     const std::size_t before = aCore.Group().Acknowledged();
     aCore.Group().RunUntil(1000 * kMs, [&aCore, before] {
@@ -793,20 +811,27 @@
 {
   Core core = SettledCore(aSeed);
   core.Plan(aSteps);
-  std::int64_t strikeAt = aFirstMs;
   Outcome outcome;
-  for (std::int64_t moment = 0; moment < kLengthMs && !outcome.broken;) {
-    if (moment == strikeAt) {
-      outcome.broken = StrikeCopy(core, aSeed + static_cast<std::uint64_t>(moment) * 7919);
+  std::uint64_t membersIndex = core.Group().NewestMembersIndex();
+  const auto strikeCopies = [&](std::int64_t aMoment, std::uint64_t aCount) {
+    for (std::uint64_t number = 0; number < aCount && !outcome.broken; ++number) {
+      outcome.broken =
+        StrikeCopy(core, aSeed + number * 104'729 + static_cast<std::uint64_t>(aMoment) * 7919);
       if (outcome.broken) {
-        *outcome.broken = "at " + std::to_string(moment) + " ms, " + *outcome.broken;
+        *outcome.broken = "at " + std::to_string(aMoment) + " ms, " + *outcome.broken;
       }
-      strikeAt += kStrikeStrideMs;
     }
-    const std::int64_t part = std::min(kMeasureIntervalMs, strikeAt - moment);
-    core.Run(part * kMs);
+  };
+  for (std::int64_t moment = 0; moment < kLengthMs && !outcome.broken; moment += kPartMs) {
+    if (moment % kStrikeStrideMs == aFirstMs / kPartMs * kPartMs) {
+      strikeCopies(moment, 1);
+    }
+    if (core.Group().NewestMembersIndex() > membersIndex) {
+      membersIndex = core.Group().NewestMembersIndex();
+      strikeCopies(moment, kStrikesAtChange);
+    }
+    core.Run(kPartMs * kMs);
     core.Measure();
-    moment += part;
   }
   core.Run(kRestMs * kMs);
   if (!outcome.broken) {
