--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -54,6 +54,16 @@
 
 } // namespace
 
+FakeGroup::Disk::Disk(const Disk& aOther)
+  : memberId(aOther.memberId)
+  , files(std::make_unique<MemoryFileSystem>(*aOther.files))
+  , state(aOther.state)
+{
+  if (aOther.storage) {
+    this->storage = std::move(MemberStorage::Open(*this->files, "data").value());
+  }
+}
+
 FakeGroup::FakeGroup(std::uint64_t aSeed, std::size_t aVoters, std::size_t aSpares)
   : random(aSeed)
   , instances(aVoters + aSpares)
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -131,6 +131,12 @@
 private:
   struct Disk
   {
+    Disk() = default;
+    /// Opens the copied files for a copy of the process. Between two events all writes are synced.
+    Disk(const Disk& aOther);
+    Disk(Disk&&) = default;
+    Disk& operator=(Disk&&) = default;
+
     std::string memberId;
     std::unique_ptr<MemoryFileSystem> files = std::make_unique<MemoryFileSystem>();
     std::unique_ptr<MemberStorage> storage; ///< Null while the instance is not running.
--- a/tests/storage/MemoryFileSystem.cpp
+++ b/tests/storage/MemoryFileSystem.cpp
@@ -82,6 +82,35 @@
 
 } // namespace
 
+MemoryFileSystem::MemoryFileSystem(const MemoryFileSystem& aOther)
+  : maxAppendBytes(aOther.maxAppendBytes)
+  , freeBytes(aOther.freeBytes)
+  , failSyncs(aOther.failSyncs)
+  , beforeSync(aOther.beforeSync)
+  , operationCount(aOther.operationCount)
+  , firstFailingOperation(aOther.firstFailingOperation)
+  , contentByPath(aOther.contentByPath)
+  , unsyncedNames(aOther.unsyncedNames)
+{
+  std::map<std::shared_ptr<Content>, std::shared_ptr<Content>> copies;
+  const auto replace = [&copies](std::shared_ptr<Content>& aContent) {
+    if (aContent == nullptr) {
+      return;
+    }
+    auto& copy = copies[aContent];
+    if (copy == nullptr) {
+      copy = std::make_shared<Content>(*aContent);
+    }
+    aContent = copy;
+  };
+  for (auto& [path, content] : this->contentByPath) {
+    replace(content);
+  }
+  for (auto& [path, history] : this->unsyncedNames) {
+    std::ranges::for_each(history, replace);
+  }
+}
+
 Result<void> MemoryFileSystem::BeginOperation(const std::string& aWhat, ResultCode aCode)
 {
   ++this->operationCount;
--- a/tests/storage/MemoryFileSystem.hpp
+++ b/tests/storage/MemoryFileSystem.hpp
@@ -31,6 +31,11 @@
     std::vector<Change> unsynced; ///< In order.
   };
 
+  MemoryFileSystem() = default;
+  /// Copies the files; neither file system sees later changes of the other.
+  MemoryFileSystem(const MemoryFileSystem& aOther);
+  MemoryFileSystem& operator=(const MemoryFileSystem&) = delete;
+
   Result<std::optional<std::string>> Read(const std::string& aPath) override;
   Result<std::unique_ptr<File>> Open(const std::string& aPath) override;
   Result<void> Rename(const std::string& aFrom, const std::string& aTo) override;
