tests: slow disks, late votes, silent proxies and used-up descriptors (fail)

A leader of a group with slow writes is deposed once a message overtakes another one or is lost, as rejections wait for writes. A follower whose disk hangs keeps its proxies. A port accepts nothing more after descriptors ran out. Late votes still count after a candidate has yielded.

--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -119,6 +119,8 @@
   int BearableDiskLosses() const;
   /// Member lists in the format of E1303: the committed one, then the one of each running instance.
   std::string DescribeMembers() const;
+  /// What the clock of an instance shows.
+  Instant ClockAt(std::size_t aInstance) const { return this->ClockOf(this->instances[aInstance]); }
   /// True if a majority of the voters still has its disk, in the committed list and in the latest
   /// list of every running instance.
   bool CanHaveQuorum() const;
--- a/tests/consensus/MemberLinksTests.cpp
+++ b/tests/consensus/MemberLinksTests.cpp
@@ -6,11 +6,14 @@
 #include <QElapsedTimer>
 #include <QEventLoop>
 #include <QTcpServer>
+#include <QTcpSocket>
 #include <QTimer>
 
 #include <memory>
 #include <vector>
 
+#include <unistd.h>
+
 using namespace oleanderledge;
 
 namespace {
@@ -188,3 +191,33 @@
     this->links->SendToAll(JoinRequest{ this->self, "m0", false });
   }));
 }
+
+// Guards against a port that accepts no more connections once the process ran out of descriptors.
+TEST_CASE_METHOD(SilentPeerFixture, "Links are accepted again after descriptors ran out")
+{
+  // The connecting side gets its descriptor first; none is left for the accepting side.
+  std::vector<int> descriptors;
+  for (int each = dup(0); each >= 0; each = dup(0)) {
+    descriptors.push_back(each);
+  }
+  REQUIRE(descriptors.size() > 8);
+  const auto release = [&descriptors](std::size_t aCount) {
+    for (std::size_t at = 0; at < aCount && !descriptors.empty(); ++at) {
+      close(descriptors.back());
+      descriptors.pop_back();
+    }
+  };
+  release(1);
+  QTcpSocket early;
+  early.connectToHost(QHostAddress::LocalHost,
+                      static_cast<quint16>(std::stoi(
+                        this->self.linkAddress.substr(this->self.linkAddress.find(':') + 1))));
+  WaitFor([&early] { return early.state() == QAbstractSocket::ConnectedState; });
+  REQUIRE(early.state() == QAbstractSocket::ConnectedState);
+  QEventLoop loop;
+  QTimer::singleShot(200, &loop, &QEventLoop::quit);
+  loop.exec();
+  release(descriptors.size());
+  LinkConnection later(this->peer, this->self.linkAddress, EmulatedLatency{}, nullptr);
+  CHECK(WaitFor([&later] { return later.IsReady(); }));
+}
--- a/tests/consensus/RaftNodeTests.cpp
+++ b/tests/consensus/RaftNodeTests.cpp
@@ -654,3 +654,35 @@
   CHECK(group.Node(other)->Log().Snapshot().has_value());
   CHECK(group.Violation() == std::nullopt);
 }
+
+// Guards against two leaders of one term: late votes that count for a member that already follows
+// the leader of that term, after it has yielded to another pre-vote.
+TEST_CASE("A candidate that yields to another pre-vote and follows a leader counts no late votes")
+{
+  RaftNode node = StartNode("c", FoundedState(Voters({ "a", "b", "c", "d", "e" })));
+  Instant now = kStart + std::chrono::seconds(1);
+  node.OnTick(now);
+  const std::uint64_t term = node.Term() + 1;
+  node.OnMessage(VoteReply{ term, "a", true, true }, now);
+  node.OnMessage(VoteReply{ term, "b", true, true }, now);
+  REQUIRE(node.Role() == RaftRole::Candidate);
+  node.OnPersisted(1, now);
+  node.OnMessage(VoteReply{ term, "b", true, false }, now);
+  now += std::chrono::seconds(1);
+  node.OnTick(now);
+  REQUIRE(node.Role() == RaftRole::PreCandidate);
+  node.OnMessage(VoteRequest{ term + 1, "a", 9, 9, true }, now);
+  REQUIRE(node.Role() == RaftRole::Follower);
+  // "a" was elected in the same term by "d" and "e", and removes those two as voters.
+  auto withoutE = Voters({ "a", "b", "c", "d" });
+  auto withoutDe = Voters({ "a", "b", "c" });
+  std::vector<LogEntry> entries{ { term, 2, {}, LogEntryKind::TermStart },
+                                 { term, 3, EncodeMembers(withoutE), LogEntryKind::Membership },
+                                 { term, 4, EncodeMembers(withoutDe), LogEntryKind::Membership } };
+  const std::uint64_t firstTerm = node.Log().TermAt(1);
+  node.OnMessage(MakeAppendRequest(term, "a", 1, firstTerm, 3, entries), now);
+  REQUIRE(node.LeaderId() == "a");
+  node.OnPersisted(2, now);
+  CHECK(node.Role() == RaftRole::Follower);
+  CHECK(node.LeaderId() == "a");
+}
--- a/tests/consensus/SlowWriteTests.cpp
+++ b/tests/consensus/SlowWriteTests.cpp
@@ -74,3 +74,139 @@
   CHECK(group.Acknowledged() == before + 1);
   CHECK_FALSE(group.Violation());
 }
+
+namespace {
+
+/// Restarts all instances, so that their next election has writes of the given times.
+void RestartWithWriteTime(FakeGroup& aGroup,
+                          std::size_t aCount,
+                          std::int64_t aShortest,
+                          std::int64_t aLongest)
+{
+  for (std::size_t at = 0; at < aCount; ++at) {
+    aGroup.SetWriteTime(at, aShortest, aLongest);
+    aGroup.Crash(at);
+  }
+  for (std::size_t at = 0; at < aCount; ++at) {
+    aGroup.Restart(at);
+  }
+}
+
+} // namespace
+
+// Guards against a leader that steps down again and again because proposals follow each other
+// without a pause, although its disk makes progress.
+TEST_CASE("A steady load does not depose a leader whose writes are as slow as those of the others")
+{
+  constexpr std::size_t kCount = 5;
+  const std::int64_t longest =
+    GENERATE(as<std::int64_t>(), 100, 300, 600, 1000, 2000) * FakeGroup::kMillisecond;
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4, 5, 6);
+  const int interval = GENERATE(20, 100);
+  INFO("writes of up to " << longest << " us, a command each " << interval << " ms, seed " << seed);
+  FakeGroup group(seed, kCount);
+  REQUIRE(WaitForLeader(group, 10 * kSecond));
+  RestartWithWriteTime(group, kCount, longest / 2, longest);
+  REQUIRE(WaitForLeader(group, 20 * kSecond));
+  const std::uint64_t term = group.Node(*group.Leader())->Term();
+  for (int round = 0; round < 60'000 / interval; ++round) {
+    group.Propose(1);
+    group.Run(interval * FakeGroup::kMillisecond);
+  }
+  REQUIRE(WaitForLeader(group, 20 * kSecond));
+  CHECK(group.Node(*group.Leader())->Term() == term);
+  CHECK_FALSE(group.Violation());
+}
+
+// Guards against a limit for the disk of a leader that grows without bound with its last write.
+TEST_CASE("A leader whose disk hangs after a slow election is replaced within the recovery time")
+{
+  constexpr std::size_t kCount = 5;
+  const std::int64_t longest =
+    GENERATE(as<std::int64_t>(), 1000, 3000, 5000, 8000) * FakeGroup::kMillisecond;
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4);
+  INFO("writes of up to " << longest << " us, seed " << seed);
+  FakeGroup group(seed, kCount);
+  REQUIRE(WaitForLeader(group, 10 * kSecond));
+  RestartWithWriteTime(group, kCount, longest * 9 / 10, longest);
+  REQUIRE(group.RunUntil(200 * kSecond, [&group] { return group.Leader().has_value(); }));
+  for (std::size_t at = 0; at < kCount; ++at) {
+    group.SetWriteTime(at, FakeGroup::kMillisecond, 2 * FakeGroup::kMillisecond);
+  }
+  const std::size_t hanging = *group.Leader();
+  group.SetWriteTime(hanging, 600 * kSecond, 600 * kSecond);
+  group.Run(longest);
+  group.Propose(1);
+  std::int64_t waited = 0;
+  group.RunUntil(60 * kSecond, [&group, hanging, &waited] {
+    waited += 10;
+    const auto leader = group.Leader();
+    return leader && *leader != hanging && group.Node(*leader)->IsLeadershipEstablished();
+  });
+  CHECK(waited < 12'000);
+  CHECK_FALSE(group.Violation());
+}
+
+// Guards against a leader that loses its followers because one lost message makes them reject
+// requests, and rejections wait for slow writes.
+TEST_CASE("Lost messages do not depose a leader while writes are slow")
+{
+  constexpr std::size_t kCount = 5;
+  const std::int64_t longest =
+    GENERATE(as<std::int64_t>(), 10, 1000, 2000) * FakeGroup::kMillisecond;
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4, 5, 6);
+  INFO("writes of up to " << longest << " us, seed " << seed);
+  FakeGroup group(seed, kCount);
+  REQUIRE(WaitForLeader(group, 10 * kSecond));
+  RestartWithWriteTime(group, kCount, longest / 2, longest);
+  REQUIRE(WaitForLeader(group, 20 * kSecond));
+  const std::uint64_t term = group.Node(*group.Leader())->Term();
+  group.SetLossPerMille(10);
+  for (int round = 0; round < 300; ++round) {
+    group.Propose(1);
+    group.Run(200 * FakeGroup::kMillisecond);
+  }
+  REQUIRE(WaitForLeader(group, 20 * kSecond));
+  CHECK(group.Node(*group.Leader())->Term() == term);
+  CHECK_FALSE(group.Violation());
+}
+
+// Guards against a leadership that moves again and again because of one slower disk.
+TEST_CASE("A leader whose writes are slower than those of the others hands over at most once")
+{
+  constexpr std::size_t kCount = 5;
+  const std::int64_t slow =
+    GENERATE(as<std::int64_t>(), 200, 400, 800, 1500) * FakeGroup::kMillisecond;
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4);
+  INFO("writes of up to " << slow << " us, seed " << seed);
+  FakeGroup group(seed, kCount);
+  REQUIRE(WaitForLeader(group, 10 * kSecond));
+  const std::uint64_t term = group.Node(*group.Leader())->Term();
+  group.SetWriteTime(*group.Leader(), slow / 2, slow);
+  for (int round = 0; round < 3000; ++round) {
+    group.Propose(1);
+    group.Run(20 * FakeGroup::kMillisecond);
+  }
+  REQUIRE(WaitForLeader(group, 20 * kSecond));
+  CHECK(group.Node(*group.Leader())->Term() <= term + 1);
+  CHECK_FALSE(group.Violation());
+}
+
+// Guards against a follower that counts as up to date, so that proxies stay with it, although its
+// disk hangs and it applies nothing new.
+TEST_CASE("A follower whose disk hangs does not report a current leader to its proxies")
+{
+  constexpr std::size_t kCount = 5;
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4);
+  INFO("seed " << seed);
+  FakeGroup group(seed, kCount);
+  REQUIRE(WaitForLeader(group, 10 * kSecond));
+  const std::size_t hanging = (*group.Leader() + 1) % kCount;
+  group.SetWriteTime(hanging, 60 * kSecond, 60 * kSecond);
+  const std::uint64_t before = group.AppliedIndexOf(hanging);
+  group.Propose(1);
+  group.Run(3 * kSecond);
+  REQUIRE(group.LastCommitted() > before);
+  const bool isCurrent = group.AppliedIndexOf(hanging) >= group.LastCommitted();
+  CHECK((isCurrent || !group.Node(hanging)->HasCurrentLeader(group.ClockAt(hanging))));
+}
--- a/tests/daemon/ControlContactTests.cpp
+++ b/tests/daemon/ControlContactTests.cpp
@@ -170,3 +170,21 @@
   contact.HandleLinkClosed(start + 6s);
   CHECK(contact.NextInterval() == 50ms);
 }
+
+// Guards against a proxy that goes on with an old configuration because its control instance
+// answers, but cannot apply new ones: its disk hangs, for example.
+TEST_CASE_METHOD(ConnectedProxy,
+                 "The next control address is used if the current one does not bring a new version")
+{
+  const std::string first = this->contact.SelectAddress(this->now);
+  this->contact.HandleLinkReady(this->now);
+  // `config_apply_ms` of the deployments.
+  const Instant end = this->now + 3000ms;
+  bool isOtherUsed = false;
+  while (this->now < end) {
+    this->now += 200ms;
+    this->ExchangeHeartbeat(5);
+    isOtherUsed = isOtherUsed || this->contact.SelectAddress(this->now) != first;
+  }
+  CHECK(isOtherUsed);
+}
