consensus: a follower rejects requests at once while its writes are slow

Once a message was lost or overtaken, every further request was rejected, and rejections waited for the writes, so the leader heard no quorum. A rejection claims no entries.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -713,14 +713,16 @@
 
 void RaftNode::ReplyToAppend(const AppendRequest& aRequest, const AppendReply& aReply)
 {
-  const bool isHeartbeat = aReply.success && aRequest.entries.empty();
-  if (this->IsStoringHardState() || !isHeartbeat) {
+  const bool confirmsEntries = aReply.success && !aRequest.entries.empty();
+  if (this->IsStoringHardState() || confirmsEntries) {
     this->SendWhenDurable(aRequest.leader, aReply);
     return;
   }
-  AppendReply durable = aReply;
-  durable.matchIndex = std::min(aReply.matchIndex, this->durableIndex);
-  this->Send(aRequest.leader, durable);
+  AppendReply reply = aReply;
+  if (reply.success) {
+    reply.matchIndex = std::min(reply.matchIndex, this->durableIndex);
+  }
+  this->Send(aRequest.leader, reply);
 }
 
 /// Appends missing entries and replaces conflicting ones. Returns the last index up to which the
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -225,7 +225,8 @@
   void AdvanceCommit();
 
   /// Answers a request of the current leader: a heartbeat at once, with what is durable, so that
-  /// slow writes do not end the leader lease; any other once everything before it is durable.
+  /// slow writes do not end the leader lease; entries once everything before them is durable. A
+  /// rejection claims no entries, and until it arrives all further requests are rejected too.
   void ReplyToAppend(const AppendRequest& aRequest, const AppendReply& aReply);
 
   // Log and durability.
