--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -416,6 +416,9 @@
     this->BecomeFollower(aTerm, aLeader, aNow);
   }
   this->leader = aLeader;
+  // A candidate that has yielded to another pre-vote is a follower already.
+  this->candidacyTerm.reset();
+  this->votes.clear();
   this->lastLeaderContact = aNow;
   this->ResetElectionTimer(aNow);
 }
