consensus: a leader does not let followers apply what it has not applied itself

With a slow disk, the leader applied an entry up to a second or more after followers did. A follower acknowledges a configuration that it has applied, and the leader, which has its lease, answered reads with the older one.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -566,7 +566,9 @@
                             this->self,
                             previous,
                             this->log.TermAt(previous),
-                            this->commitIndex,
+                            // Followers apply nothing before this member does: they acknowledge
+                            // what they have applied, and this member answers reads.
+                            std::min(this->commitIndex, this->durableIndex),
                             this->RoundAt(aNow),
                             std::move(aEntries) });
 }
