--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -944,6 +944,10 @@
 RaftActions RaftNode::FinishEvent(Instant aNow)
 {
   this->lastEventAt = aNow;
+  if (this->durableIndex >= this->awaitedIndex) {
+    this->awaitedIndex = this->commitIndex;
+    this->awaitedSince = aNow;
+  }
   this->ApplyCommitted(aNow);
   this->IssuePersistBatch();
   for (SendAction& send : this->sendsAfterPersist) {
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -100,6 +100,14 @@
   /// True if this member holds the leader lease, or received a request of the leader within the
   /// minimum election timeout.
   bool HasCurrentLeader(Instant aNow) const;
+
+  /// True if an entry that this member knows to be committed has waited for its disk for longer
+  /// than twice the maximum election timeout. It can then not tell others what is in force.
+  bool IsDiskBehind(Instant aNow) const
+  {
+    return this->commitIndex > this->durableIndex &&
+           aNow - this->awaitedSince > 2 * this->settings.electionTimeoutMax;
+  }
   /// True if, since its start, this member has applied everything that a leader had committed when
   /// it was first heard, or has led itself. Before that, the state may be that of an old snapshot.
   bool HasConfirmedState() const
@@ -293,6 +301,9 @@
   std::deque<PendingBatch> pendingBatches;
   Duration lastWriteTime{ 0 }; ///< From the issue of a batch until it was durable.
   Instant lastEventAt{};
+  /// The committed entry whose wait for the disk is measured, and since when it is committed here.
+  std::uint64_t awaitedIndex = 0;
+  Instant awaitedSince{};
   std::deque<DeferredSend> deferredSends;
 
   RaftActions actions; ///< Actions of the current event so far.
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -593,7 +593,9 @@
 
 bool ConsensusDriver::HasCurrentLeader(Instant aNow) const
 {
-  return this->node && this->node->HasCurrentLeader(aNow);
+  // A follower that cannot apply must not keep proxies and operators: it would answer them with the
+  // leader's consent, but with an older state.
+  return this->node && this->node->HasCurrentLeader(aNow) && !this->node->IsDiskBehind(aNow);
 }
 
 ControlMember ConsensusDriver::Leader() const
