--- a/tests/consensus/FinalFaultTests.cpp
+++ b/tests/consensus/FinalFaultTests.cpp
@@ -114,7 +114,7 @@
     this->group.Reseed(aSeed);
   }
 
-  void Plan(std::vector<Planned> aSteps)
+  void Plan(const std::vector<Planned>& aSteps)
   {
     const std::int64_t start = this->Now();
     for (const Planned& step : aSteps) {
