--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -7,6 +7,14 @@
 
 namespace oleanderledge {
 
+namespace {
+
+/// A leader whose disk is slower than this is replaced by a member with a faster one, if there is
+/// one.
+constexpr Duration kLongestExpectedWrite = std::chrono::seconds(2);
+
+} // namespace
+
 RaftNode::RaftNode(std::string aSelf,
                    const RaftSettings& aSettings,
                    PersistentState aStored,
@@ -460,10 +468,11 @@
 
 void RaftNode::CheckOwnDisk(Instant aNow)
 {
+  // An entry may wait for the write in progress and for its own.
+  const Duration expected = 2 * std::min(this->lastWriteTime, kLongestExpectedWrite);
   if (this->durableIndex >= this->commitIndex) {
     this->ownDiskCurrentAt = aNow;
-  } else if (aNow - this->ownDiskCurrentAt >
-             this->settings.electionTimeoutMax + 2 * this->lastWriteTime) {
+  } else if (aNow - this->ownDiskCurrentAt > this->settings.electionTimeoutMax + expected) {
     this->BecomeFollower(this->hardState.term, {}, aNow);
   }
 }
