--- a/tests/consensus/FinalFaultTests.cpp
+++ b/tests/consensus/FinalFaultTests.cpp
@@ -987,6 +987,16 @@
   CHECK(longestUs.size() <= scenarios.size());
 }
 
+// Guards against a voter that was replaced while its links were silent, and is admitted again only
+// after it had no leader for 3 s more.
+TEST_CASE("A replaced voter that is in touch again applies what is committed within the calm span")
+{
+  const std::vector<Planned> steps{ { 0, Step::StartEmpty, kFirstSpare },
+                                    { 130, Step::Silence },
+                                    { 600, Step::Silence } };
+  CHECK(Play(steps, 777'462'404, 958).broken.value_or("") == "");
+}
+
 // Guards against the same, and against calm spans without a confirmed leader, under random mixtures
 // of everything that may happen to a core.
 TEST_CASE("A final fault in random mixtures of disturbances loses nothing")
