consensus: a member without a leader requests to join after 1 s instead of 3 s

A voter that was out of touch for 1.5 s is replaced and hears no leader afterwards. It requested to join only 3 s later, so that it still answered without a current leader 5.8 s after its links had gone silent.

--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -28,7 +28,7 @@
   Duration requestLifetime = std::chrono::seconds(3);
   /// A member without a current leader for this long requests to join again, because it may have
   /// been removed from the group while it was unreachable.
-  Duration leaderlessTimeout = std::chrono::seconds(3);
+  Duration leaderlessTimeout = std::chrono::seconds(1);
 };
 
 /// Decides on membership changes, without I/O. At the leader: admits members that request to join,
