daemon: a proxy leaves a control instance that brings no newer directory

A proxy stayed with a control instance whose replies the leader accepted, also if that instance could not apply and publish newer versions: it went on with the older configuration for as long as that lasted. Now the next address is used once a newer version was committed and none of it has arrived for 1.5 s, half of the time in which a configuration has to be in force. The time doubles with each address in turn, up to 12 s, so that a large update on a slow link is not started again and again; each update that arrives starts it anew.

--- a/src/oleanderledge/daemon/ControlContact.cpp
+++ b/src/oleanderledge/daemon/ControlContact.cpp
@@ -17,6 +17,15 @@
   return aCount == 0 ? 0 : std::hash<std::string>{}(aSelf.id) % aCount;
 }
 
+/// `aDuration`, doubled `aTimes` times, but at most `aLongest`.
+Duration Doubled(Duration aDuration, std::uint32_t aTimes, Duration aLongest)
+{
+  for (std::uint32_t time = 0; time < aTimes && aDuration < aLongest; ++time) {
+    aDuration *= 2;
+  }
+  return std::min(aDuration, aLongest);
+}
+
 } // namespace
 
 ControlContact::ControlContact(InstanceInfo aSelf,
@@ -59,6 +68,9 @@
   this->lastAcceptedSentAt = std::max(this->lastAcceptedSentAt, FromMicroseconds(aReply.sentUs));
   this->hasContact = true;
   this->committedVersion = std::max(this->committedVersion, aReply.committedVersion);
+  if (this->committedVersion > this->directory->Version() && !this->behindSince) {
+    this->behindSince = aNow;
+  }
   this->proxyCount = aReply.proxyCount;
   if (!aReply.controlAddresses.empty() && aReply.controlAddresses != this->learnedAddresses) {
     this->learnedAddresses = aReply.controlAddresses;
@@ -75,6 +87,8 @@
     return false;
   }
   this->directory = std::move(changed);
+  this->behindSince.reset();
+  this->overdueAddresses = 0;
   return true;
 }
 
@@ -96,7 +110,10 @@
                                 : this->addressSelectedAt;
   const Duration timeout = this->linkReadyAt ? this->AddressTimeout(aNow) : this->LinkTimeout();
   const bool hasOther = this->addresses.size() > 1;
-  if (hasOther && aNow - lastContact > timeout && this->addressSelectedAt != Instant{}) {
+  const bool isOverdue = this->IsDirectoryOverdue(aNow);
+  const bool isSilent = aNow - lastContact > timeout && this->addressSelectedAt != Instant{};
+  if (hasOther && (isOverdue || isSilent)) {
+    this->overdueAddresses += isOverdue ? 1 : 0;
     this->UseNextAddress(aNow);
   }
   if (this->addressSelectedAt == Instant{}) {
@@ -120,14 +137,14 @@
 
 Duration ControlContact::LinkTimeout() const
 {
-  Duration timeout = this->timing.linkTimeout;
-  for (std::uint32_t failed = 0; failed < this->failedLinks; ++failed) {
-    if (timeout >= this->timing.linkTimeoutMax) {
-      return this->timing.linkTimeoutMax;
-    }
-    timeout *= 2;
-  }
-  return std::min(timeout, this->timing.linkTimeoutMax);
+  return Doubled(this->timing.linkTimeout, this->failedLinks, this->timing.linkTimeoutMax);
+}
+
+bool ControlContact::IsDirectoryOverdue(Instant aNow) const
+{
+  return this->behindSince && aNow - *this->behindSince > Doubled(this->timing.directoryTimeout,
+                                                                  this->overdueAddresses,
+                                                                  this->timing.directoryTimeoutMax);
 }
 
 void ControlContact::SetConfiguredAddresses(std::vector<std::string> aAddresses)
@@ -165,6 +182,7 @@
   this->failedLinks += this->linkReadyAt ? 0 : 1;
   this->linkReadyAt.reset();
   this->repliedAt.reset();
+  this->behindSince.reset();
   this->addressIndex = (this->addressIndex + 1) % this->addresses.size();
   this->addressSelectedAt = aNow;
 }
--- a/src/oleanderledge/daemon/ControlContact.hpp
+++ b/src/oleanderledge/daemon/ControlContact.hpp
@@ -31,6 +31,11 @@
   /// Doubles with each address in turn that fails, so that a crowded instance can catch up.
   Duration linkTimeout = std::chrono::milliseconds(150);
   Duration linkTimeoutMax = std::chrono::milliseconds(1200);
+  /// The next control address is used if the current one replies, but brings no part of the version
+  /// that the leader has committed for this time. Half of the 3 s in which a configuration has to
+  /// be in force. Doubles with each address in turn, so that a large update on a slow link arrives.
+  Duration directoryTimeout = std::chrono::milliseconds(1500);
+  Duration directoryTimeoutMax = std::chrono::milliseconds(12000);
 };
 
 /// The proxy's view of the control group: the directory in force, whether it is current, and which
@@ -87,6 +92,9 @@
 private:
   void UseNextAddress(Instant aNow);
   Duration LinkTimeout() const;
+  /// True if the address in use has brought no update of an old directory for the directory
+  /// timeout.
+  bool IsDirectoryOverdue(Instant aNow) const;
   Duration AddressTimeout(Instant aNow) const;
   /// Rebuilds the list: the addresses that the leader named, then those from the settings.
   void MergeAddresses();
@@ -102,6 +110,8 @@
   std::optional<Instant> linkReadyAt; ///< Of the link to the address in use.
   std::optional<Instant> repliedAt;   ///< Last reply, accepted or not, of the address in use.
   std::uint32_t failedLinks = 0;      ///< Addresses in turn to which no link became ready.
+  std::optional<Instant> behindSince; ///< First reply with a newer version after the last update.
+  std::uint32_t overdueAddresses = 0; ///< Addresses in turn that brought no update.
   Instant lastAcceptedSentAt{};
   bool hasContact = false;
   std::uint64_t sequence = 0;
