--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -152,7 +152,9 @@
   bool Commit(const std::string& aCommand)
   {
     std::optional<bool> outcome;
-    this->Leader()->driver->Propose(aCommand, [&outcome](const Result<std::uint64_t>& aResult) {
+    ControlInstance* leader = this->Leader();
+    REQUIRE(leader != nullptr);
+    leader->driver->Propose(aCommand, [&outcome](const Result<std::uint64_t>& aResult) {
       outcome = aResult.has_value();
     });
     return this->WaitFor([&outcome] { return outcome.has_value(); }) && *outcome;
--- a/tests/consensus/FinalFaultTests.cpp
+++ b/tests/consensus/FinalFaultTests.cpp
@@ -994,7 +994,9 @@
   const std::vector<Planned> steps{ { 0, Step::StartEmpty, kFirstSpare },
                                     { 130, Step::Silence },
                                     { 600, Step::Silence } };
-  CHECK(Play(steps, 777'462'404, 958).broken.value_or("") == "");
+  const auto broken = Play(steps, 777'462'404, 958).broken;
+  INFO(broken.value_or(""));
+  CHECK_FALSE(broken.has_value());
 }
 
 // Guards against the same, and against calm spans without a confirmed leader, under random mixtures
