consensus: E1309 names members, when they were heard, and why they refuse a vote

The line asks for a link to the instance, and an instance that lost its data folder answers on the same link under a new member id. So it cannot tell a voter that refuses from one that is not there any more.

E1309 now has, for each other voter: instance and member id, when a message of that very member arrived, its last answer to a pre-vote and the age of that, and the member id that the instance uses, if it is another one. It also has the own member id and the index of the list of members. MemberContacts records this, apart from RaftNode and without I/O.

VoteReply has a new last field for the reason of a refusal. Earlier versions ignore it, and what they send without it decodes to the default ("refused"); VoteReplyOfEarlierVersion guards this. No decision depends on the field or on the record.

--- a/src/oleanderledge/consensus/LeaderWatch.cpp
+++ b/src/oleanderledge/consensus/LeaderWatch.cpp
@@ -30,7 +30,7 @@
   return "leader";
 }
 
-/// For each other voter its instance and `aDescribe` of it.
+/// For each other voter its instance, its member id and `aDescribe` of it.
 template<class Describe>
 std::string DescribeVoters(const RaftNode& aNode, Describe aDescribe)
 {
@@ -39,11 +39,51 @@
     if (!member.voter || member.id == aNode.Self()) {
       continue;
     }
-    text += (text.empty() ? "" : ",") + member.instance + ":" + aDescribe(member);
+    text += (text.empty() ? "" : ",") + DescribeMember(member) + ":" + aDescribe(member);
   }
   return text.empty() ? "none" : text;
 }
 
+std::string_view ToString(VoteRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case VoteRefusal::OlderTerm:
+      return "older_term";
+    case VoteRefusal::LongerLog:
+      return "longer_log";
+    case VoteRefusal::RecentLeader:
+      return "recent_leader";
+    case VoteRefusal::Storing:
+      return "storing";
+    case VoteRefusal::OtherVote:
+      return "other_vote";
+    case VoteRefusal::Unknown:
+      break;
+  }
+  return "refused";
+}
+
+/// When this very member was heard, what it answered to the last pre-vote, and under which other
+/// member id its instance was heard last, if so.
+std::string DescribeContact(const MemberContacts& aContacts,
+                            const ControlMember& aMember,
+                            Instant aNow)
+{
+  const MemberContacts::Contact* contact = aContacts.Find(aMember.id);
+  std::string text =
+    ":heard_ms=" + (contact == nullptr ? "none" : ToMilliseconds(aNow - contact->heardAt));
+  if (contact == nullptr || !contact->preVote) {
+    text += ":pre_vote=none";
+  } else {
+    const MemberContacts::PreVote& answer = *contact->preVote;
+    text += ":pre_vote=" + std::string(answer.isGranted ? "granted" : ToString(answer.refusal)) +
+            "/" + ToMilliseconds(aNow - answer.at);
+  }
+  const std::string lastId = aContacts.LastIdOf(aMember.instance);
+  const bool isOther = !lastId.empty() && lastId != aMember.id;
+  return isOther ? text + ":heard_as=" + ShortMemberId(lastId) : text;
+}
+
 std::string DescribeLog(const RaftNode& aNode)
 {
   return " term=" + std::to_string(aNode.Term()) +
@@ -56,6 +96,7 @@
 } // namespace
 
 std::optional<LeaderWatch::Status> LeaderWatch::Observe(const RaftNode& aNode,
+                                                        const MemberContacts& aContacts,
                                                         const IsLinked& aIsLinked,
                                                         Instant aNow)
 {
@@ -90,14 +131,16 @@
                    "for_ms=" + ToMilliseconds(missing) + DescribeLog(aNode) +
                      " contact_ms=" + DescribeVoters(aNode, contactOf) };
   }
-  const auto linkOf = [&aNode, &aIsLinked](const ControlMember& aMember) {
+  const auto linkOf = [&](const ControlMember& aMember) {
     return std::string(aIsLinked(aMember) ? "linked" : "not_linked") +
-           (aNode.Votes().contains(aMember.id) ? "/voted" : "");
+           (aNode.Votes().contains(aMember.id) ? "/voted" : "") +
+           DescribeContact(aContacts, aMember, aNow);
   };
   return Status{ LogEvent::LeaderMissing,
-                 "for_ms=" + ToMilliseconds(missing) +
+                 "for_ms=" + ToMilliseconds(missing) + " member=" + ShortMemberId(aNode.Self()) +
                    " role=" + std::string(ToString(aNode.Role())) + DescribeLog(aNode) +
                    " voter=" + (IsVoter(aNode.Members(), aNode.Self()) ? "yes" : "no") +
+                   " members_index=" + std::to_string(aNode.Log().MembersIndex()) +
                    " voters=" + DescribeVoters(aNode, linkOf) };
 }
 
--- a/src/oleanderledge/consensus/LeaderWatch.hpp
+++ b/src/oleanderledge/consensus/LeaderWatch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderledge/consensus/MemberContacts.hpp"
 #include "oleanderledge/consensus/RaftNode.hpp"
 
 #include <functional>
@@ -23,7 +24,10 @@
   /// Returns what to log at `aNow`: that the leader is missing or not confirmed, once it has been
   /// for 0.5 s and after each further second, and that there is a confirmed one again. Must be
   /// called at regular intervals.
-  std::optional<Status> Observe(const RaftNode& aNode, const IsLinked& aIsLinked, Instant aNow);
+  std::optional<Status> Observe(const RaftNode& aNode,
+                                const MemberContacts& aContacts,
+                                const IsLinked& aIsLinked,
+                                Instant aNow);
 
 private:
   std::optional<Instant> confirmedAt; ///< When there was a confirmed leader last.
--- a/src/oleanderledge/consensus/Membership.cpp
+++ b/src/oleanderledge/consensus/Membership.cpp
@@ -118,6 +118,16 @@
   return static_cast<std::size_t>(std::ranges::count_if(aMembers, &ControlMember::voter));
 }
 
+std::string ShortMemberId(std::string_view aId)
+{
+  return std::string(aId.substr(0, 8));
+}
+
+std::string DescribeMember(const ControlMember& aMember)
+{
+  return aMember.instance + "/" + ShortMemberId(aMember.id);
+}
+
 bool IsReplacementInProgress(const std::vector<ControlMember>& aMembers)
 {
   return std::ranges::any_of(aMembers, [](const ControlMember& aMember) {
--- a/src/oleanderledge/consensus/Membership.hpp
+++ b/src/oleanderledge/consensus/Membership.hpp
@@ -21,6 +21,13 @@
 
 std::size_t CountVoters(const std::vector<ControlMember>& aMembers);
 
+/// The first 8 characters of a member id, as log lines show it.
+std::string ShortMemberId(std::string_view aId);
+
+/// Instance and short member id, "core-mora-a-1/3f0c9a12". An instance that lost its data folder
+/// has a new member id.
+std::string DescribeMember(const ControlMember& aMember);
+
 /// True while one voter is being replaced by another.
 bool IsReplacementInProgress(const std::vector<ControlMember>& aMembers);
 
--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -309,11 +309,24 @@
   }
 }
 
+std::optional<VoteRefusal> RaftNode::CheckVoteRequest(const VoteRequest& aRequest,
+                                                      Instant aNow) const
+{
+  if (this->ShouldRejectVotes(aNow)) {
+    return VoteRefusal::RecentLeader;
+  }
+  if (aRequest.term < this->hardState.term) {
+    return VoteRefusal::OlderTerm;
+  }
+  const bool isBusy = aRequest.preVote && this->IsStoringHardState();
+  return isBusy ? std::optional(VoteRefusal::Storing) : std::nullopt;
+}
+
 void RaftNode::Handle(const VoteRequest& aRequest, Instant aNow)
 {
   VoteReply reply{ this->hardState.term, this->self, false, aRequest.preVote };
-  const bool isBusy = aRequest.preVote && this->IsStoringHardState();
-  if (this->ShouldRejectVotes(aNow) || aRequest.term < this->hardState.term || isBusy) {
+  if (const auto refusal = this->CheckVoteRequest(aRequest, aNow)) {
+    reply.refusal = *refusal;
     // The newer term is not adopted either, or a candidate that cannot win would depose the leader.
     this->SendWhenDurable(aRequest.candidate, reply);
     return;
@@ -323,6 +336,9 @@
     reply.term = reply.granted ? aRequest.term : this->hardState.term;
     if (reply.granted) {
       this->YieldTo(aRequest.candidate, aNow);
+    } else {
+      reply.refusal =
+        this->IsLogUpToDate(aRequest) ? VoteRefusal::OlderTerm : VoteRefusal::LongerLog;
     }
     this->SendWhenDurable(aRequest.candidate, reply);
     return;
@@ -337,6 +353,8 @@
     this->hardStateChanged = this->hardStateChanged || this->hardState.vote.empty();
     this->hardState.vote = aRequest.candidate;
     this->ResetElectionTimer(aNow);
+  } else {
+    reply.refusal = isVoteAvailable ? VoteRefusal::LongerLog : VoteRefusal::OtherVote;
   }
   reply.term = this->hardState.term;
   this->SendWhenDurable(aRequest.candidate, reply);
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -182,6 +182,8 @@
   /// True while this member leads or may have confirmed a leader lease that has not expired.
   bool ShouldRejectVotes(Instant aNow) const;
   bool IsLogUpToDate(const VoteRequest& aRequest) const;
+  /// Why a request is refused whatever the log of the candidate is, if it is.
+  std::optional<VoteRefusal> CheckVoteRequest(const VoteRequest& aRequest, Instant aNow) const;
   void YieldTo(std::string_view aCandidate, Instant aNow);
   void StartElection(bool aPreVote, Instant aNow);
   /// Becomes a candidate once a majority has granted its pre-votes.
--- a/src/oleanderledge/consensus/consensus.hpp
+++ b/src/oleanderledge/consensus/consensus.hpp
@@ -8,6 +8,7 @@
 #include "oleanderledge/consensus/ByteCodec.hpp"
 #include "oleanderledge/consensus/GroupMaintenance.hpp"
 #include "oleanderledge/consensus/LeaderWatch.hpp"
+#include "oleanderledge/consensus/MemberContacts.hpp"
 #include "oleanderledge/consensus/Membership.hpp"
 #include "oleanderledge/consensus/PersistentState.hpp"
 #include "oleanderledge/consensus/RaftActions.hpp"
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -18,30 +18,6 @@
 /// Below the maximum frame size of a link, with room for the other fields of the request.
 constexpr std::size_t kMaxCommandBytes = std::size_t{ 8 } * 1024 * 1024;
 
-/// Member id of the sender of a consensus message, or empty for other messages.
-std::string SenderOf(const Message& aMessage)
-{
-  if (const auto* vote = std::get_if<VoteRequest>(&aMessage)) {
-    return vote->candidate;
-  }
-  if (const auto* vote = std::get_if<VoteReply>(&aMessage)) {
-    return vote->voter;
-  }
-  if (const auto* append = std::get_if<AppendRequest>(&aMessage)) {
-    return append->leader;
-  }
-  if (const auto* append = std::get_if<AppendReply>(&aMessage)) {
-    return append->follower;
-  }
-  if (const auto* snapshot = std::get_if<SnapshotRequest>(&aMessage)) {
-    return snapshot->leader;
-  }
-  if (const auto* snapshot = std::get_if<SnapshotReply>(&aMessage)) {
-    return snapshot->follower;
-  }
-  return {};
-}
-
 std::string FormatMembers(const std::vector<ControlMember>& aMembers)
 {
   std::string text;
@@ -184,10 +160,11 @@
   if (join == nullptr && leave == nullptr && sender.empty()) {
     return false;
   }
+  const Instant now = MonotonicNow();
+  this->contacts.OnMessage(aPeer.id, aMessage, now);
   if (!this->node || this->isDiskFull) {
     return true;
   }
-  const Instant now = MonotonicNow();
   if (join != nullptr) {
     this->HandleJoinRequest(aPeer, *join, now);
     return true;
@@ -308,6 +285,7 @@
 {
   const auto status = this->leaderWatch.Observe(
     *this->node,
+    this->contacts,
     [this](const ControlMember& aMember) { return this->links.IsLinked(aMember.instance); },
     aNow);
   if (status) {
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -171,6 +171,7 @@
   MemberLinks links;
   GroupFounding founding;
   GroupMaintenance maintenance;
+  MemberContacts contacts;
   LeaderWatch leaderWatch;
   std::unique_ptr<MemberStorage> storage;
   std::unique_ptr<StorageWriter> writer; ///< Uses `storage`.
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -518,17 +518,30 @@
   }
 };
 
+/// Why a vote or pre-vote was refused. Only for log lines.
+enum class VoteRefusal : std::uint8_t
+{
+  Unknown = 0,      ///< Granted, or the voter runs an earlier version, which gives no reason.
+  OlderTerm = 1,    ///< The term of the candidate is not new to the voter.
+  LongerLog = 2,    ///< The log of the voter has a newer or further last entry.
+  RecentLeader = 3, ///< The voter leads, has a current leader, or started just now.
+  Storing = 4,      ///< The term or vote of the voter is not durable yet.
+  OtherVote = 5,    ///< The voter has voted for another candidate of the term.
+};
+
 struct VoteReply
 {
   std::uint64_t term = 0;
   std::string voter;
   bool granted = false;
   bool preVote = false;
+  /// Earlier versions send and read the fields before it; a missing one decodes to the default.
+  VoteRefusal refusal = VoteRefusal::Unknown;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->term, this->voter, this->granted, this->preVote);
+    aVisitor(this->term, this->voter, this->granted, this->preVote, this->refusal);
   }
 };
 
--- a/tests/link/CodecTests.cpp
+++ b/tests/link/CodecTests.cpp
@@ -40,6 +40,23 @@
   CHECK(request.payload == ExampleRequest().payload);
 }
 
+// Guards against members that cannot elect a leader while only some of them run this version.
+TEST_CASE("VoteReplyOfEarlierVersion: decodes without a reason")
+{
+  const std::string body = EncodeFrame(VoteReply{ 3, "b", false, true }).substr(4);
+  const std::size_t fields = body.find('\x95');
+  REQUIRE(fields != std::string::npos);
+  REQUIRE(body.back() == '\0');
+  std::string earlier = body.substr(0, body.size() - 1);
+  earlier[fields] = '\x94';
+  const auto decoded = DecodeFrameBody(earlier);
+  REQUIRE(decoded);
+  const auto& reply = std::get<VoteReply>(decoded.value());
+  CHECK(reply.voter == "b");
+  CHECK(reply.preVote);
+  CHECK(reply.refusal == VoteRefusal::Unknown);
+}
+
 // Guards against crashes and unbounded allocation on malicious or damaged input.
 TEST_CASE("Damaged frames are rejected without a crash")
 {
