tests, consensus: a voter that lost its disk is not replaced in time behind a long log (fails)

The simulated group can now have the limits of the product, a connection that carries 2.6 MB/s between regions (a window of 64 KiB, a round trip of 25 ms) and commands of 95 KB. On this code both cases of consensus_catch_up fail: 4 s after its start the instance does not vote, the group bears the loss of one disk instead of two, and after two more it has no leader in 12 s.

--- a/src/oleanderledge/consensus/consensus.hpp
+++ b/src/oleanderledge/consensus/consensus.hpp
@@ -15,3 +15,4 @@
 #include "oleanderledge/consensus/RaftNode.hpp"
 #include "oleanderledge/consensus/RaftSettings.hpp"
 #include "oleanderledge/consensus/ReplicatedLog.hpp"
+#include "oleanderledge/consensus/SnapshotPolicy.hpp"
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -54,6 +54,7 @@
   , links(aSelf, this->settings.latency, this)
   , founding(aSelf.id, this->settings.initialMembers)
   , maintenance(this->settings.maintenance)
+  , snapshotPolicy(this->settings.snapshots)
 {
   this->raftTimer.setSingleShot(true);
   this->raftTimer.setTimerType(Qt::PreciseTimer);
@@ -396,8 +397,7 @@
     this->pendingWrites.push_back(persist->batch);
     this->ScheduleWrites();
   } else if (const auto* apply = std::get_if<ApplyAction>(&aAction)) {
-    ++this->entriesSinceSnapshot;
-    this->bytesSinceSnapshot += apply->entry.command.size();
+    this->snapshotPolicy.OnApplied(apply->entry);
     if (apply->entry.kind == LogEntryKind::Command) {
       this->state.Apply(apply->entry.index, apply->entry.command);
     }
@@ -412,8 +412,7 @@
       return;
     }
     this->appliedIndex = restore->snapshot.lastIndex;
-    this->entriesSinceSnapshot = 0;
-    this->bytesSinceSnapshot = 0;
+    this->snapshotPolicy.OnSnapshot();
     WriteLog(LogEvent::SnapshotRestored,
              "index=" + std::to_string(restore->snapshot.lastIndex) +
                " bytes=" + std::to_string(restore->snapshot.content->size()));
@@ -442,13 +441,10 @@
 
 void ConsensusDriver::CompactIfDue()
 {
-  const bool isDue = this->entriesSinceSnapshot >= this->settings.snapshotAfterEntries ||
-                     this->bytesSinceSnapshot >= this->settings.snapshotAfterBytes;
-  if (!isDue || !this->node) {
+  if (!this->node || !this->snapshotPolicy.IsDue(*this->node)) {
     return;
   }
-  this->entriesSinceSnapshot = 0;
-  this->bytesSinceSnapshot = 0;
+  this->snapshotPolicy.OnSnapshot();
   for (const RaftAction& action : this->node->Compact(this->state.Serialize())) {
     this->ExecuteAction(action);
   }
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -34,9 +34,7 @@
   RaftSettings raft;
   GroupMaintenanceSettings maintenance;
   EmulatedLatency latency;
-  /// A snapshot is taken after this many applied entries, or this many bytes of commands.
-  std::uint64_t snapshotAfterEntries = 5000;
-  std::uint64_t snapshotAfterBytes = std::uint64_t{ 8 } * 1024 * 1024;
+  SnapshotPolicySettings snapshots;
 };
 
 /// The replicated log of one control instance: connects RaftNode to the data folder, Qt timers and
@@ -195,8 +193,7 @@
   std::uint64_t nextProposal = 0;
   /// Last index applied to `state`, which lags behind the node while actions are pending.
   std::uint64_t appliedIndex = 0;
-  std::uint64_t entriesSinceSnapshot = 0;
-  std::uint64_t bytesSinceSnapshot = 0;
+  SnapshotPolicy snapshotPolicy;
   Instant lastJoinRequestAt{};
   bool isLeaving = false;
 };
--- /dev/null
+++ b/tests/consensus/CatchUpTests.cpp
@@ -0,0 +1,99 @@
+#include "tests/consensus/FakeGroup.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace oleanderledge;
+
+namespace {
+
+constexpr std::int64_t kMs = FakeGroup::kMillisecond;
+constexpr std::int64_t kSecond = 1000 * kMs;
+/// A configuration with some hundred routes.
+constexpr std::size_t kCommandBytes = 95'000;
+constexpr std::size_t kStateBytes = 150'000;
+/// A window of 64 KiB and a round trip of 25 ms.
+constexpr std::int64_t kBytesPerSecond = 2'600'000;
+constexpr std::int64_t kDelayBetweenRegions = 12 * kMs;
+/// `catch_up_s` and `recovery_s` of the deployments.
+constexpr std::int64_t kCatchUp = 4 * kSecond;
+constexpr std::int64_t kRecovery = 12 * kSecond;
+
+/// Five voters in different regions that have stored 600 changes of the configuration.
+class GroupWithLongHistory
+{
+public:
+  GroupWithLongHistory()
+  {
+    this->group.SetExtraDelay(kDelayBetweenRegions);
+    this->group.SetStateBytes(kStateBytes);
+    REQUIRE(this->group.RunUntil(10 * kSecond, [this] { return this->group.Propose(1) == 1; }));
+    this->ChangeFor(90 * kSecond);
+    REQUIRE(this->group.LastCommitted() > 590);
+    this->group.SetBytesPerSecond(kBytesPerSecond);
+  }
+
+  /// Proposes a change of the configuration each 150 ms.
+  void ChangeFor(std::int64_t aMicroseconds)
+  {
+    for (const std::int64_t end = this->group.Now() + aMicroseconds; this->group.Now() < end;) {
+      this->group.Propose(1, kCommandBytes);
+      this->group.Run(150 * kMs);
+    }
+  }
+
+  /// An instance that does not lead.
+  std::size_t Follower() const { return (this->group.Leader().value_or(0) + 1) % 5; }
+
+  FakeGroup group{ 7, 5, 0, RaftSettings{} };
+};
+
+/// True if the member that runs on an instance votes in the committed list.
+bool IsVoting(FakeGroup& aGroup, std::size_t aInstance)
+{
+  return IsVoter(aGroup.CommittedMembers(), aGroup.Node(aInstance)->Self());
+}
+
+} // namespace
+
+// Guards against a vote that stays with a lost disk for as long as the history takes to transfer.
+TEST_CASE_METHOD(GroupWithLongHistory,
+                 "GroupWithLongHistoryAndLostDisk: the instance votes again in the catch-up time")
+{
+  const std::size_t lost = this->Follower();
+  this->group.LoseDisk(lost);
+  this->ChangeFor(kSecond);
+  this->group.Restart(lost);
+  this->ChangeFor(kCatchUp);
+  CHECK(IsVoting(this->group, lost));
+  CHECK(this->group.BearableDiskLosses() == 2);
+  CHECK(this->group.Violation() == std::nullopt);
+}
+
+// Guards against a group that ends with two further lost disks, as in issue 41.
+TEST_CASE_METHOD(GroupWithLongHistory,
+                 "GroupWithLongHistoryAndLostDisk: two more disks can be lost after the catch-up")
+{
+  const std::size_t first = this->Follower();
+  this->group.LoseDisk(first);
+  this->ChangeFor(kSecond);
+  this->group.Restart(first);
+  this->ChangeFor(kCatchUp);
+  const std::size_t leader = this->group.Leader().value_or(0);
+  const std::size_t other = (first + 1) % 5 == leader ? (first + 2) % 5 : (first + 1) % 5;
+  for (const std::size_t lost : { leader, other }) {
+    this->group.LoseDisk(lost);
+  }
+  for (std::size_t at = 0; at < 5; ++at) {
+    this->group.Crash(at);
+  }
+  this->group.Run(600 * kMs);
+  for (std::size_t at = 0; at < 5; ++at) {
+    this->group.Restart(at);
+  }
+  const std::size_t before = this->group.Acknowledged();
+  CHECK(this->group.RunUntil(kRecovery, [this, before] {
+    this->group.Propose(1);
+    return this->group.Acknowledged() > before;
+  }));
+  CHECK(this->group.Violation() == std::nullopt);
+}
--- a/tests/consensus/ConsensusDriverTests.cpp
+++ b/tests/consensus/ConsensusDriverTests.cpp
@@ -76,7 +76,7 @@
     settings.dataFolder = this->folder.path().toStdString() + "/data";
     settings.initialMembers = aInitial;
     settings.maintenance.lostVoterTimeout = std::chrono::milliseconds(1500);
-    settings.snapshotAfterEntries = 50;
+    settings.snapshots.afterEntries = 50;
     this->driver = std::make_unique<ConsensusDriver>(
       this->info, settings, *this->openFiles, this->state, this->leadership, nullptr);
     QObject::connect(
--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -12,6 +12,8 @@
 /// More file operations than the longest write of a batch has.
 constexpr std::int64_t kMaxOperationsBeforeCrash = 15;
 constexpr std::int64_t kMaintenanceIntervalUs = 100 * FakeGroup::kMillisecond;
+/// As in MemberLinks.
+constexpr std::int64_t kMaxQueuedBytes = std::int64_t{ 8 } * 1024 * 1024;
 /// Just under half of the clock drift between two members that the leader lease allows.
 constexpr double kMaxClockRateError = 0.0099;
 
@@ -28,6 +30,30 @@
          aLeft.command == aRight.command && aLeft.kind == aRight.kind;
 }
 
+/// Short histories then include multi-piece snapshots and log truncation.
+RaftSettings SmallLimits()
+{
+  RaftSettings settings;
+  settings.snapshotPieceBytes = 64;
+  settings.retainedEntries = 5;
+  settings.maxAppendBytes = 64;
+  return settings;
+}
+
+/// Bytes of the commands or of the piece of a snapshot in a message.
+std::int64_t ContentBytes(const Message& aMessage)
+{
+  std::size_t bytes = 0;
+  if (const auto* append = std::get_if<AppendRequest>(&aMessage)) {
+    for (const LogEntry& entry : append->entries) {
+      bytes += entry.command.size();
+    }
+  } else if (const auto* snapshot = std::get_if<SnapshotRequest>(&aMessage)) {
+    bytes = snapshot->data.size();
+  }
+  return static_cast<std::int64_t>(bytes);
+}
+
 /// Applies a batch to what the files contain.
 void WriteToDisk(PersistentState& aState, const PersistBatch& aBatch)
 {
@@ -65,13 +91,20 @@
 }
 
 FakeGroup::FakeGroup(std::uint64_t aSeed, std::size_t aVoters, std::size_t aSpares)
-  : random(aSeed)
+  : FakeGroup(aSeed, aVoters, aSpares, SmallLimits())
+{
+  this->takesSnapshots = false;
+}
+
+FakeGroup::FakeGroup(std::uint64_t aSeed,
+                     std::size_t aVoters,
+                     std::size_t aSpares,
+                     const RaftSettings& aSettings)
+  : settings(aSettings)
+  , takesSnapshots(true)
+  , random(aSeed)
   , instances(aVoters + aSpares)
 {
-  // Small limits, so that short histories include multi-piece snapshots and log truncation.
-  this->settings.snapshotPieceBytes = 64;
-  this->settings.retainedEntries = 5;
-  this->settings.maxAppendBytes = 64;
   for (Instance& instance : this->instances) {
     // The extreme rates are the most likely, because they leave the least time between the expiry
     // of a lease and the election of another leader.
@@ -327,6 +360,7 @@
       this->RecordViolation(fault->reason);
     }
   }
+  this->CompactIfDue(aInstance);
   this->CheckLeaders();
 }
 
@@ -376,7 +410,11 @@
   // A few messages are delayed, so that newer ones overtake them.
   const std::int64_t delay =
     this->random() % 20 == 0 ? this->RandomBetween(1000, 60000) : this->RandomBetween(200, 3000);
-  this->network.push({ this->now + this->extraDelay + delay,
+  const auto queued = this->QueueingTime(aInstance, target->second, aSend.message);
+  if (!queued) {
+    return;
+  }
+  this->network.push({ this->now + this->extraDelay + *queued + delay,
                        this->nextOrder++,
                        aInstance,
                        target->second,
@@ -384,6 +422,33 @@
                        link });
 }
 
+std::optional<std::int64_t> FakeGroup::QueueingTime(std::size_t aFrom,
+                                                    std::size_t aTo,
+                                                    const Message& aMessage)
+{
+  if (this->bytesPerSecond == 0) {
+    return 0;
+  }
+  constexpr std::int64_t kMicroseconds = 1'000'000;
+  std::int64_t& until = this->sendingUntil[{ aFrom, aTo }];
+  until = std::max(until, this->now);
+  if ((until - this->now) * this->bytesPerSecond / kMicroseconds > kMaxQueuedBytes) {
+    return std::nullopt;
+  }
+  until += ContentBytes(aMessage) * kMicroseconds / this->bytesPerSecond;
+  return until - this->now;
+}
+
+/// As ConsensusDriver::CompactIfDue().
+void FakeGroup::CompactIfDue(std::size_t aInstance)
+{
+  Instance& instance = this->instances[aInstance];
+  if (this->takesSnapshots && instance.node && instance.snapshotPolicy.IsDue(*instance.node)) {
+    instance.snapshotPolicy.OnSnapshot();
+    this->Compact(aInstance);
+  }
+}
+
 /// A member must not confirm anything to another member before it is on its own disk.
 void FakeGroup::CheckSend(std::size_t aInstance, const Message& aMessage)
 {
@@ -420,6 +485,7 @@
     this->RecordViolation("committed entry " + std::to_string(aEntry.index) + " changed");
   }
   instance.appliedIndex = aEntry.index;
+  instance.snapshotPolicy.OnApplied(aEntry);
   instance.appliedHash = ExtendHash(instance.appliedHash, aEntry);
   if (instance.appliedHash != this->hashes[aEntry.index]) {
     this->RecordViolation("applied state differs at " + std::to_string(aEntry.index));
@@ -437,6 +503,7 @@
     return;
   }
   instance.appliedIndex = aSnapshot.lastIndex;
+  instance.snapshotPolicy.OnSnapshot();
   instance.appliedHash = std::stoull(std::string(content.value().state));
   if (instance.appliedHash != this->hashes[aSnapshot.lastIndex]) {
     this->RecordViolation("snapshot differs at " + std::to_string(aSnapshot.lastIndex));
@@ -560,6 +627,7 @@
   }
   instance.appliedIndex = 0;
   instance.appliedHash = 0;
+  instance.snapshotPolicy.OnSnapshot();
   instance.isLeaving = false;
   instance.maintenanceAt = this->now;
   instance.joinRequestedAt = 0;
@@ -633,7 +701,7 @@
   return this->instances[aInstance].appliedIndex;
 }
 
-std::size_t FakeGroup::Propose(std::size_t aCount)
+std::size_t FakeGroup::Propose(std::size_t aCount, std::size_t aBytes)
 {
   const auto leader = this->Leader();
   if (!leader || this->IsFrozen(this->instances[*leader])) {
@@ -642,10 +710,10 @@
   Instance& instance = this->instances[*leader];
   for (std::size_t at = 0; at < aCount; ++at) {
     const std::uint64_t proposal = ++this->nextProposal;
-    this->ExecuteActions(*leader,
-                         instance.node->Propose(proposal,
-                                                "command " + std::to_string(proposal),
-                                                this->ClockOf(instance)));
+    std::string command = "command " + std::to_string(proposal);
+    command.resize(std::max(command.size(), aBytes), '.');
+    this->ExecuteActions(
+      *leader, instance.node->Propose(proposal, std::move(command), this->ClockOf(instance)));
   }
   return aCount;
 }
@@ -654,7 +722,9 @@
 {
   Instance& instance = this->instances[aInstance];
   if (instance.node && !this->IsFrozen(instance)) {
-    this->ExecuteActions(aInstance, instance.node->Compact(std::to_string(instance.appliedHash)));
+    std::string state = std::to_string(instance.appliedHash);
+    state.resize(std::max(state.size(), this->stateBytes), ' ');
+    this->ExecuteActions(aInstance, instance.node->Compact(state));
   }
 }
 
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -29,6 +29,12 @@
   /// Founds a group of voters on the instances 0 to `aVoters` - 1. The `aSpares` instances after
   /// them are not started.
   FakeGroup(std::uint64_t aSeed, std::size_t aVoters, std::size_t aSpares = 0);
+  /// The same with given settings instead of small limits. Snapshots are then taken as
+  /// ConsensusDriver does.
+  FakeGroup(std::uint64_t aSeed,
+            std::size_t aVoters,
+            std::size_t aSpares,
+            const RaftSettings& aSettings);
 
   /// Runs the simulation for a duration, or until a violation.
   void Run(std::int64_t aMicroseconds);
@@ -73,6 +79,11 @@
     this->instances[aInstance].writeTime = { aShortest, aLongest };
   }
   void ResetWriteTime(std::size_t aInstance) { this->instances[aInstance].writeTime.reset(); }
+  /// Limits what each instance can send to each other one, as a connection with a small window does
+  /// between regions. Messages wait in a queue, whose limit is that of MemberLinks.
+  void SetBytesPerSecond(std::int64_t aBytes) { this->bytesPerSecond = aBytes; }
+  /// Makes each snapshot that is taken from now on at least as large.
+  void SetStateBytes(std::size_t aBytes) { this->stateBytes = aBytes; }
   /// Drops messages at random, `aLoss` in a thousand.
   void SetLossPerMille(unsigned aLoss) { this->lossPerMille = aLoss; }
 
@@ -90,8 +101,8 @@
   void Reseed(std::uint64_t aSeed) { this->random.seed(aSeed); }
 
   /// Proposes commands at the current leader. Returns how many were proposed: 0 if there is no
-  /// leader or it is suspended.
-  std::size_t Propose(std::size_t aCount);
+  /// leader or it is suspended. Each command has at least `aBytes` bytes.
+  std::size_t Propose(std::size_t aCount, std::size_t aBytes = 0);
   /// Takes a snapshot on an instance that is running.
   void Compact(std::size_t aInstance);
 
@@ -163,6 +174,7 @@
     std::uint64_t appliedIndex = 0;
     std::uint64_t appliedHash = 0;
     bool isLeaving = false;
+    SnapshotPolicy snapshotPolicy{ {} };
     std::vector<std::size_t> seeds;
     std::int64_t joinRequestedAt = 0;
   };
@@ -211,6 +223,12 @@
   void ContinueLeave(std::size_t aInstance);
   void ExecuteActions(std::size_t aInstance, RaftActions aActions);
   void SendOverNetwork(std::size_t aInstance, SendAction aSend);
+  /// The time that a message takes because of SetBytesPerSecond(), the queue before it included.
+  /// Empty if the queue is full.
+  std::optional<std::int64_t> QueueingTime(std::size_t aFrom,
+                                           std::size_t aTo,
+                                           const Message& aMessage);
+  void CompactIfDue(std::size_t aInstance);
   void CheckSend(std::size_t aInstance, const Message& aMessage);
   void Apply(std::size_t aInstance, const LogEntry& aEntry);
   void Restore(std::size_t aInstance, const RaftSnapshot& aSnapshot);
@@ -240,6 +258,11 @@
   void SendJoinRequestOverLinks(std::size_t aInstance);
 
   RaftSettings settings;
+  bool takesSnapshots = false;
+  std::size_t stateBytes = 0;
+  std::int64_t bytesPerSecond = 0; ///< 0: unlimited.
+  /// Until when the messages that an instance has sent to another one are on their way.
+  std::map<std::pair<std::size_t, std::size_t>, std::int64_t> sendingUntil;
   GroupMaintenanceSettings maintenanceSettings;
   std::mt19937_64 random;
   std::int64_t now = 1'000'000;
