consensus: a new member receives the state instead of the history

With changes of 60 to 200 KB, an instance that had lost its disk received up to 1000 of them, tens of megabytes for a state of 150 KB. On a connection that carries 2 to 3 MB/s this takes longer than the time after which the loss counts as over, and the vote of the lost disk is replaced only then. Two more lost disks left no majority.

So what a new member receives depends on the size of the state, whatever the number of changes.

--- a/src/oleanderledge/consensus/RaftLog.cpp
+++ b/src/oleanderledge/consensus/RaftLog.cpp
@@ -96,14 +96,21 @@
   }
 }
 
-void RaftLog::Compact(RaftSnapshot aSnapshot, std::uint64_t aRetainedEntries)
+void RaftLog::Compact(RaftSnapshot aSnapshot,
+                      std::uint64_t aRetainedEntries,
+                      std::size_t aRetainedBytes)
 {
-  const std::uint64_t last = aSnapshot.lastIndex;
-  this->snapshot = std::move(aSnapshot);
-  if (last > this->baseIndex + aRetainedEntries) {
-    const std::uint64_t newBase = last - aRetainedEntries;
-    this->AdvanceBase(newBase, this->TermAt(newBase));
+  std::uint64_t newBase = aSnapshot.lastIndex;
+  std::size_t bytes = 0;
+  while (newBase > this->baseIndex && aSnapshot.lastIndex - newBase < aRetainedEntries) {
+    bytes += this->EntryAt(newBase).command.size();
+    if (bytes > aRetainedBytes) {
+      break;
+    }
+    --newBase;
   }
+  this->snapshot = std::move(aSnapshot);
+  this->AdvanceBase(newBase, this->TermAt(newBase));
 }
 
 void RaftLog::InstallSnapshot(RaftSnapshot aSnapshot)
--- a/src/oleanderledge/consensus/RaftLog.hpp
+++ b/src/oleanderledge/consensus/RaftLog.hpp
@@ -38,8 +38,8 @@
   /// Removes the entries from `aIndex` on.
   void TruncateFrom(std::uint64_t aIndex);
   /// Stores a snapshot of applied entries and discards the entries that it covers, except for the
-  /// last `aRetainedEntries`.
-  void Compact(RaftSnapshot aSnapshot, std::uint64_t aRetainedEntries);
+  /// last `aRetainedEntries` as far as their commands fit into `aRetainedBytes`.
+  void Compact(RaftSnapshot aSnapshot, std::uint64_t aRetainedEntries, std::size_t aRetainedBytes);
   /// Replaces the log by a snapshot from the leader. Keeps the entries after it if the log contains
   /// the last entry of the snapshot.
   void InstallSnapshot(RaftSnapshot aSnapshot);
--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -182,7 +182,8 @@
                          std::make_shared<const std::string>(
                            EncodeSnapshotContent(this->log.MembersAt(index), aState)) };
   this->unpersistedSnapshot = snapshot;
-  this->log.Compact(std::move(snapshot), this->settings.retainedEntries);
+  this->log.Compact(
+    std::move(snapshot), this->settings.retainedEntries, this->settings.retainedBytes);
   this->IssuePersistBatch();
   return std::exchange(this->actions, {});
 }
--- a/src/oleanderledge/consensus/RaftSettings.hpp
+++ b/src/oleanderledge/consensus/RaftSettings.hpp
@@ -29,6 +29,9 @@
   /// Number of entries covered by the newest snapshot that stay in memory, so that a member that
   /// lags slightly receives entries instead of a whole snapshot.
   std::uint64_t retainedEntries = 1000;
+  /// Maximum bytes of the commands of these entries. Bounds the time in which a new member catches
+  /// up by the size of the state, whatever the history.
+  std::size_t retainedBytes = std::size_t{ 1024 } * 1024;
   /// No further entries are sent to a member while it has not acknowledged this many. The last
   /// request may exceed the limit.
   std::uint64_t maxInFlightEntries = 4096;
--- a/src/oleanderledge/consensus/SnapshotPolicy.cpp
+++ b/src/oleanderledge/consensus/SnapshotPolicy.cpp
@@ -1,5 +1,7 @@
 #include "oleanderledge/consensus/SnapshotPolicy.hpp"
 
+#include <algorithm>
+
 namespace oleanderledge {
 
 void SnapshotPolicy::OnApplied(const LogEntry& aEntry)
@@ -14,10 +16,12 @@
   this->bytesSince = 0;
 }
 
-bool SnapshotPolicy::IsDue(const RaftNode& /*aNode*/) const
+bool SnapshotPolicy::IsDue(const RaftNode& aNode) const
 {
+  const auto& newest = aNode.Log().Snapshot();
+  const std::uint64_t newestBytes = newest ? newest->content->size() : 0;
   return this->entriesSince >= this->settings.afterEntries ||
-         this->bytesSince >= this->settings.afterBytes;
+         this->bytesSince >= std::max(this->settings.afterBytes, newestBytes);
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/consensus/SnapshotPolicy.hpp
+++ b/src/oleanderledge/consensus/SnapshotPolicy.hpp
@@ -11,11 +11,13 @@
 {
   /// Number of applied entries after which a snapshot is taken.
   std::uint64_t afterEntries = 5000;
-  /// Bytes of applied commands after which a snapshot is taken.
-  std::uint64_t afterBytes = std::uint64_t{ 8 } * 1024 * 1024;
+  /// Bytes of applied commands after which a snapshot is taken, unless the newest snapshot is
+  /// larger than that: its size then takes the place of this limit.
+  std::uint64_t afterBytes = std::uint64_t{ 1024 } * 1024;
 };
 
-/// Decides when a member takes a snapshot. Performs no I/O.
+/// Decides when a member takes a snapshot. A new member receives the newest snapshot and the
+/// entries after it, so these are kept in proportion to the state. Performs no I/O.
 class SnapshotPolicy
 {
 public:
