consensus: limit the bytes on their way to a member, and send again once

Cause: a leader sent up to 4096 entries before an answer, whatever their size. On a slow connection, heartbeats waited behind up to 8 MiB: a follower that caught up had no current leader and asked for votes, and the age of its answers kept it from being promoted. What did not fit into the queue was dropped, so that the next requests were rejected; and each rejection made the leader send everything again from the index that it names, also if it answered a request from before the last such repetition.

At most 512 KiB of commands are now on their way to a member, and one request has up to 256 KiB instead of 1 MiB. A rejection of a request that was sent before the last repetition is ignored.

Evidence: a follower that lacks 9.5 MB on a connection of 2.6 MB/s was without a current leader for 690 ms, now 0; a second rejection sent the entries again, now not.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -504,7 +504,9 @@
     if (member.id == this->self || this->progress.contains(member.id)) {
       continue;
     }
-    this->progress[member.id].nextIndex = this->log.LastIndex() + 1;
+    MemberProgress& added = this->progress[member.id];
+    added.nextIndex = this->log.LastIndex() + 1;
+    added.sentFrom = added.nextIndex;
   }
   std::erase_if(this->progress, [this](const auto& aEntry) {
     return FindMember(this->Members(), aEntry.first) == nullptr;
@@ -542,6 +544,20 @@
   return aProgress.nextIndex <= this->log.BaseIndex() && this->log.Snapshot();
 }
 
+bool RaftNode::HasInFlightCapacity(const MemberProgress& aProgress) const
+{
+  if (aProgress.nextIndex > aProgress.matchIndex + this->settings.maxInFlightEntries) {
+    return false;
+  }
+  const std::uint64_t first =
+    std::max({ aProgress.matchIndex + 1, aProgress.sentFrom, this->log.BaseIndex() + 1 });
+  std::size_t bytes = 0;
+  for (std::uint64_t index = first; index < aProgress.nextIndex; ++index) {
+    bytes += this->log.EntryAt(index).command.size();
+  }
+  return bytes < this->settings.maxInFlightBytes;
+}
+
 /// Sends missing entries or a snapshot piece to a member. With `aHeartbeat`, sends a request even
 /// if nothing is missing.
 void RaftNode::ReplicateTo(const std::string& aMember,
@@ -569,12 +585,10 @@
   const Instant lastContact =
     std::max(aProgress.ackedRequestSentAt.value_or(this->leadershipStart), this->leadershipStart);
   const bool isActive = aNow - lastContact <= this->settings.electionTimeoutMax;
-  const bool hasInFlightCapacity =
-    aProgress.nextIndex <= aProgress.matchIndex + this->settings.maxInFlightEntries;
   const bool hasEntries = aProgress.nextIndex <= this->log.LastIndex();
   // A member that does not reply receives only heartbeats, so that no queue of entries builds up on
   // its link.
-  if (hasEntries && isActive && hasInFlightCapacity) {
+  if (hasEntries && isActive && this->HasInFlightCapacity(aProgress)) {
     this->SendAppend(aMember,
                      aProgress,
                      this->log.EntriesFrom(aProgress.nextIndex, this->settings.maxAppendBytes),
@@ -680,12 +694,24 @@
     member->nextIndex = std::max(member->nextIndex, member->matchIndex + 1);
     this->AdvanceCommit();
   } else {
-    const std::uint64_t hint = std::min(aReply.matchIndex + 1, member->nextIndex);
-    member->nextIndex = std::max(member->matchIndex + 1, hint);
+    this->SetBack(*member, aReply, aNow);
   }
   this->ReplicateTo(aReply.follower, *member, false, aNow);
 }
 
+void RaftNode::SetBack(MemberProgress& aProgress, const AppendReply& aReply, Instant aNow)
+{
+  const bool isOutdated =
+    aProgress.setBackAt && aReply.round > 0 && aReply.round < this->RoundAt(*aProgress.setBackAt);
+  if (isOutdated) {
+    return;
+  }
+  const std::uint64_t hint = std::min(aReply.matchIndex + 1, aProgress.nextIndex);
+  aProgress.nextIndex = std::max(aProgress.matchIndex + 1, hint);
+  aProgress.sentFrom = aProgress.nextIndex;
+  aProgress.setBackAt = aNow;
+}
+
 void RaftNode::Handle(const SnapshotReply& aReply, Instant aNow)
 {
   MemberProgress* member = this->AcceptReply(aReply, aNow);
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -29,6 +29,10 @@
 {
   std::uint64_t nextIndex = 1;  ///< Next entry to send.
   std::uint64_t matchIndex = 0; ///< Last entry known to be durable on the member.
+  /// `nextIndex` when it was last set: the entries from here on that were sent are on their way.
+  std::uint64_t sentFrom = 1;
+  /// When a rejection last set `nextIndex` back. Rejections of earlier requests say nothing new.
+  std::optional<Instant> setBackAt;
   /// Send time of the newest request that the member has replied to; empty before the first reply
   /// of the term.
   std::optional<Instant> ackedRequestSentAt;
@@ -231,6 +235,10 @@
   void SendSnapshotPiece(const std::string& aMember, MemberProgress& aProgress, Instant aNow);
   void SendEmptyAppend(const std::string& aMember, Instant aNow);
   bool NeedsSnapshot(const MemberProgress& aProgress) const;
+  /// True if further entries may be sent to a member before it acknowledges those on their way.
+  bool HasInFlightCapacity(const MemberProgress& aProgress) const;
+  /// Sends again from the index that a rejection names.
+  void SetBack(MemberProgress& aProgress, const AppendReply& aReply, Instant aNow);
   void AppendAsLeader(LogEntryKind aKind, std::string aCommand);
   void AdvanceCommit();
 
--- a/src/oleanderledge/consensus/RaftSettings.hpp
+++ b/src/oleanderledge/consensus/RaftSettings.hpp
@@ -23,7 +23,7 @@
   /// with a faster clock can vote for another leader.
   std::int64_t clockDriftPerMille = 20;
   /// Maximum bytes of commands in one AppendRequest; a single larger command is still sent.
-  std::size_t maxAppendBytes = std::size_t{ 1024 } * 1024;
+  std::size_t maxAppendBytes = std::size_t{ 256 } * 1024;
   /// Maximum bytes of snapshot content in one SnapshotRequest.
   std::size_t snapshotPieceBytes = std::size_t{ 256 } * 1024;
   /// Number of entries covered by the newest snapshot that stay in memory, so that a member that
@@ -35,6 +35,9 @@
   /// No further entries are sent to a member while it has not acknowledged this many. The last
   /// request may exceed the limit.
   std::uint64_t maxInFlightEntries = 4096;
+  /// The same for bytes of their commands. Heartbeats wait behind them: on a connection with a
+  /// window of 64 KiB and a round trip of 25 ms for 0.2 s, less than the minimum election timeout.
+  std::size_t maxInFlightBytes = std::size_t{ 512 } * 1024;
 
   /// Duration of the leader lease, counted from when the requests that a quorum confirmed were
   /// sent.
--- a/tests/consensus/CatchUpTests.cpp
+++ b/tests/consensus/CatchUpTests.cpp
@@ -47,6 +47,14 @@
   FakeGroup group{ 7, 5, 0, RaftSettings{} };
 };
 
+/// Keeps all entries in memory, so that members that lag receive no snapshots.
+RaftSettings WithoutSnapshots()
+{
+  RaftSettings settings;
+  settings.retainedBytes = SIZE_MAX;
+  return settings;
+}
+
 /// True if the member that runs on an instance votes in the committed list.
 bool IsVoting(FakeGroup& aGroup, std::size_t aInstance)
 {
@@ -97,3 +105,36 @@
   }));
   CHECK(this->group.Violation() == std::nullopt);
 }
+
+// Guards against entries that are sent again with each rejected request while they are on their
+// way, and against queues that delay heartbeats beyond the election timeout.
+TEST_CASE("LaggingFollowerOnSlowLink: receives what it lacks about once, and hears the leader")
+{
+  FakeGroup group(7, 5, 0, WithoutSnapshots());
+  group.SetExtraDelay(kDelayBetweenRegions);
+  REQUIRE(group.RunUntil(10 * kSecond, [&group] { return group.Propose(1) == 1; }));
+  group.Run(kSecond);
+  const std::size_t follower = (group.Leader().value_or(0) + 1) % 5;
+  group.Crash(follower);
+  constexpr std::size_t kLacking = 100;
+  REQUIRE(group.Propose(kLacking, kCommandBytes) == kLacking);
+  group.Run(2 * kSecond);
+  group.SetBytesPerSecond(kBytesPerSecond);
+  const std::int64_t sentBefore = group.ContentBytesSentTo(follower);
+  const std::uint64_t last = group.LastCommitted();
+  group.Restart(follower);
+  group.Run(kSecond);
+  constexpr std::int64_t kLackingBytes = kLacking * kCommandBytes;
+  std::int64_t withoutLeader = 0;
+  const std::int64_t start = group.Now();
+  while (group.AppliedIndexOf(follower) < last && group.Now() - start < 20 * kSecond) {
+    group.Run(10 * kMs);
+    const RaftNode& node = *group.Node(follower);
+    withoutLeader += node.HasCurrentLeader(group.ClockAt(follower)) ? 0 : 10 * kMs;
+  }
+  CHECK(group.AppliedIndexOf(follower) >= last);
+  CHECK(group.Now() - start < 2 * kLackingBytes * kSecond / kBytesPerSecond);
+  CHECK(group.ContentBytesSentTo(follower) - sentBefore < 2 * kLackingBytes);
+  CHECK(withoutLeader == 0);
+  CHECK(group.Violation() == std::nullopt);
+}
--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -414,6 +414,7 @@
   if (!queued) {
     return;
   }
+  this->instances[target->second].contentBytesSentTo += ContentBytes(aSend.message);
   this->network.push({ this->now + this->extraDelay + *queued + delay,
                        this->nextOrder++,
                        aInstance,
--- a/tests/consensus/FakeGroup.hpp
+++ b/tests/consensus/FakeGroup.hpp
@@ -100,6 +100,12 @@
   /// Replaces the source of random choices, so that a copy of a group takes another course.
   void Reseed(std::uint64_t aSeed) { this->random.seed(aSeed); }
 
+  /// Bytes of commands and snapshots that were sent to an instance.
+  std::int64_t ContentBytesSentTo(std::size_t aInstance) const
+  {
+    return this->instances[aInstance].contentBytesSentTo;
+  }
+
   /// Proposes commands at the current leader. Returns how many were proposed: 0 if there is no
   /// leader or it is suspended. Each command has at least `aBytes` bytes.
   std::size_t Propose(std::size_t aCount, std::size_t aBytes = 0);
@@ -173,6 +179,7 @@
     std::optional<std::pair<std::int64_t, std::int64_t>> writeTime;
     std::uint64_t appliedIndex = 0;
     std::uint64_t appliedHash = 0;
+    std::int64_t contentBytesSentTo = 0;
     bool isLeaving = false;
     SnapshotPolicy snapshotPolicy{ {} };
     std::vector<std::size_t> seeds;
--- a/tests/consensus/RaftNodeTests.cpp
+++ b/tests/consensus/RaftNodeTests.cpp
@@ -636,6 +636,28 @@
 }
 
 // Guards against a member that can never catch up because the entries that it lacks were discarded.
+// Guards against entries that are sent once more for each rejected request that was on its way.
+TEST_CASE("Rejections of requests from before the entries were sent again change nothing")
+{
+  RaftNode node = ElectedNode(FoundedState(Voters({ "a", "b", "c" })));
+  Instant now = kStart + std::chrono::seconds(1);
+  const auto heartbeatRound = [&node, &now] {
+    now += std::chrono::milliseconds(50);
+    return SentMessages<AppendRequest>(node.OnTick(now)).at(0).round;
+  };
+  const auto sentEntriesAfterRejection = [&node, &now](std::uint64_t aRound) {
+    now += std::chrono::milliseconds(1);
+    const AppendReply rejection{ node.Term(), "b", false, 0, aRound };
+    const auto requests = SentMessages<AppendRequest>(node.OnMessage(rejection, now));
+    return !requests.empty() && !requests.front().entries.empty();
+  };
+  const std::uint64_t first = heartbeatRound();
+  const std::uint64_t second = heartbeatRound();
+  CHECK(sentEntriesAfterRejection(first));
+  CHECK_FALSE(sentEntriesAfterRejection(second));
+  CHECK(sentEntriesAfterRejection(heartbeatRound()));
+}
+
 TEST_CASE("A member that lacks discarded entries receives a snapshot in several pieces")
 {
   FakeGroup group(5, 5);
