consensus: a member ignores requests for an earlier member of its instance

An instance that lost its disk and was away once more, before its new member became a voter, stayed out of the group for good: the vote of its lost predecessor was counted and nobody replaced it, so that the group bore the loss of one disk less than it should.

The leader sends to members by instance. Requests for the lost member reached its successor, which took them for its own. If the leader had removed the successor as a lost learner, the successor believed that it had a leader and did not request to join, while its pings kept the lost member in contact. A successor that was a member answered such requests under its own id; a rejection set back what the leader had on its way to it.

VoteRequest, AppendRequest and SnapshotRequest now name the member that they are for, as the last field. An earlier version ignores it; requests without it are accepted as before. The node sets it in Send and SendWhenDurable and drops requests for another member in OnMessage, before anything else.

Ruled out: founding. An initial instance that loses its disk between its request and the founding is not on the list under its new id; it has no log, requests to join, and is admitted. A removed member is sent nothing, because its progress is erased with the change of the list.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -13,6 +13,31 @@
 /// one.
 constexpr Duration kLongestExpectedWrite = std::chrono::seconds(2);
 
+/// The member id that a message is for; empty if it does not say.
+std::string_view RecipientOf(const Message& aMessage)
+{
+  return std::visit(
+    [](const auto& aValue) -> std::string_view {
+      if constexpr (requires { aValue.recipient; }) {
+        return aValue.recipient;
+      } else {
+        return {};
+      }
+    },
+    aMessage);
+}
+
+void SetRecipient(Message& aMessage, const std::string& aMember)
+{
+  std::visit(
+    [&aMember](auto& aValue) {
+      if constexpr (requires { aValue.recipient; }) {
+        aValue.recipient = aMember;
+      }
+    },
+    aMessage);
+}
+
 } // namespace
 
 RaftNode::RaftNode(std::string aSelf,
@@ -82,6 +107,12 @@
 
 RaftActions RaftNode::OnMessage(const Message& aMessage, Instant aNow)
 {
+  // Messages are routed by instance. After a lost data folder, those for the earlier member of this
+  // instance arrive here for as long as it is on the list of the sender.
+  const std::string_view recipient = RecipientOf(aMessage);
+  if (!recipient.empty() && recipient != this->self) {
+    return {};
+  }
   if (this->role == RaftRole::Leader) {
     // After the process was suspended, messages may be handled before the timer event.
     this->CheckQuorum(aNow);
@@ -963,11 +994,13 @@
 
 void RaftNode::Send(const std::string& aTo, Message aMessage)
 {
+  SetRecipient(aMessage, aTo);
   this->actions.emplace_back(SendAction{ aTo, std::move(aMessage) });
 }
 
 void RaftNode::SendWhenDurable(const std::string& aTo, Message aMessage)
 {
+  SetRecipient(aMessage, aTo);
   this->sendsAfterPersist.push_back({ aTo, std::move(aMessage) });
 }
 
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -68,7 +68,7 @@
   RaftActions Start();
   /// Runs due timers: election timeout, heartbeats and the check for a lost quorum.
   RaftActions OnTick(Instant aNow);
-  /// Handles a consensus message; ignores messages of other types.
+  /// Handles a consensus message; ignores messages of other types and for other members.
   RaftActions OnMessage(const Message& aMessage, Instant aNow);
   /// Reports that all batches up to `aSequence` are durable.
   RaftActions OnPersisted(std::uint64_t aSequence, Instant aNow);
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -510,11 +510,15 @@
   std::uint64_t lastIndex = 0;
   std::uint64_t lastTerm = 0;
   bool preVote = false; ///< Only asks whether the vote would be granted.
+  /// Member id that the request is for, which may be an earlier member of the instance that it
+  /// reaches. Empty if the sender is of an earlier version.
+  std::string recipient{};
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->term, this->candidate, this->lastIndex, this->lastTerm, this->preVote);
+    aVisitor(
+      this->term, this->candidate, this->lastIndex, this->lastTerm, this->preVote, this->recipient);
   }
 };
 
@@ -557,6 +561,7 @@
   /// and the leader computes from it how long its lease is valid.
   std::uint64_t round = 0;
   std::vector<LogEntry> entries;
+  std::string recipient{}; ///< As in VoteRequest.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -567,7 +572,8 @@
              this->previousTerm,
              this->commitIndex,
              this->round,
-             this->entries);
+             this->entries,
+             this->recipient);
   }
 };
 
@@ -599,6 +605,7 @@
   bool lastPiece = false;
   std::string data;
   std::uint64_t round = 0; ///< As in AppendRequest.
+  std::string recipient{}; ///< As in VoteRequest.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -610,7 +617,8 @@
              this->offset,
              this->lastPiece,
              this->data,
-             this->round);
+             this->round,
+             this->recipient);
   }
 };
 
--- a/tests/link/CodecTests.cpp
+++ b/tests/link/CodecTests.cpp
@@ -57,6 +57,32 @@
   CHECK(reply.refusal == VoteRefusal::Unknown);
 }
 
+// Guards against a group that loses contact while its members are updated one by one.
+TEMPLATE_TEST_CASE("A request of a version that names no recipient is accepted",
+                   "",
+                   VoteRequest,
+                   AppendRequest,
+                   SnapshotRequest)
+{
+  TestType request;
+  request.term = 3;
+  request.recipient = "m1";
+  const auto decoded = DecodeFrameBody(std::string_view(EncodeFrame(request)).substr(4));
+  REQUIRE(decoded);
+  CHECK(std::get<TestType>(decoded.value()).recipient == "m1");
+  // The earlier version encodes the same fields without the last one, which is one byte if empty.
+  request.recipient.clear();
+  std::string body = EncodeFrame(request).substr(4);
+  constexpr std::size_t kFieldCountAt = 2;
+  REQUIRE((static_cast<unsigned char>(body[kFieldCountAt]) & 0xF0U) == 0x90U);
+  --body[kFieldCountAt];
+  body.pop_back();
+  const auto earlier = DecodeFrameBody(body);
+  REQUIRE(earlier);
+  CHECK(std::get<TestType>(earlier.value()).term == 3);
+  CHECK(std::get<TestType>(earlier.value()).recipient.empty());
+}
+
 // Guards against crashes and unbounded allocation on malicious or damaged input.
 TEST_CASE("Damaged frames are rejected without a crash")
 {
