consensus: a lost member is not admitted after its successor

An instance that lost its disk twice in a row could stay without a vote for good. Both of its new members had a request to join at the leader, which admitted them in the order of their random ids. If the lost one came second, it counted as the newer member of the instance: the running one was never promoted, and its pings kept the lost one in contact, so that nothing removed it. A request that was delayed, for example in a suspended instance that forwards it, had the same effect after the running member was admitted.

Of two requests of one instance, the later one now counts, and no request is granted while another member of the instance replies (500 ms). A new member whose instance was back sooner than that waits for the rest of it.

--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -23,6 +23,10 @@
 /// silent one turns out to be lost, the learner must replace that one, which may never return.
 constexpr Duration kSilentVoterTimeout = std::chrono::milliseconds(500);
 
+/// An instance whose member has replied within this time runs that member. Shorter than most
+/// restarts take.
+constexpr Duration kRunningMemberTimeout = std::chrono::milliseconds(500);
+
 /// Leave requests are repeated every 100 ms. After the last one, the instance has stopped, and may
 /// be back as a learner that can be promoted.
 constexpr Duration kLeaveRequestLifetime = std::chrono::seconds(1);
@@ -51,6 +55,11 @@
     aRequest.memberId, aRequest.instance.id, aRequest.instance.linkAddress, false
   };
   if (!member.id.empty() && !member.linkAddress.empty()) {
+    // The instance lost its disk after the earlier request. If that one arrives later, the running
+    // member repeats its own and is added after it.
+    std::erase_if(this->pendingJoins, [&member](const auto& aEntry) {
+      return aEntry.second.member.instance == member.instance;
+    });
     this->pendingJoins[member.id] = { member, aNow };
   }
 }
@@ -112,7 +121,7 @@
     return WithReplacementCompleted(members,
                                     isInContact && !this->IsSuperseded(members, *outgoing));
   }
-  if (auto admitted = this->NextAdmission(members, aNow)) {
+  if (auto admitted = this->NextAdmission(aNode, aNow)) {
     return admitted;
   }
   const ControlMember* learner = this->FindPromotableLearner(aNode, aNow);
@@ -129,20 +138,36 @@
   return lost == nullptr ? std::nullopt : std::optional(WithoutMember(members, lost->id));
 }
 
-std::optional<std::vector<ControlMember>> GroupMaintenance::NextAdmission(
-  const std::vector<ControlMember>& aMembers,
-  Instant aNow)
+std::optional<std::vector<ControlMember>> GroupMaintenance::NextAdmission(const RaftNode& aNode,
+                                                                          Instant aNow)
 {
-  std::erase_if(this->pendingJoins, [this, aNow, &aMembers](const auto& aEntry) {
+  std::erase_if(this->pendingJoins, [this, &aNode, aNow](const auto& aEntry) {
     return aNow - aEntry.second.requestedAt > this->settings.requestLifetime ||
-           FindMember(aMembers, aEntry.first) != nullptr;
+           FindMember(aNode.Members(), aEntry.first) != nullptr;
   });
-  if (this->pendingJoins.empty()) {
-    return std::nullopt;
+  for (const auto& [id, pending] : this->pendingJoins) {
+    if (!this->RunsAnotherMember(aNode, pending.member, aNow)) {
+      std::vector<ControlMember> changed = aNode.Members();
+      changed.push_back(pending.member);
+      return changed;
+    }
   }
-  std::vector<ControlMember> changed = aMembers;
-  changed.push_back(this->pendingJoins.begin()->second.member);
-  return changed;
+  return std::nullopt;
+}
+
+bool GroupMaintenance::RunsAnotherMember(const RaftNode& aNode,
+                                         const ControlMember& aJoining,
+                                         Instant aNow) const
+{
+  return std::ranges::any_of(aNode.Members(), [&](const ControlMember& aMember) {
+    if (aMember.instance != aJoining.instance) {
+      return false;
+    }
+    const auto found = aNode.Progress().find(aMember.id);
+    return aMember.id == aNode.Self() ||
+           (found != aNode.Progress().end() && found->second.ackedRequestSentAt &&
+            aNow - *found->second.ackedRequestSentAt < kRunningMemberTimeout);
+  });
 }
 
 /// True if the instance of a member has a newer member id, which means that it lost the data folder
--- a/tests/consensus/GroupMaintenanceTests.cpp
+++ b/tests/consensus/GroupMaintenanceTests.cpp
@@ -230,6 +230,64 @@
   CHECK_FALSE(maintenance.NextChange(node, kElected + std::chrono::seconds(4)).has_value());
 }
 
+// Guards against a lost member that is admitted after its successor, because its request was
+// delayed: the successor would count as the older one and never vote.
+TEST_CASE("A request to join is not granted while another member of the instance replies")
+{
+  RaftNode node = LeaderOf(
+    { Voter("a", "1"), Voter("b", "2"), Voter("c", "3"), { "c2", "3", "127.0.0.1:3", false } });
+  GroupMaintenance maintenance = MaintenanceFor(3);
+  const auto request = [&maintenance](const char* aId, const char* aInstance, Instant aNow) {
+    JoinRequest message;
+    message.memberId = aId;
+    message.instance.id = aInstance;
+    message.instance.linkAddress = std::string("127.0.0.1:") + aInstance;
+    maintenance.OnJoinRequest(message, aNow);
+  };
+  const Instant now = kElected + std::chrono::milliseconds(100);
+  Confirm(node, { "b", "c2" }, now);
+  request("c1", "3", now);
+  request("a0", "1", now);
+  CHECK_FALSE(maintenance.NextChange(node, now).has_value());
+  // Others are admitted meanwhile.
+  request("d", "4", now);
+  const auto others = maintenance.NextChange(node, now);
+  REQUIRE(others);
+  CHECK(FindMember(*others, "d") != nullptr);
+  CHECK(FindMember(*others, "c1") == nullptr);
+  CHECK(FindMember(*others, "a0") == nullptr);
+  // "c2" does not reply any more: its instance may have lost its disk again.
+  const Instant later = now + std::chrono::milliseconds(600);
+  request("c3", "3", later);
+  const auto changed = maintenance.NextChange(node, later);
+  REQUIRE(changed);
+  CHECK(FindMember(*changed, "c3") != nullptr);
+}
+
+// Guards against the same when neither member is on the list yet.
+TEST_CASE("Of two requests of one instance to join, the later one counts")
+{
+  for (const auto& [earlier, later] : { std::pair("d1", "d2"), std::pair("d2", "d1") }) {
+    RaftNode node = LeaderOf({ Voter("a", "1"), Voter("b", "2"), Voter("c", "3") });
+    GroupMaintenance maintenance = MaintenanceFor(3);
+    for (const char* id : { earlier, later }) {
+      JoinRequest request;
+      request.memberId = id;
+      request.instance.id = "4";
+      request.instance.linkAddress = "127.0.0.1:4";
+      maintenance.OnJoinRequest(request, kElected);
+    }
+    const auto changed = maintenance.NextChange(node, kElected);
+    REQUIRE(changed);
+    CHECK(FindMember(*changed, later) != nullptr);
+    CHECK(FindMember(*changed, earlier) == nullptr);
+    node.ChangeMembers(1, *changed, kElected);
+    node.OnPersisted(101, kElected);
+    Confirm(node, { "b", "c" }, kElected);
+    CHECK_FALSE(maintenance.NextChange(node, kElected).has_value());
+  }
+}
+
 // Guards against a member that stops requesting to join although another leader discarded its
 // admission: requests of that leader still arrive, addressed to an earlier identity of its
 // instance.
--- a/tests/consensus/MemberIdentityTests.cpp
+++ b/tests/consensus/MemberIdentityTests.cpp
@@ -231,3 +231,29 @@
     CHECK(group.Violation() == std::nullopt);
   }
 }
+
+// Guards against a lost member that is admitted after its successor: it counts as the newer one,
+// and the pings of the instance keep it in contact for good.
+TEST_CASE("An instance that loses its disk twice in a row gets its vote back")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    // After nine founders, the second of two new member ids, "m10", is sorted before the first.
+    FakeGroup group(seed, 9);
+    REQUIRE(WaitForLeader(group));
+    group.Run(kSecond);
+    const std::size_t lost = (*group.Leader() + 1) % 9;
+    group.Freeze(*group.Leader(), 250 * kMs);
+    for (int loss = 0; loss < 2; ++loss) {
+      group.LoseDisk(lost);
+      group.Run(50 * kMs);
+      group.Restart(lost);
+      group.Run(50 * kMs);
+    }
+    REQUIRE(group.Node(lost)->Self() == "m10");
+    group.RunUntil(kCatchUp, [&group] { return group.BearableDiskLosses() == 4; });
+    INFO(group.DescribeMembers());
+    CHECK(group.BearableDiskLosses() == 4);
+    CHECK(group.Violation() == std::nullopt);
+  }
+}
