tests, consensus: a successor that is lost around its promotion

A learner whose last reply is up to 1 s old is promoted, so it may be gone already. The case lets the successor of a lost founder stop, lose its disk, be cut off, or be replaced in its turn, at random times around its promotion: one vote is missing at most, and none 4 s after it or its own successor is back.

--- a/tests/consensus/MemberIdentityTests.cpp
+++ b/tests/consensus/MemberIdentityTests.cpp
@@ -257,3 +257,58 @@
     CHECK(group.Violation() == std::nullopt);
   }
 }
+
+// Guards against a learner that is lost around its promotion and then costs the group a second
+// vote: replies of the last second count, so it may be promoted when it is gone already.
+TEST_CASE("A successor that is lost around its promotion costs one vote, and that for 4 s")
+{
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto upTo = [&random](std::int64_t aLongest) {
+      return static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(aLongest));
+    };
+    FakeGroup group(seed, 5, 2);
+    group.UseLinks(5);
+    for (std::size_t at = 0; at < 7; ++at) {
+      group.SetSeeds(at, { 0, 1, 2, 3, 4 });
+    }
+    REQUIRE(WaitForLeader(group));
+    group.Run(kSecond);
+    // One of the founders never returns. Its successor, instance 5, is lost soon after its start.
+    constexpr std::size_t kSuccessor = 5;
+    constexpr std::size_t kSecondSuccessor = 6;
+    group.Crash(random() % 5);
+    group.Run(upTo(2 * kSecond));
+    group.Restart(kSuccessor);
+    group.Run(upTo(2500 * kMs));
+    const std::int64_t outage = random() % 2 == 0 ? upTo(13 * kSecond) : upTo(2500 * kMs);
+    const auto kind = random() % 4;
+    std::size_t returning = kSuccessor;
+    if (kind == 0) {
+      group.LoseDisk(kSuccessor);
+    } else if (kind == 1) {
+      group.Crash(kSuccessor);
+    } else if (kind == 2) {
+      group.LoseDisk(kSuccessor);
+      returning = kSecondSuccessor;
+    } else {
+      group.Isolate(kSuccessor);
+    }
+    int fewest = group.BearableDiskLosses();
+    const auto run = [&group, &fewest](std::int64_t aTime, auto aCondition) {
+      for (std::int64_t left = aTime; left > 0 && !aCondition(); left -= 10 * kMs) {
+        group.Run(10 * kMs);
+        fewest = std::min(fewest, group.BearableDiskLosses());
+      }
+    };
+    run(outage, [] { return false; });
+    group.HealNetwork();
+    group.Restart(returning);
+    run(kCatchUp, [&group] { return group.BearableDiskLosses() == 2; });
+    INFO("seed " << seed << " kind " << kind << " outage " << outage << "\n"
+                 << group.DescribeMembers());
+    CHECK(group.BearableDiskLosses() == 2);
+    CHECK(fewest >= 1);
+    CHECK(group.Violation() == std::nullopt);
+  }
+}
