consensus: E1303 and E1308 name member ids, E1308 says why

What operators saw: E1303 and E1308 list instances. An instance that lost its data folder is on the list twice, or under a new member id, and the lines look the same. Why a voter was replaced, or was not, had to be read from the code.

E1308 has the reason of the change, which GroupMaintenance returns beside the list (ChangeReason()); the lists that NextChange() returns are unchanged.

--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -49,6 +49,31 @@
 
 } // namespace
 
+std::string_view ToString(MembershipChangeReason aReason)
+{
+  switch (aReason) {
+    case MembershipChangeReason::Joined:
+      return "joined";
+    case MembershipChangeReason::ReplacementCompleted:
+      return "replacement_completed";
+    case MembershipChangeReason::MissingVoter:
+      return "missing_voter";
+    case MembershipChangeReason::OwnVote:
+      return "own_vote";
+    case MembershipChangeReason::SupersededVoter:
+      return "superseded_voter";
+    case MembershipChangeReason::LostVoter:
+      return "lost_voter";
+    case MembershipChangeReason::LeavingVoter:
+      return "leaving_voter";
+    case MembershipChangeReason::LostLearner:
+      return "lost_learner";
+    case MembershipChangeReason::None:
+      break;
+  }
+  return "none";
+}
+
 void GroupMaintenance::OnJoinRequest(const JoinRequest& aRequest, Instant aNow)
 {
   const ControlMember member{
@@ -113,6 +138,7 @@
   });
   const std::vector<ControlMember>& members = aNode.Members();
   if (IsReplacementInProgress(members)) {
+    this->changeReason = MembershipChangeReason::ReplacementCompleted;
     const auto outgoing =
       std::ranges::find(members, ReplacementPart::Outgoing, &ControlMember::replacement);
     // As a learner, a member that leaves hears that it does not vote any more.
@@ -122,20 +148,27 @@
                                     isInContact && !this->IsSuperseded(members, *outgoing));
   }
   if (auto admitted = this->NextAdmission(aNode, aNow)) {
+    this->changeReason = MembershipChangeReason::Joined;
     return admitted;
   }
   const ControlMember* learner = this->FindPromotableLearner(aNode, aNow);
   if (learner != nullptr && CountVoters(members) < this->settings.targetVoterCount) {
+    this->changeReason = MembershipChangeReason::MissingVoter;
     return WithPromotedMember(members, learner->id);
   }
   const ControlMember* replaced = this->FindVoterToReplace(aNode, aNow);
   // A group that has more voters than the target is left alone: the target may be set too low.
   const bool isReplaceable = CountVoters(members) <= this->settings.targetVoterCount;
   if (learner != nullptr && replaced != nullptr && isReplaceable) {
+    this->changeReason = this->ReasonToReplace(aNode, *replaced, *learner, aNow);
     return WithReplacementStarted(members, replaced->id, learner->id);
   }
   const ControlMember* lost = this->FindLostLearner(aNode, aNow);
-  return lost == nullptr ? std::nullopt : std::optional(WithoutMember(members, lost->id));
+  if (lost == nullptr) {
+    return std::nullopt;
+  }
+  this->changeReason = MembershipChangeReason::LostLearner;
+  return WithoutMember(members, lost->id);
 }
 
 std::optional<std::vector<ControlMember>> GroupMaintenance::NextAdmission(const RaftNode& aNode,
@@ -268,6 +301,26 @@
   return leaving;
 }
 
+MembershipChangeReason GroupMaintenance::ReasonToReplace(const RaftNode& aNode,
+                                                         const ControlMember& aReplaced,
+                                                         const ControlMember& aLearner,
+                                                         Instant aNow) const
+{
+  if (aReplaced.instance == aLearner.instance) {
+    return MembershipChangeReason::OwnVote;
+  }
+  // Contact with the own member is not recorded.
+  if (aReplaced.id == aNode.Self()) {
+    return MembershipChangeReason::LeavingVoter;
+  }
+  const Duration sinceContact = this->TimeSinceContact(aNode, aReplaced.id, aNow);
+  if (this->IsSuperseded(aNode.Members(), aReplaced) && sinceContact > kSupersededVoterTimeout) {
+    return MembershipChangeReason::SupersededVoter;
+  }
+  return sinceContact > this->settings.lostVoterTimeout ? MembershipChangeReason::LostVoter
+                                                        : MembershipChangeReason::LeavingVoter;
+}
+
 const ControlMember* GroupMaintenance::FindLostLearner(const RaftNode& aNode, Instant aNow)
 {
   const ControlMember* lost = nullptr;
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -3,10 +3,12 @@
 #include "oleanderledge/consensus/RaftNode.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oleanderledge {
@@ -31,6 +33,22 @@
   Duration leaderlessTimeout = std::chrono::seconds(1);
 };
 
+/// Why the leader changes the list of members, for log lines.
+enum class MembershipChangeReason : std::uint8_t
+{
+  None,
+  Joined,               ///< A member requested to join.
+  ReplacementCompleted, ///< A replacement in progress ends.
+  MissingVoter,         ///< The group has fewer voters than it should have.
+  OwnVote,              ///< A learner takes over the vote of an earlier member of its instance.
+  SupersededVoter,      ///< A voter whose instance has a newer member id; another learner is ready.
+  LostVoter,            ///< A voter has not replied for too long.
+  LeavingVoter,         ///< A voter is about to stop.
+  LostLearner,          ///< A learner has not replied for too long.
+};
+
+std::string_view ToString(MembershipChangeReason aReason);
+
 /// Decides on membership changes, without I/O. At the leader: admits members that request to join,
 /// replaces voters that leave or are lost by learners that have caught up, and removes lost
 /// learners and members whose instance has a newer member id. At any member: decides when to
@@ -71,6 +89,8 @@
   /// The next list of members to propose, if any. Empty unless this member leads and no change is
   /// pending.
   std::optional<std::vector<ControlMember>> NextChange(const RaftNode& aNode, Instant aNow);
+  /// Why NextChange() returned a list, when it last did.
+  MembershipChangeReason ChangeReason() const { return this->changeReason; }
 
 private:
   struct PendingJoin
@@ -96,10 +116,16 @@
   const ControlMember* FindPromotableLearner(const RaftNode& aNode, Instant aNow) const;
   /// The voter to replace next, or null.
   const ControlMember* FindVoterToReplace(const RaftNode& aNode, Instant aNow) const;
+  /// Why FindVoterToReplace() returned `aReplaced`, and `aLearner` takes over its vote.
+  MembershipChangeReason ReasonToReplace(const RaftNode& aNode,
+                                         const ControlMember& aReplaced,
+                                         const ControlMember& aLearner,
+                                         Instant aNow) const;
   /// The learner to remove next, or null.
   const ControlMember* FindLostLearner(const RaftNode& aNode, Instant aNow);
 
   GroupMaintenanceSettings settings;
+  MembershipChangeReason changeReason = MembershipChangeReason::None;
   Instant leadershipStart{};
   /// Last contact of each other member, or when it was first listed, by member id.
   std::map<std::string, Instant, std::less<>> contactAt;
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -22,7 +22,8 @@
 {
   std::string text;
   for (const ControlMember& member : aMembers) {
-    text += (text.empty() ? "" : ",") + member.instance + (member.voter ? ":voter" : ":learner");
+    text +=
+      (text.empty() ? "" : ",") + DescribeMember(member) + (member.voter ? ":voter" : ":learner");
     if (member.replacement != ReplacementPart::None) {
       text += member.replacement == ReplacementPart::Incoming ? "/incoming" : "/outgoing";
     }
@@ -300,7 +301,9 @@
     return;
   }
   if (const auto members = this->maintenance.NextChange(*this->node, MonotonicNow())) {
-    WriteLog(LogEvent::MembershipChangeStarted, "members=" + FormatMembers(*members));
+    WriteLog(LogEvent::MembershipChangeStarted,
+             "reason=" + std::string(ToString(this->maintenance.ChangeReason())) +
+               " members=" + FormatMembers(*members));
     this->ChangeMembers(*members, [](const Result<std::uint64_t>&) {});
   }
 }
