consensus: the leader logs learners that wait and voters that do not answer; two gauges

GroupMaintenance::ObstacleOf() repeats the conditions of FindPromotableLearner(), so that no decision depends on log lines.

New gauges of the leader: oleanderledge_control_voters_answering and oleanderledge_control_voter_lag_entries.

--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -35,6 +35,9 @@
   LeaderMissing = 1309,
   LeaderUnconfirmed = 1310,
   LeaderFollowed = 1311,
+  LearnerWaiting = 1312,
+  VoterContactLost = 1313,
+  VoterContactRestored = 1314,
   // 1400: storage.
   TornRecordCut = 1401,
   StorageFailed = 1402,
--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -74,6 +74,25 @@
   return "none";
 }
 
+std::string_view ToString(PromotionObstacle aObstacle)
+{
+  switch (aObstacle) {
+    case PromotionObstacle::Lag:
+      return "lag";
+    case PromotionObstacle::NoContact:
+      return "no_contact";
+    case PromotionObstacle::EarlierVote:
+      return "earlier_vote";
+    case PromotionObstacle::Superseded:
+      return "superseded";
+    case PromotionObstacle::Leaving:
+      return "leaving";
+    case PromotionObstacle::None:
+      break;
+  }
+  return "none";
+}
+
 void GroupMaintenance::OnJoinRequest(const JoinRequest& aRequest, Instant aNow)
 {
   const ControlMember member{
@@ -301,6 +320,45 @@
   return leaving;
 }
 
+bool GroupMaintenance::CouldTakeVote(const RaftNode& aNode,
+                                     const ControlMember& aLearner,
+                                     Instant aNow) const
+{
+  const std::vector<ControlMember>& members = aNode.Members();
+  const bool hasEarlierVote = std::ranges::any_of(members, [&](const ControlMember& aMember) {
+    return aMember.voter && aMember.instance == aLearner.instance;
+  });
+  const std::size_t voters = CountVoters(members);
+  return hasEarlierVote || voters < this->settings.targetVoterCount ||
+         (voters == this->settings.targetVoterCount &&
+          this->FindVoterToReplace(aNode, aNow) != nullptr);
+}
+
+/// Must name an obstacle exactly if FindPromotableLearner() does not consider the learner.
+PromotionObstacle GroupMaintenance::ObstacleOf(const RaftNode& aNode,
+                                               const ControlMember& aLearner,
+                                               Instant aNow) const
+{
+  if (this->leaveRequestedAt.contains(aLearner.id)) {
+    return PromotionObstacle::Leaving;
+  }
+  if (this->IsSuperseded(aNode.Members(), aLearner)) {
+    return PromotionObstacle::Superseded;
+  }
+  const auto found = aNode.Progress().find(aLearner.id);
+  const bool isInContact = found != aNode.Progress().end() && found->second.ackedRequestSentAt &&
+                           aNow - *found->second.ackedRequestSentAt < kLearnerContactTimeout;
+  if (!isInContact) {
+    return PromotionObstacle::NoContact;
+  }
+  const std::uint64_t match = found->second.matchIndex;
+  if (match == 0 || match + this->settings.maxPromotionLagEntries < aNode.Log().LastIndex()) {
+    return PromotionObstacle::Lag;
+  }
+  return this->MustWaitForOwnVote(aNode, aLearner, aNow) ? PromotionObstacle::EarlierVote
+                                                         : PromotionObstacle::None;
+}
+
 MembershipChangeReason GroupMaintenance::ReasonToReplace(const RaftNode& aNode,
                                                          const ControlMember& aReplaced,
                                                          const ControlMember& aLearner,
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -49,6 +49,19 @@
 
 std::string_view ToString(MembershipChangeReason aReason);
 
+/// Why a learner is not promoted, for log lines.
+enum class PromotionObstacle : std::uint8_t
+{
+  None,
+  Lag,         ///< It stores too little of the log.
+  NoContact,   ///< It has not replied for too long.
+  EarlierVote, ///< An earlier member of its instance still votes and may be in contact.
+  Superseded,  ///< Its instance has a newer member id.
+  Leaving,     ///< It is about to stop.
+};
+
+std::string_view ToString(PromotionObstacle aObstacle);
+
 /// Decides on membership changes, without I/O. At the leader: admits members that request to join,
 /// replaces voters that leave or are lost by learners that have caught up, and removes lost
 /// learners and members whose instance has a newer member id. At any member: decides when to
@@ -92,6 +105,14 @@
   /// Why NextChange() returned a list, when it last did.
   MembershipChangeReason ChangeReason() const { return this->changeReason; }
 
+  /// For log lines of the leader: true if a learner could take over a vote. One is missing or to be
+  /// replaced, or belongs to an earlier member of the instance of the learner.
+  bool CouldTakeVote(const RaftNode& aNode, const ControlMember& aLearner, Instant aNow) const;
+  /// For log lines of the leader: the condition of a promotion that a learner does not meet.
+  PromotionObstacle ObstacleOf(const RaftNode& aNode,
+                               const ControlMember& aLearner,
+                               Instant aNow) const;
+
 private:
   struct PendingJoin
   {
--- a/src/oleanderledge/consensus/consensus.hpp
+++ b/src/oleanderledge/consensus/consensus.hpp
@@ -15,4 +15,5 @@
 #include "oleanderledge/consensus/RaftNode.hpp"
 #include "oleanderledge/consensus/RaftSettings.hpp"
 #include "oleanderledge/consensus/ReplicatedLog.hpp"
+#include "oleanderledge/consensus/ReplicationWatch.hpp"
 #include "oleanderledge/consensus/SnapshotPolicy.hpp"
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.cpp
@@ -293,6 +293,10 @@
   if (status) {
     WriteLog(status->event, status->detail);
   }
+  for (const LeaderWatch::Status& line :
+       this->replicationWatch.Observe(*this->node, this->maintenance, this->contacts, aNow)) {
+    WriteLog(line.event, line.detail);
+  }
 }
 
 void ConsensusDriver::ProposeMembershipChange()
--- a/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
+++ b/src/oleanderledge/consensus/internal/ConsensusDriver.hpp
@@ -171,6 +171,7 @@
   GroupMaintenance maintenance;
   MemberContacts contacts;
   LeaderWatch leaderWatch;
+  ReplicationWatch replicationWatch;
   std::unique_ptr<MemberStorage> storage;
   std::unique_ptr<StorageWriter> writer; ///< Uses `storage`.
   std::optional<RaftNode> node;
--- a/src/oleanderledge/control/internal/ConsensusControlGroup.hpp
+++ b/src/oleanderledge/control/internal/ConsensusControlGroup.hpp
@@ -23,6 +23,11 @@
   void Stop() override { this->driver.Stop(); }
   ReplicatedLog& Log() override { return this->driver; }
   const ReplicatedLog& Log() const override { return this->driver; }
+  VoterHealth Voters(Instant aNow) const override
+  {
+    const RaftNode* node = this->driver.Node();
+    return node == nullptr ? VoterHealth{} : VoterHealthOf(*node, aNow);
+  }
   void SetPeerAddresses(std::vector<std::string> aAddresses) override
   {
     this->driver.SetPeerAddresses(std::move(aAddresses));
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -257,11 +257,14 @@
     waiting += record.row.phase == FailoverPhase::Waiting ? 1 : 0;
     unsteady += record.row.phase != FailoverPhase::Steady ? 1 : 0;
   }
+  const VoterHealth voters = this->group->Voters(MonotonicNow());
   return line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
          line("current_leader", "gauge", this->Log().HasCurrentLeader(MonotonicNow()) ? 1 : 0) +
          line("configuration_number", "gauge", this->state.Routes().Number()) +
          line("term", "gauge", this->Log().Term()) +
          line("applied_index", "gauge", this->Log().AppliedIndex()) +
+         line("voters_answering", "gauge", voters.answering) +
+         line("voter_lag_entries", "gauge", voters.furthestLag) +
          line("directory_version", "gauge", this->state.DirectoryVersion()) +
          line("connected_proxies", "gauge", this->publisher->ConnectedProxyCount()) +
          line("databases", "gauge", this->state.Databases().Records().size()) +
--- a/src/oleanderledge/control/internal/ControlGroup.hpp
+++ b/src/oleanderledge/control/internal/ControlGroup.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/consensus/ReplicatedLog.hpp"
+#include "oleanderledge/consensus/ReplicationWatch.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
 #include <functional>
@@ -31,6 +32,8 @@
   virtual void Stop() = 0;
   virtual ReplicatedLog& Log() = 0;
   virtual const ReplicatedLog& Log() const = 0;
+  /// For metrics: the voters, if this member leads.
+  virtual VoterHealth Voters(Instant /*aNow*/) const { return {}; }
   /// Replaces the link addresses ("ip:port") at which this member looks for other control
   /// instances.
   virtual void SetPeerAddresses(std::vector<std::string> aAddresses) = 0;
