consensus: one place has the conditions of a promotion

FindPromotableLearner() repeated what ObstacleOf() says for the log lines. It now asks ObstacleOf(); the conditions are the same. ReplicationWatchTests, GroupMaintenanceTests and the histories guard them.

--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -266,17 +266,11 @@
   const ControlMember* best = nullptr;
   std::uint64_t bestMatch = 0;
   for (const ControlMember& member : aNode.Members()) {
-    const auto found = aNode.Progress().find(member.id);
-    if (member.voter || found == aNode.Progress().end() || !found->second.ackedRequestSentAt ||
-        this->IsSuperseded(aNode.Members(), member) || this->leaveRequestedAt.contains(member.id) ||
-        this->MustWaitForOwnVote(aNode, member, aNow)) {
+    if (member.voter || this->ObstacleOf(aNode, member, aNow) != PromotionObstacle::None) {
       continue;
     }
-    const std::uint64_t match = found->second.matchIndex;
-    const bool isReady = match + this->settings.maxPromotionLagEntries >= aNode.Log().LastIndex() &&
-                         match > 0 &&
-                         aNow - *found->second.ackedRequestSentAt < kLearnerContactTimeout;
-    if (isReady && match > bestMatch) {
+    const std::uint64_t match = aNode.Progress().at(member.id).matchIndex;
+    if (match > bestMatch) {
       best = &member;
       bestMatch = match;
     }
@@ -334,7 +328,6 @@
           this->FindVoterToReplace(aNode, aNow) != nullptr);
 }
 
-/// Must name an obstacle exactly if FindPromotableLearner() does not consider the learner.
 PromotionObstacle GroupMaintenance::ObstacleOf(const RaftNode& aNode,
                                                const ControlMember& aLearner,
                                                Instant aNow) const
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -49,7 +49,7 @@
 
 std::string_view ToString(MembershipChangeReason aReason);
 
-/// Why a learner is not promoted, for log lines.
+/// Why a learner cannot be promoted.
 enum class PromotionObstacle : std::uint8_t
 {
   None,
@@ -108,7 +108,7 @@
   /// For log lines of the leader: true if a learner could take over a vote. One is missing or to be
   /// replaced, or belongs to an earlier member of the instance of the learner.
   bool CouldTakeVote(const RaftNode& aNode, const ControlMember& aLearner, Instant aNow) const;
-  /// For log lines of the leader: the condition of a promotion that a learner does not meet.
+  /// The condition of a promotion that a learner does not meet, at the leader.
   PromotionObstacle ObstacleOf(const RaftNode& aNode,
                                const ControlMember& aLearner,
                                Instant aNow) const;
