consensus: entries that have arrived at a member don't count as on their way

What callers saw: with slow writes, changes were committed seconds late, and later with each further change.

Cause: replies to entries come only once these are durable, so that the limit on the bytes on their way also counted entries that waited for the disk of the member. Each write stored at most about 512 KiB.

A heartbeat is answered at once. If it matches, all entries that were sent before it have arrived, and the limit counts from there on.

--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -635,6 +635,10 @@
                           Instant aNow)
 {
   const std::uint64_t previous = aProgress.nextIndex - 1;
+  if (aEntries.empty() && aProgress.probeRound == 0) {
+    aProgress.probeRound = this->RoundAt(aNow);
+    aProgress.probeIndex = aProgress.nextIndex;
+  }
   aProgress.nextIndex += aEntries.size();
   this->Send(aMember,
              AppendRequest{ this->hardState.term,
@@ -723,6 +727,10 @@
   if (aReply.success) {
     member->matchIndex = std::max(member->matchIndex, aReply.matchIndex);
     member->nextIndex = std::max(member->nextIndex, member->matchIndex + 1);
+    if (member->probeRound > 0 && aReply.round >= member->probeRound) {
+      member->sentFrom = std::max(member->sentFrom, member->probeIndex);
+      member->probeRound = 0;
+    }
     this->AdvanceCommit();
   } else {
     this->SetBack(*member, aReply, aNow);
@@ -741,6 +749,7 @@
   aProgress.nextIndex = std::max(aProgress.matchIndex + 1, hint);
   aProgress.sentFrom = aProgress.nextIndex;
   aProgress.setBackAt = aNow;
+  aProgress.probeRound = 0;
 }
 
 void RaftNode::Handle(const SnapshotReply& aReply, Instant aNow)
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -29,8 +29,13 @@
 {
   std::uint64_t nextIndex = 1;  ///< Next entry to send.
   std::uint64_t matchIndex = 0; ///< Last entry known to be durable on the member.
-  /// `nextIndex` when it was last set: the entries from here on that were sent are on their way.
+  /// The entries before this one have arrived at the member or are not sent. Those from here on up
+  /// to `nextIndex` are on their way.
   std::uint64_t sentFrom = 1;
+  /// Round and `nextIndex` of a heartbeat that tells how far the entries have arrived; round 0 if
+  /// none is awaited. Replies to entries come only once these are durable.
+  std::uint64_t probeRound = 0;
+  std::uint64_t probeIndex = 0;
   /// When a rejection last set `nextIndex` back. Rejections of earlier requests say nothing new.
   std::optional<Instant> setBackAt;
   /// Send time of the newest request that the member has replied to; empty before the first reply
--- a/src/oleanderledge/consensus/RaftSettings.hpp
+++ b/src/oleanderledge/consensus/RaftSettings.hpp
@@ -35,8 +35,9 @@
   /// No further entries are sent to a member while it has not acknowledged this many. The last
   /// request may exceed the limit.
   std::uint64_t maxInFlightEntries = 4096;
-  /// The same for bytes of their commands. Heartbeats wait behind them: on a connection with a
-  /// window of 64 KiB and a round trip of 25 ms for 0.2 s, less than the minimum election timeout.
+  /// The same for bytes of the commands of entries that have not arrived. Heartbeats wait behind
+  /// them: on a connection with a window of 64 KiB and a round trip of 25 ms for 0.2 s, less than
+  /// the minimum election timeout.
   std::size_t maxInFlightBytes = std::size_t{ 512 } * 1024;
 
   /// Duration of the leader lease, counted from when the requests that a quorum confirmed were
--- a/tests/consensus/SlowWriteTests.cpp
+++ b/tests/consensus/SlowWriteTests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace oleanderledge;
 
 namespace {
@@ -238,3 +240,30 @@
   CHECK(staleMs == 0);
   CHECK_FALSE(group.Violation());
 }
+
+// Guards against a limit on the entries on their way that also counts those that have arrived and
+// wait for the disk: commits then fall behind the changes for good.
+TEST_CASE("Changes of the configuration are committed within 3 s while writes take up to 1 s")
+{
+  constexpr std::size_t kCount = 5;
+  constexpr std::size_t kCommandBytes = 95'000;
+  constexpr std::int64_t kInterval = 150 * FakeGroup::kMillisecond;
+  constexpr std::int64_t kApply = 3 * kSecond;
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4);
+  INFO("seed " << seed);
+  FakeGroup group(seed, kCount, 0, RaftSettings{});
+  REQUIRE(WaitForLeader(group, 10 * kSecond));
+  for (std::size_t at = 0; at < kCount; ++at) {
+    group.SetWriteTime(at, kSecond / 2, kSecond);
+  }
+  const std::uint64_t first = group.Node(*group.Leader())->Log().LastIndex();
+  std::uint64_t late = 0;
+  for (std::uint64_t round = 1; round <= 130; ++round) {
+    REQUIRE(group.Propose(1, kCommandBytes) == 1);
+    group.Run(kInterval);
+    const std::uint64_t due = first + round - std::min<std::uint64_t>(round, kApply / kInterval);
+    late += group.LastCommitted() < due ? 1 : 0;
+  }
+  CHECK(late == 0);
+  CHECK_FALSE(group.Violation());
+}
