--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -602,9 +602,11 @@
       aProgress.snapshotIndex = this->log.Snapshot()->lastIndex;
       aProgress.snapshotOffset = 0;
     }
-    // A piece is resent only after a timeout: resending a large piece with each heartbeat would
-    // saturate a slow link.
-    const bool isOverdue = aNow - aProgress.snapshotPieceSentAt > this->settings.electionTimeoutMin;
+    // A piece is resent only after a timeout, and if a later heartbeat was answered: the piece is
+    // then not waiting in the queue of a slow link, which resending would saturate.
+    const bool isOverdue =
+      aNow - aProgress.snapshotPieceSentAt > this->settings.electionTimeoutMin &&
+      aProgress.ackedRequestSentAt > aProgress.snapshotPieceSentAt;
     if (isNew || isOverdue) {
       this->SendSnapshotPiece(aMember, aProgress, aNow);
     } else if (aHeartbeat) {
