--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -575,6 +575,15 @@
   return aProgress.nextIndex <= this->log.BaseIndex() && this->log.Snapshot();
 }
 
+bool RaftNode::IsSendingSnapshot() const
+{
+  return std::ranges::any_of(this->progress, [this](const auto& aEntry) {
+    const MemberProgress& each = aEntry.second;
+    return each.snapshotIndex > 0 && each.ackedRequestSentAt &&
+           this->lastEventAt - *each.ackedRequestSentAt <= this->settings.electionTimeoutMax;
+  });
+}
+
 bool RaftNode::HasInFlightCapacity(const MemberProgress& aProgress) const
 {
   if (aProgress.nextIndex > aProgress.matchIndex + this->settings.maxInFlightEntries) {
--- a/src/oleanderledge/consensus/RaftNode.hpp
+++ b/src/oleanderledge/consensus/RaftNode.hpp
@@ -142,6 +142,8 @@
   {
     return this->progress;
   }
+  /// True if this member leads and transfers a snapshot to a member that replies.
+  bool IsSendingSnapshot() const;
 
 private:
   /// A message that is sent once the batch `sequence` is durable.
--- a/src/oleanderledge/consensus/SnapshotPolicy.cpp
+++ b/src/oleanderledge/consensus/SnapshotPolicy.cpp
@@ -4,6 +4,14 @@
 
 namespace oleanderledge {
 
+namespace {
+
+/// A snapshot that is due waits for a transfer of the previous one until the log after that has
+/// this many times the usual size.
+constexpr std::uint64_t kMaxPostponement = 4;
+
+} // namespace
+
 void SnapshotPolicy::OnApplied(const LogEntry& aEntry)
 {
   ++this->entriesSince;
@@ -20,8 +28,10 @@
 {
   const auto& newest = aNode.Log().Snapshot();
   const std::uint64_t newestBytes = newest ? newest->content->size() : 0;
-  return this->entriesSince >= this->settings.afterEntries ||
-         this->bytesSince >= std::max(this->settings.afterBytes, newestBytes);
+  // A new snapshot ends the transfer of the previous one, which would start again from 0.
+  const std::uint64_t factor = aNode.IsSendingSnapshot() ? kMaxPostponement : 1;
+  return this->entriesSince >= factor * this->settings.afterEntries ||
+         this->bytesSince >= factor * std::max(this->settings.afterBytes, newestBytes);
 }
 
 } // namespace oleanderledge
--- a/tests/consensus/CatchUpTests.cpp
+++ b/tests/consensus/CatchUpTests.cpp
@@ -138,3 +138,35 @@
   CHECK(withoutLeader == 0);
   CHECK(group.Violation() == std::nullopt);
 }
+
+// Guards against pieces of a snapshot that are sent again while they are on their way: they fill
+// the connection, so that the transfer takes ever longer and may never end.
+TEST_CASE("GroupWithLargeState: the instance votes again in the catch-up time on a slow connection")
+{
+  constexpr std::size_t kLargeState = 2'000'000;
+  constexpr std::int64_t kSlow = kBytesPerSecond / 2;
+  const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4);
+  INFO("seed " << seed);
+  FakeGroup group(seed, 5, 0, RaftSettings{});
+  const auto changeFor = [&group](std::int64_t aMicroseconds) {
+    for (const std::int64_t end = group.Now() + aMicroseconds; group.Now() < end;) {
+      group.Propose(1, kCommandBytes);
+      group.Run(150 * kMs);
+    }
+  };
+  group.SetExtraDelay(kDelayBetweenRegions);
+  group.SetStateBytes(kLargeState);
+  REQUIRE(group.RunUntil(10 * kSecond, [&group] { return group.Propose(1) == 1; }));
+  changeFor(10 * kSecond);
+  group.SetBytesPerSecond(kSlow);
+  changeFor(2 * kSecond);
+  const std::size_t lost = (group.Leader().value_or(0) + 1) % 5;
+  group.LoseDisk(lost);
+  changeFor(kSecond);
+  group.Restart(lost);
+  const std::int64_t sentBefore = group.ContentBytesSentTo(lost);
+  changeFor(kCatchUp);
+  CHECK(IsVoting(group, lost));
+  CHECK(group.ContentBytesSentTo(lost) - sentBefore < kCatchUp / kSecond * kSlow);
+  CHECK(group.Violation() == std::nullopt);
+}
