consensus: an instance that is heard keeps only the member that replies

Cause: whatever arrived from an instance counted as a contact with the member that was added last, also if another member of the instance replied.

The leader now counts it only for members without another one of the instance that has replied within 500 ms, so that the lost one is removed after lostLearnerTimeout (10 s).

--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -125,9 +125,10 @@
   for (const ControlMember& member : aNode.Members()) {
     const auto known = this->contactAt.find(member.id);
     Instant contact = known == this->contactAt.end() ? aNow : known->second;
-    // What arrives from an instance with a newer member id says nothing of the older one.
-    const auto heard =
-      this->IsSuperseded(aNode.Members(), member) ? std::nullopt : aHeardAt(member.instance);
+    // What arrives from an instance that runs another member says nothing of this one.
+    const bool isOther =
+      this->IsSuperseded(aNode.Members(), member) || this->RunsAnotherMember(aNode, member, aNow);
+    const auto heard = isOther ? std::nullopt : aHeardAt(member.instance);
     contact = std::max(contact, heard.value_or(contact));
     current.emplace(member.id, contact);
   }
@@ -208,11 +209,11 @@
 }
 
 bool GroupMaintenance::RunsAnotherMember(const RaftNode& aNode,
-                                         const ControlMember& aJoining,
+                                         const ControlMember& aOf,
                                          Instant aNow) const
 {
   return std::ranges::any_of(aNode.Members(), [&](const ControlMember& aMember) {
-    if (aMember.instance != aJoining.instance) {
+    if (aMember.instance != aOf.instance || aMember.id == aOf.id) {
       return false;
     }
     const auto found = aNode.Progress().find(aMember.id);
--- a/src/oleanderledge/consensus/GroupMaintenance.hpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.hpp
@@ -122,9 +122,9 @@
 
   /// The list with the next admitted learner, if a join request is pending.
   std::optional<std::vector<ControlMember>> NextAdmission(const RaftNode& aNode, Instant aNow);
-  /// True if another member of the instance of a joining one is running. The request is then an old
-  /// one that was delayed: the joining member was lost, and would be taken for the newer one.
-  bool RunsAnotherMember(const RaftNode& aNode, const ControlMember& aJoining, Instant aNow) const;
+  /// True if another member of the instance of `aOf` replies, so that `aOf` was lost. Its request
+  /// to join may still arrive, if it was delayed.
+  bool RunsAnotherMember(const RaftNode& aNode, const ControlMember& aOf, Instant aNow) const;
   bool IsSuperseded(const std::vector<ControlMember>& aMembers, const ControlMember& aMember) const;
   /// True if an earlier member of the instance of a learner still votes and may be in contact. The
   /// learner then waits until it can take over that vote, because the group would keep a voter that
--- a/tests/consensus/GroupMaintenanceTests.cpp
+++ b/tests/consensus/GroupMaintenanceTests.cpp
@@ -264,6 +264,29 @@
   CHECK(FindMember(*changed, "c3") != nullptr);
 }
 
+// Guards against a running member that never votes, because the instance is heard and so keeps a
+// lost member that was admitted after it.
+TEST_CASE("A lost learner that was admitted after its successor is removed")
+{
+  RaftNode node = LeaderOf({ Voter("a", "1"),
+                             Voter("b", "2"),
+                             Voter("c", "3"),
+                             { "c2", "3", "127.0.0.1:3", false },
+                             { "c1", "3", "127.0.0.1:3", false } });
+  GroupMaintenance maintenance = MaintenanceFor(3);
+  std::optional<std::vector<ControlMember>> changed;
+  for (Instant now = kElected; now < kElected + std::chrono::seconds(30) && !changed;
+       now += std::chrono::milliseconds(100)) {
+    Confirm(node, { "b", "c2" }, now);
+    maintenance.Observe(
+      node, [now](const std::string&) { return std::optional<Instant>(now); }, now);
+    changed = maintenance.NextChange(node, now);
+  }
+  REQUIRE(changed);
+  CHECK(FindMember(*changed, "c1") == nullptr);
+  CHECK(FindMember(*changed, "c2") != nullptr);
+}
+
 // Guards against the same when neither member is on the list yet.
 TEST_CASE("Of two requests of one instance to join, the later one counts")
 {
