tests, control: the state keeps each route that was ever configured (fails)

Cause: deleted rows are kept for proxies that have an older directory, and nothing removes them.

Evidence: after 1000 configurations of one route each under a new name, the state has 50,668 bytes (after the first one 87), and a new proxy is sent 1000 routes. A fix needs an oldest version for which deletions are kept, and the whole directory for proxies with an older one.

--- a/tests/control/RouteTableTests.cpp
+++ b/tests/control/RouteTableTests.cpp
@@ -131,3 +131,17 @@
   CHECK(log.state.Backends().Find("i-2") == nullptr);
   CHECK(log.state.Backends().Find("i-3") != nullptr);
 }
+
+// Guards against a state that grows with the history: deleted rows are part of each snapshot and of
+// what a new proxy receives.
+TEST_CASE("A route that was replaced many times leaves a state of about the same size", "[.state_size]")
+{
+  LogFixture log;
+  log.Commit(Configuration(1, { Route("database-1000", 100) }));
+  const std::size_t first = log.state.Serialize().size();
+  for (std::uint64_t number = 2; number <= 1000; ++number) {
+    log.Commit(Configuration(number, { Route("database-" + std::to_string(999 + number), 100) }));
+  }
+  CHECK(log.state.Serialize().size() < 10 * first);
+  CHECK(log.state.ChangesSince(0).routes.size() < 10);
+}
