tests, consensus: simulated histories fill the limit of bytes on their way

The small limits of FakeGroup left maxInFlightBytes at 512 KiB and retainedBytes at 1 MiB, which short commands never reach: the properties of consensus_histories did not cover either limit.

--- a/tests/consensus/FakeGroup.cpp
+++ b/tests/consensus/FakeGroup.cpp
@@ -30,13 +30,16 @@
          aLeft.command == aRight.command && aLeft.kind == aRight.kind;
 }
 
-/// Short histories then include multi-piece snapshots and log truncation.
+/// Short histories then include multi-piece snapshots, log truncation and full flow control
+/// windows.
 RaftSettings SmallLimits()
 {
   RaftSettings settings;
   settings.snapshotPieceBytes = 64;
   settings.retainedEntries = 5;
+  settings.retainedBytes = 64;
   settings.maxAppendBytes = 64;
+  settings.maxInFlightBytes = 100;
   return settings;
 }
 
