--- a/tests/consensus/RaftNodeTests.cpp
+++ b/tests/consensus/RaftNodeTests.cpp
@@ -635,7 +635,6 @@
   CHECK(followers[1].LastIndex() == node.Log().LastIndex());
 }
 
-// Guards against a member that can never catch up because the entries that it lacks were discarded.
 // Guards against entries that are sent once more for each rejected request that was on its way.
 TEST_CASE("Rejections of requests from before the entries were sent again change nothing")
 {
@@ -658,6 +657,7 @@
   CHECK(sentEntriesAfterRejection(heartbeatRound()));
 }
 
+// Guards against a member that can never catch up because the entries that it lacks were discarded.
 TEST_CASE("A member that lacks discarded entries receives a snapshot in several pieces")
 {
   FakeGroup group(5, 5);
