daemon: a process ends 0.4 s after its event loop, whatever it still waits for

What was seen: a control instance or a proxy did not end after SIGTERM, although its graceful stop was complete (E1803 step=event_loop). Two causes are shown with the program itself:

- spdlog::shutdown() joins the log thread, which writes to standard output.
If nobody reads the pipe, it never returns.
- The destructor of StorageWriter waits for the write in progress, without a bound if the disk does not answer.

Both are waits for something that is no longer needed: log lines, and a write that nobody was told about, which may be cut as by a crash.

A wait in the kernel that no signal interrupts still holds a process. A daemon that fails to start, and a wait before the end of the event loop, are not bounded by this change.

--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -1,5 +1,6 @@
 #include "oleanderledge/daemon/RunDaemon.hpp"
 
+#include "oleanderledge/base/ExitLimit.hpp"
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
 #include "oleanderledge/daemon/internal/FailoverLog.hpp"
 #include "oleanderledge/daemon/internal/ProcessSignals.hpp"
@@ -10,6 +11,7 @@
 
 #include <QCoreApplication>
 
+#include <cstdlib>
 #include <optional>
 #include <random>
 
@@ -17,6 +19,10 @@
 
 namespace {
 
+/// Time to destroy the objects and to write the last log lines, which in general takes a few
+/// milliseconds. A proxy stops 5.5 s after SIGTERM at the latest, and the platform kills after 6 s.
+constexpr std::chrono::milliseconds kExitLimit(400);
+
 template<class Daemon>
 Result<void> RunUntilStopped(Daemon& aDaemon,
                              const std::string& aInstance,
@@ -39,6 +45,7 @@
   }
   WriteLog(LogEvent::DaemonStarted, "instance=" + aInstance);
   QCoreApplication::exec();
+  LimitExitTime(kExitLimit, finished ? EXIT_SUCCESS : EXIT_FAILURE);
   WriteLog(LogEvent::DaemonStopped, "instance=" + aInstance + " step=event_loop");
   return finished;
 }
