--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -23,8 +23,8 @@
 /// silent one turns out to be lost, the learner must replace that one, which may never return.
 constexpr Duration kSilentVoterTimeout = std::chrono::milliseconds(500);
 
-/// An instance whose member has replied within this time runs that member. Shorter than most
-/// restarts take.
+/// An instance whose member has replied within this time runs that member. Also delays the
+/// admission of an instance that is back sooner with an empty disk.
 constexpr Duration kRunningMemberTimeout = std::chrono::milliseconds(500);
 
 /// Leave requests are repeated every 100 ms. After the last one, the instance has stopped, and may
@@ -99,8 +99,8 @@
     aRequest.memberId, aRequest.instance.id, aRequest.instance.linkAddress, false
   };
   if (!member.id.empty() && !member.linkAddress.empty()) {
-    // The instance lost its disk after the earlier request. If that one arrives later, the running
-    // member repeats its own and is added after it.
+    // A newer request means that the disk was lost again. If the older one arrives late, the
+    // running member repeats its own.
     std::erase_if(this->pendingJoins, [&member](const auto& aEntry) {
       return aEntry.second.member.instance == member.instance;
     });
--- a/src/oleanderledge/consensus/LeaderWatch.cpp
+++ b/src/oleanderledge/consensus/LeaderWatch.cpp
@@ -63,7 +63,7 @@
   return "refused";
 }
 
-/// When this very member was heard, what it answered to the last pre-vote, and under which other
+/// When this member id was heard, what it answered to the last pre-vote, and under which other
 /// member id its instance was heard last, if so.
 std::string DescribeContact(const MemberContacts& aContacts,
                             const ControlMember& aMember,
--- a/src/oleanderledge/consensus/MemberContacts.hpp
+++ b/src/oleanderledge/consensus/MemberContacts.hpp
@@ -14,9 +14,9 @@
 /// Member id of the sender of a consensus message, or empty for other messages.
 std::string SenderOf(const Message& aMessage);
 
-/// Records what arrived from each member id, for log lines. A link says nothing of the member: an
-/// instance that lost its data folder answers on the same link under a new member id. Performs no
-/// I/O.
+/// Records what arrived from each member id, for log lines. A link identifies the instance, not the
+/// member: an instance that lost its data folder answers on the same link under a new member id.
+/// Performs no I/O.
 class MemberContacts
 {
 public:
--- a/src/oleanderledge/consensus/RaftNode.cpp
+++ b/src/oleanderledge/consensus/RaftNode.cpp
@@ -524,7 +524,8 @@
     this->ownDiskCurrentAt = aNow;
   } else if (aNow - this->ownDiskCurrentAt > this->settings.electionTimeoutMax + expected) {
     this->BecomeFollower(this->hardState.term, {}, aNow);
-    // Its log is as long as that of the others, so it could win the next election again.
+    // Its log is as long as that of the others, so it could win the next election again. The others
+    // have time for two elections.
     this->electionDeadline = aNow + 2 * this->settings.electionTimeoutMax;
   }
 }
--- a/tests/consensus/CatchUpTests.cpp
+++ b/tests/consensus/CatchUpTests.cpp
@@ -65,7 +65,7 @@
 
 // Guards against a vote that stays with a lost disk for as long as the history takes to transfer.
 TEST_CASE_METHOD(GroupWithLongHistory,
-                 "GroupWithLongHistoryAndLostDisk: the instance votes again in the catch-up time")
+                 "A voter that lost its disk is replaced within 4 s after a long history")
 {
   const std::size_t lost = this->Follower();
   this->group.LoseDisk(lost);
@@ -79,7 +79,7 @@
 
 // Guards against a group that ends with two further lost disks, as in issue 41.
 TEST_CASE_METHOD(GroupWithLongHistory,
-                 "GroupWithLongHistoryAndLostDisk: two more disks can be lost after the catch-up")
+                 "Two more disks can be lost 4 s after a lost disk, after a long history")
 {
   const std::size_t first = this->Follower();
   this->group.LoseDisk(first);
@@ -108,7 +108,7 @@
 
 // Guards against entries that are sent again with each rejected request while they are on their
 // way, and against queues that delay heartbeats beyond the election timeout.
-TEST_CASE("LaggingFollowerOnSlowLink: receives what it lacks about once, and hears the leader")
+TEST_CASE("A follower on a slow connection receives what it lacks once and hears the leader")
 {
   FakeGroup group(7, 5, 0, WithoutSnapshots());
   group.SetExtraDelay(kDelayBetweenRegions);
@@ -116,15 +116,15 @@
   group.Run(kSecond);
   const std::size_t follower = (group.Leader().value_or(0) + 1) % 5;
   group.Crash(follower);
-  constexpr std::size_t kLacking = 100;
-  REQUIRE(group.Propose(kLacking, kCommandBytes) == kLacking);
+  constexpr std::size_t kMissing = 100;
+  REQUIRE(group.Propose(kMissing, kCommandBytes) == kMissing);
   group.Run(2 * kSecond);
   group.SetBytesPerSecond(kBytesPerSecond);
   const std::int64_t sentBefore = group.ContentBytesSentTo(follower);
   const std::uint64_t last = group.LastCommitted();
   group.Restart(follower);
   group.Run(kSecond);
-  constexpr std::int64_t kLackingBytes = kLacking * kCommandBytes;
+  constexpr std::int64_t kMissingBytes = kMissing * kCommandBytes;
   std::int64_t withoutLeader = 0;
   const std::int64_t start = group.Now();
   while (group.AppliedIndexOf(follower) < last && group.Now() - start < 20 * kSecond) {
@@ -133,15 +133,16 @@
     withoutLeader += node.HasCurrentLeader(group.ClockAt(follower)) ? 0 : 10 * kMs;
   }
   CHECK(group.AppliedIndexOf(follower) >= last);
-  CHECK(group.Now() - start < 2 * kLackingBytes * kSecond / kBytesPerSecond);
-  CHECK(group.ContentBytesSentTo(follower) - sentBefore < 2 * kLackingBytes);
+  CHECK(group.Now() - start < 2 * kMissingBytes * kSecond / kBytesPerSecond);
+  CHECK(group.ContentBytesSentTo(follower) - sentBefore < 2 * kMissingBytes);
   CHECK(withoutLeader == 0);
   CHECK(group.Violation() == std::nullopt);
 }
 
 // Guards against pieces of a snapshot that are sent again while they are on their way: they fill
 // the connection, so that the transfer takes ever longer and may never end.
-TEST_CASE("GroupWithLargeState: the instance votes again in the catch-up time on a slow connection")
+TEST_CASE(
+  "A voter that lost its disk is replaced within 4 s with a large state on a slow connection")
 {
   constexpr std::size_t kLargeState = 2'000'000;
   constexpr std::int64_t kSlow = kBytesPerSecond / 2;
--- a/tests/control/RouteTableTests.cpp
+++ b/tests/control/RouteTableTests.cpp
@@ -134,7 +134,8 @@
 
 // Guards against a state that grows with the history: deleted rows are part of each snapshot and of
 // what a new proxy receives.
-TEST_CASE("A route that was replaced many times leaves a state of about the same size", "[.state_size]")
+TEST_CASE("A route that was replaced many times leaves a state of about the same size",
+          "[.state_size]")
 {
   LogFixture log;
   log.Commit(Configuration(1, { Route("database-1000", 100) }));
--- a/tests/link/CodecTests.cpp
+++ b/tests/link/CodecTests.cpp
@@ -70,13 +70,13 @@
   const auto decoded = DecodeFrameBody(std::string_view(EncodeFrame(request)).substr(4));
   REQUIRE(decoded);
   CHECK(std::get<TestType>(decoded.value()).recipient == "m1");
-  // The earlier version encodes the same fields without the last one, which is one byte if empty.
+  // The earlier version encodes the same fields without the last one, which is two bytes if empty.
   request.recipient.clear();
   std::string body = EncodeFrame(request).substr(4);
   constexpr std::size_t kFieldCountAt = 2;
   REQUIRE((static_cast<unsigned char>(body[kFieldCountAt]) & 0xF0U) == 0x90U);
   --body[kFieldCountAt];
-  body.pop_back();
+  body.resize(body.size() - 2);
   const auto earlier = DecodeFrameBody(body);
   REQUIRE(earlier);
   CHECK(std::get<TestType>(earlier.value()).term == 3);
