tests: a drain that is over before the first look does not end a property

RC_ASSERT takes its expression apart, so that both sides of the || were computed: found.at("a") threw for an empty map. The condition is the same, now in parentheses.

--- a/tests/daemon/DrainDeadlinesTests.cpp
+++ b/tests/daemon/DrainDeadlinesTests.cpp
@@ -89,7 +89,7 @@
       deadlines.RecordReply(ReplyOf(answeredAt < committedAt ? 7 : 8, sentAt));
     }
     const DrainDeadlineMap& found = deadlines.Update(DrainingDirectory(8, 8));
-    RC_ASSERT(found.empty() || found.at("a") <= acknowledgedAt + kUsable);
+    RC_ASSERT((found.empty() || found.at("a") <= acknowledgedAt + kUsable));
   });
 }
 
