--- a/tests/consensus/CatchUpTests.cpp
+++ b/tests/consensus/CatchUpTests.cpp
@@ -18,6 +18,15 @@
 constexpr std::int64_t kCatchUp = 4 * kSecond;
 constexpr std::int64_t kRecovery = 12 * kSecond;
 
+/// Proposes a change of the configuration each 150 ms.
+void ChangeFor(FakeGroup& aGroup, std::int64_t aMicroseconds)
+{
+  for (const std::int64_t end = aGroup.Now() + aMicroseconds; aGroup.Now() < end;) {
+    aGroup.Propose(1, kCommandBytes);
+    aGroup.Run(150 * kMs);
+  }
+}
+
 /// Five voters in different regions that have stored 600 changes of the configuration.
 class GroupWithLongHistory
 {
@@ -27,20 +36,11 @@
     this->group.SetExtraDelay(kDelayBetweenRegions);
     this->group.SetStateBytes(kStateBytes);
     REQUIRE(this->group.RunUntil(10 * kSecond, [this] { return this->group.Propose(1) == 1; }));
-    this->ChangeFor(90 * kSecond);
+    ChangeFor(this->group, 90 * kSecond);
     REQUIRE(this->group.LastCommitted() > 590);
     this->group.SetBytesPerSecond(kBytesPerSecond);
   }
 
-  /// Proposes a change of the configuration each 150 ms.
-  void ChangeFor(std::int64_t aMicroseconds)
-  {
-    for (const std::int64_t end = this->group.Now() + aMicroseconds; this->group.Now() < end;) {
-      this->group.Propose(1, kCommandBytes);
-      this->group.Run(150 * kMs);
-    }
-  }
-
   /// An instance that does not lead.
   std::size_t Follower() const { return (this->group.Leader().value_or(0) + 1) % 5; }
 
@@ -69,9 +69,9 @@
 {
   const std::size_t lost = this->Follower();
   this->group.LoseDisk(lost);
-  this->ChangeFor(kSecond);
+  ChangeFor(this->group, kSecond);
   this->group.Restart(lost);
-  this->ChangeFor(kCatchUp);
+  ChangeFor(this->group, kCatchUp);
   CHECK(IsVoting(this->group, lost));
   CHECK(this->group.BearableDiskLosses() == 2);
   CHECK(this->group.Violation() == std::nullopt);
@@ -83,9 +83,9 @@
 {
   const std::size_t first = this->Follower();
   this->group.LoseDisk(first);
-  this->ChangeFor(kSecond);
+  ChangeFor(this->group, kSecond);
   this->group.Restart(first);
-  this->ChangeFor(kCatchUp);
+  ChangeFor(this->group, kCatchUp);
   const std::size_t leader = this->group.Leader().value_or(0);
   const std::size_t other = (first + 1) % 5 == leader ? (first + 2) % 5 : (first + 1) % 5;
   for (const std::size_t lost : { leader, other }) {
@@ -149,24 +149,18 @@
   const auto seed = GENERATE(as<std::uint64_t>(), 1, 2, 3, 4);
   INFO("seed " << seed);
   FakeGroup group(seed, 5, 0, RaftSettings{});
-  const auto changeFor = [&group](std::int64_t aMicroseconds) {
-    for (const std::int64_t end = group.Now() + aMicroseconds; group.Now() < end;) {
-      group.Propose(1, kCommandBytes);
-      group.Run(150 * kMs);
-    }
-  };
   group.SetExtraDelay(kDelayBetweenRegions);
   group.SetStateBytes(kLargeState);
   REQUIRE(group.RunUntil(10 * kSecond, [&group] { return group.Propose(1) == 1; }));
-  changeFor(10 * kSecond);
+  ChangeFor(group, 10 * kSecond);
   group.SetBytesPerSecond(kSlow);
-  changeFor(2 * kSecond);
+  ChangeFor(group, 2 * kSecond);
   const std::size_t lost = (group.Leader().value_or(0) + 1) % 5;
   group.LoseDisk(lost);
-  changeFor(kSecond);
+  ChangeFor(group, kSecond);
   group.Restart(lost);
   const std::int64_t sentBefore = group.ContentBytesSentTo(lost);
-  changeFor(kCatchUp);
+  ChangeFor(group, kCatchUp);
   CHECK(IsVoting(group, lost));
   CHECK(group.ContentBytesSentTo(lost) - sentBefore < kCatchUp / kSecond * kSlow);
   CHECK(group.Violation() == std::nullopt);
