link: rows of organisations, messages of quotas, complete directory updates

Types that the coming parts share: control and proxies get the organisations of a configuration, and proxies request tokens for operations. Not used yet, so nothing behaves differently.

--- a/src/oleanderledge/link/Directory.cpp
+++ b/src/oleanderledge/link/Directory.cpp
@@ -51,28 +51,65 @@
   if (aUpdate.fromVersion > this->version || aUpdate.version <= this->version) {
     return false;
   }
+  if (aUpdate.isComplete) {
+    this->DropRows();
+  }
   ApplyRows(this->classes, aUpdate.classes);
   ApplyRows(this->databases, aUpdate.databases);
   ApplyRows(this->routes, aUpdate.routes);
   ApplyRows(this->services, aUpdate.services);
   ApplyRows(this->backends, aUpdate.backends);
   ApplyRows(this->primaries, aUpdate.primaries);
+  ApplyRows(this->organisations, aUpdate.organisations);
   if (aUpdate.configurationNumber > this->configurationNumber) {
     this->configurationNumber = aUpdate.configurationNumber;
     this->transactionIdleMs = aUpdate.transactionIdleMs;
+    this->usesOrganisations = aUpdate.usesOrganisations;
   }
-  if (!aUpdate.routes.empty()) {
-    this->routeOfDatabase.clear();
-    for (const auto& [name, row] : this->routes) {
-      if (!row.deleted) {
-        this->routeOfDatabase.try_emplace(row.database, name);
-      }
-    }
+  if (!aUpdate.routes.empty() || aUpdate.isComplete) {
+    this->IndexRoutes();
+  }
+  if (!aUpdate.organisations.empty() || aUpdate.isComplete) {
+    this->IndexKeys();
   }
   this->version = aUpdate.version;
   return true;
 }
 
+void Directory::DropRows()
+{
+  this->classes.clear();
+  this->databases.clear();
+  this->routes.clear();
+  this->services.clear();
+  this->backends.clear();
+  this->primaries.clear();
+  this->organisations.clear();
+}
+
+void Directory::IndexRoutes()
+{
+  this->routeOfDatabase.clear();
+  for (const auto& [name, row] : this->routes) {
+    if (!row.deleted) {
+      this->routeOfDatabase.try_emplace(row.database, name);
+    }
+  }
+}
+
+void Directory::IndexKeys()
+{
+  this->organisationOfKey.clear();
+  for (const auto& [name, row] : this->organisations) {
+    if (row.deleted) {
+      continue;
+    }
+    for (const std::string& digest : row.keyDigests) {
+      this->organisationOfKey.try_emplace(digest, name);
+    }
+  }
+}
+
 DirectoryUpdate Directory::ChangesSince(std::uint64_t aFromVersion) const
 {
   return { aFromVersion,
@@ -84,7 +121,9 @@
            RowsSince(this->backends, aFromVersion),
            RowsSince(this->primaries, aFromVersion),
            this->configurationNumber,
-           this->transactionIdleMs };
+           this->transactionIdleMs,
+           RowsSince(this->organisations, aFromVersion),
+           this->usesOrganisations };
 }
 
 const DatabaseRow* Directory::FindDatabase(std::string_view aName) const
@@ -109,6 +148,19 @@
   return FindNotDeleted(this->services, aName);
 }
 
+const OrganisationRow* Directory::FindOrganisation(std::string_view aName) const
+{
+  return FindNotDeleted(this->organisations, aName);
+}
+
+const OrganisationRow* Directory::FindOrganisationOfKey(std::string_view aDigest) const
+{
+  const auto found = this->organisationOfKey.find(aDigest);
+  return found == this->organisationOfKey.end()
+           ? nullptr
+           : FindNotDeleted(this->organisations, found->second);
+}
+
 const BackendRow* Directory::FindBackend(std::string_view aName) const
 {
   return FindNotDeleted(this->backends, aName);
--- a/src/oleanderledge/link/Directory.hpp
+++ b/src/oleanderledge/link/Directory.hpp
@@ -17,8 +17,9 @@
 class Directory
 {
 public:
-  /// Applies the rows of an update. Returns false, without a change, if the update starts after the
-  /// current version (the rows in between would be missing) or ends at or before it.
+  /// Applies the rows of an update; a complete one replaces all rows. Returns false, without a
+  /// change, if the update starts after the current version (the rows in between would be missing)
+  /// or ends at or before it.
   bool Apply(const DirectoryUpdate& aUpdate);
 
   /// All rows that changed after `aFromVersion`, tombstones included.
@@ -39,6 +40,17 @@
   const BackendRow* FindBackend(std::string_view aName) const;
   /// The row that names the primary of a service, or null.
   const PrimaryRow* FindPrimary(std::string_view aService) const;
+  /// True if callers need a key on routes that are not public.
+  bool UsesOrganisations() const { return this->usesOrganisations; }
+  /// The row of an organisation that is not deleted, or null.
+  const OrganisationRow* FindOrganisation(std::string_view aName) const;
+  /// The organisation that holds the key with this digest, or null. See DigestOfKey().
+  const OrganisationRow* FindOrganisationOfKey(std::string_view aDigest) const;
+  /// By name, tombstones included.
+  const std::map<std::string, OrganisationRow, std::less<>>& Organisations() const
+  {
+    return this->organisations;
+  }
   /// By name, tombstones included.
   const std::map<std::string, BackendRow, std::less<>>& Backends() const { return this->backends; }
   /// The version that the operator gave the routes; 0 before the first configuration.
@@ -55,6 +67,10 @@
   const std::map<std::string, ClassRow, std::less<>>& Classes() const { return this->classes; }
 
 private:
+  void DropRows();
+  void IndexRoutes();
+  void IndexKeys();
+
   std::uint64_t version = 0;
   std::map<std::string, DatabaseRow, std::less<>> databases;
   std::map<std::string, ClassRow, std::less<>> classes;
@@ -65,6 +81,9 @@
   std::map<std::string, PrimaryRow, std::less<>> primaries;
   std::uint64_t configurationNumber = 0;
   std::uint32_t transactionIdleMs = 0;
+  std::map<std::string, OrganisationRow, std::less<>> organisations;
+  std::map<std::string, std::string, std::less<>> organisationOfKey; ///< Name by key digest.
+  bool usesOrganisations = false;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/link/Messages.hpp
+++ b/src/oleanderledge/link/Messages.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/base/base.hpp"
 #include "oleanderledge/link/PositionSample.hpp"
+#include "oleanderledge/link/QuotaMessages.hpp"
 #include "oleanderledge/link/RelayMessages.hpp"
 #include "oleanderledge/link/RouteRows.hpp"
 #include "oleanderledge/link/SessionSetting.hpp"
@@ -296,6 +297,8 @@
   std::vector<BackendReport> backends;
   std::uint64_t leaderTerm = 0; ///< Consensus term of the leader whose clock `positions` use.
   std::vector<PositionSample> positions;
+  std::vector<OperationCount> operationCounts; ///< Only organisations that were active.
+  std::uint64_t quotaNumber = 0; ///< Highest QuotaShare::number that this proxy applies.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -308,7 +311,9 @@
              this->service,
              this->backends,
              this->leaderTerm,
-             this->positions);
+             this->positions,
+             this->operationCounts,
+             this->quotaNumber);
   }
 };
 
@@ -347,6 +352,8 @@
   std::int64_t leaderUs = 0; ///< Time of the answer on the monotonic clock of the leader.
   /// Positions that other proxies reported.
   std::vector<PositionSample> positions;
+  /// Shares that changed; the others stay in force and are confirmed by this reply.
+  std::vector<QuotaShare> quotaShares;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -363,7 +370,8 @@
              this->connections,
              this->leaderTerm,
              this->leaderUs,
-             this->positions);
+             this->positions,
+             this->quotaShares);
   }
 };
 
@@ -460,6 +468,10 @@
   std::vector<PrimaryRow> primaries;
   std::uint64_t configurationNumber = 0; ///< Version that the operator gave routes and services.
   std::uint32_t transactionIdleMs = 0;   ///< See RouteConfiguration.
+  std::vector<OrganisationRow> organisations;
+  bool usesOrganisations = false; ///< See RouteConfiguration.
+  /// The rows are the whole directory: the receiver drops those that are not among them.
+  bool isComplete = false;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -473,7 +485,10 @@
              this->backends,
              this->primaries,
              this->configurationNumber,
-             this->transactionIdleMs);
+             this->transactionIdleMs,
+             this->organisations,
+             this->usesOrganisations,
+             this->isComplete);
   }
 };
 
@@ -715,6 +730,10 @@
                              RelayStatement,
                              RelayResult,
                              RelayClose,
-                             LeaveRequest>;
+                             LeaveRequest,
+                             TokenRequest,
+                             TokenReply,
+                             RelayedTokenRequests,
+                             RelayedTokenReplies>;
 
 } // namespace oleanderledge
--- a/src/oleanderledge/link/RelayMessages.hpp
+++ b/src/oleanderledge/link/RelayMessages.hpp
@@ -22,11 +22,18 @@
   std::int64_t waitUs = 0;    ///< Longest time that the relay may queue the request.
   /// Settings of the session; the relay prefers a connection on which they are in force.
   std::vector<SessionSetting> settings;
+  /// Organisation that the connection is used for; empty: none, or the route is public.
+  std::string organisation;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->channel, this->backend, this->priority, this->waitUs, this->settings);
+    aVisitor(this->channel,
+             this->backend,
+             this->priority,
+             this->waitUs,
+             this->settings,
+             this->organisation);
   }
 };
 
--- a/src/oleanderledge/link/RouteRows.hpp
+++ b/src/oleanderledge/link/RouteRows.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/base/base.hpp"
+#include "oleanderledge/link/OrganisationRows.hpp"
 
 #include <cstdint>
 #include <string>
@@ -32,6 +33,7 @@
   std::uint32_t acceptedAgeMs = 0; ///< Oldest data that a read accepts; see ReadConsistency.
   std::uint64_t version = 0;
   bool deleted = false;
+  bool isPublic = false; ///< Callers need no key.
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
@@ -47,7 +49,8 @@
              this->maxAttempts,
              this->acceptedAgeMs,
              this->version,
-             this->deleted);
+             this->deleted,
+             this->isPublic);
   }
 };
 
@@ -183,7 +186,7 @@
   }
 };
 
-/// Routes and services as set by one change of the operator.
+/// Routes, services and organisations as set by one change of the operator.
 struct RouteConfiguration
 {
   std::uint64_t number = 0; ///< Version that the operator gave it; the highest one is in force.
@@ -191,11 +194,20 @@
   std::vector<ServiceRow> services;
   std::uint32_t transactionIdleMs = 0; ///< A transaction idle for longer may be ended; 0: no limit.
   std::string document;                ///< Text that the operator sent, returned on request.
+  /// False: callers need no key, and `organisations` is empty.
+  bool usesOrganisations = false;
+  std::vector<OrganisationRow> organisations;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->number, this->routes, this->services, this->transactionIdleMs, this->document);
+    aVisitor(this->number,
+             this->routes,
+             this->services,
+             this->transactionIdleMs,
+             this->document,
+             this->usesOrganisations,
+             this->organisations);
   }
 };
 
--- /dev/null
+++ b/src/oleanderledge/organisations/KeyDigest.cpp
@@ -0,0 +1,14 @@
+#include "oleanderledge/organisations/KeyDigest.hpp"
+
+#include <QCryptographicHash>
+
+namespace oleanderledge {
+
+std::string DigestOfKey(std::string_view aKey)
+{
+  QCryptographicHash hash(QCryptographicHash::Sha256);
+  hash.addData(aKey.data(), static_cast<qsizetype>(aKey.size()));
+  return hash.result().first(static_cast<qsizetype>(kKeyDigestBytes)).toStdString();
+}
+
+} // namespace oleanderledge
