control: organisations of a configuration; deleted rows do not stay for good

Configurations may name organisations with digests of their keys, a priority and a rate; a key that two of them share, or an entry that cannot be read, makes the whole configuration invalid. The errors name no key.

Each table now keeps its newest deletions, 8 or as many as it has other rows (64 for backend servers, whose tombstones reject late registrations), and knows the highest version that it has purged. A proxy with an older directory gets a complete one, and treats servers that it does not name as departed. Ruled out: purging when every proxy has confirmed a version, since a proxy that is away for good would keep all rows.

--- a/src/oleanderledge/control/BackendTable.cpp
+++ b/src/oleanderledge/control/BackendTable.cpp
@@ -1,5 +1,6 @@
 #include "oleanderledge/control/BackendTable.hpp"
 
+#include "oleanderledge/control/Tombstones.hpp"
 #include "oleanderledge/link/internal/StructCodec.hpp"
 
 #include <algorithm>
@@ -9,15 +10,21 @@
 
 namespace {
 
+/// Rows of servers that left which are kept. They reject delayed registrations of the same start,
+/// and departures that are not settled yet are counted by them. A delayed registration arrives
+/// within seconds, in which far fewer servers leave.
+constexpr std::size_t kKeptTombstones = 64;
+
 struct BackendTableSnapshot
 {
   std::vector<BackendRow> backends;
   std::vector<PrimaryRow> primaries;
+  std::uint64_t purgedVersion = 0;
 
   template<class Visitor>
   void Visit(Visitor& aVisitor)
   {
-    aVisitor(this->backends, this->primaries);
+    aVisitor(this->backends, this->primaries, this->purgedVersion);
   }
 };
 
@@ -71,6 +78,7 @@
     other.deleted = true;
     other.version = aIndex;
   }
+  this->PurgeDeleted();
   return true;
 }
 
@@ -83,9 +91,16 @@
   }
   found->second.deleted = true;
   found->second.version = aIndex;
+  this->PurgeDeleted();
   return true;
 }
 
+void BackendTable::PurgeDeleted()
+{
+  this->purgedVersion =
+    std::max(this->purgedVersion, PurgeTombstones(this->backends, kKeptTombstones));
+}
+
 bool BackendTable::Apply(std::uint64_t aIndex, const AdoptServicePrimary& aCommand)
 {
   PrimaryRow& row = this->primaries[aCommand.service];
@@ -163,6 +178,7 @@
   for (const auto& [name, row] : this->primaries) {
     snapshot.primaries.push_back(row);
   }
+  snapshot.purgedVersion = this->purgedVersion;
   return EncodeStruct(snapshot);
 }
 
@@ -183,6 +199,7 @@
   for (const PrimaryRow& row : decoded.value().primaries) {
     restored.primaries[row.name] = row;
   }
+  restored.purgedVersion = decoded.value().purgedVersion;
   *this = std::move(restored);
   return boost::outcome_v2::success();
 }
--- a/src/oleanderledge/control/BackendTable.hpp
+++ b/src/oleanderledge/control/BackendTable.hpp
@@ -38,14 +38,20 @@
   /// The row that names the primary of a service, or null.
   const PrimaryRow* FindPrimary(std::string_view aService) const;
 
+  /// Highest version of a deleted row that is not kept any more.
+  std::uint64_t PurgedVersion() const { return this->purgedVersion; }
+
   std::string Serialize() const;
   /// Replaces all rows by those of Serialize(); empty bytes stand for an empty table. Fails with
   /// MalformedFrame.
   Result<void> Restore(std::string_view aBytes);
 
 private:
+  void PurgeDeleted();
+
   std::map<std::string, BackendRow, std::less<>> backends;
   std::map<std::string, PrimaryRow, std::less<>> primaries;
+  std::uint64_t purgedVersion = 0;
 };
 
 /// True if a registration comes from a later start of the server, or has a higher sequence number
--- a/src/oleanderledge/control/ClassTable.cpp
+++ b/src/oleanderledge/control/ClassTable.cpp
@@ -1,5 +1,6 @@
 #include "oleanderledge/control/ClassTable.hpp"
 
+#include "oleanderledge/control/Tombstones.hpp"
 #include "oleanderledge/link/internal/StructCodec.hpp"
 
 #include <algorithm>
@@ -13,6 +14,9 @@
 /// five days and takes a few megabytes.
 constexpr std::size_t kMaxStoredAnswers = 10'000;
 constexpr std::size_t kMaxHistoryEntries = 10'000;
+/// Rows of deleted classes that are kept. A proxy that was out of contact during more deletions
+/// gets the whole directory.
+constexpr std::size_t kKeptTombstones = 8;
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::size_t kMaxRequestIdLength = 128;
 constexpr std::int64_t kMaxTargetMs = std::int64_t{ 24 } * 3600 * 1000;
@@ -70,6 +74,7 @@
     row.deleted = true;
   }
   this->rows[aChange.name] = row;
+  this->purgedVersion = std::max(this->purgedVersion, PurgeTombstones(this->rows, kKeptTombstones));
   this->version = aIndex;
   this->history.push_back(
     { aIndex, aChange.action, aChange.name, row.targetMs, aChange.requestId, aChange.atUnixMs });
@@ -116,6 +121,7 @@
 {
   Snapshot snapshot;
   snapshot.version = this->version;
+  snapshot.purgedVersion = this->purgedVersion;
   for (const auto& [name, row] : this->rows) {
     snapshot.rows.push_back(row);
   }
@@ -135,6 +141,7 @@
   Snapshot& snapshot = decoded.value();
   *this = ClassTable{};
   this->version = snapshot.version;
+  this->purgedVersion = snapshot.purgedVersion;
   for (ClassRow& row : snapshot.rows) {
     this->rows[row.name] = row;
   }
--- a/src/oleanderledge/control/ClassTable.hpp
+++ b/src/oleanderledge/control/ClassTable.hpp
@@ -59,8 +59,10 @@
   const OperatorAnswer* FindAnswer(const ChangeClass& aChange) const;
 
   std::uint64_t Version() const { return this->version; }
-  /// Rows by name; includes those of deleted classes.
+  /// Rows by name; includes those of the classes that were deleted last.
   const std::map<std::string, ClassRow, std::less<>>& Rows() const { return this->rows; }
+  /// Highest version of a deleted row that is not kept any more.
+  std::uint64_t PurgedVersion() const { return this->purgedVersion; }
   /// Classes that exist, by name.
   std::vector<ClassRow> ActiveClasses() const;
   /// Accepted changes, oldest first; limited to the last 10,000.
@@ -90,11 +92,12 @@
     std::vector<ClassRow> rows;
     std::vector<ConfigChange> history;
     std::vector<KnownRequest> requests;
+    std::uint64_t purgedVersion = 0;
 
     template<class Visitor>
     void Visit(Visitor& aVisitor)
     {
-      aVisitor(this->version, this->rows, this->history, this->requests);
+      aVisitor(this->version, this->rows, this->history, this->requests, this->purgedVersion);
     }
   };
 
@@ -102,6 +105,7 @@
   void StoreAnswer(const ChangeClass& aChange, OperatorAnswer aAnswer);
 
   std::uint64_t version = 0;
+  std::uint64_t purgedVersion = 0;
   std::map<std::string, ClassRow, std::less<>> rows;
   std::deque<ConfigChange> history;
   std::map<std::string, KnownRequest, std::less<>> requests;
--- a/src/oleanderledge/control/ControlState.cpp
+++ b/src/oleanderledge/control/ControlState.cpp
@@ -2,6 +2,8 @@
 
 #include "oleanderledge/link/internal/StructCodec.hpp"
 
+#include <algorithm>
+
 namespace oleanderledge {
 
 namespace {
@@ -27,14 +29,22 @@
   }
 };
 
+/// Copies the rows that an update has: those that changed after `aUpdate.fromVersion`, or all that
+/// are not deleted if it is complete.
 template<class Row>
-void CollectChanged(const std::map<std::string, Row, std::less<>>& aTable,
-                    std::uint64_t aFromVersion,
-                    std::vector<Row>& aChanged)
+void CollectRows(const std::map<std::string, Row, std::less<>>& aTable,
+                 const DirectoryUpdate& aUpdate,
+                 std::vector<Row>& aRows)
 {
   for (const auto& [name, row] : aTable) {
-    if (row.version > aFromVersion) {
-      aChanged.push_back(row);
+    const bool isDeleted = [&row] {
+      if constexpr (requires { row.deleted; }) {
+        return row.deleted;
+      }
+      return false;
+    }();
+    if (aUpdate.isComplete ? !isDeleted : row.version > aUpdate.fromVersion) {
+      aRows.push_back(row);
     }
   }
 }
@@ -98,18 +108,23 @@
   DirectoryUpdate update;
   update.fromVersion = aFromVersion;
   update.version = this->directoryVersion;
-  CollectChanged(this->classes.Rows(), aFromVersion, update.classes);
+  update.isComplete = aFromVersion < std::max({ this->classes.PurgedVersion(),
+                                                this->routes.PurgedVersion(),
+                                                this->backends.PurgedVersion() });
+  CollectRows(this->classes.Rows(), update, update.classes);
   for (const auto& [name, record] : this->databases.Records()) {
-    if (record.row.version > aFromVersion) {
+    if (update.isComplete || record.row.version > aFromVersion) {
       update.databases.push_back(record.row);
     }
   }
-  CollectChanged(this->routes.Routes(), aFromVersion, update.routes);
-  CollectChanged(this->routes.Services(), aFromVersion, update.services);
-  CollectChanged(this->backends.Backends(), aFromVersion, update.backends);
-  CollectChanged(this->backends.Primaries(), aFromVersion, update.primaries);
+  CollectRows(this->routes.Routes(), update, update.routes);
+  CollectRows(this->routes.Services(), update, update.services);
+  CollectRows(this->routes.Organisations(), update, update.organisations);
+  CollectRows(this->backends.Backends(), update, update.backends);
+  CollectRows(this->backends.Primaries(), update, update.primaries);
   update.configurationNumber = this->routes.Number();
   update.transactionIdleMs = this->routes.TransactionIdleMs();
+  update.usesOrganisations = this->routes.UsesOrganisations();
   return update;
 }
 
--- a/src/oleanderledge/control/RouteTable.hpp
+++ b/src/oleanderledge/control/RouteTable.hpp
@@ -9,7 +9,7 @@
 
 namespace oleanderledge {
 
-/// Routes and services of the newest configuration.
+/// Routes, services and organisations of the newest configuration.
 class RouteTable
 {
 public:
@@ -23,10 +23,19 @@
   const std::string& Document() const { return this->document; }
   /// A transaction that is idle for longer, in milliseconds, may be ended; 0 means no limit.
   std::uint32_t TransactionIdleMs() const { return this->transactionIdleMs; }
-  /// Rows by name. Include deleted rows, so that deletions are published too.
+  /// True if callers need a key on routes that are not public.
+  bool UsesOrganisations() const { return this->usesOrganisations; }
+  /// Rows by name. Include the newest deleted rows, so that deletions are published too.
   const std::map<std::string, RouteRow, std::less<>>& Routes() const { return this->routes; }
   const std::map<std::string, ServiceRow, std::less<>>& Services() const { return this->services; }
 
+  const std::map<std::string, OrganisationRow, std::less<>>& Organisations() const
+  {
+    return this->organisations;
+  }
+  /// Highest version of a deleted row that is not kept any more.
+  std::uint64_t PurgedVersion() const { return this->purgedVersion; }
+
   /// True if the configuration names the service, or if there is none yet.
   bool MayHaveService(std::string_view aService) const;
 
@@ -41,6 +50,9 @@
   std::string document;
   std::map<std::string, RouteRow, std::less<>> routes;
   std::map<std::string, ServiceRow, std::less<>> services;
+  std::map<std::string, OrganisationRow, std::less<>> organisations;
+  bool usesOrganisations = false;
+  std::uint64_t purgedVersion = 0;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/RouteValidation.cpp
+++ b/src/oleanderledge/control/RouteValidation.cpp
@@ -30,6 +30,22 @@
                   "route " + route.name + " has a statement timeout of 0");
     }
   }
+  std::set<std::string_view> organisations;
+  std::set<std::string_view> keyDigests;
+  for (const OrganisationRow& organisation : aConfiguration.organisations) {
+    if (organisation.name.empty() || !organisations.insert(organisation.name).second) {
+      return Fail(ResultCode::InvalidRoutes,
+                  "organisation name " + organisation.name + " is empty or used twice");
+    }
+    const std::set<std::string_view> own(organisation.keyDigests.begin(),
+                                         organisation.keyDigests.end());
+    for (const std::string_view digest : own) {
+      if (!keyDigests.insert(digest).second) {
+        return Fail(ResultCode::InvalidRoutes,
+                    "organisation " + organisation.name + " has a key of another organisation");
+      }
+    }
+  }
   return boost::outcome_v2::success();
 }
 
--- a/src/oleanderledge/platform/ControlMessages.cpp
+++ b/src/oleanderledge/platform/ControlMessages.cpp
@@ -1,5 +1,7 @@
 #include "oleanderledge/platform/ControlMessages.hpp"
 
+#include "oleanderledge/organisations/organisations.hpp"
+
 #include <boost/outcome/try.hpp>
 
 #include <QJsonArray>
@@ -49,6 +51,31 @@
     return value.isUndefined() ? 0 : this->ParseWholeNumber(aName, value, aMaximum);
   }
 
+  bool Has(const char* aName) const { return this->object.contains(QLatin1String(aName)); }
+
+  /// Returns false if the field is absent.
+  bool OptionalFlag(const char* aName)
+  {
+    const QJsonValue value = this->object.value(QLatin1String(aName));
+    if (!value.isUndefined() && !value.isBool()) {
+      this->MarkInvalid(aName);
+    }
+    return value.toBool();
+  }
+
+  /// Reads a number that need not be whole and returns it in thousandths, rounded down.
+  std::uint64_t Thousandths(const char* aName)
+  {
+    constexpr double kThousandthsPerUnit = 1000;
+    const QJsonValue value = this->object.value(QLatin1String(aName));
+    const double number = value.toDouble(-1);
+    if (!value.isDouble() || number < 0 || number > kMaxWholeNumber / kThousandthsPerUnit) {
+      this->MarkInvalid(aName);
+      return 0;
+    }
+    return static_cast<std::uint64_t>(number * kThousandthsPerUnit);
+  }
+
   QJsonArray Array(const char* aName)
   {
     const QJsonValue value = this->object.value(QLatin1String(aName));
@@ -164,6 +191,7 @@
   row.maxAttempts = static_cast<std::uint32_t>(fields.OptionalNumber("max_attempts", kMaxUint32));
   row.acceptedAgeMs =
     static_cast<std::uint32_t>(fields.OptionalNumber("max_staleness_ms", kMaxUint32));
+  row.isPublic = fields.OptionalFlag("public"); // Callers need no key.
   if (!fields.FirstInvalidField().empty()) {
     return FieldError("routes." + fields.FirstInvalidField());
   }
@@ -187,6 +215,48 @@
   return row;
 }
 
+/// The errors do not name a key.
+Result<std::vector<std::string>> DecodeKeys(const QJsonArray& aKeys)
+{
+  std::vector<std::string> digests;
+  for (const auto& value : aKeys) {
+    // Callers send a key as a word of a line.
+    const std::string key = value.toString().toStdString();
+    if (!IsName(key)) {
+      return FieldError("tenants.api_keys");
+    }
+    digests.push_back(DigestOfKey(key));
+  }
+  return digests;
+}
+
+Result<OrganisationRow> DecodeOrganisation(const QJsonValue& aValue)
+{
+  if (!aValue.isObject()) {
+    return Fail(ResultCode::ProtocolViolation, "an organisation is not an object");
+  }
+  FieldReader fields(aValue.toObject());
+  OrganisationRow row;
+  row.name = fields.Text("name");
+  if (!IsName(row.name)) {
+    fields.MarkInvalid("name");
+  }
+  row.priority = static_cast<std::uint32_t>(fields.OptionalNumber("priority", kMaxUint32));
+  // Without a rate, operations are not limited.
+  row.rate.isLimited = fields.Has("rate_per_s");
+  if (row.rate.isLimited) {
+    row.rate.perKilosecond = fields.Thousandths("rate_per_s");
+    row.rate.burst = static_cast<std::uint32_t>(fields.OptionalNumber("burst", kMaxUint32));
+  }
+  const QJsonArray keys = fields.Array("api_keys");
+  if (!fields.FirstInvalidField().empty()) {
+    return FieldError("tenants." + fields.FirstInvalidField());
+  }
+  BOOST_OUTCOME_TRY(digests, DecodeKeys(keys));
+  row.keyDigests = std::move(digests);
+  return row;
+}
+
 std::string ToJsonText(const QJsonObject& aObject)
 {
   return QJsonDocument(aObject).toJson(QJsonDocument::Compact).toStdString();
@@ -246,6 +316,10 @@
   configuration.number = fields.Number("version", kMaxNumber);
   const QJsonArray routes = fields.Array("routes");
   const QJsonArray services = fields.Array("services");
+  // Callers need keys only if the configuration names those who hold them.
+  configuration.usesOrganisations = fields.Has("tenants");
+  const QJsonArray organisations =
+    configuration.usesOrganisations ? fields.Array("tenants") : QJsonArray{};
   FieldReader limits(fields.OptionalObject("limits"));
   configuration.transactionIdleMs =
     static_cast<std::uint32_t>(limits.OptionalNumber("transaction_idle_ms", kMaxUint32));
@@ -262,6 +336,10 @@
     BOOST_OUTCOME_TRY(row, DecodeService(value));
     configuration.services.push_back(std::move(row));
   }
+  for (const auto& value : organisations) {
+    BOOST_OUTCOME_TRY(row, DecodeOrganisation(value));
+    configuration.organisations.push_back(std::move(row));
+  }
   configuration.document = aBody;
   return configuration;
 }
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -92,6 +92,7 @@
     }
     this->distances[name] = DistanceBetween(this->ownZone, fullZone(backend.zone));
   }
+  this->RetireForgottenPools(aDirectory);
   const PrimaryRow* primaryRow = aDirectory.FindPrimary(this->service);
   if (primaryRow != nullptr && primaryRow->version != this->primaryVersion) {
     this->primaryVersion = primaryRow->version;
@@ -105,6 +106,20 @@
   this->ScheduleDispatch();
 }
 
+void ServiceDispatcher::RetireForgottenPools(const Directory& aDirectory)
+{
+  for (const auto& [name, pool] : this->pools) {
+    if (pool->Row().deleted || aDirectory.Backends().contains(name)) {
+      continue;
+    }
+    BackendRow row = pool->Row();
+    row.deleted = true;
+    pool->Update(row);
+    pool->CloseAllIdle();
+    LogRow(row, aDirectory.Version());
+  }
+}
+
 void ServiceDispatcher::RequestConnection(Ticket aTicket,
                                           PlacementRequest aRequest,
                                           Callback aCallback)
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -136,6 +136,9 @@
   const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
 
 private:
+  /// Treats servers that a complete directory does not name any more as departed.
+  void RetireForgottenPools(const Directory& aDirectory);
+
   struct WaitingRequest
   {
     Ticket ticket = 0;
--- a/tests/platform/ControlMessagesTests.cpp
+++ b/tests/platform/ControlMessagesTests.cpp
@@ -1,4 +1,5 @@
 #include "oleanderledge/control/RouteValidation.hpp"
+#include "oleanderledge/organisations/organisations.hpp"
 #include "oleanderledge/platform/platform.hpp"
 
 #include <catch2/catch.hpp>
@@ -88,3 +89,64 @@
   CHECK_FALSE(
     IsAccepted(Replaced(ConfigurationWith(kRoute), "\"version\":7", "\"version\":\"7\"")));
 }
+
+// Guards against a key that leaves the decoder as text: rows are sent to proxies and logged.
+TEST_CASE("Organisations are decoded with digests of their keys", "[messages]")
+{
+  const std::string tenants =
+    R"(,"tenants":[{"name":"miny420","api_keys":["ryrbbkf83fgfwrz56aw6","3is47dqd"],)"
+    R"("priority":1,"rate_per_s":2.5,"burst":270},{"name":"free","api_keys":[]}]})";
+  std::string body =
+    ConfigurationWith(Replaced(kRoute, "\"priority\"", "\"public\":true,\"priority\""));
+  body.replace(body.size() - 1, 1, tenants);
+  REQUIRE(IsAccepted(body));
+  const RouteConfiguration configuration = DecodeConfiguration(body).value();
+  CHECK(configuration.usesOrganisations);
+  CHECK(configuration.routes[0].isPublic);
+  REQUIRE(configuration.organisations.size() == 2);
+  const OrganisationRow& limited = configuration.organisations[0];
+  CHECK(limited.name == "miny420");
+  CHECK(limited.keyDigests ==
+        std::vector{ DigestOfKey("ryrbbkf83fgfwrz56aw6"), DigestOfKey("3is47dqd") });
+  CHECK(limited.keyDigests[0].size() == kKeyDigestBytes);
+  CHECK(limited.rate == OperationRate{ true, 2500, 270 });
+  CHECK_FALSE(configuration.organisations[1].rate.isLimited);
+}
+
+TEST_CASE("A configuration without organisations needs no keys", "[messages]")
+{
+  const RouteConfiguration configuration = DecodeConfiguration(ConfigurationWith(kRoute)).value();
+  CHECK_FALSE(configuration.usesOrganisations);
+  CHECK_FALSE(configuration.routes[0].isPublic);
+}
+
+TEST_CASE("Configurations with invalid organisations are refused without naming a key",
+          "[messages]")
+{
+  const auto with = [](const std::string& aTenants) {
+    std::string body = ConfigurationWith(kRoute);
+    body.replace(body.size() - 1, 1, ",\"tenants\":" + aTenants + "}");
+    return body;
+  };
+  CHECK(IsAccepted(with("[]")));
+  for (const char* tenants : { R"({})",
+                               R"([7])",
+                               R"([{"name":"a"}])",
+                               R"([{"api_keys":["secret"]}])",
+                               R"([{"name":"a b","api_keys":["secret"]}])",
+                               R"([{"name":"a","api_keys":["sec ret"]}])",
+                               R"([{"name":"a","api_keys":["secret",7]}])",
+                               R"([{"name":"a","api_keys":["secret"],"rate_per_s":"7"}])",
+                               R"([{"name":"a","api_keys":["secret"],"rate_per_s":-1}])",
+                               R"([{"name":"a","api_keys":[]},{"name":"a","api_keys":[]}])",
+                               R"([{"name":"a","api_keys":["secret"]},)"
+                               R"({"name":"b","api_keys":["other","secret"]}])" }) {
+    INFO(tenants);
+    CHECK_FALSE(IsAccepted(with(tenants)));
+    const auto decoded = DecodeConfiguration(with(tenants));
+    const auto checked =
+      decoded ? ValidateRoutes(decoded.value()) : Result<void>(decoded.as_failure());
+    REQUIRE_FALSE(checked);
+    CHECK(checked.error().message.find("secret") == std::string::npos);
+  }
+}
