statements: callers are identified by keys; connections belong to one organisation

If the configuration names organisations, a session needs the key of one of them on routes that are not public. The proxy compares digests only. Each statement asks KeyGate again: a withdrawn key ends single statements with NOAUTH and rolls back an open transaction.

A connection to a backend server is opened for one organisation and never used for another. A full pool closes the idle connection that was used least recently, unless a less urgent request would take it. Uses of relays name the organisation, and one organisation keeps to one relay of a zone, which then has connections for it.

--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -7,6 +7,14 @@
 /// Time before the end of a graceful stop that is left for the last answers to reach callers.
 constexpr std::chrono::milliseconds kLastAnswerTime{ 200 };
 
+/// Time for which keys are trusted: a part of the setting, as the clocks of instances may run at
+/// slightly different rates.
+Duration UsableKeyValidity(const FleetSettings& aFleet)
+{
+  constexpr int kUsableTenths = 9;
+  return Duration{ std::chrono::milliseconds(aFleet.keyValidityMs) } * kUsableTenths / 10;
+}
+
 } // namespace
 
 StatementTrafficWorker::StatementTrafficWorker(InstanceInfo aSelf,
@@ -24,6 +32,7 @@
   serviceSettings.callersAddress = this->settings.callersAddress;
   serviceSettings.self = this->self;
   serviceSettings.regionOfZone = this->settings.fleet.regionOfZone;
+  serviceSettings.keyValidity = UsableKeyValidity(this->settings.fleet);
   serviceSettings.answerUnfinishedAfter =
     std::chrono::milliseconds(this->settings.fleet.stopLimitMs) - kLastAnswerTime;
   auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
--- a/src/oleanderledge/organisations/organisations.hpp
+++ b/src/oleanderledge/organisations/organisations.hpp
@@ -3,3 +3,4 @@
 #pragma once
 
 #include "oleanderledge/organisations/KeyDigest.hpp"
+#include "oleanderledge/organisations/KeyGate.hpp"
--- a/src/oleanderledge/platform/WireProtocol.cpp
+++ b/src/oleanderledge/platform/WireProtocol.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<StatementError, std::string_view>, 12> kErrorCodes{ {
+constexpr std::array<std::pair<StatementError, std::string_view>, 13> kErrorCodes{ {
   { StatementError::Unavailable, "UNAVAIL" },
   { StatementError::Aborted, "ABORTED" },
   { StatementError::Lagging, "LAGGING" },
@@ -23,6 +23,7 @@
   { StatementError::UnknownDatabase, "NODB" },
   { StatementError::UnknownStatement, "NOSTMT" },
   { StatementError::Malformed, "MALFORMED" },
+  { StatementError::Unauthenticated, "NOAUTH" },
 } };
 
 std::string_view CodeOf(StatementError aError)
@@ -172,7 +173,7 @@
     if (word == "STARTUP") {
       StartUp startUp;
       startUp.database = TakeWord(rest);
-      startUp.caller = rest;
+      startUp.key = rest;
       return CallerMessage(std::move(startUp));
     }
     return Fail(ResultCode::ProtocolViolation, "unknown message");
@@ -228,6 +229,8 @@
   internal::LineReader lines;
 };
 
+/// Name of the proxy on connections that are not used for an organisation.
+constexpr std::string_view kProxyName = "oleanderledge";
 /// Id of the statements that the proxy itself sends.
 constexpr std::string_view kProxyStatementId = "-";
 
@@ -283,9 +286,13 @@
   return line.append(aText.empty() ? "-" : aText).append("\r\n");
 }
 
-std::string WireProtocol::StartUpFor(std::string_view aService, std::string_view aBackend) const
+std::string WireProtocol::StartUpFor(std::string_view aService,
+                                     std::string_view aOrganisation,
+                                     std::string_view aBackend) const
 {
-  return "STARTUP " + std::string(aService) + " oleanderledge " + std::string(aBackend) + "\r\n";
+  const std::string_view user = aOrganisation.empty() ? kProxyName : aOrganisation;
+  return "STARTUP " + std::string(aService) + " " + std::string(user) + " " +
+         std::string(aBackend) + "\r\n";
 }
 
 std::string WireProtocol::Forward(std::string_view aId,
--- a/src/oleanderledge/platform/WireProtocol.hpp
+++ b/src/oleanderledge/platform/WireProtocol.hpp
@@ -19,7 +19,9 @@
   std::string Completed() const override;
   std::string Failure(StatementError aError, std::string_view aText) const override;
 
-  std::string StartUpFor(std::string_view aService, std::string_view aBackend) const override;
+  std::string StartUpFor(std::string_view aService,
+                         std::string_view aOrganisation,
+                         std::string_view aBackend) const override;
   std::string Forward(std::string_view aId,
                       std::string_view aText,
                       const std::optional<LogPosition>& aAwait) const override;
--- a/src/oleanderledge/settings/Settings.hpp
+++ b/src/oleanderledge/settings/Settings.hpp
@@ -64,6 +64,9 @@
   /// A backend server gets no new statement later than this after it was acknowledged that it
   /// drains; proxies only. The default is the limit of the requirements (I7).
   std::uint32_t backendDrainMs = 3'000;
+  /// Keys of callers are trusted for this time after the proxy's directory was known to be current,
+  /// so that a withdrawn key ends everywhere; 0: no limit. Proxies only.
+  std::uint32_t keyValidityMs = 0;
 };
 
 /// Settings of one daemon.
--- a/src/oleanderledge/statements/StatementProtocol.hpp
+++ b/src/oleanderledge/statements/StatementProtocol.hpp
@@ -47,7 +47,10 @@
   virtual std::string Failure(StatementError aError, std::string_view aText) const = 0;
 
   // Requests to backend servers.
-  virtual std::string StartUpFor(std::string_view aService, std::string_view aBackend) const = 0;
+  /// `aOrganisation` is the one that the connection is used for; empty: none.
+  virtual std::string StartUpFor(std::string_view aService,
+                                 std::string_view aOrganisation,
+                                 std::string_view aBackend) const = 0;
   /// A caller's statement, unchanged. With `aAwait`, the backend server executes it only if its log
   /// contains that position, and otherwise answers Lagging.
   virtual std::string Forward(std::string_view aId,
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -20,6 +20,9 @@
   InstanceInfo self; ///< This proxy; it accepts links of other proxies at its link address.
   /// Region of each availability zone.
   std::map<std::string, std::string, std::less<>> regionOfZone;
+  /// Time for which keys of callers are trusted after the directory was known to be current; zero:
+  /// no limit. See KeyGate.
+  Duration keyValidity{ 0 };
   /// Delay between the start of a graceful stop and the closing of idle sessions and of the
   /// listening socket for callers. The load balancer has to detect the stop first.
   Duration closeIdleSessionsAfter = std::chrono::milliseconds(2500);
@@ -73,7 +76,8 @@
   /// Sets the deadlines of draining backend servers, from the next directory on.
   virtual void SetDrainDeadlines(const DrainDeadlineMap& aDeadlines) = 0;
   /// The directory that was applied last was current when a heartbeat of this time was sent.
-  /// Extends the time in which commits are allowed that replicas confirm; see kCommitValidity.
+  /// Extends the time in which commits are allowed that replicas confirm (see kCommitValidity), and
+  /// in which keys are trusted (see KeyGate).
   virtual void SetDirectoryCurrentAt(Instant aHeartbeatSent) = 0;
   /// Sets the number of proxies that share the connection limits of the backend servers.
   virtual void SetProxyCount(std::uint32_t aCount) = 0;
--- a/src/oleanderledge/statements/StatementTypes.cpp
+++ b/src/oleanderledge/statements/StatementTypes.cpp
@@ -42,6 +42,8 @@
       return "unknown_database";
     case StatementError::UnknownStatement:
       return "unknown_statement";
+    case StatementError::Unauthenticated:
+      return "unauthenticated";
     case StatementError::Malformed:
       break;
   }
--- a/src/oleanderledge/statements/StatementTypes.hpp
+++ b/src/oleanderledge/statements/StatementTypes.hpp
@@ -49,7 +49,7 @@
 struct StartUp
 {
   std::string database;
-  std::string caller;
+  std::string key; ///< Identifies the organisation of the caller. Must not be logged.
 };
 
 struct Terminate
@@ -74,6 +74,7 @@
   UnknownDatabase,
   UnknownStatement,
   Malformed,
+  Unauthenticated, ///< The caller has no valid key; nothing was executed.
 };
 
 /// True if a backend server that returns this error did not execute the statement, so that it can
--- a/src/oleanderledge/statements/internal/BackendConnection.hpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.hpp
@@ -76,6 +76,8 @@
   /// Valid once `Closed` was emitted.
   ConnectionEnd EndReason() const { return this->endReason; }
 
+  /// Organisation that the connection was opened for; empty: none. Only its callers use it.
+  std::string organisation;
   /// False while the settings in force are uncertain.
   bool settingsKnown = true;
   /// Settings in force on the connection, by name.
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -97,10 +97,26 @@
 {
   if (this->IsRelayed()) {
     return this->connections.size() < kMaxRelayedConnections && this->health.AllowsAttempt(aNow) &&
-           !this->relayClient.ChooseRelay(this->relays, aNow).empty();
+           !this->relayClient.ChooseRelay(this->relays, {}, aNow).empty();
   }
-  return this->connections.size() < this->limit && this->health.AllowsAttempt(aNow) &&
-         aNow >= this->connectionLimitPauseEnd;
+  const bool hasRoom = this->connections.size() < this->limit ||
+                       (this->connections.size() == this->limit && !this->idle.empty());
+  return hasRoom && this->health.AllowsAttempt(aNow) && aNow >= this->connectionLimitPauseEnd;
+}
+
+bool BackendPool::HasIdleFor(std::string_view aOrganisation) const
+{
+  return std::ranges::any_of(this->idle, [aOrganisation](const BackendConnection* aEach) {
+    return aEach->organisation == aOrganisation;
+  });
+}
+
+std::size_t BackendPool::OpeningCountFor(std::string_view aOrganisation) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->connections, [aOrganisation](const BackendConnection* aEach) {
+      return !aEach->IsOpen() && aEach->organisation == aOrganisation;
+    }));
 }
 
 Duration BackendPool::OpeningDuration(Instant aNow) const
@@ -116,6 +132,9 @@
 
 void BackendPool::Open(const ConnectionRequest& aRequest)
 {
+  if (!this->IsRelayed() && this->connections.size() >= this->limit && !this->idle.empty()) {
+    this->Drop(*std::ranges::min_element(this->idle, {}, &BackendConnection::idleSince), false);
+  }
   BackendConnection* connection = this->NewConnection(aRequest);
   this->connections.push_back(connection);
   ++this->openingCount;
@@ -135,19 +154,23 @@
   if (!this->IsRelayed()) {
     auto* connection = new SocketConnection(this->protocol, this->row.name, this);
     ++this->openedCount;
+    connection->organisation = aRequest.organisation;
     connection->Open(this->row.address, this->row.service);
     return connection;
   }
   const Instant now = MonotonicNow();
   RelayOpen request;
   request.backend = this->row.name;
+  request.organisation = aRequest.organisation;
   request.priority = aRequest.priority;
   request.waitUs = std::max(Duration{ 0 }, aRequest.deadline - now).count();
   for (const auto& [name, value] : aRequest.settings) {
     request.settings.push_back({ name, value });
   }
   auto* connection = new RelayedConnection(this->relayClient, this->row.name, this);
-  connection->Open(this->relayClient.ChooseRelay(this->relays, now), std::move(request));
+  connection->organisation = aRequest.organisation;
+  const std::string relay = this->relayClient.ChooseRelay(this->relays, aRequest.organisation, now);
+  connection->Open(relay, std::move(request));
   return connection;
 }
 
@@ -169,15 +192,15 @@
   Q_EMIT this->Changed();
 }
 
-BackendConnection* BackendPool::Take(const SettingMap& aSettings)
+BackendConnection* BackendPool::Take(const SettingMap& aSettings, std::string_view aOrganisation)
 {
-  if (this->idle.empty()) {
-    return nullptr;
-  }
   // Among equals the most recently used one, so that the others reach their idle limit and close.
-  auto best = std::prev(this->idle.end());
+  auto best = this->idle.end();
   int bestRank = -1;
   for (auto each = this->idle.begin(); each != this->idle.end(); ++each) {
+    if ((*each)->organisation != aOrganisation) {
+      continue;
+    }
     const SettingMap& settings = (*each)->settings;
     const bool isEqual = (*each)->settingsKnown && settings == aSettings;
     const int rank = isEqual ? 2 : (settings.empty() ? 1 : 0);
@@ -186,6 +209,9 @@
       best = each;
     }
   }
+  if (best == this->idle.end()) {
+    return nullptr;
+  }
   BackendConnection* connection = *best;
   this->idle.erase(best);
   this->RecordDemand(this->InUse());
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -20,7 +20,8 @@
 {
   std::uint32_t priority = 0; ///< 0 is the most urgent.
   Instant deadline{};
-  SettingMap settings; ///< Of the session.
+  SettingMap settings;      ///< Of the session.
+  std::string organisation; ///< Of the session; empty: none.
 };
 
 /// Connections to one backend server: direct ones of this proxy, or borrowed ones of relays.
@@ -65,10 +66,14 @@
 
   std::size_t IdleCount() const { return this->idle.size(); }
   std::uint32_t Limit() const { return this->limit; }
-  bool HasIdle() const { return !this->idle.empty(); }
-  /// True if another connection may be opened now, by limit and backoff. If IsRelayed(), a relay
-  /// must be ready too.
+  /// True if a connection that was opened for this organisation is idle.
+  bool HasIdleFor(std::string_view aOrganisation) const;
+  /// True if another connection may be opened now, by limit and backoff. An idle connection of
+  /// another organisation counts as room, as Open() closes it. If IsRelayed(), a relay must be
+  /// ready too.
   bool CanOpen(Instant aNow) const;
+  /// Number of connections that are being opened for this organisation.
+  std::size_t OpeningCountFor(std::string_view aOrganisation) const;
   std::size_t OpeningCount() const { return this->openingCount; }
   /// Age of the oldest connection attempt that is still pending; zero if there is none.
   Duration OpeningDuration(Instant aNow) const;
@@ -80,11 +85,12 @@
   std::size_t ConnectionCount() const { return this->connections.size(); }
   std::uint64_t OpenedCount() const { return this->openedCount; }
 
-  /// Starts to open a connection. Changed() follows.
+  /// Starts to open a connection. Changed() follows. If the limit is reached, the idle connection
+  /// that was used least recently is closed first.
   void Open(const ConnectionRequest& aRequest);
-  /// Removes and returns an idle connection, preferably one with these settings in force; null if
-  /// none is idle.
-  BackendConnection* Take(const SettingMap& aSettings);
+  /// Removes and returns an idle connection of the organisation, preferably one with these settings
+  /// in force; null if none is idle.
+  BackendConnection* Take(const SettingMap& aSettings, std::string_view aOrganisation);
   /// Returns a connection to the pool. A transaction on it is rolled back first.
   void Release(BackendConnection* aConnection, bool aInTransaction);
   /// Returns a busy connection to the pool once its statement has ended. Used if nobody waits for
--- a/src/oleanderledge/statements/internal/ConnectionRelay.cpp
+++ b/src/oleanderledge/statements/internal/ConnectionRelay.cpp
@@ -72,6 +72,7 @@
   request.deadline = request.arrivedAt + Duration{ aMessage.waitUs };
   request.priority = aMessage.priority;
   request.settings = &use->settings;
+  request.organisation = aMessage.organisation;
   const ServiceDispatcher::Ticket ticket = use->ticket;
   this->uses[key] = std::move(use);
   dispatcher->RequestConnection(
--- a/src/oleanderledge/statements/internal/RelayClient.cpp
+++ b/src/oleanderledge/statements/internal/RelayClient.cpp
@@ -1,5 +1,6 @@
 #include "oleanderledge/statements/internal/RelayClient.hpp"
 
+#include <functional>
 #include <limits>
 
 namespace oleanderledge {
@@ -10,6 +11,10 @@
 /// other relays within two heartbeats of 200 ms.
 constexpr Duration kRelayAvoidanceTime = std::chrono::milliseconds(400);
 
+/// Channels that the relay of an organisation may have beyond the fewest of another one. A new
+/// connection costs 12 ms at the server, about the execution time of one statement.
+constexpr std::size_t kAffinityChannels = 2;
+
 } // namespace
 
 RelayClient::RelayClient(const InstanceInfo& aSelf, QObject* aParent)
@@ -21,10 +26,15 @@
   QObject::connect(&this->links, &PeerLinks::Received, this, &RelayClient::HandleReceived);
 }
 
-std::string RelayClient::ChooseRelay(const std::vector<std::string>& aRelays, Instant aNow) const
+std::string RelayClient::ChooseRelay(const std::vector<std::string>& aRelays,
+                                     std::string_view aOrganisation,
+                                     Instant aNow) const
 {
   std::string best;
   std::size_t fewest = std::numeric_limits<std::size_t>::max();
+  std::string preferred;
+  std::size_t preferredRank = 0;
+  std::size_t preferredCount = 0;
   for (const std::string& address : aRelays) {
     const auto avoided = this->avoidedUntil.find(address);
     if (!this->links.IsReady(address) ||
@@ -37,6 +47,16 @@
       best = address;
       fewest = count;
     }
+    // Rendezvous hashing: an organisation keeps its relay while that one is in the list.
+    const std::size_t rank = std::hash<std::string>{}(address + " " + std::string(aOrganisation));
+    if (preferred.empty() || rank > preferredRank) {
+      preferred = address;
+      preferredRank = rank;
+      preferredCount = count;
+    }
+  }
+  if (!aOrganisation.empty() && preferredCount <= fewest + kAffinityChannels) {
+    return preferred;
   }
   return best;
 }
--- a/src/oleanderledge/statements/internal/RelayClient.hpp
+++ b/src/oleanderledge/statements/internal/RelayClient.hpp
@@ -33,8 +33,12 @@
   /// Opens a link to the relay at this link address, and keeps it open.
   void Connect(const std::string& aAddress) { this->links.Open(aAddress); }
   /// Returns the link address of the relay to use next: one with the fewest channels among those
-  /// that are ready and not avoided. Empty if there is none.
-  std::string ChooseRelay(const std::vector<std::string>& aRelays, Instant aNow) const;
+  /// that are ready and not avoided. Uses for the same organisation go to the same relay, which may
+  /// have an idle connection for it, unless that one has many more channels. Empty if there is
+  /// none.
+  std::string ChooseRelay(const std::vector<std::string>& aRelays,
+                          std::string_view aOrganisation,
+                          Instant aNow) const;
   /// Excludes a relay that is stopping or does not answer from ChooseRelay() for a short time.
   void AvoidRelay(const std::string& aAddress, Instant aNow);
 
--- a/src/oleanderledge/statements/internal/RelayedConnection.cpp
+++ b/src/oleanderledge/statements/internal/RelayedConnection.cpp
@@ -115,7 +115,8 @@
     return;
   }
   const bool isValid =
-    this->IsBusy() && aMessage.error <= static_cast<std::uint8_t>(StatementError::Malformed) &&
+    this->IsBusy() &&
+    aMessage.error <= static_cast<std::uint8_t>(StatementError::Unauthenticated) &&
     aMessage.transactionState <= static_cast<std::uint8_t>(TransactionState::Failed) &&
     (aMessage.hasError || !aMessage.completed.empty());
   if (!isValid) {
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -330,10 +330,12 @@
       ++index;
       continue;
     }
-    if (!choice.pool->HasIdle()) {
-      const PlacementRequest& request = this->waiting[index].request;
+    const PlacementRequest& request = this->waiting[index].request;
+    if (!choice.pool->HasIdleFor(request.organisation) ||
+        IsReserved(*choice.pool, wanted[choice.pool], request.priority)) {
       std::vector<ConnectionRequest>& requests = wanted[choice.pool];
-      requests.push_back({ request.priority, request.deadline, *request.settings });
+      requests.push_back(
+        { request.priority, request.deadline, *request.settings, request.organisation });
       choice.pool->RecordDemand(choice.pool->InUse() + requests.size());
       ++index;
       continue;
@@ -350,13 +352,11 @@
     }
     Placement placement = choice.placement;
     placement.pool = choice.pool;
-    placement.connection = choice.pool->Take(*waiter.request.settings);
+    placement.connection = choice.pool->Take(*waiter.request.settings, waiter.request.organisation);
     waiter.callback(placement, PlacementRefusal{});
   }
   for (const auto& [pool, requests] : wanted) {
-    while (pool->OpeningCount() < requests.size() && pool->CanOpen(now)) {
-      pool->Open(requests[pool->OpeningCount()]);
-    }
+    OpenMissing(*pool, requests, now);
   }
   for (const auto& [name, pool] : this->pools) {
     pool->ReleaseIdleRelayed();
@@ -365,6 +365,39 @@
   this->isDispatching = false;
 }
 
+bool ServiceDispatcher::IsReserved(const BackendPool& aPool,
+                                   std::span<const ConnectionRequest> aRequests,
+                                   std::uint32_t aPriority)
+{
+  if (aPool.IsRelayed() || aPool.ConnectionCount() < aPool.Limit()) {
+    return false;
+  }
+  const auto moreUrgent = std::ranges::count_if(
+    aRequests, [aPriority](const ConnectionRequest& aEach) { return aEach.priority < aPriority; });
+  return static_cast<std::size_t>(moreUrgent) >= aPool.IdleCount();
+}
+
+void ServiceDispatcher::OpenMissing(BackendPool& aPool,
+                                    std::span<const ConnectionRequest> aRequests,
+                                    Instant aNow)
+{
+  std::map<std::string_view, std::size_t> openingByOrganisation;
+  for (const ConnectionRequest& request : aRequests) {
+    const auto [opening, isNew] = openingByOrganisation.try_emplace(request.organisation, 0);
+    if (isNew) {
+      opening->second = aPool.OpeningCountFor(request.organisation);
+    }
+    if (opening->second > 0) {
+      --opening->second;
+      continue;
+    }
+    if (!aPool.CanOpen(aNow)) {
+      return;
+    }
+    aPool.Open(request);
+  }
+}
+
 ServiceDispatcher::WaitingRequest ServiceDispatcher::TakeWaiting(std::size_t aIndex)
 {
   WaitingRequest taken = std::move(this->waiting[aIndex]);
@@ -471,7 +504,7 @@
       (notPrimary != this->notPrimaryUntil.end() && aNow < notPrimary->second)) {
     return false;
   }
-  return !aPool.Health().IsFailing() || aPool.HasIdle() || aPool.OpeningCount() > 0 ||
+  return !aPool.Health().IsFailing() || aPool.IdleCount() > 0 || aPool.OpeningCount() > 0 ||
          aPool.CanOpen(aNow);
 }
 
@@ -491,7 +524,7 @@
     candidates.push_back(
       { name == this->primary,
         distance == this->distances.end() ? ZoneDistance::OtherRegion : distance->second,
-        hasRoom && pool->HasIdle(),
+        hasRoom && pool->HasIdleFor(aRequest.organisation),
         hasRoom && (pool->CanOpen(aNow) || pool->OpeningCount() > 0),
         pool->IsRelayed(),
         pool->Health().IsFailing(),
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,7 @@
   Instant deadline{};                   ///< The request fails if it has no connection by then.
   std::uint32_t priority = 0;           ///< 0 is the most urgent.
   const SettingMap* settings = nullptr; ///< Of the session; outlives the request.
+  std::string organisation;             ///< Of the caller; empty: none.
   /// Backend servers that failed to execute it. Reads on replicas avoid them; the choice of the
   /// primary ignores them.
   std::set<std::string, std::less<>> excluded;
@@ -136,6 +138,15 @@
   const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
 
 private:
+  /// Opens connections for the requests that no connection is being opened for, as far as allowed.
+  static void OpenMissing(BackendPool& aPool,
+                          std::span<const ConnectionRequest> aRequests,
+                          Instant aNow);
+  /// True if the idle connections of a full pool are to be closed for `aRequests` of other
+  /// organisations that are more urgent than this priority.
+  static bool IsReserved(const BackendPool& aPool,
+                         std::span<const ConnectionRequest> aRequests,
+                         std::uint32_t aPriority);
   /// Treats servers that a complete directory does not name any more as departed.
   void RetireForgottenPools(const Directory& aDirectory);
 
--- a/src/oleanderledge/statements/internal/SocketConnection.cpp
+++ b/src/oleanderledge/statements/internal/SocketConnection.cpp
@@ -62,7 +62,7 @@
 void SocketConnection::Open(const std::string& aAddress, std::string_view aService)
 {
   const auto [host, port] = SplitAddress(aAddress);
-  this->startUp = this->protocol.StartUpFor(aService, this->Backend());
+  this->startUp = this->protocol.StartUpFor(aService, this->organisation, this->Backend());
   this->MarkOpening();
   this->openTimer.start(kOpenTimeout);
   this->socket.connectToHost(QHostAddress(QString::fromStdString(host)), port);
--- a/src/oleanderledge/statements/internal/SocketConnection.hpp
+++ b/src/oleanderledge/statements/internal/SocketConnection.hpp
@@ -19,6 +19,7 @@
   ~SocketConnection() override;
 
   /// Connects to "ip:port" and sends the start-up for a service. `Opened` or `Closed` follows.
+  /// Opens it for the member `organisation`.
   void Open(const std::string& aAddress, std::string_view aService);
 
   bool IsRelayed() const override { return false; }
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -27,6 +27,7 @@
   : protocol(std::move(aProtocol))
   , settings(std::move(aSettings))
   , directory(std::make_shared<Directory>())
+  , keyGate(this->settings.keyValidity)
   , linkServer(this->settings.self, {}, nullptr)
   , relayClient(this->settings.self, nullptr)
   , relay(
@@ -93,12 +94,22 @@
     this->ApplyDirectoryTo(*dispatcher);
   }
   if (isFirst && this->directory->ConfigurationNumber() > 0) {
-    for (StatementSession* session : std::set(this->sessions)) {
-      session->OnConfiguration();
-    }
+    this->ResumeStartUps();
+  }
+}
+
+void StatementServer::ResumeStartUps()
+{
+  for (StatementSession* session : std::set(this->sessions)) {
+    session->ResumeStartUp();
   }
 }
 
+KeyDecision StatementServer::CheckKey(const RouteRow& aRoute, std::string_view aKeyDigest) const
+{
+  return this->keyGate.Check(*this->directory, aRoute, aKeyDigest, MonotonicNow());
+}
+
 void StatementServer::SetDrainDeadlines(const DrainDeadlineMap& aDeadlines)
 {
   this->drainDeadlines = aDeadlines;
@@ -107,6 +118,11 @@
 void StatementServer::SetDirectoryCurrentAt(Instant aHeartbeatSent)
 {
   this->directoryCurrentAt = std::max(this->directoryCurrentAt, aHeartbeatSent);
+  const bool wasOutOfContact = this->keyGate.IsOutOfContact(MonotonicNow());
+  this->keyGate.SetDirectoryCurrentAt(aHeartbeatSent);
+  if (wasOutOfContact) {
+    this->ResumeStartUps();
+  }
   for (const auto& [name, dispatcher] : this->dispatchers) {
     dispatcher->SetDirectoryCurrentAt(this->directoryCurrentAt);
   }
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -44,12 +44,15 @@
   const Directory& CurrentDirectory() const override { return *this->directory; }
   ServiceDispatcher& DispatcherOf(const std::string& aService) override;
   bool RefusesNewWork() const override;
+  KeyDecision CheckKey(const RouteRow& aRoute, std::string_view aKeyDigest) const override;
   void CountOutcome(std::uint32_t aPriority,
                     std::optional<StatementError> aError,
                     Duration aTook) override;
 
   void ApplyDirectoryTo(ServiceDispatcher& aDispatcher) const;
   ServiceDispatcher* FindDispatcherOf(const std::string& aBackend);
+  /// Answers start-ups that wait for a configuration, or for proof that it is current.
+  void ResumeStartUps();
   void AcceptPending();
   void CheckTimeLimits();
   void CheckStop(Instant aNow);
@@ -59,6 +62,7 @@
   std::shared_ptr<const Directory> directory;
   DrainDeadlineMap drainDeadlines;
   Instant directoryCurrentAt{};
+  KeyGate keyGate;
   std::uint32_t proxyCount = 0; ///< Live proxies; 0 if not known.
   QTcpServer server;
   LinkServer linkServer;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -152,21 +152,13 @@
 void StatementSession::Handle(StartUp aStartUp)
 {
   const Directory& directory = this->host.CurrentDirectory();
-  if (!this->isStarted && directory.ConfigurationNumber() == 0 && !this->pendingStartUp) {
+  if (!this->pendingStartUp && this->MustWait(aStartUp)) {
     this->pendingStartUp = std::move(aStartUp);
     this->pendingStartUpSince = MonotonicNow();
     return;
   }
   this->pendingStartUp.reset();
-  std::optional<StatementError> refusal;
-  if (this->isStarted) {
-    refusal = StatementError::Malformed;
-  } else if (directory.ConfigurationNumber() == 0 || this->host.RefusesNewWork()) {
-    refusal = StatementError::Unavailable;
-  } else if (directory.FindRoute(aStartUp.database) == nullptr) {
-    refusal = StatementError::UnknownDatabase;
-  }
-  if (refusal) {
+  if (const auto refusal = this->RefusalOf(aStartUp)) {
     WriteLog(LogEvent::CallerRejected,
              "database=" + aStartUp.database + " error=" + std::string(ToString(*refusal)) +
                " configuration=" + std::to_string(directory.ConfigurationNumber()));
@@ -176,13 +168,82 @@
     return;
   }
   this->database = std::move(aStartUp.database);
+  this->keyDigest = DigestOfKey(aStartUp.key);
   this->isStarted = true;
   this->Answer({}, std::nullopt);
 }
 
-void StatementSession::OnConfiguration()
+bool StatementSession::MustWait(const StartUp& aStartUp) const
+{
+  if (this->isStarted) {
+    return false;
+  }
+  const Directory& directory = this->host.CurrentDirectory();
+  const RouteRow* found = directory.FindRoute(aStartUp.database);
+  return directory.ConfigurationNumber() == 0 ||
+         (found != nullptr && this->host.CheckKey(*found, DigestOfKey(aStartUp.key)).verdict ==
+                                KeyVerdict::OutOfContact);
+}
+
+std::optional<StatementError> StatementSession::RefusalOf(const StartUp& aStartUp) const
+{
+  if (this->isStarted) {
+    return StatementError::Malformed;
+  }
+  const Directory& directory = this->host.CurrentDirectory();
+  if (directory.ConfigurationNumber() == 0 || this->host.RefusesNewWork()) {
+    return StatementError::Unavailable;
+  }
+  const RouteRow* found = directory.FindRoute(aStartUp.database);
+  if (found == nullptr) {
+    return StatementError::UnknownDatabase;
+  }
+  switch (this->host.CheckKey(*found, DigestOfKey(aStartUp.key)).verdict) {
+    case KeyVerdict::Admitted:
+      return std::nullopt;
+    case KeyVerdict::UnknownKey:
+      return StatementError::Unauthenticated;
+    case KeyVerdict::OutOfContact:
+      break;
+  }
+  return StatementError::Unavailable;
+}
+
+bool StatementSession::Authenticate(const RouteRow& aRoute)
+{
+  const KeyDecision decision = this->host.CheckKey(aRoute, this->keyDigest);
+  const bool isAdmitted = decision.verdict == KeyVerdict::Admitted;
+  if (this->transaction.state == TransactionState::Open) {
+    // The connection belongs to the organisation that began the transaction.
+    if (isAdmitted && decision.organisation == this->organisation) {
+      return true;
+    }
+    this->AbortRunning("the key of the session is not valid any more");
+    return false;
+  }
+  if (!isAdmitted) {
+    const bool isUnknown = decision.verdict == KeyVerdict::UnknownKey;
+    this->AnswerError(isUnknown ? StatementError::Unauthenticated : StatementError::Unavailable,
+                      isUnknown ? "the key of the session is not valid"
+                                : "the proxy is out of contact with the control plane; " +
+                                    RetryAfterText(kRetryAfterFailover));
+    return false;
+  }
+  this->organisation = decision.organisation;
+  return true;
+}
+
+void StatementSession::AbortRunning(std::string_view aReason)
+{
+  const bool isCommit = this->running->statement.kind == StatementKind::Commit;
+  this->EndTransaction();
+  this->transaction.state = isCommit ? TransactionState::Idle : TransactionState::Failed;
+  this->AnswerError(StatementError::Aborted, aReason);
+}
+
+void StatementSession::ResumeStartUp()
 {
-  if (this->pendingStartUp) {
+  if (this->pendingStartUp && !this->MustWait(*this->pendingStartUp)) {
     this->Handle(StartUp(*this->pendingStartUp));
     this->ProcessNext();
   }
@@ -225,19 +286,25 @@
         return;
       }
       if (this->transaction.state == TransactionState::Open) {
-        this->RunInTransaction();
+        if (this->Authenticate(*this->route)) {
+          this->RunInTransaction();
+        }
         return;
       }
       if (const RouteRow* found = this->host.CurrentDirectory().FindRoute(this->database)) {
         this->route = *found;
-        this->PlaceSingleStatement();
+        if (this->Authenticate(*this->route)) {
+          this->PlaceSingleStatement();
+        }
       } else {
         this->AnswerError(StatementError::UnknownDatabase, this->database);
       }
       return;
     case StatementKind::Commit:
       if (this->transaction.state == TransactionState::Open) {
-        this->RunInTransaction();
+        if (this->Authenticate(*this->route)) {
+          this->RunInTransaction();
+        }
         return;
       }
       this->AnswerError(StatementError::Malformed, "COMMIT without an open transaction");
@@ -249,14 +316,12 @@
 
 void StatementSession::RefuseWhileStopping()
 {
-  const bool inTransaction = this->transaction.state == TransactionState::Open;
-  const bool isCommit = this->running->statement.kind == StatementKind::Commit;
-  if (inTransaction) {
-    this->EndTransaction();
-    this->transaction.state = isCommit ? TransactionState::Idle : TransactionState::Failed;
+  const std::string reason = "the proxy is stopping; " + RetryAfterText(kRetryAfterStop);
+  if (this->transaction.state == TransactionState::Open) {
+    this->AbortRunning(reason);
+  } else {
+    this->AnswerError(StatementError::Unavailable, reason);
   }
-  this->AnswerError(inTransaction ? StatementError::Aborted : StatementError::Unavailable,
-                    "the proxy is stopping; " + RetryAfterText(kRetryAfterStop));
   // Statements that were received together with this one are refused before the session closes.
   if (this->receivedMessages.empty()) {
     this->Close();
@@ -303,6 +368,9 @@
     return;
   }
   this->route = *found;
+  if (!this->Authenticate(*this->route)) {
+    return;
+  }
   this->transaction = Transaction{};
   this->transaction.state = TransactionState::Open;
   this->transaction.begin = aStatement;
@@ -778,10 +846,7 @@
                  : "the proxy is out of contact with the control plane; ") +
     RetryAfterText(kRetryAfterFailover);
   if (this->transaction.state == TransactionState::Open) {
-    const bool isCommit = this->running->statement.kind == StatementKind::Commit;
-    this->EndTransaction();
-    this->transaction.state = isCommit ? TransactionState::Idle : TransactionState::Failed;
-    this->AnswerError(StatementError::Aborted, reason);
+    this->AbortRunning(reason);
   } else if (isReplacing) {
     this->MoveToOtherServer();
   } else {
@@ -922,6 +987,7 @@
   request.deadline = aArrivedAt + std::max<Duration>(wait, kMinWait);
   request.priority = this->route->priority;
   request.settings = &this->settings;
+  request.organisation = this->organisation;
   return request;
 }
 
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderledge/link/link.hpp"
+#include "oleanderledge/organisations/organisations.hpp"
 #include "oleanderledge/statements/internal/ServiceDispatcher.hpp"
 
 #include <QObject>
@@ -26,6 +27,8 @@
   /// True once a graceful stop has lasted so long that a new statement might not be answered before
   /// the process ends.
   virtual bool RefusesNewWork() const = 0;
+  /// Whether a caller with this key may use the route now.
+  virtual KeyDecision CheckKey(const RouteRow& aRoute, std::string_view aKeyDigest) const = 0;
   /// Counts a finished statement by the priority of its route; std::nullopt means success. `aTook`
   /// is the time from arrival to answer.
   virtual void CountOutcome(std::uint32_t aPriority,
@@ -47,8 +50,9 @@
                    QObject* aParent);
   ~StatementSession() override;
 
-  /// To be called when the first configuration is known; answers a start-up that waits for it.
-  void OnConfiguration();
+  /// To be called when the first configuration is known, and when keys are trusted again; answers a
+  /// start-up that waits for it.
+  void ResumeStartUp();
   /// Enforces the time limits of the start-up, the statement and an idle transaction, and retries a
   /// single read whose server does not respond. Called periodically.
   void CheckTimeLimits(Instant aNow);
@@ -108,6 +112,15 @@
   void ProcessNext();
   void Handle(StartUp aStartUp);
   void Handle(Statement aStatement);
+  /// Why a start-up is refused, or nothing.
+  std::optional<StatementError> RefusalOf(const StartUp& aStartUp) const;
+  /// True if a start-up cannot be decided yet.
+  bool MustWait(const StartUp& aStartUp) const;
+  /// Checks the key for the running statement on a route and sets `organisation`. Answers the
+  /// statement and returns false if it is not admitted.
+  bool Authenticate(const RouteRow& aRoute);
+  /// Rolls back the open transaction and answers the running statement with Aborted.
+  void AbortRunning(std::string_view aReason);
   /// Answers the running statement, which was not sent, with an error that promises that nothing
   /// was executed, rolls back an open transaction and closes the session.
   void RefuseWhileStopping();
@@ -180,7 +193,10 @@
   std::unique_ptr<CallerDecoder> decoder;
   std::deque<CallerMessage> receivedMessages;
   std::string database;
-  std::optional<StartUp> pendingStartUp; ///< Received before the first configuration.
+  std::string keyDigest; ///< See DigestOfKey().
+  /// Organisation for which the current or last operation was admitted; empty: none.
+  std::string organisation;
+  std::optional<StartUp> pendingStartUp; ///< Received before it could be decided.
   Instant pendingStartUpSince{};
   bool isStarted = false;
   bool isClosing = false;
--- a/standin/platform/PlatformDatabase.cpp
+++ b/standin/platform/PlatformDatabase.cpp
@@ -97,7 +97,7 @@
   }
   if (word == "STARTUP") {
     const std::string service = TakeWord(rest);
-    TakeWord(rest);
+    aConnection.user = TakeWord(rest);
     const bool isWrong = service != this->group.service || (!rest.empty() && rest != this->id);
     const bool isFull = this->connections.size() > this->connectionLimit;
     if (isWrong || isFull) {
@@ -109,6 +109,7 @@
     return;
   }
   const std::string statementId = TakeWord(rest);
+  this->group.users[statementId] = aConnection.user;
   this->HandleQuery(aSocket, aConnection, statementId, rest);
 }
 
--- a/standin/platform/PlatformDatabase.hpp
+++ b/standin/platform/PlatformDatabase.hpp
@@ -23,6 +23,8 @@
   /// Ids of statements that ran, in order, with the database that ran them. BEGIN and DISCARD
   /// are recorded by their verb instead of an id.
   std::vector<std::pair<std::string, std::string>> runs;
+  /// User that opened the connection on which each statement ran, by id of the statement.
+  std::map<std::string, std::string> users;
 };
 
 /// In-process test double for a database of the platform: the line protocol, roles, positions and
@@ -62,6 +64,7 @@
   struct Connection
   {
     std::string buffer;
+    std::string user; ///< Second field of the start-up.
     bool isStarted = false;
     bool inTransaction = false;
     bool hasRun = false; ///< A statement of the transaction has arrived.
--- a/tests/statements/Caller.hpp
+++ b/tests/statements/Caller.hpp
@@ -35,12 +35,14 @@
 class Caller
 {
 public:
-  Caller(const std::string& aAddress, const std::string& aDatabase)
+  Caller(const std::string& aAddress,
+         const std::string& aDatabase,
+         const std::string& aKey = "tester")
   {
     const auto colon = aAddress.find(':');
     this->socket.connectToHost(QHostAddress::LocalHost,
                                static_cast<quint16>(std::stoi(aAddress.substr(colon + 1))));
-    this->startUpAnswer = this->Send("STARTUP " + aDatabase + " tester");
+    this->startUpAnswer = this->Send("STARTUP " + aDatabase + " " + aKey);
   }
 
   std::string Send(const std::string& aLine)
--- a/tests/statements/RelayTests.cpp
+++ b/tests/statements/RelayTests.cpp
@@ -160,3 +160,21 @@
                             [](const auto& aEach) { return aEach.second == "ERROR ABORTED"; }));
   CHECK(proxy.relay.group.items["a"] == "first");
 }
+
+// Guards against a relay that lends a connection of one organisation to a caller of another.
+TEST_CASE("A relay lends connections of the caller's organisation", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  proxy.relay.SetOrganisation("miny", { "key-m1" });
+  proxy.relay.SetOrganisation("bela", { "key-b1" });
+  proxy.service->ApplyDirectory(std::make_shared<Directory>(proxy.relay.directory));
+  Caller miny(proxy.address, "orders", "key-m1");
+  Caller bela(proxy.address, "orders", "key-b1");
+  for (int round = 0; round < 2; ++round) {
+    CHECK(miny.Send("QUERY m1 WRITE a 1").starts_with("COMPLETE "));
+    CHECK(proxy.relay.group.users["m1"] == "miny");
+    CHECK(bela.Send("QUERY b1 WRITE a 2").starts_with("COMPLETE "));
+    CHECK(proxy.relay.group.users["b1"] == "bela");
+  }
+}
--- a/tests/statements/ServiceWithReplicas.hpp
+++ b/tests/statements/ServiceWithReplicas.hpp
@@ -1,6 +1,7 @@
 /// Test fixture: a service with three stand-in databases behind one proxy.
 #pragma once
 
+#include "oleanderledge/organisations/organisations.hpp"
 #include "oleanderledge/platform/WireProtocol.hpp"
 #include "oleanderledge/statements/statements.hpp"
 #include "standin/platform/PlatformDatabase.hpp"
@@ -104,6 +105,24 @@
     this->Publish();
   }
 
+  /// Lets callers need a key, and adds an organisation or replaces its keys.
+  void SetOrganisation(const std::string& aName, const std::vector<std::string>& aKeys)
+  {
+    ++this->version;
+    OrganisationRow row;
+    row.name = aName;
+    for (const std::string& key : aKeys) {
+      row.keyDigests.push_back(DigestOfKey(key));
+    }
+    row.version = this->version;
+    std::erase_if(this->update.organisations,
+                  [&aName](const OrganisationRow& aEach) { return aEach.name == aName; });
+    this->update.organisations.push_back(row);
+    this->update.usesOrganisations = true;
+    ++this->update.configurationNumber;
+    this->Publish();
+  }
+
   /// Lets commits of the service wait for replicas.
   void SetSyncReplicas()
   {
