daemon, control: heartbeats leave out what has no effect; bytes of links by message

Bytes between regions were the largest price after the machines. Each proxy reported on each server five times a second, also where the report said nothing, and each reply listed the addresses of all control instances. Reports are left out now that have the same effect as none (not failing, no demand, no answer within the second that the leader looks at), and for servers that are used through relays, whose relays report that they answer; the leader lets a demand decay that is not reported. The addresses are listed in every tenth reply.

Links count what they send by message and distance (oleanderledge_link_bytes_sent_total).

Ruled out: a longer interval of heartbeats, on which connection grants and contact depend.

--- a/src/oleanderledge/control/ConnectionAllocator.cpp
+++ b/src/oleanderledge/control/ConnectionAllocator.cpp
@@ -11,6 +11,8 @@
 
 /// Factor by which a demand decays from one heartbeat (200 ms) to the next; halves it in 0.6 s.
 constexpr double kDemandDecayPerHeartbeat = 0.8;
+/// A demand below this is rounded to 0, and is forgotten.
+constexpr double kLeastDemand = 0.1;
 /// With fewer connections per proxy than this, relays are used, because the connections of one
 /// proxy would not suffice for a burst of its callers.
 constexpr double kMinConnectionsPerProxy = 2.5;
@@ -49,9 +51,14 @@
   ProxyState& view = this->proxies[aProxy.id];
   view.instance = aProxy;
   view.lastReportAt = aNow;
+  // Servers without demand are left out of the reports.
+  for (auto& [backend, demand] : view.demand) {
+    demand *= kDemandDecayPerHeartbeat;
+  }
+  std::erase_if(view.demand, [](const auto& aEach) { return aEach.second < kLeastDemand; });
   for (const BackendReport& report : aReports) {
     double& demand = view.demand[report.backend];
-    demand = std::max<double>(report.demand, demand * kDemandDecayPerHeartbeat);
+    demand = std::max<double>(report.demand, demand);
   }
 }
 
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds kTickInterval(20);
 /// The same interval as that of the proxies' heartbeats.
 constexpr Duration kOwnHeartbeatInterval = std::chrono::milliseconds(200);
+/// The first of this number of heartbeats of a proxy, so one each 2 s, is answered with the
+/// addresses of the control instances. They change rarely, and replies cross regions.
+constexpr std::uint64_t kHeartbeatsPerAddressList = 10;
 constexpr int kHttpUnavailable = 503;
 /// The number of proxies need not be recent, as proxies use it only to divide connection limits.
 constexpr Duration kProxyCountInterval = std::chrono::seconds(1);
@@ -258,7 +261,15 @@
     unsteady += record.row.phase != FailoverPhase::Steady ? 1 : 0;
   }
   const VoterHealth voters = this->group->Voters(MonotonicNow());
-  return line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
+  QByteArray traffic = "# TYPE oleanderledge_link_bytes_sent_total counter\n";
+  for (const LinkTraffic& each : SentBytesByMessage()) {
+    traffic += QByteArray("oleanderledge_link_bytes_sent_total{message=\"") +
+               QByteArray(each.message.data(), static_cast<qsizetype>(each.message.size())) +
+               "\",to=\"" +
+               QByteArray(each.distance.data(), static_cast<qsizetype>(each.distance.size())) +
+               "\"} " + QByteArray::number(qulonglong(each.bytes)) + "\n";
+  }
+  return traffic + line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
          line("current_leader", "gauge", this->Log().HasCurrentLeader(MonotonicNow()) ? 1 : 0) +
          line("configuration_number", "gauge", this->state.Routes().Number()) +
          line("term", "gauge", this->Log().Term()) +
@@ -344,8 +355,10 @@
     return reply;
   }
   this->serviceCoordinator.OnBackendReports(aHeartbeat.instance.id, aHeartbeat.backends, aNow);
-  for (const ControlMember& member : this->Log().Members()) {
-    reply.controlAddresses.push_back(member.linkAddress);
+  if (aHeartbeat.sequence % kHeartbeatsPerAddressList == 1) {
+    for (const ControlMember& member : this->Log().Members()) {
+      reply.controlAddresses.push_back(member.linkAddress);
+    }
   }
   reply.proxyCount = this->proxyCount;
   this->connectionAllocator.OnBackendReports(aHeartbeat.instance, aHeartbeat.backends, aNow);
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/metrics/metrics.hpp"
 #include "oleanderledge/report/report.hpp"
+#include "oleanderledge/transport/transport.hpp"
 
 #include <chrono>
 
@@ -59,6 +60,12 @@
                          { "name", std::string(InfoOf(code).name) } },
                        ToDouble(count));
   }
+  for (const LinkTraffic& traffic : SentBytesByMessage()) {
+    metrics.SetCounter(
+      "oleanderledge_link_bytes_sent_total",
+      { { "message", std::string(traffic.message) }, { "to", std::string(traffic.distance) } },
+      ToDouble(traffic.bytes));
+  }
   this->PublishStatements(aCounters);
   for (const ClassService& service : aCounters.service) {
     const MetricLabels labels{ { "class", service.workClass } };
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -19,6 +19,17 @@
 /// A forecast that is too long would refuse a request that could have been served.
 constexpr int kForecastMarginHalves = 3;
 
+/// An older answer does not tell the control plane that the server answers; see
+/// ServiceTimings::reportLifetime.
+constexpr std::int64_t kReportedAnswerAgeMs = 1000;
+
+/// True if the report has the same effect at the control plane as none.
+bool IsEmptyReport(const BackendReport& aReport)
+{
+  return aReport.failingMs == 0 && aReport.demand == 0 && aReport.closedVersion == 0 &&
+         (aReport.answeredMsAgo < 0 || aReport.answeredMsAgo >= kReportedAnswerAgeMs);
+}
+
 void LogRow(const BackendRow& aRow, std::uint64_t aDirectoryVersion)
 {
   WriteLog(LogEvent::BackendRowReceived,
@@ -249,10 +260,13 @@
     if (name == this->primary && this->commits.MustEndCommits() && !hasCommits) {
       report.closedVersion = this->primaryVersion;
     }
-    if (health.LastAnswer()) {
+    // The relays of a server report that it answers, so that most heartbeats name few servers.
+    if (health.LastAnswer() && !pool->IsRelayed()) {
       report.answeredMsAgo = milliseconds(aNow - *health.LastAnswer());
     }
-    reports.push_back(std::move(report));
+    if (!IsEmptyReport(report)) {
+      reports.push_back(std::move(report));
+    }
   }
   return reports;
 }
--- a/src/oleanderledge/transport/LinkConnection.cpp
+++ b/src/oleanderledge/transport/LinkConnection.cpp
@@ -1,5 +1,7 @@
 #include "oleanderledge/transport/LinkConnection.hpp"
 
+#include "oleanderledge/transport/LinkTraffic.hpp"
+
 #include <QHostAddress>
 
 #include <charconv>
@@ -84,6 +86,10 @@
                            ? this->latency.Between(this->selfInfo.zone, this->peerInfo.zone)
                            : Duration{ 0 };
   std::string frame = EncodeFrame(aMessage);
+  CountSentBytes(aMessage.index(),
+                 this->helloReceived ? DistanceBetween(this->selfInfo.zone, this->peerInfo.zone)
+                                     : ZoneDistance::SameZone,
+                 frame.size());
   if (this->helloReceived && delay == Duration{ 0 } && this->delayedFrames.empty()) {
     this->WriteFrame(std::move(frame));
     return;
--- a/src/oleanderledge/transport/transport.hpp
+++ b/src/oleanderledge/transport/transport.hpp
@@ -5,4 +5,5 @@
 #include "oleanderledge/transport/EmulatedLatency.hpp"
 #include "oleanderledge/transport/LinkConnection.hpp"
 #include "oleanderledge/transport/LinkServer.hpp"
+#include "oleanderledge/transport/LinkTraffic.hpp"
 #include "oleanderledge/transport/PeerLinks.hpp"
--- a/tests/control/ConnectionAllocatorTests.cpp
+++ b/tests/control/ConnectionAllocatorTests.cpp
@@ -181,3 +181,25 @@
     CHECK(fixture.TotalConnections() == 10);
   }
 }
+
+// Guards against a demand that never ends: a server without demand is left out of the reports.
+TEST_CASE("The demand for a server that is no longer reported decays", "[connections]")
+{
+  AllocatorFixture fixture;
+  const auto report = [&fixture](const std::string& aProxy, std::vector<BackendReport> aReports) {
+    const auto found = std::ranges::find(
+      fixture.proxies, aProxy, [](const InstanceInfo& aEach) { return aEach.id; });
+    fixture.allocator.OnBackendReports(*found, aReports, fixture.now);
+  };
+  fixture.proxies.resize(2);
+  fixture.RunFor(4s);
+  for (int heartbeat = 0; heartbeat < 30; ++heartbeat) {
+    fixture.now += 200ms;
+    report("proxy-0", {});
+    report("proxy-1", { { "i-1", 0, 10, 9 } });
+    fixture.allocator.OnTick(fixture.now);
+  }
+  const auto grants = fixture.allocator.TakeChangedGrants("proxy-1", fixture.now);
+  REQUIRE(grants.size() == 1);
+  CHECK(grants[0].connections >= 9);
+}
--- a/tests/statements/RelayTests.cpp
+++ b/tests/statements/RelayTests.cpp
@@ -178,3 +178,17 @@
     CHECK(proxy.relay.group.users["b1"] == "bela");
   }
 }
+
+// Guards against heartbeats that name all servers: they cross regions and dominate their traffic.
+TEST_CASE("A proxy reports nothing on healthy servers that it uses through relays", "[relay]")
+{
+  const Application application;
+  ProxyBehindRelay proxy;
+  Caller caller(proxy.address, "orders");
+  CHECK(caller.Send("QUERY w1 WRITE a second").starts_with("COMPLETE "));
+  CHECK(proxy.service->TakeBackendReports(MonotonicNow()).empty());
+  const auto reports = proxy.relay.service->TakeBackendReports(MonotonicNow());
+  CHECK(std::ranges::any_of(reports, [](const BackendReport& aEach) {
+    return aEach.backend == "i-primary" && aEach.answeredMsAgo >= 0;
+  }));
+}
