statements: one waiting organisation closes one idle connection of a full pool

While a connection for an urgent request was being opened in a full pool, a less urgent request of another organisation could not use its idle connection, closed it, and opened it again (4 connections opened instead of 3 in the test). Requests for which a connection is idle or being opened do not count any more.

Of equally urgent requests of two organisations, the one whose requests never paused kept all connections until the other one's wait ended. A request that has waited for half of its time now gets the next idle connection. Ruled out: strict order of arrival, as each change of organisation costs 12 ms of a slot at the server.

A connection that was being opened when the limit was lowered stayed for good if nobody of its organisation needed it; CloseIdle() closes it.

--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -104,11 +104,10 @@
   return hasRoom && this->health.AllowsAttempt(aNow) && aNow >= this->connectionLimitPauseEnd;
 }
 
-bool BackendPool::HasIdleFor(std::string_view aOrganisation) const
+std::size_t BackendPool::IdleCountFor(std::string_view aOrganisation) const
 {
-  return std::ranges::any_of(this->idle, [aOrganisation](const BackendConnection* aEach) {
-    return aEach->organisation == aOrganisation;
-  });
+  return static_cast<std::size_t>(
+    std::ranges::count(this->idle, aOrganisation, &BackendConnection::organisation));
 }
 
 std::size_t BackendPool::OpeningCountFor(std::string_view aOrganisation) const
@@ -317,7 +316,10 @@
 void BackendPool::CloseIdle(Instant aNow)
 {
   for (BackendConnection* connection : std::vector(this->idle)) {
-    if (this->idle.size() <= 1 || aNow - connection->idleSince < kMaxIdleTime) {
+    // One that was being opened when the limit was lowered is surplus once nobody has taken it.
+    const bool isSurplus = !connection->IsRelayed() && this->connections.size() > this->limit;
+    const bool isOld = this->idle.size() > 1 && aNow - connection->idleSince >= kMaxIdleTime;
+    if (!isSurplus && !isOld) {
       continue;
     }
     this->Drop(connection, false);
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -19,6 +19,7 @@
 struct ConnectionRequest
 {
   std::uint32_t priority = 0; ///< 0 is the most urgent.
+  Instant arrivedAt{};
   Instant deadline{};
   SettingMap settings;      ///< Of the session.
   std::string organisation; ///< Of the session; empty: none.
@@ -66,8 +67,8 @@
 
   std::size_t IdleCount() const { return this->idle.size(); }
   std::uint32_t Limit() const { return this->limit; }
-  /// True if a connection that was opened for this organisation is idle.
-  bool HasIdleFor(std::string_view aOrganisation) const;
+  /// Number of idle connections that were opened for this organisation.
+  std::size_t IdleCountFor(std::string_view aOrganisation) const;
   /// True if another connection may be opened now, by limit and backoff. An idle connection of
   /// another organisation counts as room, as Open() closes it. If IsRelayed(), a relay must be
   /// ready too.
@@ -118,7 +119,7 @@
   /// Marks the server as failing, and returns true, if it has answered none of its pending
   /// statements for long.
   bool CheckUnresponsive(Instant aNow);
-  /// Closes connections that have been idle for long, but for one.
+  /// Closes connections that have been idle for long, but for one, and idle ones beyond the limit.
   void CloseIdle(Instant aNow);
   void CloseAllIdle();
 
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -29,6 +29,23 @@
              " directory=" + std::to_string(aDirectoryVersion));
 }
 
+/// Idle connections of an organisation, and those that are being opened for it.
+std::size_t ConnectionsFor(const BackendPool& aPool, std::string_view aOrganisation)
+{
+  return aPool.IdleCountFor(aOrganisation) + aPool.OpeningCountFor(aOrganisation);
+}
+
+/// True if a request that arrived earlier may close the idle connection that `aOther` could use. Of
+/// equally urgent ones only after half of its time: a new connection costs the server 12 ms, but
+/// without a bound, an organisation whose requests never pause would keep all connections.
+bool IsServedBefore(const ConnectionRequest& aEarlier, const PlacementRequest& aOther, Instant aNow)
+{
+  if (aEarlier.priority != aOther.priority) {
+    return aEarlier.priority < aOther.priority;
+  }
+  return (aNow - aEarlier.arrivedAt) * 2 >= aEarlier.deadline - aEarlier.arrivedAt;
+}
+
 } // namespace
 
 ServiceDispatcher::ServiceDispatcher(const StatementProtocol& aProtocol,
@@ -331,11 +348,14 @@
       continue;
     }
     const PlacementRequest& request = this->waiting[index].request;
-    if (!choice.pool->HasIdleFor(request.organisation) ||
-        IsReserved(*choice.pool, wanted[choice.pool], request.priority)) {
+    if (choice.pool->IdleCountFor(request.organisation) == 0 ||
+        IsReserved(*choice.pool, wanted[choice.pool], request, now)) {
       std::vector<ConnectionRequest>& requests = wanted[choice.pool];
-      requests.push_back(
-        { request.priority, request.deadline, *request.settings, request.organisation });
+      requests.push_back({ request.priority,
+                           request.arrivedAt,
+                           request.deadline,
+                           *request.settings,
+                           request.organisation });
       choice.pool->RecordDemand(choice.pool->InUse() + requests.size());
       ++index;
       continue;
@@ -367,28 +387,37 @@
 
 bool ServiceDispatcher::IsReserved(const BackendPool& aPool,
                                    std::span<const ConnectionRequest> aRequests,
-                                   std::uint32_t aPriority)
+                                   const PlacementRequest& aRequest,
+                                   Instant aNow)
 {
-  if (aPool.IsRelayed() || aPool.ConnectionCount() < aPool.Limit()) {
+  if (aPool.IsRelayed() || aPool.ConnectionCount() < aPool.Limit() || !aPool.CanOpen(aNow)) {
     return false;
   }
-  const auto moreUrgent = std::ranges::count_if(
-    aRequests, [aPriority](const ConnectionRequest& aEach) { return aEach.priority < aPriority; });
-  return static_cast<std::size_t>(moreUrgent) >= aPool.IdleCount();
+  std::map<std::string_view, std::size_t> ahead;
+  for (const ConnectionRequest& each : aRequests) {
+    if (each.organisation != aRequest.organisation && IsServedBefore(each, aRequest, aNow)) {
+      ++ahead[each.organisation];
+    }
+  }
+  std::size_t missing = 0;
+  for (const auto& [organisation, count] : ahead) {
+    missing += count - std::min(count, ConnectionsFor(aPool, organisation));
+  }
+  return missing > 0 && missing >= aPool.IdleCount();
 }
 
 void ServiceDispatcher::OpenMissing(BackendPool& aPool,
                                     std::span<const ConnectionRequest> aRequests,
                                     Instant aNow)
 {
-  std::map<std::string_view, std::size_t> openingByOrganisation;
+  std::map<std::string_view, std::size_t> available;
   for (const ConnectionRequest& request : aRequests) {
-    const auto [opening, isNew] = openingByOrganisation.try_emplace(request.organisation, 0);
+    const auto [position, isNew] = available.try_emplace(request.organisation, 0);
     if (isNew) {
-      opening->second = aPool.OpeningCountFor(request.organisation);
+      position->second = ConnectionsFor(aPool, request.organisation);
     }
-    if (opening->second > 0) {
-      --opening->second;
+    if (position->second > 0) {
+      --position->second;
       continue;
     }
     if (!aPool.CanOpen(aNow)) {
@@ -524,7 +553,7 @@
     candidates.push_back(
       { name == this->primary,
         distance == this->distances.end() ? ZoneDistance::OtherRegion : distance->second,
-        hasRoom && pool->HasIdleFor(aRequest.organisation),
+        hasRoom && pool->IdleCountFor(aRequest.organisation) > 0,
         hasRoom && (pool->CanOpen(aNow) || pool->OpeningCount() > 0),
         pool->IsRelayed(),
         pool->Health().IsFailing(),
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -138,15 +138,17 @@
   const std::map<std::string, BackendPool*, std::less<>>& Pools() const { return this->pools; }
 
 private:
-  /// Opens connections for the requests that no connection is being opened for, as far as allowed.
+  /// Opens connections for the requests that no connection is idle or being opened for, as far as
+  /// allowed.
   static void OpenMissing(BackendPool& aPool,
                           std::span<const ConnectionRequest> aRequests,
                           Instant aNow);
   /// True if the idle connections of a full pool are to be closed for `aRequests` of other
-  /// organisations that are more urgent than this priority.
+  /// organisations that are served before this one.
   static bool IsReserved(const BackendPool& aPool,
                          std::span<const ConnectionRequest> aRequests,
-                         std::uint32_t aPriority);
+                         const PlacementRequest& aRequest,
+                         Instant aNow);
   /// Treats servers that a complete directory does not name any more as departed.
   void RetireForgottenPools(const Directory& aDirectory);
 
