quotas: operations of limited organisations need a token of the control leader

One organisation could use all connections of the fleet, as its rate was only stored. Each operation (a single statement or a transaction) of an organisation with a limit now needs a token. The leader keeps a token bucket for each organisation; a proxy requests tokens over its control link at once, one request in flight, and followers relay requests in batches of 2 ms. An operation waits for a token for at most a quarter of its target, most urgent first, and is refused with OVERLOAD and a retry time otherwise; a BEGIN is still confirmed at once. An operation that ends before anything of it was sent returns its token. Tokens expire 250 ms after the request, so neither late replies nor suspended proxies add up in a window.

A new leader does not know the grants of its predecessor and starts its buckets with 5 tokens. Ruled out: replicating grants, which would cost a log entry for each operation.

Organisations without a limit, and configurations without organisations, cause no message.

--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -5,6 +5,7 @@
 #include "oleanderledge/control/internal/DirectoryPublisher.hpp"
 #include "oleanderledge/control/internal/HeartbeatRelay.hpp"
 #include "oleanderledge/control/internal/LibpqBackendAdmin.hpp"
+#include "oleanderledge/control/internal/TokenRequestRelay.hpp"
 
 #include <QJsonArray>
 
@@ -65,6 +66,11 @@
         this->group->SendToInstance(this->Log().Leader().instance, aMessage);
       },
       this))
+  , tokenRelay(new TokenRequestRelay(
+      [this](const Message& aMessage) {
+        this->group->SendToInstance(this->Log().Leader().instance, aMessage);
+      },
+      this))
   , http(*this, nullptr)
 {
   QObject::connect(&this->linkServer, &LinkServer::Accepted, this, &ControlDaemon::AcceptLink);
@@ -133,6 +139,7 @@
   this->serviceCoordinator.OnLeadershipGained(now);
   this->connectionAllocator.OnLeadershipGained(now);
   this->positionDistributor.Clear();
+  this->tokenAllocator.OnLeadershipGained(now);
   this->leader.OnLeadershipGained(now, actions);
   this->UpdateProxyCount(now);
   this->publisher->Start();
@@ -271,7 +278,9 @@
          line("databases_unsteady", "gauge", unsteady) +
          line("databases_waiting", "gauge", waiting) +
          line("announcements_total", "counter", this->announcementCount) +
-         line("heartbeats_total", "counter", this->heartbeatCount);
+         line("heartbeats_total", "counter", this->heartbeatCount) +
+         line("tokens_granted_total", "counter", this->tokenAllocator.GrantedCount()) +
+         line("tokens_denied_total", "counter", this->tokenAllocator.DeniedCount());
 }
 
 void ControlDaemon::AcceptLink(LinkConnection* aLink)
@@ -281,9 +290,13 @@
     return;
   }
   QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
-    const auto* heartbeat = std::get_if<Heartbeat>(&aMessage);
-    if (heartbeat != nullptr && !this->isStopping) {
+    if (this->isStopping) {
+      return;
+    }
+    if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage)) {
       this->HandleHeartbeat(aLink, *heartbeat);
+    } else if (const auto* request = std::get_if<TokenRequest>(&aMessage)) {
+      this->HandleTokenRequest(aLink, *request);
     }
   });
 }
@@ -303,6 +316,29 @@
   this->Execute(actions);
 }
 
+void ControlDaemon::HandleTokenRequest(LinkConnection* aLink, const TokenRequest& aRequest)
+{
+  if (!this->leader.IsLeading() && this->Log().HasCurrentLeader(MonotonicNow())) {
+    this->tokenRelay->Add(aRequest);
+    return;
+  }
+  aLink->Send(this->AnswerTokenRequest(aRequest));
+}
+
+TokenReply ControlDaemon::AnswerTokenRequest(const TokenRequest& aRequest)
+{
+  if (this->IsCurrentLeader()) {
+    return this->tokenAllocator.Answer(
+      aRequest, this->state.Routes().Organisations(), MonotonicNow());
+  }
+  TokenReply reply;
+  reply.instance = aRequest.instance;
+  reply.incarnation = aRequest.incarnation;
+  reply.sequence = aRequest.sequence;
+  reply.sentUs = aRequest.sentUs;
+  return reply;
+}
+
 void ControlDaemon::HandleMemberMessage(const InstanceInfo& aPeer, const Message& aMessage)
 {
   if (this->isStopping) {
@@ -315,6 +351,16 @@
     for (const HeartbeatReply& reply : replies->replies) {
       this->publisher->SendTo(reply.instance, reply);
     }
+  } else if (const auto* requests = std::get_if<RelayedTokenRequests>(&aMessage)) {
+    RelayedTokenReplies answers;
+    for (const TokenRequest& request : requests->requests) {
+      answers.replies.push_back(this->AnswerTokenRequest(request));
+    }
+    this->group->SendToInstance(aPeer.id, answers);
+  } else if (const auto* answers = std::get_if<RelayedTokenReplies>(&aMessage)) {
+    for (const TokenReply& reply : answers->replies) {
+      this->publisher->SendTo(reply.instance, reply);
+    }
   }
 }
 
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -14,6 +14,7 @@
 #include "oleanderledge/control/internal/ControlGroup.hpp"
 #include "oleanderledge/control/internal/ControlHttp.hpp"
 #include "oleanderledge/control/internal/NotifyingState.hpp"
+#include "oleanderledge/quotas/quotas.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
 #include <QObject>
@@ -28,6 +29,7 @@
 
 class HeartbeatRelay;
 class DirectoryPublisher;
+class TokenRequestRelay;
 
 /// A control process: connects the decisions of ControlLeader to links, HTTP, the replicated log
 /// and backend servers. Runs in one thread.
@@ -103,6 +105,9 @@
 
   void AcceptLink(LinkConnection* aLink);
   void HandleHeartbeat(LinkConnection* aLink, const Heartbeat& aHeartbeat);
+  void HandleTokenRequest(LinkConnection* aLink, const TokenRequest& aRequest);
+  /// Without the leader lease the reply is not accepted and grants nothing.
+  TokenReply AnswerTokenRequest(const TokenRequest& aRequest);
   void HandleMemberMessage(const InstanceInfo& aPeer, const Message& aMessage);
   void HandleRelayedHeartbeats(const std::string& aPeer, const RelayedHeartbeats& aRelayed);
   void Tick();
@@ -146,6 +151,7 @@
   ConnectionAllocator connectionAllocator;
   ServiceCoordinator serviceCoordinator;
   PositionDistributor positionDistributor;
+  TokenAllocator tokenAllocator;
   std::unique_ptr<PromotionService> promotionService;
   std::unique_ptr<PositionQuery> positionQuery;
   std::unique_ptr<ControlGroup> group;
@@ -153,6 +159,7 @@
   LinkServer linkServer;
   DirectoryPublisher* publisher;
   HeartbeatRelay* relay;
+  TokenRequestRelay* tokenRelay;
   ControlHttp http;
   QTimer tickTimer;
   Instant lastOwnHeartbeatAt{};
--- a/src/oleanderledge/daemon/TrafficCounters.hpp
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -33,6 +33,10 @@
   std::uint64_t relayedUses = 0; ///< Times that another proxy used a connection of this one.
   /// Times that a statement or transaction got a connection to a draining server.
   std::uint64_t drainingUses = 0;
+  // Operations of organisations with a limited rate.
+  std::uint64_t operationsAdmitted = 0;  ///< Got a token.
+  std::uint64_t operationsOverLimit = 0; ///< Refused for want of a token.
+  std::size_t operationsAwaitingToken = 0;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -34,6 +34,16 @@
   this->timer.start(0);
 }
 
+void ControlClient::SendTokenRequest(TokenRequest aRequest)
+{
+  if (this->link == nullptr || !this->link->IsReady()) {
+    return;
+  }
+  aRequest.instance = this->contact.Self().id;
+  aRequest.incarnation = this->contact.Self().incarnation;
+  this->link->Send(aRequest);
+}
+
 InstanceInfo ControlClient::Peer() const
 {
   return this->link != nullptr && this->link->IsReady() ? this->link->Peer() : InstanceInfo{};
@@ -117,6 +127,11 @@
   }
   if (const auto* reply = std::get_if<HeartbeatReply>(&aMessage)) {
     this->HandleReply(*reply);
+    return;
+  }
+  const auto* tokens = std::get_if<TokenReply>(&aMessage);
+  if (tokens != nullptr && tokens->incarnation == this->contact.Self().incarnation) {
+    Q_EMIT this->TokensAnswered(*tokens);
   }
 }
 
--- a/src/oleanderledge/daemon/internal/ControlClient.hpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.hpp
@@ -43,6 +43,9 @@
   void Start();
   /// Sends a heartbeat now instead of at the next interval.
   void SendNow();
+  /// Sends a request for tokens at once, with the identity of this proxy. It is dropped while there
+  /// is no connection.
+  void SendTokenRequest(TokenRequest aRequest);
   /// The connected control instance; its id is empty while there is no connection.
   InstanceInfo Peer() const;
 
@@ -54,6 +57,7 @@
   void PositionsShared(std::vector<oleanderledge::PrimaryPosition> aPositions);
   /// The number of live proxies that the leader reports has changed.
   void ProxyCountChanged(std::uint32_t aCount);
+  void TokensAnswered(const oleanderledge::TokenReply& aReply);
   /// The leases count from `aHeartbeatSent`.
   void LeasesGranted(std::vector<oleanderledge::LeaseGrant> aLeases,
                      oleanderledge::Instant aHeartbeatSent);
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -76,6 +76,12 @@
     "oleanderledge_connections_opened_total", {}, ToDouble(aCounters.connectionsOpened));
   metrics.SetCounter("oleanderledge_relayed_uses_total", {}, ToDouble(aCounters.relayedUses));
   metrics.SetCounter("oleanderledge_draining_uses_total", {}, ToDouble(aCounters.drainingUses));
+  metrics.SetCounter(
+    "oleanderledge_operations_admitted_total", {}, ToDouble(aCounters.operationsAdmitted));
+  metrics.SetCounter(
+    "oleanderledge_operations_over_limit_total", {}, ToDouble(aCounters.operationsOverLimit));
+  metrics.SetGauge(
+    "oleanderledge_operations_awaiting_token", {}, ToDouble(aCounters.operationsAwaitingToken));
   for (const auto& [priority, totals] : aCounters.statements) {
     const std::string number = std::to_string(priority);
     for (const auto& [outcome, count] : totals.outcomes) {
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -109,6 +109,11 @@
                      this->RunInTrafficThread(
                        [aPositions](TrafficWorker& aWorker) { aWorker.AddPositions(aPositions); });
                    });
+  QObject::connect(
+    this->client, &ControlClient::TokensAnswered, this, [this](const TokenReply& aReply) {
+      this->RunInTrafficThread(
+        [aReply](TrafficWorker& aWorker) { aWorker.HandleTokenReply(aReply); });
+    });
   if (aSettings.fleet.enabled) {
     this->readiness = new platform::ReadinessServer([this] { return this->IsReady(); }, this);
   }
@@ -144,6 +149,12 @@
     this->traffic = new PostgresTrafficWorker(
       this->contact.Self(), this->settings, ToEmulatedLatency(this->settings.emulatedLatency));
   }
+  // Queued, as the worker lives in the traffic thread.
+  QObject::connect(this->traffic,
+                   &TrafficWorker::TokensRequested,
+                   this->client,
+                   &ControlClient::SendTokenRequest,
+                   Qt::QueuedConnection);
   this->traffic->moveToThread(&this->trafficThread);
   this->trafficThread.start();
   Result<void> started = boost::outcome_v2::success();
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -28,7 +28,13 @@
 
 Result<void> StatementTrafficWorker::Start()
 {
+  this->admission = std::make_unique<QuotaAdmission>(nullptr);
+  QObject::connect(this->admission.get(),
+                   &QuotaAdmission::TokensRequested,
+                   this,
+                   &StatementTrafficWorker::TokensRequested);
   StatementServiceSettings serviceSettings;
+  serviceSettings.admission = this->admission.get();
   serviceSettings.callersAddress = this->settings.callersAddress;
   serviceSettings.self = this->self;
   serviceSettings.regionOfZone = this->settings.fleet.regionOfZone;
@@ -73,6 +79,11 @@
   this->service->AddPeerPositions(aPositions);
 }
 
+void StatementTrafficWorker::HandleTokenReply(const TokenReply& aReply)
+{
+  this->admission->HandleReply(aReply);
+}
+
 TrafficState StatementTrafficWorker::CollectState()
 {
   return {
@@ -91,6 +102,10 @@
   collected.relayedUses = counters.relayedUses;
   collected.drainingUses = counters.drainingUses;
   collected.statements = counters.byPriority;
+  const TokenLedger& ledger = this->admission->Ledger();
+  collected.operationsAdmitted = ledger.AdmittedCount();
+  collected.operationsOverLimit = ledger.RefusedCount();
+  collected.operationsAwaitingToken = ledger.WaitingCount();
   return collected;
 }
 
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderledge/daemon/internal/QuotaAdmission.hpp"
 #include "oleanderledge/daemon/internal/TrafficWorker.hpp"
 #include "oleanderledge/settings/settings.hpp"
 #include "oleanderledge/statements/statements.hpp"
@@ -28,6 +29,7 @@
   void SetProxyCount(std::uint32_t aCount) override;
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) override;
   void AddPositions(const std::vector<PrimaryPosition>& aPositions) override;
+  void HandleTokenReply(const TokenReply& aReply) override;
   TrafficState CollectState() override;
   TrafficCounters CollectCounters() const override;
   void BeginStop() override;
@@ -37,6 +39,7 @@
   InstanceInfo self;
   std::unique_ptr<StatementProtocol> protocol;
   Settings settings;
+  std::unique_ptr<QuotaAdmission> admission; ///< Used by `service`.
   std::unique_ptr<StatementService> service;
 };
 
--- a/src/oleanderledge/daemon/internal/TrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.hpp
@@ -32,6 +32,8 @@
   virtual void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) = 0;
   /// Adds positions of primaries that other proxies observed.
   virtual void AddPositions(const std::vector<PrimaryPosition>& aPositions) = 0;
+  /// Applies the answer to a request that TokensRequested() announced.
+  virtual void HandleTokenReply(const TokenReply& /*aReply*/) {}
   /// Collects what the next heartbeat reports.
   virtual TrafficState CollectState() = 0;
   virtual TrafficCounters CollectCounters() const = 0;
@@ -40,6 +42,10 @@
   virtual void BeginStop() = 0;
   /// True once no caller is connected, nothing is owned and no unit runs.
   virtual bool IsIdle() const = 0;
+
+Q_SIGNALS:
+  /// Tokens are to be requested from the control leader at once.
+  void TokensRequested(const oleanderledge::TokenRequest& aRequest);
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/metrics/metrics.hpp"
+#include "oleanderledge/statements/OperationAdmission.hpp"
 #include "oleanderledge/statements/StatementProtocol.hpp"
 
 #include <cstdint>
@@ -23,6 +24,9 @@
   /// Time for which keys of callers are trusted after the directory was known to be current; zero:
   /// no limit. See KeyGate.
   Duration keyValidity{ 0 };
+  /// Admits operations of organisations with a limited rate; null: nothing is limited. Must outlive
+  /// the service.
+  OperationAdmission* admission = nullptr;
   /// Delay between the start of a graceful stop and the closing of idle sessions and of the
   /// listening socket for callers. The load balancer has to detect the stop first.
   Duration closeIdleSessionsAfter = std::chrono::milliseconds(2500);
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -44,6 +44,7 @@
   const Directory& CurrentDirectory() const override { return *this->directory; }
   ServiceDispatcher& DispatcherOf(const std::string& aService) override;
   bool RefusesNewWork() const override;
+  OperationAdmission* Admission() const override { return this->settings.admission; }
   KeyDecision CheckKey(const RouteRow& aRoute, std::string_view aKeyDigest) const override;
   void CountOutcome(std::uint32_t aPriority,
                     std::optional<StatementError> aError,
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -44,6 +44,8 @@
 constexpr std::string_view kDoubtfulCommit =
   "committed by a server that may have been replaced meanwhile";
 
+constexpr std::string_view kKeyWithdrawn = "the key of the session is not valid any more";
+
 bool IsRefusal(StatementError aError)
 {
   return aError == StatementError::Overloaded || aError == StatementError::Unavailable;
@@ -76,6 +78,7 @@
   , host(aHost)
   , socket(aSocket)
   , decoder(aProtocol.NewCallerDecoder())
+  , quota(aHost.Admission())
 {
   this->socket->setParent(this);
   this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -218,7 +221,7 @@
     if (isAdmitted && decision.organisation == this->organisation) {
       return true;
     }
-    this->AbortRunning("the key of the session is not valid any more");
+    this->AbortRunning(kKeyWithdrawn);
     return false;
   }
   if (!isAdmitted) {
@@ -233,6 +236,41 @@
   return true;
 }
 
+void StatementSession::AdmitOperation(Continuation aDone)
+{
+  const bool isTransaction = this->transaction.state == TransactionState::Open;
+  this->quota.Begin(
+    this->host.CurrentDirectory().FindOrganisation(this->organisation),
+    *this->route,
+    isTransaction ? this->transaction.arrivedAt : this->running->arrivedAt,
+    [this, isTransaction, done = std::move(aDone)](bool aIsAdmitted, const std::string& aReason) {
+      if (aIsAdmitted && this->IsAdmissionValid()) {
+        done();
+      } else if (!aIsAdmitted && isTransaction) {
+        this->FailTransaction(StatementError::Overloaded, aReason);
+      } else if (!aIsAdmitted) {
+        this->AnswerError(StatementError::Overloaded, aReason);
+      }
+    });
+}
+
+bool StatementSession::IsAdmissionValid()
+{
+  const KeyDecision decision = this->host.CheckKey(*this->route, this->keyDigest);
+  if (decision.verdict == KeyVerdict::Admitted && decision.organisation == this->organisation) {
+    return true;
+  }
+  if (this->transaction.state == TransactionState::Open && !this->running) {
+    this->FailTransaction(StatementError::Aborted, kKeyWithdrawn);
+  } else if (this->Authenticate(*this->route)) {
+    // The key has moved to another organisation, whose limit has not admitted the operation.
+    this->AnswerError(StatementError::Unavailable,
+                      "the organisation of the key has changed; " +
+                        RetryAfterText(kRetryAfterStop));
+  }
+  return false;
+}
+
 void StatementSession::AbortRunning(std::string_view aReason)
 {
   const bool isCommit = this->running->statement.kind == StatementKind::Commit;
@@ -294,7 +332,7 @@
       if (const RouteRow* found = this->host.CurrentDirectory().FindRoute(this->database)) {
         this->route = *found;
         if (this->Authenticate(*this->route)) {
-          this->PlaceSingleStatement();
+          this->AdmitOperation([this] { this->PlaceSingleStatement(); });
         }
       } else {
         this->AnswerError(StatementError::UnknownDatabase, this->database);
@@ -378,7 +416,7 @@
   this->transaction.lastActivity = this->running->arrivedAt;
   // Confirmed at once; BEGIN on a backend server runs in the background.
   this->Answer(this->protocol.Completed(), std::nullopt);
-  this->PlaceTransaction();
+  this->AdmitOperation([this] { this->PlaceTransaction(); });
 }
 
 void StatementSession::PlaceTransaction()
@@ -400,6 +438,7 @@
 
 void StatementSession::StartTransaction(const Placement& aPlacement)
 {
+  this->quota.MarkSent();
   this->placement = aPlacement;
   this->transaction.onPrimary = aPlacement.onPrimary;
   ++this->transaction.attempts;
@@ -453,6 +492,7 @@
 
 void StatementSession::FailTransaction(StatementError aError, std::string_view aText)
 {
+  this->quota.End();
   this->transaction.failure = aError;
   this->transaction.failureText = aText;
   if (this->running) {
@@ -525,6 +565,7 @@
 
 void StatementSession::EndTransaction()
 {
+  this->quota.End();
   if (this->ticket) {
     this->Dispatcher()->Cancel(*this->ticket);
     this->ticket.reset();
@@ -582,6 +623,7 @@
 
 void StatementSession::StartSingleStatement()
 {
+  this->quota.MarkSent();
   ++this->running->attempts;
   this->ApplySettings([this] {
     this->PrepareIfNeeded([this] {
@@ -1059,6 +1101,9 @@
     this->host.CountOutcome(this->route->priority, aError, now - this->running->arrivedAt);
   }
   this->running.reset();
+  if (this->transaction.state != TransactionState::Open) {
+    this->quota.End();
+  }
   this->transaction.lastActivity = now;
   aMessages += this->protocol.Ready(this->transaction.state);
   this->socket->write(aMessages.data(), static_cast<qint64>(aMessages.size()));
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/organisations/organisations.hpp"
 #include "oleanderledge/statements/internal/ServiceDispatcher.hpp"
+#include "oleanderledge/statements/internal/SessionQuota.hpp"
 
 #include <QObject>
 #include <QPointer>
@@ -27,6 +28,8 @@
   /// True once a graceful stop has lasted so long that a new statement might not be answered before
   /// the process ends.
   virtual bool RefusesNewWork() const = 0;
+  /// Admits operations of organisations with a limited rate; null: nothing is limited.
+  virtual OperationAdmission* Admission() const = 0;
   /// Whether a caller with this key may use the route now.
   virtual KeyDecision CheckKey(const RouteRow& aRoute, std::string_view aKeyDigest) const = 0;
   /// Counts a finished statement by the priority of its route; std::nullopt means success. `aTook`
@@ -119,6 +122,11 @@
   /// Checks the key for the running statement on a route and sets `organisation`. Answers the
   /// statement and returns false if it is not admitted.
   bool Authenticate(const RouteRow& aRoute);
+  /// Continues once the limit of the organisation admits the operation that begins; refuses it
+  /// otherwise.
+  void AdmitOperation(Continuation aDone);
+  /// Checks the key again after the wait for a token. Returns false if the operation ended.
+  bool IsAdmissionValid();
   /// Rolls back the open transaction and answers the running statement with Aborted.
   void AbortRunning(std::string_view aReason);
   /// Answers the running statement, which was not sent, with an error that promises that nothing
@@ -205,6 +213,7 @@
   std::map<std::string, StatementTemplate, std::less<>> prepared;
   std::optional<RunningStatement> running;
   Transaction transaction;
+  SessionQuota quota;
   std::optional<Placement> placement;
   std::optional<ServiceDispatcher::Ticket> ticket;
   std::optional<LogPosition> lastCommit; ///< Of this session, for routes with read-your-writes.
--- a/tests/control/ControlDaemonTests.cpp
+++ b/tests/control/ControlDaemonTests.cpp
@@ -98,6 +98,8 @@
                          this->directory.Apply(*update);
                        } else if (const auto* reply = std::get_if<HeartbeatReply>(&aMessage)) {
                          this->lastReply = *reply;
+                       } else if (const auto* tokens = std::get_if<TokenReply>(&aMessage)) {
+                         this->lastTokens = *tokens;
                        }
                      });
     QObject::connect(
@@ -126,6 +128,7 @@
   QTimer heartbeatTimer;
   Directory directory;
   HeartbeatReply lastReply;
+  std::optional<TokenReply> lastTokens;
   std::vector<OwnerReport> ownerReports;
 };
 
@@ -235,3 +238,50 @@
     return !fixture.lastReply.leases.empty() && fixture.lastReply.leases[0].term == 4;
   }));
 }
+
+// Guards the path of a token: the request is answered at once, not with the next heartbeat, and by
+// the limit of the stored configuration.
+TEST_CASE("A request for tokens is answered by the limit of the organisation")
+{
+  DaemonFixture fixture;
+  RouteConfiguration configuration;
+  configuration.number = 1;
+  configuration.usesOrganisations = true;
+  configuration.organisations.resize(1);
+  configuration.organisations[0].name = "miny";
+  configuration.organisations[0].rate = { true, 10'000, 40 };
+  fixture.daemon->StoreConfiguration(configuration, [](ControlRequestHandler::Outcome aOutcome) {
+    CHECK(aOutcome == ControlRequestHandler::Outcome::Done);
+  });
+  fixture.ConnectProxy();
+  REQUIRE(WaitUntil([&fixture] { return fixture.lastReply.sequence > 0; }));
+  fixture.heartbeatTimer.stop();
+  fixture.link->Send(TokenRequest{ "proxy-1", 7, 3, 11, { { "miny", 2 }, { "unknown", 1 } } });
+  REQUIRE(WaitUntil([&fixture] { return fixture.lastTokens.has_value(); }));
+  CHECK(fixture.lastTokens->accepted);
+  CHECK(fixture.lastTokens->incarnation == 7);
+  CHECK(fixture.lastTokens->sequence == 3);
+  CHECK(fixture.lastTokens->sentUs == 11);
+  REQUIRE(fixture.lastTokens->grants.size() == 2);
+  CHECK(fixture.lastTokens->grants[0].tokens == 2);
+  CHECK(fixture.lastTokens->grants[1].tokens == 0);
+  fixture.lastTokens.reset();
+  fixture.link->Send(TokenRequest{ "proxy-1", 7, 4, 12, { { "miny", 90 } } });
+  REQUIRE(WaitUntil([&fixture] { return fixture.lastTokens.has_value(); }));
+  REQUIRE(fixture.lastTokens->grants.size() == 1);
+  CHECK(fixture.lastTokens->grants[0].tokens < 90);
+  CHECK(fixture.lastTokens->grants[0].retryAfterMs > 0);
+}
+
+// Guards Q1 against a member that grants tokens without the confirmation that it still leads.
+TEST_CASE("A member without a leader accepts no request for tokens")
+{
+  DaemonFixture fixture([](ReplicatedState& aState, LeadershipListener& aListener) {
+    return std::make_unique<RestoredGroup>(aState, aListener);
+  });
+  fixture.ConnectProxy();
+  fixture.link->Send(TokenRequest{ "proxy-1", 7, 1, 11, { { "miny", 2 } } });
+  REQUIRE(WaitUntil([&fixture] { return fixture.lastTokens.has_value(); }));
+  CHECK_FALSE(fixture.lastTokens->accepted);
+  CHECK(fixture.lastTokens->grants.empty());
+}
