quotas: standing shares let operations go on without a leader

Each operation waited for the leader, and none was admitted during a leader change. A share is a bucket that starts empty, is valid for 4.5 s after the heartbeat that confirmed it, and counts as held at the leader until the proxy confirms a smaller one; what is held is not available on demand. Only a full bucket gives tokens while the leader answers; the rest is kept for denials and for times without a leader.

--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -132,14 +132,14 @@
     this, [this] { Q_EMIT this->Stopped({}); }, Qt::QueuedConnection);
 }
 
-void ControlDaemon::OnLeadershipGained(std::uint64_t /*aTerm*/)
+void ControlDaemon::OnLeadershipGained(std::uint64_t aTerm)
 {
   ControlActions actions;
   const Instant now = MonotonicNow();
   this->serviceCoordinator.OnLeadershipGained(now);
   this->connectionAllocator.OnLeadershipGained(now);
   this->positionDistributor.Clear();
-  this->tokenAllocator.OnLeadershipGained(now);
+  this->tokenAllocator.OnLeadershipGained(aTerm, now);
   this->leader.OnLeadershipGained(now, actions);
   this->UpdateProxyCount(now);
   this->publisher->Start();
@@ -403,6 +403,10 @@
     }
     reply.connections = this->connectionAllocator.TakeChangedGrants(aHeartbeat.instance.id, aNow);
     reply.positions = this->positionDistributor.TakeUpdatesFor(aHeartbeat.instance.id);
+    if (this->state.Routes().UsesOrganisations()) {
+      reply.quotaShares =
+        this->tokenAllocator.OnHeartbeat(aHeartbeat, this->state.Routes().Organisations(), aNow);
+    }
   }
   return reply;
 }
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -14,7 +14,7 @@
 #include "oleanderledge/control/internal/ControlGroup.hpp"
 #include "oleanderledge/control/internal/ControlHttp.hpp"
 #include "oleanderledge/control/internal/NotifyingState.hpp"
-#include "oleanderledge/quotas/quotas.hpp"
+#include "oleanderledge/quotas/TokenAllocator.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
 #include <QObject>
--- a/src/oleanderledge/daemon/internal/ControlClient.cpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.cpp
@@ -112,6 +112,8 @@
   heartbeat.backends = std::move(aState.backends);
   heartbeat.leaderTerm = this->leaderClock.Term();
   heartbeat.positions = this->SelectNewerPositions(aState.positions);
+  heartbeat.operationCounts = std::move(aState.operationCounts);
+  heartbeat.quotaNumber = aState.quotaNumber;
   this->link->Send(heartbeat);
 }
 
@@ -149,6 +151,12 @@
   if (!aReply.connections.empty()) {
     Q_EMIT this->ConnectionsGranted(aReply.connections);
   }
+  // Shares count by the term of the leader that granted them.
+  const bool usesOrganisations = this->contact.CurrentDirectory()->UsesOrganisations();
+  if (aReply.leaderTerm != 0 && (usesOrganisations || !aReply.quotaShares.empty())) {
+    Q_EMIT this->SharesConfirmed(
+      aReply.leaderTerm, aReply.quotaShares, FromMicroseconds(aReply.sentUs));
+  }
   this->leaderClock.RecordReply(aReply, now);
   std::vector<PrimaryPosition> positions;
   for (const PositionSample& sample : aReply.positions) {
--- a/src/oleanderledge/daemon/internal/ControlClient.hpp
+++ b/src/oleanderledge/daemon/internal/ControlClient.hpp
@@ -22,6 +22,8 @@
   std::vector<ClassService> service;
   std::vector<BackendReport> backends;
   std::vector<PrimaryPosition> positions;
+  std::vector<OperationCount> operationCounts;
+  std::uint64_t quotaNumber = 0; ///< See Heartbeat::quotaNumber.
 };
 
 /// Maintains the link to the control group and sends heartbeats over it. Lives in the control
@@ -58,6 +60,10 @@
   /// The number of live proxies that the leader reports has changed.
   void ProxyCountChanged(std::uint32_t aCount);
   void TokensAnswered(const oleanderledge::TokenReply& aReply);
+  /// Standing shares that the leader of a term changed; those that it granted before are renewed.
+  void SharesConfirmed(std::uint64_t aTerm,
+                       std::vector<oleanderledge::QuotaShare> aChanged,
+                       oleanderledge::Instant aHeartbeatSent);
   /// The leases count from `aHeartbeatSent`.
   void LeasesGranted(std::vector<oleanderledge::LeaseGrant> aLeases,
                      oleanderledge::Instant aHeartbeatSent);
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -114,6 +114,15 @@
       this->RunInTrafficThread(
         [aReply](TrafficWorker& aWorker) { aWorker.HandleTokenReply(aReply); });
     });
+  QObject::connect(
+    this->client,
+    &ControlClient::SharesConfirmed,
+    this,
+    [this](std::uint64_t aTerm, const std::vector<QuotaShare>& aChanged, Instant aHeartbeatSent) {
+      this->RunInTrafficThread([aTerm, aChanged, aHeartbeatSent](TrafficWorker& aWorker) {
+        aWorker.HandleShares(aTerm, aChanged, aHeartbeatSent);
+      });
+    });
   if (aSettings.fleet.enabled) {
     this->readiness = new platform::ReadinessServer([this] { return this->IsReady(); }, this);
   }
--- a/src/oleanderledge/daemon/internal/QuotaAdmission.hpp
+++ b/src/oleanderledge/daemon/internal/QuotaAdmission.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "oleanderledge/quotas/quotas.hpp"
 #include "oleanderledge/statements/OperationAdmission.hpp"
 
 #include <QObject>
 #include <QTimer>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -28,6 +30,14 @@
   void Return(const OperationToken& aToken) override;
 
   void HandleReply(const TokenReply& aReply);
+  /// Applies the standing shares of a reply by the leader of `aTerm` to a heartbeat of `aSentAt`.
+  void HandleShares(std::uint64_t aTerm, const std::vector<QuotaShare>& aChanged, Instant aSentAt)
+  {
+    this->ledger.OnHeartbeatReply(aTerm, aChanged, aSentAt, MonotonicNow());
+  }
+  /// For the next heartbeat.
+  std::vector<OperationCount> TakeOperationCounts() { return this->ledger.TakeOperationCounts(); }
+  std::uint64_t QuotaNumber() { return this->ledger.QuotaNumber(MonotonicNow()); }
   const TokenLedger& Ledger() const { return this->ledger; }
 
 Q_SIGNALS:
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -84,11 +84,21 @@
   this->admission->HandleReply(aReply);
 }
 
+void StatementTrafficWorker::HandleShares(std::uint64_t aTerm,
+                                          const std::vector<QuotaShare>& aChanged,
+                                          Instant aHeartbeatSent)
+{
+  this->admission->HandleShares(aTerm, aChanged, aHeartbeatSent);
+}
+
 TrafficState StatementTrafficWorker::CollectState()
 {
-  return {
-    {}, {}, this->service->TakeBackendReports(MonotonicNow()), this->service->ObservedPositions()
-  };
+  return { {},
+           {},
+           this->service->TakeBackendReports(MonotonicNow()),
+           this->service->ObservedPositions(),
+           this->admission->TakeOperationCounts(),
+           this->admission->QuotaNumber() };
 }
 
 TrafficCounters StatementTrafficWorker::CollectCounters() const
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
@@ -30,6 +30,9 @@
   void ApplyConnectionGrants(const std::vector<ConnectionGrant>& aGrants) override;
   void AddPositions(const std::vector<PrimaryPosition>& aPositions) override;
   void HandleTokenReply(const TokenReply& aReply) override;
+  void HandleShares(std::uint64_t aTerm,
+                    const std::vector<QuotaShare>& aChanged,
+                    Instant aHeartbeatSent) override;
   TrafficState CollectState() override;
   TrafficCounters CollectCounters() const override;
   void BeginStop() override;
--- a/src/oleanderledge/daemon/internal/TrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/TrafficWorker.hpp
@@ -34,6 +34,12 @@
   virtual void AddPositions(const std::vector<PrimaryPosition>& aPositions) = 0;
   /// Applies the answer to a request that TokensRequested() announced.
   virtual void HandleTokenReply(const TokenReply& /*aReply*/) {}
+  /// See ControlClient::SharesConfirmed().
+  virtual void HandleShares(std::uint64_t /*aTerm*/,
+                            const std::vector<QuotaShare>& /*aChanged*/,
+                            Instant /*aHeartbeatSent*/)
+  {
+  }
   /// Collects what the next heartbeat reports.
   virtual TrafficState CollectState() = 0;
   virtual TrafficCounters CollectCounters() const = 0;
--- a/src/oleanderledge/quotas/TokenAllocator.cpp
+++ b/src/oleanderledge/quotas/TokenAllocator.cpp
@@ -1,5 +1,7 @@
 #include "oleanderledge/quotas/TokenAllocator.hpp"
 
+#include "oleanderledge/quotas/PerSecond.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,6 +14,10 @@
 constexpr double kTokensAtElection = 5;
 /// A limit with a lower burst could never admit anything.
 constexpr double kMinCapacity = 1;
+/// Burst tokens of standing shares that are given out beside the whole burst on demand, as a part
+/// of the burst and a number: Q1 allows a tenth of the burst, and 20 operations, above the limit.
+constexpr double kBurstOverage = 0.1;
+constexpr double kBurstAllowance = 8;
 /// Latest retry time that is given out in turn to denied requests. Callers that don't come back at
 /// their time must not defer those that do.
 constexpr Duration kLongestTurn = std::chrono::seconds(1);
@@ -20,16 +26,26 @@
 
 } // namespace
 
-double PerSecond(const OperationRate& aRate)
+void TokenAllocator::OnLeadershipGained(std::uint64_t aTerm, Instant aNow)
 {
-  constexpr double kKilosecond = 1000;
-  return static_cast<double>(aRate.perKilosecond) / kKilosecond;
+  this->shares.OnLeadershipGained(aTerm, aNow);
+  this->accounts.clear();
+  this->leaderSince = aNow;
 }
 
-void TokenAllocator::OnLeadershipGained(Instant aNow)
+std::vector<QuotaShare> TokenAllocator::OnHeartbeat(const Heartbeat& aHeartbeat,
+                                                    const OrganisationMap& aOrganisations,
+                                                    Instant aNow)
 {
-  this->accounts.clear();
-  this->leaderSince = aNow;
+  auto changed = this->shares.OnHeartbeat(aHeartbeat, aOrganisations, aNow);
+  // What a proxy may use from now on is not available on demand from now on.
+  for (const QuotaShare& share : changed) {
+    const auto row = aOrganisations.find(share.organisation);
+    if (row != aOrganisations.end() && this->accounts.contains(share.organisation)) {
+      this->AccountOf(row->second, aNow);
+    }
+  }
+  return changed;
 }
 
 TokenReply TokenAllocator::Answer(const TokenRequest& aRequest,
@@ -84,9 +100,8 @@
   const Instant retryAt = std::max(soonest, inTurn);
   const double perSecond = std::max(PerSecond(aRow->rate), 1.0 / kLongestTurn.count());
   const auto turn = std::chrono::duration<double>(missing / perSecond);
-  account.promisedUntil =
-    retryAt + std::chrono::duration_cast<Duration>(
-                std::min<std::chrono::duration<double>>(turn, kLongestTurn));
+  account.promisedUntil = retryAt + std::chrono::duration_cast<Duration>(
+                                      std::min<std::chrono::duration<double>>(turn, kLongestTurn));
   const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(retryAt - aNow);
   grant.retryAfterMs = static_cast<std::uint32_t>(std::max<std::int64_t>(retryAfter.count(), 1));
   return grant;
@@ -94,8 +109,11 @@
 
 TokenAllocator::Account& TokenAllocator::AccountOf(const OrganisationRow& aRow, Instant aNow)
 {
-  const double perSecond = PerSecond(aRow.rate);
-  const double capacity = std::max(static_cast<double>(aRow.rate.burst), kMinCapacity);
+  const RatePart held = this->shares.HeldOf(aRow, aNow);
+  const double perSecond = std::max(PerSecond(aRow.rate) - held.perSecond, 0.0);
+  const double burst = aRow.rate.burst;
+  const double heldFromBurst = std::max(held.burst - kBurstOverage * burst - kBurstAllowance, 0.0);
+  const double capacity = std::max(burst - heldFromBurst, kMinCapacity);
   auto found = this->accounts.find(aRow.name);
   if (found == this->accounts.end()) {
     TokenBucketLevel bucket(
--- a/src/oleanderledge/quotas/TokenLedger.cpp
+++ b/src/oleanderledge/quotas/TokenLedger.cpp
@@ -17,11 +17,12 @@
 {
   ++this->operationCounts[aDemand.organisation];
   Account& account = this->accounts[aDemand.organisation];
-  if (auto token = this->TakeToken(aDemand.organisation, account, aNow)) {
+  const bool isPaused = aNow < account.requestFrom;
+  const bool mayUseReserve = isPaused || aNow < this->leaderMissingUntil;
+  if (auto token = this->TakeToken(aDemand.organisation, account, mayUseReserve, aNow)) {
     ++this->admitted;
     return TokenDecision{ std::move(token), {} };
   }
-  const bool isPaused = aNow < account.requestFrom;
   const Instant tokenAt = std::max(account.retryAt, account.requestFrom);
   if (isPaused && aDemand.deadline < tokenAt) {
     return this->Refuse(aDemand.organisation, tokenAt - aNow, aNow);
@@ -53,29 +54,37 @@
   if (aToken.expiresAt <= aNow) {
     return;
   }
+  if (aToken.isShare) {
+    this->shares.Return(aToken, aNow);
+    return;
+  }
   Account& account = this->accounts[aToken.organisation];
   account.tokens.insert(std::ranges::upper_bound(account.tokens, aToken.expiresAt),
                         aToken.expiresAt);
-  this->ServeWaiting(aToken.organisation, account, aNow);
+  this->ServeWaiting(aToken.organisation, account, false, aNow);
 }
 
 std::optional<OperationToken> TokenLedger::TakeToken(const std::string& aOrganisation,
                                                      Account& aAccount,
+                                                     bool aMayUseReserve,
                                                      Instant aNow)
 {
   std::erase_if(aAccount.tokens, [aNow](Instant aExpiresAt) { return aExpiresAt <= aNow; });
   if (aAccount.tokens.empty()) {
-    return std::nullopt;
+    return this->shares.Take(aOrganisation, aMayUseReserve, aNow);
   }
   const Instant expiresAt = aAccount.tokens.front();
   aAccount.tokens.pop_front();
   return OperationToken{ aOrganisation, expiresAt, false };
 }
 
-void TokenLedger::ServeWaiting(const std::string& aOrganisation, Account& aAccount, Instant aNow)
+void TokenLedger::ServeWaiting(const std::string& aOrganisation,
+                               Account& aAccount,
+                               bool aMayUseReserve,
+                               Instant aNow)
 {
   while (!aAccount.waiting.empty()) {
-    auto token = this->TakeToken(aOrganisation, aAccount, aNow);
+    auto token = this->TakeToken(aOrganisation, aAccount, aMayUseReserve, aNow);
     if (!token) {
       return;
     }
@@ -134,20 +143,38 @@
   }
   if (!aReply.accepted) {
     this->requestFrom = aNow + kDenialPause;
+    this->OnLeaderMissing(aNow);
     return;
   }
+  this->leaderMissingUntil = aNow;
   for (const TokenGrant& grant : aReply.grants) {
     this->OnGrant(grant, expiresAt, aNow);
   }
 }
 
+void TokenLedger::OnHeartbeatReply(std::uint64_t aTerm,
+                                   const std::vector<QuotaShare>& aChanged,
+                                   Instant aSentAt,
+                                   Instant aNow)
+{
+  this->shares.OnHeartbeatReply(aTerm, aChanged, aSentAt, aNow);
+}
+
+void TokenLedger::OnLeaderMissing(Instant aNow)
+{
+  this->leaderMissingUntil = aNow + kLeaderMissingTime;
+  for (auto& [organisation, account] : this->accounts) {
+    this->ServeWaiting(organisation, account, true, aNow);
+  }
+}
+
 void TokenLedger::OnGrant(const TokenGrant& aGrant, Instant aExpiresAt, Instant aNow)
 {
   Account& account = this->accounts[aGrant.organisation];
   for (std::uint32_t token = 0; token < aGrant.tokens && aExpiresAt > aNow; ++token) {
     account.tokens.insert(std::ranges::upper_bound(account.tokens, aExpiresAt), aExpiresAt);
   }
-  this->ServeWaiting(aGrant.organisation, account, aNow);
+  this->ServeWaiting(aGrant.organisation, account, aGrant.retryAfterMs > 0, aNow);
   if (aGrant.retryAfterMs > 0) {
     account.requestFrom = aNow + kDenialPause;
     account.retryAt = aNow + std::chrono::milliseconds(aGrant.retryAfterMs);
@@ -174,6 +201,10 @@
                 [aNow](const auto& aEach) { return aNow - aEach.second >= kTokenValidity; });
   if (this->inFlight) {
     const auto sent = this->openRequests.find(*this->inFlight);
+    const bool isSilent = sent == this->openRequests.end() || aNow - sent->second >= kLeaderSilence;
+    if (isSilent && aNow >= this->leaderMissingUntil) {
+      this->OnLeaderMissing(aNow);
+    }
     if (sent == this->openRequests.end() || aNow - sent->second >= kTokenRequestTimeout) {
       this->inFlight.reset();
     }
@@ -198,9 +229,8 @@
     return !holdsToken && account.waiting.empty() && account.requestFrom <= aNow &&
            account.retryAt <= aNow;
   });
-  std::erase_if(this->refusedAt, [aNow](const auto& aEach) {
-    return aNow - aEach.second > kRefusalQuietTime;
-  });
+  std::erase_if(this->refusedAt,
+                [aNow](const auto& aEach) { return aNow - aEach.second > kRefusalQuietTime; });
 }
 
 std::optional<Instant> TokenLedger::NextTime() const
@@ -211,8 +241,12 @@
   Instant next = this->deadlines.begin()->first;
   if (this->inFlight) {
     const auto sent = this->openRequests.find(*this->inFlight);
-    return sent == this->openRequests.end() ? next
-                                            : std::min(next, sent->second + kTokenRequestTimeout);
+    if (sent == this->openRequests.end()) {
+      return next;
+    }
+    next = std::min(next, sent->second + kTokenRequestTimeout);
+    return this->leaderMissingUntil > sent->second ? next
+                                                   : std::min(next, sent->second + kLeaderSilence);
   }
   for (const auto& [organisation, account] : this->accounts) {
     if (!account.waiting.empty()) {
--- a/src/oleanderledge/quotas/TokenLedger.hpp
+++ b/src/oleanderledge/quotas/TokenLedger.hpp
@@ -3,6 +3,7 @@
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/quotas/OperationToken.hpp"
 #include "oleanderledge/quotas/QuotaTimings.hpp"
+#include "oleanderledge/quotas/ShareLedger.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -16,23 +17,10 @@
 
 namespace oleanderledge {
 
-/// An operation that needs a token.
-struct OperationDemand
-{
-  std::string organisation;
-  std::uint32_t priority = 0; ///< 0 is the most urgent.
-  Instant deadline{};         ///< Until when the operation may wait for a token.
-};
-
-/// Whether an operation may run.
-struct TokenDecision
-{
-  std::optional<OperationToken> token; ///< Empty: the operation is refused.
-  Duration retryAfter{ 0 };            ///< If refused: when a token may be had.
-};
-
-/// Tokens of a proxy, and the operations that wait for them. Requests tokens from the control
-/// leader, one request at a time; operations that arrive meanwhile are part of the next one.
+/// Tokens of a proxy, and the operations that wait for them. Takes them from the standing shares of
+/// the proxy and requests others from the control leader, one request at a time; operations that
+/// arrive meanwhile are part of the next one. The burst of a standing share is a reserve for denials
+/// and for times without a leader.
 class TokenLedger
 {
 public:
@@ -49,6 +37,13 @@
   /// The request that is to be sent now, if any, without the identity of the proxy.
   std::optional<TokenRequest> TakeRequest(Instant aNow);
   void OnReply(const TokenReply& aReply, Instant aNow);
+  /// Applies the standing shares of a reply by the leader of `aTerm` to a heartbeat of `aSentAt`.
+  void OnHeartbeatReply(std::uint64_t aTerm,
+                        const std::vector<QuotaShare>& aChanged,
+                        Instant aSentAt,
+                        Instant aNow);
+  /// For heartbeats; see Heartbeat::quotaNumber.
+  std::uint64_t QuotaNumber(Instant aNow) { return this->shares.Number(aNow); }
   /// Refuses operations whose deadline has passed and gives up a request without a reply. To be
   /// called at NextTime().
   void OnTime(Instant aNow);
@@ -79,9 +74,15 @@
 
   std::optional<OperationToken> TakeToken(const std::string& aOrganisation,
                                           Account& aAccount,
+                                          bool aMayUseReserve,
                                           Instant aNow);
   /// Gives tokens in hand to operations that wait.
-  void ServeWaiting(const std::string& aOrganisation, Account& aAccount, Instant aNow);
+  void ServeWaiting(const std::string& aOrganisation,
+                    Account& aAccount,
+                    bool aMayUseReserve,
+                    Instant aNow);
+  /// The leader does not answer: operations that wait use the reserves.
+  void OnLeaderMissing(Instant aNow);
   void OnGrant(const TokenGrant& aGrant, Instant aExpiresAt, Instant aNow);
   void OnDenial(const std::string& aOrganisation, Account& aAccount, Instant aNow);
   /// Removes an operation from those that wait.
@@ -97,7 +98,9 @@
   std::map<std::uint64_t, Instant> openRequests;
   std::optional<std::uint64_t> inFlight; ///< The request whose reply is awaited.
   std::uint64_t sequence = 0;
-  Instant requestFrom{}; ///< No request before this time: there was no leader.
+  Instant requestFrom{};        ///< No request before this time: there was no leader.
+  Instant leaderMissingUntil{}; ///< Until then the reserves are used at once.
+  ShareLedger shares;
   std::vector<std::pair<Ticket, TokenDecision>> decisions;
   std::map<std::string, std::uint32_t, std::less<>> operationCounts;
   std::map<std::string, Instant, std::less<>> refusedAt; ///< Last refusal by organisation.
--- a/src/oleanderledge/quotas/quotas.hpp
+++ b/src/oleanderledge/quotas/quotas.hpp
@@ -4,5 +4,7 @@
 
 #include "oleanderledge/quotas/OperationToken.hpp"
 #include "oleanderledge/quotas/QuotaTimings.hpp"
+#include "oleanderledge/quotas/ShareAllocator.hpp"
+#include "oleanderledge/quotas/ShareLedger.hpp"
 #include "oleanderledge/quotas/TokenAllocator.hpp"
 #include "oleanderledge/quotas/TokenLedger.hpp"
--- a/src/oleanderledge/statements/OperationAdmission.hpp
+++ b/src/oleanderledge/statements/OperationAdmission.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "oleanderledge/link/link.hpp"
-#include "oleanderledge/quotas/quotas.hpp"
+#include "oleanderledge/quotas/OperationToken.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/src/oleanderledge/statements/internal/SessionQuota.hpp
+++ b/src/oleanderledge/statements/internal/SessionQuota.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderledge/link/link.hpp"
 #include "oleanderledge/statements/OperationAdmission.hpp"
 
 #include <optional>
--- a/tests/quotas/QuotaFleet.hpp
+++ b/tests/quotas/QuotaFleet.hpp
@@ -33,7 +33,8 @@
   void SetFaults(double aPart) { this->faults = aPart; }
   void ElectLeader();
   void RemoveLeader() { this->leader.reset(); }
-  /// Stops a proxy for a time. It handles nothing meanwhile, and all that was sent to it afterwards.
+  /// Stops a proxy for a time. It handles nothing meanwhile, and all that was sent to it
+  /// afterwards.
   void Suspend(std::size_t aProxy, Duration aTime);
   void Run(Duration aTime);
 
@@ -50,6 +51,7 @@
   {
     TokenLedger ledger;
     Instant suspendedUntil{};
+    Instant heartbeatAt{};                              ///< Of the next heartbeat.
     std::map<TokenLedger::Ticket, std::string> waiting; ///< Organisation by operation.
     std::vector<std::pair<Instant, std::function<void()>>> inbox;
   };
@@ -57,6 +59,7 @@
   void Step();
   void Arrive(Proxy& aProxy, const std::string& aOrganisation);
   void Continue(std::size_t aIndex);
+  void SendHeartbeat(std::size_t aIndex);
   void SendRequest(std::size_t aIndex, const TokenRequest& aRequest);
   void Record(const std::string& aOrganisation, const TokenDecision& aDecision);
   /// When a message that is sent now arrives, or nothing if it is lost.
--- a/tests/quotas/TokenLedgerTests.cpp
+++ b/tests/quotas/TokenLedgerTests.cpp
@@ -47,7 +47,8 @@
   CHECK(second->demands[0].tokens == 2);
 }
 
-// Guards Q1 against tokens that a late reply brings, and that a suspended proxy finds when it wakes.
+// Guards Q1 against tokens that a late reply brings, and that a suspended proxy finds when it
+// wakes.
 TEST_CASE("Tokens expire 250 ms after the request was sent")
 {
   TokenLedger ledger;
@@ -91,6 +92,8 @@
   TokenLedger ledger;
   CHECK_FALSE(ledger.Admit(1, Demand(900), At(0)));
   const auto lost = ledger.TakeRequest(At(0));
+  CHECK(ledger.NextTime() == At(75));
+  ledger.OnTime(At(75));
   CHECK(ledger.NextTime() == At(200));
   ledger.OnTime(At(200));
   const auto again = ledger.TakeRequest(At(200));
