limits: object that bounds what a process holds for its clients; harness of the crowd tests

ResourceBudget counts bytes, statements and connections of all ports and says which clients to close; nothing uses it yet. tests/crowd starts the program itself and crowds of clients; first version, not yet run.

--- a/soak/ChildProcess.hpp
+++ b/soak/ChildProcess.hpp
@@ -28,6 +28,8 @@
   /// What each thread of the process waits for, for a process that does not end: name, state and
   /// kernel function.
   std::string DescribeThreads() const;
+  /// Process id; -1 if the process could not be started.
+  pid_t Id() const { return this->id; }
   /// Status as of waitpid(); -1 if the process could not be started.
   int Status() const { return this->status; }
 
--- /dev/null
+++ b/src/oleanderledge/limits/limits.hpp
@@ -0,0 +1,4 @@
+/// Public header of the library `limits`: bounds on what a process holds for its clients.
+#pragma once
+
+#include "oleanderledge/limits/ResourceBudget.hpp"
