statements: what a client can make a proxy hold is bounded

Causes: readAll() into an unbounded queue, responses without a limit, sessions that keep any amount of values, names of prepared statements that pooled connections collect, connections without time limits.

CallerChannel decodes one message ahead and leaves the rest in the socket, so that TCP slows the client down. ResourceBudget adds up what is held and selects the connections that hold most. A violation of the protocol is answered after the statements before it, as the answer to a COMMIT was taken from its error otherwise.

--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -91,6 +91,9 @@
   LogEventInfo{ LogEvent::ControlAddressTried, "control_address_tried", Info },
 };
 
+/// Longer details are cut: they may contain names that a client chose, of up to 1 MiB.
+constexpr std::size_t kMaxDetailBytes = 4096;
+
 /// Guards `limiter`: the control thread and the traffic threads write log lines.
 std::mutex limiterMutex;
 LogLimiter limiter;
@@ -138,7 +141,7 @@
               "E{} {} {}{}",
               static_cast<unsigned>(aEvent),
               found->name,
-              aDetail,
+              aDetail.substr(0, kMaxDetailBytes),
               suffix);
 }
 
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -112,8 +112,8 @@
 std::span<const LogEventInfo> AllLogEvents();
 
 /// Writes one line "E<number> <name> <detail>" at the level of the event. Safe to call from several
-/// threads. Lines over the rate limit of LogLimiter are dropped; the next line of that event ends
-/// with " left_out=" and the number of dropped lines.
+/// threads. A long detail is cut. Lines over the rate limit of LogLimiter are dropped; the next
+/// line of that event ends with " left_out=" and the number of dropped lines.
 void WriteLog(LogEvent aEvent, std::string_view aDetail);
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -6,6 +6,7 @@
 #include "oleanderledge/daemon/internal/ProcessSignals.hpp"
 #include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
 #include "oleanderledge/daemon/internal/SettingsWatcher.hpp"
+#include "oleanderledge/limits/limits.hpp"
 #include "oleanderledge/platform/platform.hpp"
 #include "oleanderledge/statements/statements.hpp"
 
@@ -99,6 +100,9 @@
 
 Result<void> RunProxy(const Settings& aSettings, const DaemonOptions& aOptions)
 {
+  if (aSettings.fleet.enabled) {
+    ReturnLargeBlocks();
+  }
   ProxyDaemon daemon(aSettings, aOptions.metricsLog, nullptr);
   SettingsWatcher watcher(aOptions.settingsPath, DaemonKind::Proxy, nullptr);
   QObject::connect(&watcher, &SettingsWatcher::Changed, &daemon, &ProxyDaemon::Reload);
@@ -112,6 +116,7 @@
   ControlDaemon daemon(settings, nullptr);
   std::optional<platform::ControlPlaneServer> controlPlane;
   if (aSettings.fleet.enabled) {
+    ReturnLargeBlocks();
     daemon.SetPromotionService(
       std::make_unique<platform::PromotionClient>(aSettings.fleet.promotionAddress));
     daemon.SetPositionQuery(
--- a/src/oleanderledge/daemon/TrafficCounters.hpp
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -33,6 +33,10 @@
   std::uint64_t relayedUses = 0; ///< Times that another proxy used a connection of this one.
   /// Times that a statement or transaction got a connection to a draining server.
   std::uint64_t drainingUses = 0;
+  // Clients of all ports; see ResourceBudget.
+  std::map<ClosingReason, std::uint64_t> clientsClosed; ///< Because of a limit.
+  std::uint64_t clientBytes = 0;
+  std::uint64_t clientConnections = 0;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -76,6 +76,13 @@
     "oleanderledge_connections_opened_total", {}, ToDouble(aCounters.connectionsOpened));
   metrics.SetCounter("oleanderledge_relayed_uses_total", {}, ToDouble(aCounters.relayedUses));
   metrics.SetCounter("oleanderledge_draining_uses_total", {}, ToDouble(aCounters.drainingUses));
+  metrics.SetGauge("oleanderledge_client_bytes", {}, ToDouble(aCounters.clientBytes));
+  metrics.SetGauge("oleanderledge_client_connections", {}, ToDouble(aCounters.clientConnections));
+  for (const auto& [reason, count] : aCounters.clientsClosed) {
+    metrics.SetCounter("oleanderledge_clients_closed_total",
+                       { { "reason", std::string(ToString(reason)) } },
+                       ToDouble(count));
+  }
   for (const auto& [priority, totals] : aCounters.statements) {
     const std::string number = std::to_string(priority);
     for (const auto& [outcome, count] : totals.outcomes) {
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -57,6 +57,7 @@
   , contact(MakeInstanceInfo(aSettings), aSettings.controlAddresses, {})
   , drainDeadlines(UsableDrainTime(aSettings.fleet))
   , publisher(contact.Self(), metrics, aMetricsLog)
+  , budget(std::make_shared<ResourceBudget>(BudgetLimitsOf(aSettings.limits)))
 {
   this->client = new ControlClient(
     this->contact,
@@ -138,8 +139,10 @@
 Result<void> ProxyDaemon::Start()
 {
   if (this->settings.fleet.enabled) {
-    this->traffic = new StatementTrafficWorker(
-      this->contact.Self(), std::make_unique<platform::WireProtocol>(), this->settings);
+    this->traffic = new StatementTrafficWorker(this->contact.Self(),
+                                               std::make_unique<platform::WireProtocol>(),
+                                               this->settings,
+                                               this->budget);
   } else {
     this->traffic = new PostgresTrafficWorker(
       this->contact.Self(), this->settings, ToEmulatedLatency(this->settings.emulatedLatency));
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderledge/daemon/ClientBudget.hpp"
 #include "oleanderledge/daemon/ControlContact.hpp"
 #include "oleanderledge/daemon/DrainDeadlines.hpp"
 #include "oleanderledge/daemon/internal/ControlClient.hpp"
@@ -63,6 +64,7 @@
   DrainDeadlines drainDeadlines;
   MetricsRegistry metrics;
   MetricsPublisher publisher;
+  std::shared_ptr<ResourceBudget> budget; ///< Shared with the traffic thread.
   ControlClient* client = nullptr;
   ProxyHttp* http = nullptr;
   platform::ReadinessServer* readiness = nullptr;
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -1,5 +1,7 @@
 #include "oleanderledge/daemon/internal/StatementTrafficWorker.hpp"
 
+#include "oleanderledge/daemon/ClientBudget.hpp"
+
 namespace oleanderledge {
 
 namespace {
@@ -19,10 +21,12 @@
 
 StatementTrafficWorker::StatementTrafficWorker(InstanceInfo aSelf,
                                                std::unique_ptr<StatementProtocol> aProtocol,
-                                               Settings aSettings)
+                                               Settings aSettings,
+                                               std::shared_ptr<ResourceBudget> aBudget)
   : self(std::move(aSelf))
   , protocol(std::move(aProtocol))
   , settings(std::move(aSettings))
+  , budget(std::move(aBudget))
 {
 }
 
@@ -35,6 +39,8 @@
   serviceSettings.keyValidity = UsableKeyValidity(this->settings.fleet);
   serviceSettings.answerUnfinishedAfter =
     std::chrono::milliseconds(this->settings.fleet.stopLimitMs) - kLastAnswerTime;
+  serviceSettings.clientLimits = ClientLimitsOf(this->settings.limits);
+  serviceSettings.budget = this->budget;
   auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
   if (!created) {
     return Fail(created.error().code, created.error().message);
@@ -91,6 +97,9 @@
   collected.relayedUses = counters.relayedUses;
   collected.drainingUses = counters.drainingUses;
   collected.statements = counters.byPriority;
+  collected.clientsClosed = counters.clientsClosed;
+  collected.clientBytes = counters.clientBytes;
+  collected.clientConnections = counters.clientConnections;
   return collected;
 }
 
--- a/src/oleanderledge/limits/ResourceBudget.cpp
+++ b/src/oleanderledge/limits/ResourceBudget.cpp
@@ -142,11 +142,10 @@
   return std::exchange(this->marked[aPort], {});
 }
 
-bool ResourceBudget::AllowsReadAhead() const
+bool ResourceBudget::AllowsStatement() const
 {
   const std::lock_guard lock(this->mutex);
-  return this->totalStatements < this->limits.statements &&
-         this->totalBytes < this->limits.bytes / 2;
+  return this->totalStatements < this->limits.statements;
 }
 
 void ResourceBudget::RecordClosing(ClientPort aPort,
--- a/src/oleanderledge/limits/ResourceBudget.hpp
+++ b/src/oleanderledge/limits/ResourceBudget.hpp
@@ -49,8 +49,7 @@
   std::uint64_t sparedBytes = std::uint64_t{ 8 } * 1024;
   std::uint32_t connections = 20'000;
   std::uint32_t connectionsPerAddress = 20'000;
-  /// Statements that were received but not answered. Over this limit no client's statements are
-  /// read ahead; see AllowsReadAhead().
+  /// Statements that were received but not answered; see AllowsStatement().
   std::uint32_t statements = 20'000;
 };
 
@@ -93,9 +92,8 @@
   /// exceeds its limit, those that hold most bytes are closed first, of any port.
   std::vector<Closing> TakeClosings(ClientPort aPort);
 
-  /// False while the process holds so many statements or bytes that no client may send a statement
-  /// ahead of the answer to the one before.
-  bool AllowsReadAhead() const;
+  /// False while the process holds so many statements that a new one has to be refused.
+  bool AllowsStatement() const;
 
   /// Counts and logs a connection that was closed or refused. The address must not be empty.
   void RecordClosing(ClientPort aPort,
--- a/src/oleanderledge/platform/WireProtocol.cpp
+++ b/src/oleanderledge/platform/WireProtocol.cpp
@@ -139,6 +139,8 @@
 {
 public:
   void Append(std::string_view aBytes) override { this->lines.Append(aBytes); }
+  std::size_t BufferedBytes() const override { return this->lines.BufferedBytes(); }
+  void Clear() override { this->lines = {}; }
 
   std::optional<Result<CallerMessage>> Next() override
   {
--- a/src/oleanderledge/settings/Settings.cpp
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -30,6 +30,19 @@
   limits.ReadNumber("max_callers", aLimits.maxCallers, 1, 1'000'000);
   limits.ReadNumber("message_bytes", aLimits.maxMessageBytes, 1024, 64U << 20U);
   limits.ReadNumber("queued_units_per_class", aLimits.queuedUnitsPerClass, 1, 1'000'000);
+  limits.ReadNumber("memory_mb", aLimits.memoryMb, 64, 1'000'000);
+  limits.ReadNumber("file_descriptors", aLimits.fileDescriptors, 64, 10'000'000);
+  limits.ReadNumber("connections_per_address", aLimits.connectionsPerAddress, 1, 1'000'000);
+  limits.ReadNumber("statements", aLimits.statements, 1, 1'000'000);
+  limits.ReadNumber("total_bytes", aLimits.totalBytes, 4U << 20U, 4U << 29U);
+  limits.ReadNumber("spared_bytes", aLimits.sparedBytes, 0, 1U << 20U);
+  limits.ReadNumber("read_ahead_bytes", aLimits.readAheadBytes, 1024, 64U << 20U);
+  limits.ReadNumber("unread_response_bytes", aLimits.unreadResponseBytes, 1024, 64U << 20U);
+  limits.ReadNumber("session_bytes", aLimits.sessionBytes, 1024, 64U << 20U);
+  limits.ReadNumber("prepared_bytes", aLimits.preparedBytes, 1024, 64U << 20U);
+  limits.ReadNumber("start_up_ms", aLimits.startUpMs, 100, 3'600'000);
+  limits.ReadNumber("message_ms", aLimits.messageMs, 100, 3'600'000);
+  limits.ReadNumber("response_ms", aLimits.responseMs, 100, 3'600'000);
   limits.ReportUnknownKeys();
 }
 
--- a/src/oleanderledge/settings/Settings.hpp
+++ b/src/oleanderledge/settings/Settings.hpp
@@ -30,6 +30,21 @@
   std::uint32_t maxCallers = 20000;
   std::uint32_t maxMessageBytes = 16U << 20U; ///< Largest message of a caller.
   std::uint32_t queuedUnitsPerClass = 4096; ///< Longest queue of a class at an owner, per database.
+
+  // The following apply to proxies with routes; see BudgetLimits and ClientLimits.
+  std::uint32_t memoryMb = 0;        ///< Memory of the machine; 0: not known.
+  std::uint32_t fileDescriptors = 0; ///< 0: the limit that the process was started with.
+  std::uint32_t connectionsPerAddress = 20000;
+  std::uint32_t statements = 20000;
+  std::uint32_t totalBytes = 0; ///< 0: derived from the memory.
+  std::uint32_t sparedBytes = 8U << 10U;
+  std::uint32_t readAheadBytes = 16U << 10U;
+  std::uint32_t unreadResponseBytes = 256U << 10U;
+  std::uint32_t sessionBytes = 2U << 20U;
+  std::uint32_t preparedBytes = 256U << 10U;
+  std::uint32_t startUpMs = 10'000;
+  std::uint32_t messageMs = 30'000;
+  std::uint32_t responseMs = 60'000;
 };
 
 /// One-way delays that are added to emulate the network when a fleet runs on one machine.
--- a/src/oleanderledge/statements/StatementProtocol.hpp
+++ b/src/oleanderledge/statements/StatementProtocol.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/statements/StatementTypes.hpp"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,10 @@
   /// Returns the next complete message, std::nullopt if more bytes are needed, or an error
   /// (ProtocolViolation, MessageTooLarge) after which the connection must be closed.
   virtual std::optional<Result<CallerMessage>> Next() = 0;
+  /// Bytes that were appended and do not belong to a message that Next() returned.
+  virtual std::size_t BufferedBytes() const = 0;
+  /// Discards these bytes and frees their memory.
+  virtual void Clear() = 0;
 };
 
 /// Incremental decoder for the byte stream of one connection to a backend server.
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderledge/limits/limits.hpp"
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/metrics/metrics.hpp"
 #include "oleanderledge/statements/StatementProtocol.hpp"
@@ -32,6 +33,9 @@
   /// Delay between the start of a graceful stop and the answer to statements whose backend server
   /// has not answered yet.
   Duration answerUnfinishedAfter = std::chrono::milliseconds(5300);
+  ClientLimits clientLimits;
+  /// Shared with the other ports of the process; null: one with default limits.
+  std::shared_ptr<ResourceBudget> budget;
 };
 
 /// Log position of a service's primary at a time when it was confirmed as primary. It covers every
@@ -63,6 +67,10 @@
   std::uint64_t relayedUses = 0;  ///< Times that another proxy borrowed a connection.
   std::uint64_t drainingUses = 0; ///< Times that a statement or transaction got a draining server.
   std::map<std::uint32_t, PriorityTotals> byPriority;
+  /// Connections of clients of all ports that were closed or refused because of a limit.
+  std::map<ClosingReason, std::uint64_t> clientsClosed;
+  std::uint64_t clientBytes = 0;       ///< Held for clients of all ports.
+  std::uint64_t clientConnections = 0; ///< Of all ports.
 };
 
 /// Executes the statements of callers on pooled connections to registered backend servers. Callers
--- a/src/oleanderledge/statements/internal/BackendConnection.cpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.cpp
@@ -25,6 +25,16 @@
 {
 }
 
+std::size_t BackendConnection::PreparedBytes() const
+{
+  constexpr std::size_t kNameBytes = 64;
+  std::size_t bytes = 0;
+  for (const std::string& name : this->prepared) {
+    bytes += name.size() + kNameBytes;
+  }
+  return bytes;
+}
+
 void BackendConnection::Run(const std::string& aRequest, Callback aCallback)
 {
   this->callback = std::move(aCallback);
--- a/src/oleanderledge/statements/internal/BackendConnection.hpp
+++ b/src/oleanderledge/statements/internal/BackendConnection.hpp
@@ -84,6 +84,8 @@
   SettingMap settings;
   /// Names of the statements that are prepared on the connection.
   std::set<std::string, std::less<>> prepared;
+  /// Size of `prepared`, with an estimate of the overhead of each name.
+  std::size_t PreparedBytes() const;
   /// End of the last request, or of the opening; zero before.
   Instant idleSince{};
 
--- a/src/oleanderledge/statements/internal/ConnectionRelay.cpp
+++ b/src/oleanderledge/statements/internal/ConnectionRelay.cpp
@@ -6,6 +6,38 @@
 
 namespace oleanderledge {
 
+namespace {
+
+/// Requests and uses of one link at a time. A proxy asks for one connection per statement that
+/// waits, and a backend server has 78 connections at most.
+constexpr std::size_t kMaxUsesPerLink = 1000;
+/// Settings in the waiting requests of one link.
+constexpr std::size_t kMaxSettingBytesPerLink = std::size_t{ 8 } * 1024 * 1024;
+/// Settings and prepared statements of one connection; see ClientLimits for their usual limits.
+constexpr std::size_t kMaxStateBytes = std::size_t{ 4 } * 1024 * 1024;
+/// A link whose peer leaves so many bytes unread is closed. It is the size of the largest frame.
+constexpr std::int64_t kMaxQueuedBytes = kMaxFrameBytes;
+
+std::size_t BytesOf(const std::vector<SessionSetting>& aSettings)
+{
+  std::size_t bytes = 0;
+  for (const SessionSetting& setting : aSettings) {
+    bytes += setting.name.size() + setting.value.size();
+  }
+  return bytes;
+}
+
+std::size_t BytesOf(const ConnectionState& aState)
+{
+  std::size_t bytes = BytesOf(aState.settings);
+  for (const std::string& name : aState.prepared) {
+    bytes += name.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
 ConnectionRelay::ConnectionRelay(const StatementProtocol& aProtocol,
                                  DispatcherLookup aLookup,
                                  QObject* aParent)
@@ -48,12 +80,38 @@
 
 void ConnectionRelay::Refuse(const ChannelKey& aKey, RelayOutcome aOutcome)
 {
-  aKey.first->Send(RelayOpened{ aKey.second, aOutcome, {} });
+  SendTo(aKey.first, RelayOpened{ aKey.second, aOutcome, {} });
+}
+
+void ConnectionRelay::SendTo(LinkConnection* aLink, const Message& aMessage)
+{
+  aLink->Send(aMessage);
+  if (aLink->QueuedBytes() > kMaxQueuedBytes) {
+    WriteLog(LogEvent::PeerLinkRejected, "peer=" + aLink->Peer().id + " reason=unread_results");
+    aLink->Close();
+  }
+}
+
+bool ConnectionRelay::HasRoomFor(LinkConnection* aLink, std::size_t aSettingBytes) const
+{
+  std::size_t count = 0;
+  std::size_t bytes = aSettingBytes;
+  for (auto each = this->uses.lower_bound({ aLink, 0 });
+       each != this->uses.end() && each->first.first == aLink;
+       ++each) {
+    ++count;
+    bytes += each->second->settingBytes;
+  }
+  return count < kMaxUsesPerLink && bytes <= kMaxSettingBytesPerLink;
 }
 
 void ConnectionRelay::Handle(LinkConnection* aLink, const RelayOpen& aMessage)
 {
   const ChannelKey key(aLink, aMessage.channel);
+  if (!this->HasRoomFor(aLink, BytesOf(aMessage.settings))) {
+    Refuse(key, RelayOutcome::NoConnection);
+    return;
+  }
   ServiceDispatcher* dispatcher = this->isStopping ? nullptr : this->lookup(aMessage.backend);
   if (dispatcher == nullptr || !dispatcher->HoldsConnectionsTo(aMessage.backend) ||
       this->uses.contains(key)) {
@@ -63,6 +121,7 @@
   auto use = std::make_unique<RelayedUse>();
   use->dispatcher = dispatcher;
   use->ticket = dispatcher->NewTicket();
+  use->settingBytes = BytesOf(aMessage.settings);
   for (const SessionSetting& setting : aMessage.settings) {
     use->settings[setting.name] = setting.value;
   }
@@ -104,7 +163,7 @@
     this->HandleResult(aKey, lost);
   });
   ++this->useCount;
-  aKey.first->Send(RelayOpened{ aKey.second, RelayOutcome::Opened, StateOf(*use.connection) });
+  SendTo(aKey.first, RelayOpened{ aKey.second, RelayOutcome::Opened, StateOf(*use.connection) });
 }
 
 void ConnectionRelay::Handle(LinkConnection* aLink, const RelayStatement& aMessage)
@@ -141,7 +200,7 @@
     this->protocol.Failure(error, "the proxy that lends the connection is stopping");
   message.transactionState =
     static_cast<std::uint8_t>(inTransaction ? TransactionState::Failed : TransactionState::Idle);
-  aKey.first->Send(message);
+  SendTo(aKey.first, message);
 }
 
 void ConnectionRelay::HandleResult(const ChannelKey& aKey, const StatementResult& aResult)
@@ -169,7 +228,7 @@
     found->second->state = aResult.ready.state;
     found->second->pool->RecordRelayedResult(aResult, MonotonicNow());
   }
-  aKey.first->Send(message);
+  SendTo(aKey.first, message);
 }
 
 void ConnectionRelay::Handle(LinkConnection* aLink, const RelayClose& aMessage)
@@ -184,8 +243,9 @@
     use->dispatcher->Cancel(use->ticket);
     return;
   }
-  if (use->connection->IsBusy()) {
-    // The sender has given up waiting for the answer.
+  if (use->connection->IsBusy() ||
+      (aMessage.isChanged && BytesOf(aMessage.state) > kMaxStateBytes)) {
+    // The sender has given up waiting for the answer, or the connection holds too much.
     use->pool->Drop(use->connection, false);
     return;
   }
--- a/src/oleanderledge/statements/internal/ConnectionRelay.hpp
+++ b/src/oleanderledge/statements/internal/ConnectionRelay.hpp
@@ -47,6 +47,7 @@
     ServiceDispatcher* dispatcher = nullptr;
     ServiceDispatcher::Ticket ticket = 0;
     SettingMap settings; ///< Of the session that requested it.
+    std::size_t settingBytes = 0;
     BackendPool* pool = nullptr;
     BackendConnection* connection = nullptr; ///< Null while the request waits.
     TransactionState state = TransactionState::Idle;
@@ -67,6 +68,10 @@
   /// Releases the connection, or cancels the request, of a proxy that has disconnected.
   void ReleaseOrphaned(RelayedUse& aUse);
   static void Refuse(const ChannelKey& aKey, RelayOutcome aOutcome);
+  /// Sends a message, and closes the link if its peer leaves too much unread.
+  static void SendTo(LinkConnection* aLink, const Message& aMessage);
+  /// Whether a link may request one more connection, with settings of this size.
+  bool HasRoomFor(LinkConnection* aLink, std::size_t aSettingBytes) const;
 
   const StatementProtocol& protocol;
   DispatcherLookup lookup;
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -35,6 +35,9 @@
       [this](const std::string& aBackend) { return this->FindDispatcherOf(aBackend); },
       nullptr)
 {
+  if (this->settings.budget == nullptr) {
+    this->settings.budget = std::make_shared<ResourceBudget>(BudgetLimits{});
+  }
   QObject::connect(&this->linkServer, &LinkServer::Accepted, this, [this](LinkConnection* aLink) {
     this->relay.AcceptLink(aLink);
   });
@@ -74,13 +77,46 @@
 void StatementServer::AcceptPending()
 {
   while (QTcpSocket* socket = this->server.nextPendingConnection()) {
-    auto* session = new StatementSession(*this->protocol, *this, socket, this);
+    const auto admission =
+      this->Budget().Admit(ClientPort::Callers, socket->peerAddress().toString().toStdString());
+    if (admission.refusal) {
+      this->Refuse(socket, *admission.refusal);
+      continue;
+    }
+    auto* session = new StatementSession(*this->protocol, *this, socket, admission.client, this);
     this->sessions.insert(session);
+    this->sessionOfClient[admission.client] = session;
     QObject::connect(session, &StatementSession::Closed, this, [this, session] {
+      this->Budget().Remove(session->Client());
+      this->sessionOfClient.erase(session->Client());
       this->sessions.erase(session);
       session->deleteLater();
     });
   }
+  this->CloseSessionsOverBudget();
+}
+
+void StatementServer::Refuse(QTcpSocket* aSocket, ClosingReason aReason)
+{
+  this->Budget().RecordClosing(
+    ClientPort::Callers, aReason, aSocket->peerAddress().toString().toStdString(), 0);
+  const std::string message =
+    this->protocol->Failure(StatementError::Overloaded, "too many connections");
+  aSocket->write(message.data(), static_cast<qint64>(message.size()));
+  aSocket->flush();
+  // Also frees the descriptor of a caller that does not read.
+  aSocket->abort();
+  aSocket->deleteLater();
+}
+
+void StatementServer::CloseSessionsOverBudget()
+{
+  for (const ResourceBudget::Closing& closing : this->Budget().TakeClosings(ClientPort::Callers)) {
+    const auto found = this->sessionOfClient.find(closing.client);
+    if (found != this->sessionOfClient.end()) {
+      found->second->CloseForLimit(closing.reason);
+    }
+  }
 }
 
 void StatementServer::ApplyDirectory(std::shared_ptr<const Directory> aDirectory)
@@ -226,6 +262,9 @@
     }
   }
   counters.byPriority = this->byPriority;
+  counters.clientsClosed = this->settings.budget->ClosingCounts();
+  counters.clientBytes = this->settings.budget->HeldBytes();
+  counters.clientConnections = this->settings.budget->ConnectionCount();
   return counters;
 }
 
@@ -239,6 +278,7 @@
   for (StatementSession* session : std::vector(this->sessions.begin(), this->sessions.end())) {
     session->CheckTimeLimits(now);
   }
+  this->CloseSessionsOverBudget();
   if (now - this->idleClosedAt >= kIdleCheckInterval) {
     this->idleClosedAt = now;
     for (const auto& [name, dispatcher] : this->dispatchers) {
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -45,6 +45,9 @@
   ServiceDispatcher& DispatcherOf(const std::string& aService) override;
   bool RefusesNewWork() const override;
   KeyDecision CheckKey(const RouteRow& aRoute, std::string_view aKeyDigest) const override;
+  const ClientLimits& Limits() const override { return this->settings.clientLimits; }
+  ResourceBudget& Budget() override { return *this->settings.budget; }
+  void CloseSessionsOverBudget() override;
   void CountOutcome(std::uint32_t aPriority,
                     std::optional<StatementError> aError,
                     Duration aTook) override;
@@ -54,6 +57,8 @@
   /// Answers start-ups that wait for a configuration, or for proof that it is current.
   void ResumeStartUps();
   void AcceptPending();
+  /// Tells a caller that the process has too many connections.
+  void Refuse(QTcpSocket* aSocket, ClosingReason aReason);
   void CheckTimeLimits();
   void CheckStop(Instant aNow);
 
@@ -70,6 +75,7 @@
   ConnectionRelay relay;
   QTimer checkTimer;
   std::set<StatementSession*> sessions;
+  std::map<ResourceBudget::ClientId, StatementSession*> sessionOfClient;
   std::map<std::string, ServiceDispatcher*, std::less<>> dispatchers;
   std::uint64_t answered = 0;
   std::map<std::uint32_t, PriorityTotals> byPriority;
--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -41,6 +41,13 @@
 /// The load balancer connects a caller of a stopping proxy to another one at once.
 constexpr std::chrono::milliseconds kRetryAfterStop(0);
 
+/// Size of a setting or of a prepared statement, with an estimate of the overhead of its entry.
+std::size_t EntryBytes(std::size_t aNameBytes, std::size_t aValueBytes)
+{
+  constexpr std::size_t kOverheadBytes = 256;
+  return kOverheadBytes + aNameBytes + aValueBytes;
+}
+
 constexpr std::string_view kDoubtfulCommit =
   "committed by a server that may have been replaced meanwhile";
 
@@ -70,16 +77,19 @@
 StatementSession::StatementSession(const StatementProtocol& aProtocol,
                                    SessionHost& aHost,
                                    QTcpSocket* aSocket,
+                                   ResourceBudget::ClientId aClient,
                                    QObject* aParent)
   : QObject(aParent)
   , protocol(aProtocol)
   , host(aHost)
   , socket(aSocket)
-  , decoder(aProtocol.NewCallerDecoder())
+  , client(aClient)
+  , channel(aProtocol.NewCallerDecoder(), *aSocket, aHost.Limits())
 {
   this->socket->setParent(this);
   this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   QObject::connect(this->socket, &QTcpSocket::readyRead, this, &StatementSession::ReadAvailable);
+  QObject::connect(this->socket, &QTcpSocket::bytesWritten, this, &StatementSession::ProcessNext);
   QObject::connect(
     this->socket, &QTcpSocket::disconnected, this, &StatementSession::HandleDisconnected);
 }
@@ -103,40 +113,43 @@
 
 void StatementSession::Close()
 {
+  this->channel.StopReading();
   this->socket->disconnectFromHost();
 }
 
+void StatementSession::CloseForLimit(ClosingReason aReason)
+{
+  if (this->isClosing) {
+    return;
+  }
+  this->host.Budget().RecordClosing(ClientPort::Callers,
+                                    aReason,
+                                    this->socket->peerAddress().toString().toStdString(),
+                                    this->channel.HeldBytes() + this->keptBytes);
+  this->channel.StopReading();
+  this->socket->abort();
+}
+
 bool StatementSession::IsIdleSince(Instant aSince) const
 {
-  return !this->running && this->receivedMessages.empty() &&
+  return !this->running && !this->channel.HasMessage() &&
          this->transaction.state == TransactionState::Idle &&
          this->transaction.lastActivity <= aSince;
 }
 
 void StatementSession::ReadAvailable()
 {
-  const QByteArray bytes = this->socket->readAll();
-  this->decoder->Append({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
-  while (auto next = this->decoder->Next()) {
-    if (!*next) {
-      WriteLog(LogEvent::CallerClosed,
-               "database=" + this->database + " reason=" + next->error().message);
-      this->socket->write(QByteArray::fromStdString(
-        this->protocol.Failure(StatementError::Malformed, next->error().message)));
-      this->Close();
-      return;
-    }
-    this->receivedMessages.push_back(std::move(next->value()));
-  }
+  this->channel.Receive();
+  this->UpdateHeld();
+  this->host.CloseSessionsOverBudget();
   this->ProcessNext();
 }
 
 void StatementSession::ProcessNext()
 {
-  while (!this->running && !this->pendingStartUp && !this->receivedMessages.empty() &&
-         !this->isClosing) {
-    CallerMessage message = std::move(this->receivedMessages.front());
-    this->receivedMessages.pop_front();
+  while (!this->running && !this->pendingStartUp && !this->isClosing &&
+         this->channel.HasReadyMessage()) {
+    CallerMessage message = this->channel.Take();
     if (std::holds_alternative<Terminate>(message)) {
       this->Close();
       return;
@@ -147,12 +160,54 @@
     }
     this->Handle(std::move(std::get<Statement>(message)));
   }
+  if (!this->running && !this->pendingStartUp && !this->isClosing && !this->channel.HasMessage() &&
+      this->channel.Violation()) {
+    this->RejectViolation();
+  }
+  this->UpdateHeld();
+}
+
+void StatementSession::RejectViolation()
+{
+  const Error violation = *this->channel.Violation();
+  this->host.Budget().RecordClosing(ClientPort::Callers,
+                                    violation.code == ResultCode::MessageTooLarge
+                                      ? ClosingReason::MessageTooLarge
+                                      : ClosingReason::MalformedMessage,
+                                    this->socket->peerAddress().toString().toStdString(),
+                                    this->channel.HeldBytes());
+  this->channel.Write(this->protocol.Failure(StatementError::Malformed, violation.message));
+  this->Close();
+}
+
+void StatementSession::UpdateHeld()
+{
+  std::uint64_t bytes = this->channel.HeldBytes() + this->keptBytes;
+  if (this->running) {
+    // A statement that was sent is also held for the connection to its server.
+    const Statement& statement = this->running->statement;
+    bytes += BytesOf(statement) + (this->running->isSent ? statement.text.size() : 0);
+  }
+  this->host.Budget().SetHeld(this->client, bytes, this->running ? 1 : 0);
+}
+
+bool StatementSession::ReserveKept(std::size_t aOldBytes, std::size_t aNewBytes)
+{
+  const std::size_t bytes = this->keptBytes - aOldBytes + aNewBytes;
+  if (bytes > this->host.Limits().sessionBytes) {
+    this->AnswerError(StatementError::Malformed,
+                      "the settings and prepared statements of the session are too large");
+    return false;
+  }
+  this->keptBytes = bytes;
+  return true;
 }
 
 void StatementSession::Handle(StartUp aStartUp)
 {
   const Directory& directory = this->host.CurrentDirectory();
   if (!this->pendingStartUp && this->MustWait(aStartUp)) {
+    this->host.Budget().MarkStarted(this->client);
     this->pendingStartUp = std::move(aStartUp);
     this->pendingStartUpSince = MonotonicNow();
     return;
@@ -162,14 +217,14 @@
     WriteLog(LogEvent::CallerRejected,
              "database=" + aStartUp.database + " error=" + std::string(ToString(*refusal)) +
                " configuration=" + std::to_string(directory.ConfigurationNumber()));
-    this->socket->write(QByteArray::fromStdString(
-      this->protocol.Failure(*refusal, RetryAfterText(kRetryAfterFailover))));
+    this->channel.Write(this->protocol.Failure(*refusal, RetryAfterText(kRetryAfterFailover)));
     this->Close();
     return;
   }
   this->database = std::move(aStartUp.database);
   this->keyDigest = DigestOfKey(aStartUp.key);
   this->isStarted = true;
+  this->host.Budget().MarkStarted(this->client);
   this->Answer({}, std::nullopt);
 }
 
@@ -276,6 +331,10 @@
     this->RefuseWhileStopping();
     return;
   }
+  if (this->transaction.state == TransactionState::Idle && !this->host.Budget().AllowsStatement()) {
+    this->AnswerError(StatementError::Overloaded, RefusalText(StatementError::Overloaded));
+    return;
+  }
   this->transaction.lastActivity = this->running->arrivedAt;
   switch (statement.kind) {
     case StatementKind::Read:
@@ -323,7 +382,7 @@
     this->AnswerError(StatementError::Unavailable, reason);
   }
   // Statements that were received together with this one are refused before the session closes.
-  if (this->receivedMessages.empty()) {
+  if (!this->channel.HasMessage()) {
     this->Close();
   }
 }
@@ -338,15 +397,35 @@
     case StatementKind::Rollback:
       this->EndTransaction();
       break;
-    case StatementKind::Set:
+    case StatementKind::Set: {
+      const auto old = this->settings.find(aStatement.name);
+      if (!this->ReserveKept(
+            old == this->settings.end() ? 0 : EntryBytes(old->first.size(), old->second.size()),
+            EntryBytes(aStatement.name.size(), aStatement.argument.size()))) {
+        return;
+      }
       this->settings[aStatement.name] = aStatement.argument;
       break;
-    case StatementKind::Prepare:
+    }
+    case StatementKind::Prepare: {
+      const auto old = this->prepared.find(aStatement.name);
+      if (!this->ReserveKept(old == this->prepared.end()
+                               ? 0
+                               : EntryBytes(old->first.size(), old->second.text.size()),
+                             EntryBytes(aStatement.name.size(), aStatement.argument.size()))) {
+        return;
+      }
       this->prepared[aStatement.name] = { aStatement.writes, aStatement.argument };
       break;
-    case StatementKind::Deallocate:
-      this->prepared.erase(aStatement.name);
+    }
+    case StatementKind::Deallocate: {
+      const auto old = this->prepared.find(aStatement.name);
+      if (old != this->prepared.end()) {
+        this->keptBytes -= EntryBytes(old->first.size(), old->second.text.size());
+        this->prepared.erase(old);
+      }
       break;
+    }
     default:
       this->AnswerError(StatementError::Malformed, "unknown statement");
       return;
@@ -556,7 +635,7 @@
   this->EndTransaction();
   this->transaction.state = TransactionState::Failed;
   const std::string message = this->protocol.Failure(StatementError::Aborted, aReason);
-  this->socket->write(message.data(), static_cast<qint64>(message.size()));
+  this->channel.Write(message);
   this->Close();
 }
 
@@ -715,7 +794,9 @@
   const bool hasOthers = std::ranges::any_of(connection.settings, [this](const auto& aEach) {
     return !this->settings.contains(aEach.first);
   });
-  if (hasOthers || !connection.settingsKnown) {
+  const bool hasTooMany =
+    !this->transaction.hasBegun && connection.PreparedBytes() > this->host.Limits().preparedBytes;
+  if (hasOthers || hasTooMany || !connection.settingsKnown) {
     connection.settingsKnown = false;
     this->RunPreparatory(
       this->protocol.Discard(),
@@ -771,6 +852,12 @@
     aDone();
     return;
   }
+  const ClientLimits& limits = this->host.Limits();
+  if (this->transaction.hasBegun &&
+      connection.PreparedBytes() > std::size_t{ limits.preparedBytes } + limits.sessionBytes) {
+    this->AbortRunning("the transaction uses too many prepared statements");
+    return;
+  }
   this->RunPreparatory(
     this->protocol.Prepare(name, definition.writes, definition.text),
     [this, &connection, name, done = std::move(aDone)](const StatementResult& aResult) {
@@ -893,6 +980,15 @@
     this->Handle(StartUp(*this->pendingStartUp));
     return;
   }
+  std::optional<ClosingReason> exceeded = this->channel.CheckTimeLimits(aNow);
+  if (!this->isStarted && !this->pendingStartUp &&
+      aNow - this->connectedAt >= this->host.Limits().startUpTime) {
+    exceeded = ClosingReason::StartUpTime;
+  }
+  if (exceeded) {
+    this->CloseForLimit(*exceeded);
+    return;
+  }
   if (!this->route) {
     return;
   }
@@ -1061,8 +1157,9 @@
   this->running.reset();
   this->transaction.lastActivity = now;
   aMessages += this->protocol.Ready(this->transaction.state);
-  this->socket->write(aMessages.data(), static_cast<qint64>(aMessages.size()));
-  if (!this->receivedMessages.empty()) {
+  this->channel.Write(aMessages);
+  this->UpdateHeld();
+  if (this->channel.HasMessage() || this->channel.Violation()) {
     QMetaObject::invokeMethod(this, &StatementSession::ProcessNext, Qt::QueuedConnection);
   }
 }
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/organisations/organisations.hpp"
+#include "oleanderledge/statements/internal/CallerChannel.hpp"
 #include "oleanderledge/statements/internal/ServiceDispatcher.hpp"
 
 #include <QObject>
@@ -9,7 +10,6 @@
 #include <QTcpSocket>
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,6 +34,11 @@
   virtual void CountOutcome(std::uint32_t aPriority,
                             std::optional<StatementError> aError,
                             Duration aTook) = 0;
+  virtual const ClientLimits& Limits() const = 0;
+  virtual ResourceBudget& Budget() = 0;
+  /// Closes the sessions that the budget selects, possibly the calling one. To be called from the
+  /// event loop only, not while another session is handled.
+  virtual void CloseSessionsOverBudget() = 0;
 };
 
 /// Session of one caller, with its settings, prepared statements and transaction. Executes SET,
@@ -47,6 +52,7 @@
   StatementSession(const StatementProtocol& aProtocol,
                    SessionHost& aHost,
                    QTcpSocket* aSocket,
+                   ResourceBudget::ClientId aClient,
                    QObject* aParent);
   ~StatementSession() override;
 
@@ -65,7 +71,11 @@
   void AbortTransaction(std::string_view aReason);
   /// Answers the running statement, if any, without waiting for its backend server any longer.
   void EndStatement();
+  /// Closes the session once all answers are sent; reads nothing any more.
   void Close();
+  /// Closes the session at once, without an answer to a statement that runs.
+  void CloseForLimit(ClosingReason aReason);
+  ResourceBudget::ClientId Client() const { return this->client; }
 
 Q_SIGNALS:
   void Closed();
@@ -110,6 +120,13 @@
 
   void ReadAvailable();
   void ProcessNext();
+  /// Answers a violation of the protocol and closes the session.
+  void RejectViolation();
+  /// Reports to the budget what is held for the caller.
+  void UpdateHeld();
+  /// Adjusts `keptBytes` for a setting or a prepared statement that replaces one of `aOldBytes`, 0
+  /// if there is none. Answers the statement and returns false if the session would keep too much.
+  bool ReserveKept(std::size_t aOldBytes, std::size_t aNewBytes);
   void Handle(StartUp aStartUp);
   void Handle(Statement aStatement);
   /// Why a start-up is refused, or nothing.
@@ -190,8 +207,9 @@
   const StatementProtocol& protocol;
   SessionHost& host;
   QTcpSocket* socket;
-  std::unique_ptr<CallerDecoder> decoder;
-  std::deque<CallerMessage> receivedMessages;
+  ResourceBudget::ClientId client;
+  CallerChannel channel;
+  Instant connectedAt = MonotonicNow();
   std::string database;
   std::string keyDigest; ///< See DigestOfKey().
   /// Organisation for which the current or last operation was admitted; empty: none.
@@ -203,6 +221,7 @@
   std::optional<RouteRow> route; ///< Of the current transaction or statement.
   SettingMap settings;
   std::map<std::string, StatementTemplate, std::less<>> prepared;
+  std::size_t keptBytes = 0; ///< Size of `settings` and `prepared`.
   std::optional<RunningStatement> running;
   Transaction transaction;
   std::optional<Placement> placement;
--- a/tests/limits/ResourceBudgetTests.cpp
+++ b/tests/limits/ResourceBudgetTests.cpp
@@ -83,14 +83,14 @@
   CHECK(budget.Admit(ClientPort::Callers, "d").refusal == ClosingReason::Connections);
 }
 
-TEST_CASE("Statements are not read ahead at the limit of statements", "[limits]")
+TEST_CASE("Statements are refused at the limit of statements", "[limits]")
 {
   ResourceBudget budget(SmallLimits());
   const auto client = budget.Admit(ClientPort::Callers, "a").client;
   budget.SetHeld(client, 0, 3);
-  CHECK(budget.AllowsReadAhead());
+  CHECK(budget.AllowsStatement());
   budget.SetHeld(client, 0, 4);
-  CHECK_FALSE(budget.AllowsReadAhead());
+  CHECK_FALSE(budget.AllowsStatement());
   budget.Remove(client);
-  CHECK(budget.AllowsReadAhead());
+  CHECK(budget.AllowsStatement());
 }
