--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -84,6 +84,7 @@
   LogEventInfo{ LogEvent::BackendRowReceived, "backend_row_received", Info },
   LogEventInfo{ LogEvent::DrainingBackendUsed, "draining_backend_used", Warning },
   LogEventInfo{ LogEvent::OrganisationRefused, "organisation_refused", Warning },
+  LogEventInfo{ LogEvent::ClientClosed, "client_closed", Warning },
   LogEventInfo{ LogEvent::DaemonStarted, "daemon_started", Info },
   LogEventInfo{ LogEvent::DaemonStopping, "daemon_stopping", Info },
   LogEventInfo{ LogEvent::DaemonStopped, "daemon_stopped", Info },
@@ -91,6 +92,9 @@
   LogEventInfo{ LogEvent::ControlAddressTried, "control_address_tried", Info },
 };
 
+/// Longer details are cut: they may contain names that a client chose, of up to 1 MiB.
+constexpr std::size_t kMaxDetailBytes = 4096;
+
 /// Guards `limiter`: the control thread and the traffic threads write log lines.
 std::mutex limiterMutex;
 LogLimiter limiter;
@@ -138,7 +142,7 @@
               "E{} {} {}{}",
               static_cast<unsigned>(aEvent),
               found->name,
-              aDetail,
+              aDetail.substr(0, kMaxDetailBytes),
               suffix);
 }
 
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -92,6 +92,7 @@
   BackendRowReceived = 1708,
   DrainingBackendUsed = 1709,
   OrganisationRefused = 1710,
+  ClientClosed = 1711,
   // 1800: daemons.
   DaemonStarted = 1801,
   DaemonStopping = 1802,
@@ -112,8 +113,8 @@
 std::span<const LogEventInfo> AllLogEvents();
 
 /// Writes one line "E<number> <name> <detail>" at the level of the event. Safe to call from several
-/// threads. Lines over the rate limit of LogLimiter are dropped; the next line of that event ends
-/// with " left_out=" and the number of dropped lines.
+/// threads. A long detail is cut. Lines over the rate limit of LogLimiter are dropped; the next
+/// line of that event ends with " left_out=" and the number of dropped lines.
 void WriteLog(LogEvent aEvent, std::string_view aDetail);
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/TrafficCounters.hpp
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -37,6 +37,10 @@
   std::uint64_t operationsAdmitted = 0;  ///< Got a token.
   std::uint64_t operationsOverLimit = 0; ///< Refused for want of a token.
   std::size_t operationsAwaitingToken = 0;
+  // Clients of all ports; see ResourceBudget.
+  std::map<ClosingReason, std::uint64_t> clientsClosed; ///< Because of a limit.
+  std::uint64_t clientBytes = 0;
+  std::uint64_t clientConnections = 0;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -89,6 +89,13 @@
     "oleanderledge_operations_over_limit_total", {}, ToDouble(aCounters.operationsOverLimit));
   metrics.SetGauge(
     "oleanderledge_operations_awaiting_token", {}, ToDouble(aCounters.operationsAwaitingToken));
+  metrics.SetGauge("oleanderledge_client_bytes", {}, ToDouble(aCounters.clientBytes));
+  metrics.SetGauge("oleanderledge_client_connections", {}, ToDouble(aCounters.clientConnections));
+  for (const auto& [reason, count] : aCounters.clientsClosed) {
+    metrics.SetCounter("oleanderledge_clients_closed_total",
+                       { { "reason", std::string(ToString(reason)) } },
+                       ToDouble(count));
+  }
   for (const auto& [priority, totals] : aCounters.statements) {
     const std::string number = std::to_string(priority);
     for (const auto& [outcome, count] : totals.outcomes) {
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
@@ -15,7 +15,8 @@
 public:
   StatementTrafficWorker(InstanceInfo aSelf,
                          std::unique_ptr<StatementProtocol> aProtocol,
-                         Settings aSettings);
+                         Settings aSettings,
+                         std::shared_ptr<ResourceBudget> aBudget);
 
   Result<void> Start() override;
   void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
@@ -43,6 +44,7 @@
   std::unique_ptr<StatementProtocol> protocol;
   Settings settings;
   std::unique_ptr<QuotaAdmission> admission; ///< Used by `service`.
+  std::shared_ptr<ResourceBudget> budget;
   std::unique_ptr<StatementService> service;
 };
 
--- a/src/oleanderledge/statements/internal/StatementServer.hpp
+++ b/src/oleanderledge/statements/internal/StatementServer.hpp
@@ -46,6 +46,9 @@
   bool RefusesNewWork() const override;
   OperationAdmission* Admission() const override { return this->settings.admission; }
   KeyDecision CheckKey(const RouteRow& aRoute, std::string_view aKeyDigest) const override;
+  const ClientLimits& Limits() const override { return this->settings.clientLimits; }
+  ResourceBudget& Budget() override { return *this->settings.budget; }
+  void CloseSessionsOverBudget() override;
   void CountOutcome(std::uint32_t aPriority,
                     std::optional<StatementError> aError,
                     Duration aTook) override;
@@ -55,6 +58,8 @@
   /// Answers start-ups that wait for a configuration, or for proof that it is current.
   void ResumeStartUps();
   void AcceptPending();
+  /// Tells a caller that the process has too many connections.
+  void Refuse(QTcpSocket* aSocket, ClosingReason aReason);
   void CheckTimeLimits();
   void CheckStop(Instant aNow);
 
@@ -71,6 +76,7 @@
   ConnectionRelay relay;
   QTimer checkTimer;
   std::set<StatementSession*> sessions;
+  std::map<ResourceBudget::ClientId, StatementSession*> sessionOfClient;
   std::map<std::string, ServiceDispatcher*, std::less<>> dispatchers;
   std::uint64_t answered = 0;
   std::map<std::uint32_t, PriorityTotals> byPriority;
