--- a/src/oleanderledge/settings/Settings.cpp
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -30,7 +30,7 @@
   limits.ReadNumber("max_callers", aLimits.maxCallers, 1, 1'000'000);
   limits.ReadNumber("message_bytes", aLimits.maxMessageBytes, 1024, 64U << 20U);
   limits.ReadNumber("queued_units_per_class", aLimits.queuedUnitsPerClass, 1, 1'000'000);
-  limits.ReadNumber("memory_mb", aLimits.memoryMb, 64, 1'000'000);
+  limits.ReadNumber("memory_mb", aLimits.memoryMb, 1, 1'000'000);
   limits.ReadNumber("file_descriptors", aLimits.fileDescriptors, 64, 10'000'000);
   limits.ReadNumber("connections_per_address", aLimits.connectionsPerAddress, 1, 1'000'000);
   limits.ReadNumber("statements", aLimits.statements, 1, 1'000'000);
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -44,6 +44,7 @@
   QObject::connect(
     &this->server, &QTcpServer::newConnection, this, &StatementServer::AcceptPending);
   QObject::connect(&this->checkTimer, &QTimer::timeout, this, &StatementServer::CheckTimeLimits);
+  this->server.setListenBacklogSize(kListenBacklog);
   this->server.setMaxPendingConnections(kListenBacklog);
   RetryAcceptingAfterErrors(this->server);
 }
--- a/tests/platform/WireProtocolTests.cpp
+++ b/tests/platform/WireProtocolTests.cpp
@@ -107,6 +107,27 @@
   }
 }
 
+// Guards against a wrong count of what a client has sent, which would spare or close the wrong one.
+TEST_CASE("Bytes that belong to no message yet are counted and can be discarded", "[wire]")
+{
+  const auto decoder = WireProtocol().NewCallerDecoder();
+  CHECK(decoder->BufferedBytes() == 0);
+  decoder->Append("QUERY 1 READ a\r\nQUERY 2 R");
+  REQUIRE(decoder->Next());
+  CHECK(decoder->BufferedBytes() == 9);
+  CHECK_FALSE(decoder->Next());
+  decoder->Append("EAD b\r\n");
+  const auto second = decoder->Next();
+  REQUIRE(second);
+  CHECK(std::get<Statement>(second->value()).text == "READ b");
+  CHECK(decoder->BufferedBytes() == 0);
+  decoder->Append("half of a me");
+  decoder->Clear();
+  CHECK(decoder->BufferedBytes() == 0);
+  decoder->Append("TERMINATE\r\n");
+  CHECK(decoder->Next());
+}
+
 TEST_CASE("Answers of backend servers are decoded and kept as received", "[wire]")
 {
   const auto decoder = WireProtocol().NewBackendDecoder();
--- a/tests/settings/SettingsTests.cpp
+++ b/tests/settings/SettingsTests.cpp
@@ -44,6 +44,35 @@
   CHECK(settings.value().controlAddresses == std::vector<std::string>{ "127.0.0.1:7101" });
 }
 
+// Guards against a key that is read into the limit of another one.
+TEST_CASE("Limits for clients are read")
+{
+  const auto settings =
+    ParseSettings(kProxySettings + "limits: {memory_mb: 112, file_descriptors: 3010, "
+                                   "connections_per_address: 11, statements: 12, "
+                                   "total_bytes: 5000000, spared_bytes: 13, "
+                                   "read_ahead_bytes: 2001, unread_response_bytes: 2002, "
+                                   "session_bytes: 2003, prepared_bytes: 2004, start_up_ms: 201, "
+                                   "message_ms: 202, response_ms: 203}\n",
+                  "test.yaml",
+                  DaemonKind::Proxy);
+  REQUIRE(settings);
+  const ProxyLimits& limits = settings.value().limits;
+  CHECK(limits.memoryMb == 112);
+  CHECK(limits.fileDescriptors == 3010);
+  CHECK(limits.connectionsPerAddress == 11);
+  CHECK(limits.statements == 12);
+  CHECK(limits.totalBytes == 5'000'000);
+  CHECK(limits.sparedBytes == 13);
+  CHECK(limits.readAheadBytes == 2001);
+  CHECK(limits.unreadResponseBytes == 2002);
+  CHECK(limits.sessionBytes == 2003);
+  CHECK(limits.preparedBytes == 2004);
+  CHECK(limits.startUpMs == 201);
+  CHECK(limits.messageMs == 202);
+  CHECK(limits.responseMs == 203);
+}
+
 // Guards against a misspelled key that is ignored, so that the default silently stays in force.
 TEST_CASE("An unknown key is refused with its line and the known keys")
 {
--- a/tests/statements/ServiceWithReplicas.hpp
+++ b/tests/statements/ServiceWithReplicas.hpp
@@ -25,7 +25,7 @@
 {
 public:
   /// `aProxyCount` is the number of proxies that the service is told; 0 if it is told none. Of
-  /// `aSettings` only the times of a graceful stop are used.
+  /// `aSettings` only the times of a graceful stop and the limits are used.
   explicit ServiceWithReplicas(std::uint32_t aProxyCount = 1,
                                const StatementServiceSettings& aSettings = {})
     : primary(this->group, "i-primary")
