--- a/tests/platform/FleetWithOneBackend.hpp
+++ b/tests/platform/FleetWithOneBackend.hpp
@@ -63,6 +63,16 @@
     return this->client.Request(this->controlHttpAddress, "/v1/status").body["services"].toArray();
   }
 
+  /// Sends a configuration with one route, "orders", and these tenants. Returns the status.
+  int ConfigureTenants(const QByteArray& aTenants)
+  {
+    QByteArray body(kConfiguration);
+    body.replace(R"("version":1)", R"("version":2)");
+    body.replace(body.size() - 1, 1, R"(,"tenants":)" + aTenants + "}");
+    return this->client.Put(this->controlPlaneAddress, "/api/configuration", body);
+  }
+  const std::string& CallersAddress() const { return this->callersAddress; }
+
   /// Sends a read in a new session and returns its answer.
   std::string Read(const std::string& aId)
   {
