--- a/tests/platform/FleetQuotaTests.cpp
+++ b/tests/platform/FleetQuotaTests.cpp
@@ -13,6 +13,7 @@
 std::vector<std::string> SendReads(Caller& aCaller, const std::string& aPrefix, int aCount)
 {
   std::vector<std::string> answers;
+  answers.reserve(static_cast<std::size_t>(aCount));
   for (int number = 0; number < aCount; ++number) {
     answers.push_back(aCaller.Send("QUERY " + aPrefix + std::to_string(number) + " READ a"));
   }
--- a/tests/quotas/QuotaFleetTests.cpp
+++ b/tests/quotas/QuotaFleetTests.cpp
@@ -82,6 +82,34 @@
         LimitInWindow(5, 10));
 }
 
+// Guards against a change of a limit that gives an organisation tokens of both limits.
+TEST_CASE("Limits that change often are kept", "[quota_limit]")
+{
+  for (unsigned seed = 1; seed <= 6; ++seed) {
+    std::mt19937 random(seed);
+    QuotaFleet fleet(20, seed);
+    fleet.SetFaults(0.02);
+    fleet.SetLoad("miny", 400);
+    for (int round = 0; round < 20; ++round) {
+      const bool isHigh = random() % 2 == 0;
+      fleet.SetLimit("miny", isHigh ? 60 : 2, isHigh ? 90 : 4);
+      fleet.Run(milliseconds(200 + random() % 3000));
+      if (random() % 5 == 0) {
+        fleet.ElectLeader();
+      }
+    }
+    INFO("seed " << seed);
+    CHECK(static_cast<double>(fleet.MostInWindow("miny")) <= LimitInWindow(60, 90));
+    // Binding 5 s after 4 s of contact.
+    fleet.SetLimit("miny", 2, 4);
+    fleet.Run(seconds(9));
+    const Instant binding = fleet.Now();
+    fleet.Run(seconds(5));
+    CHECK(static_cast<double>(CountAfter(fleet.HistoryOf("miny").runs, binding)) <=
+          LimitInWindow(2, 4));
+  }
+}
+
 // Requirement Q2: most organisations send 1/1.6 of their limit.
 TEST_CASE("An organisation below its limit has nothing refused", "[quota_use]")
 {
