--- a/tests/control/ControlGroupTests.cpp
+++ b/tests/control/ControlGroupTests.cpp
@@ -191,3 +191,51 @@
   REQUIRE(fixture.SendClassChange(follower, CreateClassBody("bookings", 0)).status == 200);
   CHECK(WaitUntil([&] { return directory.FindClass("bookings") != nullptr; }));
 }
+
+// Guards the relay of requests for tokens: a proxy that is linked only to a follower gets the
+// tokens that the leader granted.
+TEST_CASE("A proxy connected to a follower gets tokens of the leader")
+{
+  GroupFixture fixture;
+  REQUIRE(WaitUntil([&] { return fixture.LeaderAsSeenBy(0) < kMemberCount; }));
+  const std::size_t leader = fixture.LeaderAsSeenBy(0);
+  const std::size_t follower = (leader + 1) % kMemberCount;
+  RouteConfiguration configuration;
+  configuration.number = 1;
+  configuration.usesOrganisations = true;
+  configuration.organisations.resize(1);
+  configuration.organisations[0].name = "miny";
+  configuration.organisations[0].rate = { true, 10'000, 40 };
+  bool isStored = false;
+  REQUIRE(WaitUntil([&] { return fixture.daemons[leader]->LeaderIpAddress() == "127.0.0.1"; }));
+  fixture.daemons[leader]->StoreConfiguration(
+    configuration, [&isStored](ControlRequestHandler::Outcome aOutcome) {
+      isStored = aOutcome == ControlRequestHandler::Outcome::Done;
+    });
+  REQUIRE(WaitUntil([&isStored] { return isStored; }));
+  const InstanceInfo proxy{
+    "proxy-1", 7, InstanceRole::Proxy, "dalarna/mora-1", "127.0.0.1:1", "127.0.0.1:2", false
+  };
+  LinkConnection link(
+    proxy, fixture.settings[follower].instance.linkAddress, EmulatedLatency{}, nullptr);
+  std::optional<TokenReply> tokens;
+  QObject::connect(&link, &LinkConnection::Received, &link, [&](const Message& aMessage) {
+    const auto* reply = std::get_if<TokenReply>(&aMessage);
+    // Requests that were sent before the first reply may have used up the tokens.
+    if (reply != nullptr && reply->accepted && !tokens) {
+      tokens = *reply;
+    }
+  });
+  Heartbeat heartbeat;
+  heartbeat.instance = proxy;
+  heartbeat.sequence = 1;
+  link.Send(heartbeat);
+  std::uint64_t sequence = 0;
+  REQUIRE(WaitUntil([&] {
+    link.Send(TokenRequest{ "proxy-1", 7, ++sequence, 11, { { "miny", 1 } } });
+    return tokens.has_value();
+  }));
+  CHECK(tokens->instance == "proxy-1");
+  REQUIRE(tokens->grants.size() == 1);
+  CHECK(tokens->grants[0].tokens == 1);
+}
