statements: a limit for servers that have started or recovered

BackendPace starts at one statement, grows with quick answers and shrinks on rejections and answers that take longer than the shortest target leaves. Not used yet.

--- a/src/oleanderledge/statements/statements.hpp
+++ b/src/oleanderledge/statements/statements.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "oleanderledge/statements/BackendHealth.hpp"
+#include "oleanderledge/statements/BackendPace.hpp"
 #include "oleanderledge/statements/CommitGate.hpp"
 #include "oleanderledge/statements/ConcurrencyWindow.hpp"
 #include "oleanderledge/statements/ExponentialBackoff.hpp"
