statements: paced starts of backend servers, behind fleet.paced_starts

A server that is new to a running proxy, was restarted, or answers again after a failure of 800 ms gets one statement at a time at first, within BackendPace. If no server of the service has been there for longer, each opens with its first answer. Proxies without connections have no limit: their relays apply theirs. Off by default.

Gauge oleanderledge_paced_backends and event E1710. Statements that the pace holds back still count as demand for connections, as the grant would shrink otherwise.

--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -83,6 +83,7 @@
   LogEventInfo{ LogEvent::StatementRetried, "statement_retried", Info },
   LogEventInfo{ LogEvent::BackendRowReceived, "backend_row_received", Info },
   LogEventInfo{ LogEvent::DrainingBackendUsed, "draining_backend_used", Warning },
+  LogEventInfo{ LogEvent::BackendPaceEnded, "backend_pace_ended", Info },
   LogEventInfo{ LogEvent::DaemonStarted, "daemon_started", Info },
   LogEventInfo{ LogEvent::DaemonStopping, "daemon_stopping", Info },
   LogEventInfo{ LogEvent::DaemonStopped, "daemon_stopped", Info },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -91,6 +91,7 @@
   StatementRetried = 1707,
   BackendRowReceived = 1708,
   DrainingBackendUsed = 1709,
+  BackendPaceEnded = 1710,
   // 1800: daemons.
   DaemonStarted = 1801,
   DaemonStopping = 1802,
--- a/src/oleanderledge/daemon/TrafficCounters.hpp
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -33,6 +33,7 @@
   std::uint64_t relayedUses = 0; ///< Times that another proxy used a connection of this one.
   /// Times that a statement or transaction got a connection to a draining server.
   std::uint64_t drainingUses = 0;
+  std::size_t pacedBackends = 0; ///< Backend servers that have started and get few statements yet.
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -76,6 +76,7 @@
     "oleanderledge_connections_opened_total", {}, ToDouble(aCounters.connectionsOpened));
   metrics.SetCounter("oleanderledge_relayed_uses_total", {}, ToDouble(aCounters.relayedUses));
   metrics.SetCounter("oleanderledge_draining_uses_total", {}, ToDouble(aCounters.drainingUses));
+  metrics.SetGauge("oleanderledge_paced_backends", {}, ToDouble(aCounters.pacedBackends));
   for (const auto& [priority, totals] : aCounters.statements) {
     const std::string number = std::to_string(priority);
     for (const auto& [outcome, count] : totals.outcomes) {
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -33,6 +33,7 @@
   serviceSettings.self = this->self;
   serviceSettings.regionOfZone = this->settings.fleet.regionOfZone;
   serviceSettings.keyValidity = UsableKeyValidity(this->settings.fleet);
+  serviceSettings.pacesStarts = this->settings.fleet.pacedStarts;
   serviceSettings.answerUnfinishedAfter =
     std::chrono::milliseconds(this->settings.fleet.stopLimitMs) - kLastAnswerTime;
   auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
@@ -90,6 +91,7 @@
   collected.connectionsOpened = counters.connectionsOpened;
   collected.relayedUses = counters.relayedUses;
   collected.drainingUses = counters.drainingUses;
+  collected.pacedBackends = counters.pacedBackends;
   collected.statements = counters.byPriority;
   return collected;
 }
--- a/src/oleanderledge/settings/Settings.cpp
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -61,6 +61,7 @@
     fleet.ReadAddress("readiness", aFleet.readinessAddress, true);
     fleet.ReadNumber("backend_drain_ms", aFleet.backendDrainMs, 0, 600'000);
     fleet.ReadNumber("key_validity_ms", aFleet.keyValidityMs, 0, 600'000);
+    fleet.ReadBoolean("paced_starts", aFleet.pacedStarts);
   } else {
     fleet.ReadAddress("control_plane", aFleet.controlPlaneAddress, true);
     fleet.ReadAddress("promotion", aFleet.promotionAddress, true);
--- a/src/oleanderledge/settings/Settings.hpp
+++ b/src/oleanderledge/settings/Settings.hpp
@@ -67,6 +67,9 @@
   /// Keys of callers are trusted for this time after the proxy's directory was known to be current,
   /// so that a withdrawn key ends everywhere; 0: no limit. Proxies only.
   std::uint32_t keyValidityMs = 0;
+  /// Limits the statements at a backend server that has started or recovered until it answers
+  /// quickly; proxies only.
+  bool pacedStarts = false;
 };
 
 /// Settings of one daemon.
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -23,6 +23,9 @@
   /// Time for which keys of callers are trusted after the directory was known to be current; zero:
   /// no limit. See KeyGate.
   Duration keyValidity{ 0 };
+  /// Whether the statements at a backend server that has started or recovered are limited; see
+  /// BackendPace.
+  bool pacesStarts = false;
   /// Delay between the start of a graceful stop and the closing of idle sessions and of the
   /// listening socket for callers. The load balancer has to detect the stop first.
   Duration closeIdleSessionsAfter = std::chrono::milliseconds(2500);
@@ -62,6 +65,7 @@
   std::uint64_t connectionsOpened = 0;
   std::uint64_t relayedUses = 0;  ///< Times that another proxy borrowed a connection.
   std::uint64_t drainingUses = 0; ///< Times that a statement or transaction got a draining server.
+  std::size_t pacedBackends = 0;  ///< Backend servers whose statements are limited by BackendPace.
   std::map<std::uint32_t, PriorityTotals> byPriority;
 };
 
--- a/src/oleanderledge/statements/internal/BackendPool.cpp
+++ b/src/oleanderledge/statements/internal/BackendPool.cpp
@@ -23,17 +23,24 @@
 /// Limit of borrowed connections, including requested ones. It only bounds memory, as relays queue
 /// requests by priority.
 constexpr std::size_t kMaxRelayedConnections = 64;
+/// A server that recovers after a failure of this time or longer is paced. The shortest statement
+/// timeout in deployments: a single long statement must not count as a failure.
+constexpr Duration kPacedFailure = std::chrono::milliseconds(800);
+/// A server that flaps is paced at each recovery. The end is logged at most once in this time.
+constexpr Duration kPaceLogInterval = std::chrono::seconds(10);
 
 } // namespace
 
 BackendPool::BackendPool(const StatementProtocol& aProtocol,
                          const BackendRow& aRow,
                          RelayClient& aRelayClient,
+                         bool aPacesStarts,
                          QObject* aParent)
   : QObject(aParent)
   , protocol(aProtocol)
   , relayClient(aRelayClient)
   , row(aRow)
+  , pacesStarts(aPacesStarts)
 {
 }
 
@@ -44,6 +51,7 @@
   this->row = aRow;
   if (isOther) {
     this->health = BackendHealth{};
+    this->StartPace(MonotonicNow());
     for (BackendConnection* connection : std::vector(this->idle)) {
       this->Drop(connection, false);
     }
@@ -139,7 +147,7 @@
   ++this->openingCount;
   QObject::connect(connection, &BackendConnection::Opened, this, [this, connection] {
     --this->openingCount;
-    this->health.OnReachable(MonotonicNow());
+    this->RecordResponse(MonotonicNow());
     this->idle.push_back(connection);
     Q_EMIT this->Changed();
   });
@@ -179,7 +187,7 @@
   switch (aConnection->EndReason()) {
     case ConnectionEnd::BackendFull:
       this->connectionLimitPauseEnd = now + kConnectionLimitPause;
-      this->health.OnReachable(now);
+      this->RecordResponse(now);
       break;
     case ConnectionEnd::BackendFailed:
       this->health.OnFailure(now);
@@ -299,18 +307,77 @@
 {
   const auto error = aResult.error ? std::optional(aResult.error->error) : std::nullopt;
   // A server answers Unavailable if its queue is full.
-  if (error == StatementError::Overloaded || error == StatementError::Unavailable) {
+  const bool isRejected =
+    error == StatementError::Overloaded || error == StatementError::Unavailable;
+  this->RecordResponse(aNow);
+  if (isRejected) {
     this->health.OnOverload(aNow);
     this->window.OnOverload(this->InUse(), aNow);
+    if (!this->IsRelayed()) {
+      this->pace.OnOverload(aResult.took, this->InUse(), aNow);
+    }
     return;
   }
-  this->health.OnReachable(aNow);
   if (aResult.ready.position) {
     this->health.OnPosition(*aResult.ready.position);
   }
   if (!error) {
     this->window.OnSuccess(aResult.took, aNow);
+    if (this->IsPaced() && !this->IsRelayed()) {
+      this->pace.OnSuccess(aResult.took, this->InUse(), this->limit, aNow);
+      if (!this->pace.IsActive()) {
+        this->LogPaceEnd("answers", aNow);
+      }
+    }
+  }
+}
+
+void BackendPool::RecordResponse(Instant aNow)
+{
+  if (this->health.FailureDuration(aNow) >= kPacedFailure) {
+    this->StartPace(aNow);
+  }
+  this->health.OnReachable(aNow);
+}
+
+void BackendPool::StartPace(Instant aNow)
+{
+  if (this->pacesStarts) {
+    this->pace.Start(aNow);
+  }
+}
+
+void BackendPool::LiftPace(Instant aNow)
+{
+  this->pace.Lift();
+  this->LogPaceEnd("service", aNow);
+}
+
+void BackendPool::CheckPaceTime(Instant aNow)
+{
+  if (!this->IsPaced()) {
+    return;
+  }
+  this->pace.CheckTime(aNow);
+  if (!this->pace.IsActive()) {
+    this->LogPaceEnd("time", aNow);
+    // A statement may have waited for the pause between two statements.
+    Q_EMIT this->Changed();
+  }
+}
+
+void BackendPool::LogPaceEnd(std::string_view aReason, Instant aNow)
+{
+  const bool isRecent = this->paceLoggedAt && aNow - *this->paceLoggedAt < kPaceLogInterval;
+  if (this->IsRelayed() || isRecent) {
+    return;
   }
+  this->paceLoggedAt = aNow;
+  const auto age =
+    std::chrono::duration_cast<std::chrono::milliseconds>(this->pace.Age(aNow)).count();
+  WriteLog(LogEvent::BackendPaceEnded,
+           "backend=" + this->row.name + " service=" + this->row.service +
+             " ms=" + std::to_string(age) + " reason=" + std::string(aReason));
 }
 
 void BackendPool::CloseIdle(Instant aNow)
--- a/src/oleanderledge/statements/internal/BackendPool.hpp
+++ b/src/oleanderledge/statements/internal/BackendPool.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/link/RouteRows.hpp"
 #include "oleanderledge/statements/BackendHealth.hpp"
+#include "oleanderledge/statements/BackendPace.hpp"
 #include "oleanderledge/statements/ConcurrencyWindow.hpp"
 #include "oleanderledge/statements/internal/BackendConnection.hpp"
 #include "oleanderledge/statements/internal/RelayClient.hpp"
@@ -31,9 +32,11 @@
   Q_OBJECT
 
 public:
+  /// `aPacesStarts`: statements at a server that has started or recovered are limited.
   BackendPool(const StatementProtocol& aProtocol,
               const BackendRow& aRow,
               RelayClient& aRelayClient,
+              bool aPacesStarts,
               QObject* aParent);
 
   /// Applies a newer row. Resets the health and drops the idle connections if the server has
@@ -114,6 +117,27 @@
   {
     return this->IsRelayed() || this->window.Allows(this->InUse(), aPriority);
   }
+  /// Starts to limit the statements at the server, which has started or recovered, if asked for. If
+  /// IsRelayed(), this only records the start, as relays apply their own limit.
+  void StartPace(Instant aNow);
+  bool IsPaced() const { return !this->row.deleted && this->pace.IsActive(); }
+  /// True if the server has given an answer since its start that was not slow.
+  bool HasGoodAnswer() const { return this->pace.HasGoodAnswer(); }
+  /// Ends the limit because the service has no other server.
+  void LiftPace(Instant aNow);
+  /// Ends the limit if its time is over.
+  void CheckPaceTime(Instant aNow);
+  /// False if the limit does not allow another statement besides those in use and those that wait
+  /// for a connection.
+  bool PaceAllows(std::uint32_t aPriority, Instant aNow) const
+  {
+    return this->IsRelayed() ||
+           this->pace.Allows(this->InUse() + this->awaitedCount, aPriority, aNow);
+  }
+  /// Counts a statement for which a connection is being opened, or will be, since the last
+  /// ResetAwaited().
+  void AddAwaited() { ++this->awaitedCount; }
+  void ResetAwaited() { this->awaitedCount = 0; }
   /// Records that the server's log contained the position that a read required.
   void RecordPosition(const LogPosition& aPosition) { this->health.OnPosition(aPosition); }
   /// Marks the server as failing, and returns true, if it has answered none of its pending
@@ -131,6 +155,9 @@
   BackendConnection* NewConnection(const ConnectionRequest& aRequest);
   void HandleClosed(BackendConnection* aConnection);
   void RemoveConnection(BackendConnection* aConnection);
+  /// Records a response of the server, which may end a failure.
+  void RecordResponse(Instant aNow);
+  void LogPaceEnd(std::string_view aReason, Instant aNow);
 
   const StatementProtocol& protocol;
   RelayClient& relayClient;
@@ -139,6 +166,10 @@
   std::vector<std::string> relays; ///< Link addresses; empty if connections are direct.
   BackendHealth health;
   ConcurrencyWindow window;
+  bool pacesStarts;
+  BackendPace pace;
+  std::optional<Instant> paceLoggedAt;
+  std::size_t awaitedCount = 0;
   std::vector<BackendConnection*> connections;
   std::vector<BackendConnection*> idle;
   std::size_t openingCount = 0;
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.cpp
@@ -52,12 +52,14 @@
                                      std::string aService,
                                      std::string aOwnZone,
                                      RelayClient& aRelayClient,
+                                     bool aPacesStarts,
                                      QObject* aParent)
   : QObject(aParent)
   , protocol(aProtocol)
   , service(std::move(aService))
   , ownZone(std::move(aOwnZone))
   , relayClient(aRelayClient)
+  , pacesStarts(aPacesStarts)
 {
   QObject::connect(
     &this->relayClient, &RelayClient::RelayReady, this, &ServiceDispatcher::ScheduleDispatch);
@@ -81,6 +83,8 @@
   // after a power loss all start at the same time.
   const std::uint32_t share =
     aProxyCount == 0 ? 0 : connectionLimit / kProvisionalShareDivisor / aProxyCount;
+  // At the start of this proxy every server is new to it, though it may have run for long.
+  const bool isFirst = this->pools.empty();
   for (const auto& [name, backend] : aDirectory.Backends()) {
     if (backend.service != this->service) {
       continue;
@@ -90,7 +94,11 @@
       if (backend.deleted) {
         continue;
       }
-      auto* created = new BackendPool(this->protocol, backend, this->relayClient, this);
+      auto* created =
+        new BackendPool(this->protocol, backend, this->relayClient, this->pacesStarts, this);
+      if (!isFirst) {
+        created->StartPace(MonotonicNow());
+      }
       QObject::connect(created, &BackendPool::Changed, this, &ServiceDispatcher::ScheduleDispatch);
       this->pools.emplace(name, created);
       LogRow(backend, aDirectory.Version());
@@ -308,6 +316,7 @@
 {
   for (const auto& [name, pool] : this->pools) {
     pool->CheckUnresponsive(aNow);
+    pool->CheckPaceTime(aNow);
   }
 }
 
@@ -335,7 +344,12 @@
   }
   this->isDispatching = true;
   const Instant now = MonotonicNow();
+  this->LiftPacesOfNewService(now);
+  for (const auto& [name, pool] : this->pools) {
+    pool->ResetAwaited();
+  }
   std::map<BackendPool*, std::vector<ConnectionRequest>> wanted;
+  std::map<BackendPool*, std::size_t> heldByPace;
   for (std::size_t index = 0; index < this->waiting.size();) {
     if (!this->HasServerFor(this->waiting[index].request, now)) {
       this->TakeWaiting(index).callback(std::nullopt, { StatementError::Unavailable, {} });
@@ -348,6 +362,13 @@
       continue;
     }
     const PlacementRequest& request = this->waiting[index].request;
+    if (!choice.pool->PaceAllows(request.priority, now)) {
+      // Otherwise the grant of connections would shrink while the server is paced.
+      choice.pool->RecordDemand(choice.pool->InUse() + wanted[choice.pool].size() +
+                                ++heldByPace[choice.pool]);
+      ++index;
+      continue;
+    }
     if (choice.pool->IdleCountFor(request.organisation) == 0 ||
         IsReserved(*choice.pool, wanted[choice.pool], request, now)) {
       std::vector<ConnectionRequest>& requests = wanted[choice.pool];
@@ -357,6 +378,9 @@
                            *request.settings,
                            request.organisation });
       choice.pool->RecordDemand(choice.pool->InUse() + requests.size());
+      if (choice.pool->CanOpen(now) || choice.pool->OpeningCountFor(request.organisation) > 0) {
+        choice.pool->AddAwaited();
+      }
       ++index;
       continue;
     }
@@ -385,6 +409,20 @@
   this->isDispatching = false;
 }
 
+void ServiceDispatcher::LiftPacesOfNewService(Instant aNow)
+{
+  for (const auto& [name, pool] : this->pools) {
+    if (pool->AcceptsNewWork(aNow) && !pool->Health().IsFailing() && !pool->IsPaced()) {
+      return;
+    }
+  }
+  for (const auto& [name, pool] : this->pools) {
+    if (pool->IsPaced() && !pool->IsRelayed() && pool->HasGoodAnswer()) {
+      pool->LiftPace(aNow);
+    }
+  }
+}
+
 bool ServiceDispatcher::IsReserved(const BackendPool& aPool,
                                    std::span<const ConnectionRequest> aRequests,
                                    const PlacementRequest& aRequest,
@@ -549,7 +587,8 @@
       continue;
     }
     const auto distance = this->distances.find(name);
-    const bool hasRoom = pool->HasCapacityFor(aRequest.priority);
+    const bool hasRoom =
+      pool->HasCapacityFor(aRequest.priority) && pool->PaceAllows(aRequest.priority, aNow);
     candidates.push_back(
       { name == this->primary,
         distance == this->distances.end() ? ZoneDistance::OtherRegion : distance->second,
--- a/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
+++ b/src/oleanderledge/statements/internal/ServiceDispatcher.hpp
@@ -89,6 +89,7 @@
                     std::string aService,
                     std::string aOwnZone, ///< "region/zone".
                     RelayClient& aRelayClient,
+                    bool aPacesStarts, ///< See StatementServiceSettings.
                     QObject* aParent);
 
   /// Whether commits may be sent, and their confirmations passed on.
@@ -149,6 +150,9 @@
                          std::span<const ConnectionRequest> aRequests,
                          const PlacementRequest& aRequest,
                          Instant aNow);
+  /// If every server of the service has just started, as after a power loss, there is no other one
+  /// to use: lifts the limits of those that have answered.
+  void LiftPacesOfNewService(Instant aNow);
   /// Treats servers that a complete directory does not name any more as departed.
   void RetireForgottenPools(const Directory& aDirectory);
 
@@ -198,6 +202,7 @@
   std::string service;
   std::string ownZone;
   RelayClient& relayClient;
+  bool pacesStarts;
   std::map<std::string, BackendPool*, std::less<>> pools;
   std::map<std::string, ZoneDistance, std::less<>> distances;
   std::string primary;
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -149,8 +149,12 @@
   if (found != this->dispatchers.end()) {
     return *found->second;
   }
-  auto* created = new ServiceDispatcher(
-    *this->protocol, aService, this->settings.self.zone, this->relayClient, this);
+  auto* created = new ServiceDispatcher(*this->protocol,
+                                        aService,
+                                        this->settings.self.zone,
+                                        this->relayClient,
+                                        this->settings.pacesStarts,
+                                        this);
   this->ApplyDirectoryTo(*created);
   created->SetDirectoryCurrentAt(this->directoryCurrentAt);
   this->dispatchers.emplace(aService, created);
@@ -223,6 +227,7 @@
     counters.drainingUses += dispatcher->DrainingUseCount();
     for (const auto& [backend, pool] : dispatcher->Pools()) {
       counters.connectionsOpened += pool->OpenedCount();
+      counters.pacedBackends += pool->IsPaced() && !pool->IsRelayed() ? 1 : 0;
     }
   }
   counters.byPriority = this->byPriority;
--- a/tests/settings/SettingsTests.cpp
+++ b/tests/settings/SettingsTests.cpp
@@ -34,13 +34,15 @@
 
 TEST_CASE("Fleet settings of a proxy are read")
 {
-  const std::string fleet = "fleet: {node_name: n, readiness: '127.0.0.1:7401', "
-                            "seeds: ['127.0.0.1:7501'], backend_drain_ms: 7000}\n";
+  const std::string fleet =
+    "fleet: {node_name: n, readiness: '127.0.0.1:7401', "
+    "seeds: ['127.0.0.1:7501'], backend_drain_ms: 7000, paced_starts: true}\n";
   std::string text = kProxySettings;
   text.erase(text.find("control_addresses"));
   const auto settings = ParseSettings(text + fleet, "test.yaml", DaemonKind::Proxy);
   REQUIRE(settings);
   CHECK(settings.value().fleet.backendDrainMs == 7000);
+  CHECK(settings.value().fleet.pacedStarts);
   CHECK(settings.value().controlAddresses == std::vector<std::string>{ "127.0.0.1:7101" });
 }
 
--- a/tests/statements/RelayTests.cpp
+++ b/tests/statements/RelayTests.cpp
@@ -178,3 +178,25 @@
     CHECK(proxy.relay.group.users["b1"] == "bela");
   }
 }
+
+// Guards against requests of other proxies that are not counted in the pace of their relay, and
+// against proxies behind a relay that limit themselves too.
+TEST_CASE("A relay paces a restarted server also for the proxies that use it", "[relay][pace]")
+{
+  const Application application;
+  StatementServiceSettings settings;
+  settings.pacesStarts = true;
+  ProxyBehindRelay proxy(settings);
+  ++proxy.relay.version;
+  BackendRow& row = proxy.relay.update.backends.front();
+  row.startedUnixMs = 2;
+  row.version = proxy.relay.version;
+  proxy.relay.Publish();
+  proxy.service->ApplyDirectory(std::make_shared<Directory>(proxy.relay.directory));
+  CHECK(proxy.relay.service->Counters().pacedBackends == 1);
+  CHECK(proxy.service->Counters().pacedBackends == 0);
+  Caller caller(proxy.address, "orders");
+  CHECK(caller.Send("QUERY w1 WRITE a second").starts_with("COMPLETE signature-i-primary"));
+  // The relay may hold one connection, so an answer opens the limit fully.
+  CHECK(proxy.relay.service->Counters().pacedBackends == 0);
+}
