--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -85,6 +85,7 @@
   LogEventInfo{ LogEvent::DrainingBackendUsed, "draining_backend_used", Warning },
   LogEventInfo{ LogEvent::OrganisationRefused, "organisation_refused", Warning },
   LogEventInfo{ LogEvent::ClientClosed, "client_closed", Warning },
+  LogEventInfo{ LogEvent::BackendPaceEnded, "backend_pace_ended", Info },
   LogEventInfo{ LogEvent::DaemonStarted, "daemon_started", Info },
   LogEventInfo{ LogEvent::DaemonStopping, "daemon_stopping", Info },
   LogEventInfo{ LogEvent::DaemonStopped, "daemon_stopped", Info },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -93,6 +93,7 @@
   DrainingBackendUsed = 1709,
   OrganisationRefused = 1710,
   ClientClosed = 1711,
+  BackendPaceEnded = 1712,
   // 1800: daemons.
   DaemonStarted = 1801,
   DaemonStopping = 1802,
--- a/src/oleanderledge/daemon/TrafficCounters.hpp
+++ b/src/oleanderledge/daemon/TrafficCounters.hpp
@@ -41,6 +41,7 @@
   std::map<ClosingReason, std::uint64_t> clientsClosed; ///< Because of a limit.
   std::uint64_t clientBytes = 0;
   std::uint64_t clientConnections = 0;
+  std::size_t pacedBackends = 0; ///< Backend servers that have started and get few statements yet.
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
+++ b/src/oleanderledge/daemon/internal/MetricsPublisher.cpp
@@ -96,6 +96,7 @@
                        { { "reason", std::string(ToString(reason)) } },
                        ToDouble(count));
   }
+  metrics.SetGauge("oleanderledge_paced_backends", {}, ToDouble(aCounters.pacedBackends));
   for (const auto& [priority, totals] : aCounters.statements) {
     const std::string number = std::to_string(priority);
     for (const auto& [outcome, count] : totals.outcomes) {
