--- a/soak/ChildProcess.hpp
+++ b/soak/ChildProcess.hpp
@@ -30,6 +30,8 @@
   std::string DescribeThreads() const;
   /// Status as of waitpid(); -1 if the process could not be started.
   int Status() const { return this->status; }
+  /// Process id; -1 if the process could not be started.
+  pid_t Id() const { return this->id; }
 
 private:
   pid_t id = -1;
