--- a/soak/ChildProcess.hpp
+++ b/soak/ChildProcess.hpp
@@ -32,8 +32,6 @@
   pid_t Id() const { return this->id; }
   /// Status as of waitpid(); -1 if the process could not be started.
   int Status() const { return this->status; }
-  /// Process id; -1 if the process could not be started.
-  pid_t Id() const { return this->id; }
 
 private:
   pid_t id = -1;
--- a/src/oleanderledge/consensus/GroupMaintenance.cpp
+++ b/src/oleanderledge/consensus/GroupMaintenance.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+/// Longest id and address of a member that asks to join.
+constexpr std::size_t kMaxNameBytes = 255;
+/// Requests that are remembered. A group has few members, and they repeat their requests.
+constexpr std::size_t kMaxPendingJoins = 32;
+constexpr std::size_t kMaxPendingLeaves = 32;
+/// Members beyond the target number of voters: learners, and voters that are being replaced.
+constexpr std::size_t kMaxOtherMembers = 16;
 /// A learner that has not replied for this long is not promoted.
 constexpr Duration kLearnerContactTimeout = std::chrono::seconds(1);
 
@@ -98,18 +105,28 @@
   const ControlMember member{
     aRequest.memberId, aRequest.instance.id, aRequest.instance.linkAddress, false
   };
-  if (!member.id.empty() && !member.linkAddress.empty()) {
+  const bool isTooLong = member.id.size() > kMaxNameBytes ||
+                         member.instance.size() > kMaxNameBytes ||
+                         member.linkAddress.size() > kMaxNameBytes;
+  if (!member.id.empty() && !member.linkAddress.empty() && !isTooLong) {
     // A newer request means that the disk was lost again. If the older one arrives late, the
     // running member repeats its own.
     std::erase_if(this->pendingJoins, [&member](const auto& aEntry) {
       return aEntry.second.member.instance == member.instance;
     });
+    if (this->pendingJoins.size() >= kMaxPendingJoins) {
+      this->pendingJoins.erase(std::ranges::min_element(
+        this->pendingJoins, {}, [](const auto& aEntry) { return aEntry.second.requestedAt; }));
+    }
     this->pendingJoins[member.id] = { member, aNow };
   }
 }
 
 void GroupMaintenance::OnLeaveRequest(const std::string& aMember, Instant aNow)
 {
+  if (aMember.size() > kMaxNameBytes || this->leaveRequestedAt.size() >= kMaxPendingLeaves) {
+    return;
+  }
   this->leaveRequestedAt[aMember] = aNow;
 }
 
@@ -198,6 +215,9 @@
     return aNow - aEntry.second.requestedAt > this->settings.requestLifetime ||
            FindMember(aNode.Members(), aEntry.first) != nullptr;
   });
+  if (aNode.Members().size() >= this->settings.targetVoterCount + kMaxOtherMembers) {
+    return std::nullopt;
+  }
   for (const auto& [id, pending] : this->pendingJoins) {
     if (!this->RunsAnotherMember(aNode, pending.member, aNow)) {
       std::vector<ControlMember> changed = aNode.Members();
--- a/src/oleanderledge/consensus/MemberContacts.cpp
+++ b/src/oleanderledge/consensus/MemberContacts.cpp
@@ -36,6 +36,10 @@
 
 void MemberContacts::OnMessage(const std::string& aInstance, const Message& aMessage, Instant aNow)
 {
+  if (this->idByInstance.size() >= kMaxContacts && !this->idByInstance.contains(aInstance)) {
+    // Instances send messages all the time, so their ids are soon known again.
+    this->idByInstance.clear();
+  }
   if (const auto* join = std::get_if<JoinRequest>(&aMessage)) {
     // Members forward join requests of others.
     if (join->instance.id == aInstance) {
--- a/src/oleanderledge/consensus/internal/GroupFounding.cpp
+++ b/src/oleanderledge/consensus/internal/GroupFounding.cpp
@@ -28,6 +28,12 @@
     this->candidates.erase(aRequest.instance.id);
     return;
   }
+  const bool isInitial = std::ranges::any_of(this->initialMembers, [&](const auto& aMember) {
+    return aMember.instance == aRequest.instance.id;
+  });
+  if (!isInitial) {
+    return;
+  }
   Candidate& candidate = this->candidates[aRequest.instance.id];
   const bool isContinuous = candidate.memberId == aRequest.memberId &&
                             aNow - candidate.lastRequestAt <= kJoinRequestLifetime;
--- a/src/oleanderledge/control/ControlLeader.cpp
+++ b/src/oleanderledge/control/ControlLeader.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint64_t kTicksPerSteadyStep = 5;
 /// Minimum time between two log lines with the same verdict on one sender.
 constexpr Duration kVerdictLogInterval = std::chrono::seconds(10);
+/// Senders whose last log line is remembered. Only some lines are repeated if they are forgotten.
+constexpr std::size_t kMaxLoggedVerdicts = 8192;
 
 std::string_view NameOf(IncarnationVerdict aVerdict)
 {
@@ -50,9 +52,12 @@
 
 } // namespace
 
-ControlLeader::ControlLeader(const ControlState& aState, const ControlTimings& aTimings)
+ControlLeader::ControlLeader(const ControlState& aState,
+                             const ControlTimings& aTimings,
+                             const ControlLimits& aLimits)
   : state(aState)
   , timings(aTimings)
+  , limits(aLimits)
   , heartbeats(aTimings)
   , leases(aTimings)
   , coordinator(this->state,
@@ -97,6 +102,12 @@
   if (!this->isLeading || !aHasLeaderLease || aHeartbeat.instance.id.empty()) {
     return reply;
   }
+  if (!this->HasRoomFor(reply.instance)) {
+    aActions.emplace_back(
+      LogAction{ LogEvent::HeartbeatIrregular,
+                 "instance=" + reply.instance + " verdict=too_many_instances" });
+    return reply;
+  }
   const IncarnationVerdict verdict = this->heartbeats.Observe(aHeartbeat, aNow);
   this->LogVerdict(
     LogEvent::HeartbeatIrregular, "instance=" + reply.instance, verdict, aNow, aActions);
@@ -117,6 +128,34 @@
   return reply;
 }
 
+bool ControlLeader::HasRoomFor(std::string_view aInstance) const
+{
+  const auto& recorded = this->state.Instances();
+  if (this->heartbeats.Find(aInstance) != nullptr || recorded.contains(aInstance)) {
+    return true;
+  }
+  return this->heartbeats.Views().size() < this->limits.instances &&
+         recorded.size() < this->limits.instances;
+}
+
+bool ControlLeader::HasRoomFor(const Announcement& aAnnouncement) const
+{
+  const AnnouncementMonitor::SlotViews* slots =
+    this->slots.FindDatabase(aAnnouncement.database);
+  if (slots == nullptr) {
+    return this->slots.Databases().size() < this->limits.databases;
+  }
+  return slots->contains(aAnnouncement.slot) || slots->size() < this->limits.slotsPerDatabase;
+}
+
+ControlLeader::LoggedVerdict& ControlLeader::LoggedVerdictOf(const std::string& aName)
+{
+  if (this->loggedVerdicts.size() >= kMaxLoggedVerdicts && !this->loggedVerdicts.contains(aName)) {
+    this->loggedVerdicts.clear();
+  }
+  return this->loggedVerdicts[aName];
+}
+
 void ControlLeader::ProcessOwnerReports(const Heartbeat& aHeartbeat, Instant aNow)
 {
   for (const OwnerReport& report : aHeartbeat.owned) {
@@ -162,6 +201,12 @@
                                                  Instant aNow,
                                                  ControlActions& aActions)
 {
+  if (!this->HasRoomFor(aAnnouncement)) {
+    aActions.emplace_back(
+      LogAction{ LogEvent::AnnouncementRejected,
+                 "database=" + aAnnouncement.database + " reason=too_many_databases_or_slots" });
+    return IncarnationVerdict::Duplicate;
+  }
   const IncarnationVerdict verdict = this->slots.Observe(aAnnouncement, aNow);
   const std::string name = "database=" + aAnnouncement.database + " slot=" + aAnnouncement.slot;
   this->LogVerdict(LogEvent::AnnouncementIrregular, name, verdict, aNow, aActions);
@@ -170,7 +215,7 @@
   }
   const DatabaseRecord* record = this->state.Databases().Find(aAnnouncement.database);
   if (record != nullptr && aAnnouncement.isPrimary && aAnnouncement.term < record->row.term) {
-    LoggedVerdict& logged = this->loggedVerdicts["old term " + name];
+    LoggedVerdict& logged = this->LoggedVerdictOf("old term " + name);
     if (logged.loggedAt == Instant{} || aNow - logged.loggedAt >= kVerdictLogInterval) {
       logged.loggedAt = aNow;
       aActions.emplace_back(LogAction{ LogEvent::AnnouncementOldTerm,
@@ -260,12 +305,17 @@
 
 void ControlLeader::ForgetDeadInstances(Instant aNow, ControlActions& aActions)
 {
+  // At the limit, processes that are dead make room for new ones at once.
+  const bool isFull = this->heartbeats.Views().size() >= this->limits.instances ||
+                      this->state.Instances().size() >= this->limits.instances;
+  const Duration forgottenAfter =
+    isFull ? this->timings.proxyDeadAfter : this->timings.instanceForgottenAfter;
   for (const auto& [id, instance] : this->state.Instances()) {
     const InstanceView* view = this->heartbeats.Find(id);
     const Instant lastHeartbeatAt = std::max(this->heartbeats.ObservingSince(),
                                              view == nullptr ? Instant{} : view->lastHeartbeatAt);
     const std::string key = InstanceKey(id);
-    if (aNow - lastHeartbeatAt < this->timings.instanceForgottenAfter ||
+    if (aNow - lastHeartbeatAt < forgottenAfter ||
         this->pendingKeys.contains(key) || !this->ownership.DatabasesOf(id).empty()) {
       continue;
     }
@@ -355,7 +405,7 @@
   if (aVerdict == IncarnationVerdict::First || aVerdict == IncarnationVerdict::Current) {
     return;
   }
-  LoggedVerdict& logged = this->loggedVerdicts[aName];
+  LoggedVerdict& logged = this->LoggedVerdictOf(aName);
   if (logged.loggedAt != Instant{} && logged.verdict == aVerdict &&
       aNow - logged.loggedAt < kVerdictLogInterval) {
     return;
--- a/src/oleanderledge/control/ControlLeader.hpp
+++ b/src/oleanderledge/control/ControlLeader.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/control/AnnouncementMonitor.hpp"
 #include "oleanderledge/control/ControlAction.hpp"
+#include "oleanderledge/control/ControlLimits.hpp"
 #include "oleanderledge/control/ControlState.hpp"
 #include "oleanderledge/control/ControlTimings.hpp"
 #include "oleanderledge/control/FailoverCoordinator.hpp"
@@ -26,7 +27,9 @@
 class ControlLeader
 {
 public:
-  ControlLeader(const ControlState& aState, const ControlTimings& aTimings);
+  ControlLeader(const ControlState& aState,
+                const ControlTimings& aTimings,
+                const ControlLimits& aLimits = {});
 
   ControlLeader(const ControlLeader&) = delete;
   ControlLeader& operator=(const ControlLeader&) = delete;
@@ -98,8 +101,16 @@
                   Instant aNow,
                   ControlActions& aActions);
 
+  /// True if a process is known, or there is room for another one.
+  bool HasRoomFor(std::string_view aInstance) const;
+  /// The same for an announced slot.
+  bool HasRoomFor(const Announcement& aAnnouncement) const;
+  /// The entry of a sender in `loggedVerdicts`.
+  LoggedVerdict& LoggedVerdictOf(const std::string& aName);
+
   const ControlState& state;
   ControlTimings timings;
+  ControlLimits limits;
   HeartbeatMonitor heartbeats;
   AnnouncementMonitor slots;
   LeaseTable leases;
--- a/src/oleanderledge/control/ControlSettings.hpp
+++ b/src/oleanderledge/control/ControlSettings.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "oleanderledge/consensus/ReplicatedLog.hpp"
+#include "oleanderledge/control/ControlLimits.hpp"
 #include "oleanderledge/control/ControlTimings.hpp"
 #include "oleanderledge/control/ServiceCoordinator.hpp"
+#include "oleanderledge/limits/limits.hpp"
 #include "oleanderledge/link/Messages.hpp"
+#include "oleanderledge/transport/HttpLimits.hpp"
+#include "oleanderledge/transport/LinkLimits.hpp"
 
 #include <string>
 #include <vector>
@@ -34,6 +38,11 @@
   Duration leaveLimit = std::chrono::seconds(1);
 
   ControlTimings timings;
+  ControlLimits limits;
+  LinkLimits linkLimits;
+  HttpLimits httpLimits;
+  /// Directory updates of some MB may be queued for many proxies at once.
+  BudgetLimits budgetLimits{ .bytes = std::uint64_t{ 96 } * 1024 * 1024 };
   ServiceTimings serviceTimings;
   /// Interval of the heartbeats between control members.
   Duration memberHeartbeat = std::chrono::milliseconds(50);
--- a/src/oleanderledge/control/HeartbeatMonitor.cpp
+++ b/src/oleanderledge/control/HeartbeatMonitor.cpp
@@ -21,6 +21,12 @@
   if (!IsAccepted(verdict)) {
     return verdict;
   }
+  // An address that the process does not use any more is not remembered.
+  const auto earlier = this->idByAddress.find(view.last.instance.linkAddress);
+  if (earlier != this->idByAddress.end() && earlier->second == instance.id &&
+      earlier->first != instance.linkAddress) {
+    this->idByAddress.erase(earlier);
+  }
   view.last = aHeartbeat;
   view.lastHeartbeatAt = aNow;
   std::string& holder = this->idByAddress[instance.linkAddress];
--- a/src/oleanderledge/control/RouteValidation.cpp
+++ b/src/oleanderledge/control/RouteValidation.cpp
@@ -6,8 +6,28 @@
 
 namespace oleanderledge {
 
+namespace {
+
+// Every proxy holds all rows. Several times what is planned: 8 services, and 1,000 organisations
+// with several keys each.
+constexpr std::size_t kMaxRoutes = 8'192;
+constexpr std::size_t kMaxServices = 1'024;
+constexpr std::size_t kMaxOrganisations = 16'384;
+constexpr std::size_t kMaxKeys = 65'536;
+
+} // namespace
+
 Result<void> ValidateRoutes(const RouteConfiguration& aConfiguration)
 {
+  std::size_t keys = 0;
+  for (const OrganisationRow& organisation : aConfiguration.organisations) {
+    keys += organisation.keyDigests.size();
+  }
+  if (aConfiguration.routes.size() > kMaxRoutes || aConfiguration.services.size() > kMaxServices ||
+      aConfiguration.organisations.size() > kMaxOrganisations || keys > kMaxKeys) {
+    return Fail(ResultCode::InvalidRoutes,
+                "there are too many routes, services, organisations or keys");
+  }
   std::set<std::string_view> services;
   for (const ServiceRow& service : aConfiguration.services) {
     if (service.name.empty() || !services.insert(service.name).second) {
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -6,6 +6,17 @@
 
 namespace oleanderledge {
 
+namespace {
+
+/// Servers that registered and are not recorded, because the registration is still being replicated
+/// or they left long ago.
+constexpr std::size_t kMaxUnrecorded = 1024;
+/// A server may be removed if there are too many once it has been silent for this many times the
+/// time after which it counts as lost.
+constexpr int kLongSilenceFactor = 4;
+
+} // namespace
+
 std::string_view ToString(PromotionOutcome aOutcome)
 {
   switch (aOutcome) {
@@ -43,6 +54,11 @@
 
 void ServiceCoordinator::OnRegistration(const BackendRow& aBackend, Instant aNow)
 {
+  const auto& recorded = this->state.Backends().Backends();
+  if (this->lastRegistrations.size() > recorded.size() + kMaxUnrecorded) {
+    std::erase_if(this->lastRegistrations,
+                  [&recorded](const auto& aEach) { return !recorded.contains(aEach.first); });
+  }
   LastRegistration& known = this->lastRegistrations[aBackend.name];
   // A delayed registration does not show that the server still runs.
   if (std::tie(aBackend.startedUnixMs, aBackend.sequence) <=
@@ -52,6 +68,21 @@
   known = { aBackend.startedUnixMs, aBackend.sequence, aNow };
 }
 
+const BackendRow* ServiceCoordinator::FindLongSilent(Instant aNow) const
+{
+  const BackendRow* longest = nullptr;
+  Duration silence = this->timings.RegistrationTimeout() * kLongSilenceFactor;
+  for (const auto& [name, row] : this->state.Backends().Backends()) {
+    const PrimaryRow* primary = this->state.Backends().FindPrimary(row.service);
+    const bool isPrimary = primary != nullptr && primary->backend == name;
+    if (!row.deleted && !isPrimary && this->SilenceOf(name, aNow) > silence) {
+      longest = &row;
+      silence = this->SilenceOf(name, aNow);
+    }
+  }
+  return longest;
+}
+
 void ServiceCoordinator::OnBackendReports(const std::string& aProxy,
                                           const std::vector<BackendReport>& aReports,
                                           Instant aNow)
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -8,6 +8,8 @@
 
 #include <QJsonArray>
 
+#include <algorithm>
+
 namespace oleanderledge {
 
 namespace {
@@ -18,6 +20,9 @@
 /// The same interval as that of the proxies' heartbeats.
 constexpr Duration kOwnHeartbeatInterval = std::chrono::milliseconds(200);
 constexpr int kHttpUnavailable = 503;
+constexpr int kHttpUnprocessable = 422;
+/// Control instances whose HTTP address is remembered; a group has few.
+constexpr std::size_t kMaxMemberAddresses = 64;
 /// The number of proxies need not be recent, as proxies use it only to divide connection limits.
 constexpr Duration kProxyCountInterval = std::chrono::seconds(1);
 
@@ -53,7 +58,7 @@
   , settings(aSettings)
   , latency{ aSettings.latencyBetweenZones, aSettings.latencyBetweenRegions, Duration{ 0 } }
   , notifyingState(this->state, [this] { this->publisher->SchedulePublish(); })
-  , leader(this->state, aSettings.timings)
+  , leader(this->state, aSettings.timings, aSettings.limits)
   , connectionAllocator(this->state, {})
   , serviceCoordinator(this->state, aSettings.nodeName, aSettings.serviceTimings)
   , group(aGroupFactory(this->notifyingState, *this))
@@ -65,8 +70,11 @@
         this->group->SendToInstance(this->Log().Leader().instance, aMessage);
       },
       this))
-  , http(*this, nullptr)
+  , budget(std::make_shared<ResourceBudget>(aSettings.budgetLimits))
+  , httpClients(std::make_shared<HttpClients>(aSettings.httpLimits, this->budget))
+  , http(*this, this->httpClients, nullptr)
 {
+  this->linkServer.SetLimits(aSettings.linkLimits, this->budget);
   QObject::connect(&this->linkServer, &LinkServer::Accepted, this, &ControlDaemon::AcceptLink);
   this->tickTimer.setTimerType(Qt::PreciseTimer);
   QObject::connect(&this->tickTimer, &QTimer::timeout, this, &ControlDaemon::Tick);
@@ -199,6 +207,21 @@
   if (answerIfApplied()) {
     return;
   }
+  // The answers to changes that cannot apply are not stored: each that builds on another version
+  // has all classes.
+  const ClassTable& classes = this->state.Classes();
+  if (aChange.baseVersion != classes.Version()) {
+    const OperatorAnswer conflict{ ResultCode::VersionConflict,
+                                   classes.Version(),
+                                   classes.ActiveClasses() };
+    aCallback(HttpStatusOf(conflict.code), AnswerToJson(conflict));
+    return;
+  }
+  if (aChange.action == ClassAction::Create &&
+      classes.ActiveClasses().size() >= this->settings.limits.classes) {
+    aCallback(kHttpUnprocessable, ErrorToJson(ResultCode::InvalidClass, "there are too many classes"));
+    return;
+  }
   this->Log().Propose(
     EncodeCommand(aChange), [answerIfApplied, aCallback](const Result<std::uint64_t>& aIndex) {
       if (!aIndex) {
@@ -282,9 +305,17 @@
   }
   QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
     const auto* heartbeat = std::get_if<Heartbeat>(&aMessage);
-    if (heartbeat != nullptr && !this->isStopping) {
-      this->HandleHeartbeat(aLink, *heartbeat);
+    if (heartbeat == nullptr || this->isStopping) {
+      return;
     }
+    // A link speaks for one process, so that it cannot invent others.
+    if (heartbeat->instance.id != aLink->Peer().id) {
+      WriteLog(LogEvent::HeartbeatIrregular,
+               "instance=" + aLink->Peer().id + " verdict=other_instance");
+      aLink->Close();
+      return;
+    }
+    this->HandleHeartbeat(aLink, *heartbeat);
   });
 }
 
@@ -308,6 +339,11 @@
   if (this->isStopping) {
     return;
   }
+  if (this->memberHttpAddresses.size() >= kMaxMemberAddresses &&
+      !this->memberHttpAddresses.contains(aPeer.id)) {
+    // Members send messages all the time, so their addresses are soon known again.
+    this->memberHttpAddresses.clear();
+  }
   this->memberHttpAddresses[aPeer.id] = aPeer.httpAddress;
   if (const auto* relayed = std::get_if<RelayedHeartbeats>(&aMessage)) {
     this->HandleRelayedHeartbeats(aPeer.id, *relayed);
@@ -327,8 +363,15 @@
   ControlActions actions;
   for (const Heartbeat& heartbeat : aRelayed.heartbeats) {
     ++this->heartbeatCount;
-    this->relayByInstance[heartbeat.instance.id] = aPeer;
     replies.replies.push_back(this->AnswerHeartbeat(heartbeat, hasLeaderLease, now, actions));
+    if (this->relayByInstance.size() >= this->settings.limits.instances * 2) {
+      std::erase_if(this->relayByInstance, [this](const auto& aEach) {
+        return this->leader.Heartbeats().Find(aEach.first) == nullptr;
+      });
+    }
+    if (this->leader.Heartbeats().Find(heartbeat.instance.id) != nullptr) {
+      this->relayByInstance[heartbeat.instance.id] = aPeer;
+    }
   }
   this->group->SendToInstance(aPeer, replies);
   this->Execute(actions);
@@ -340,7 +383,10 @@
                                               ControlActions& aActions)
 {
   HeartbeatReply reply = this->leader.OnHeartbeat(aHeartbeat, aHasLeaderLease, aNow, aActions);
-  if (aHeartbeat.instance.role != InstanceRole::Proxy) {
+  // Reports of processes that are not known, because there are too many, are not kept.
+  if (aHeartbeat.instance.role != InstanceRole::Proxy ||
+      (aHasLeaderLease && this->leader.IsLeading() &&
+       this->leader.Heartbeats().Find(aHeartbeat.instance.id) == nullptr)) {
     return reply;
   }
   this->serviceCoordinator.OnBackendReports(aHeartbeat.instance.id, aHeartbeat.backends, aNow);
@@ -567,6 +613,14 @@
     aCallback(Outcome::Done);
     return;
   }
+  if (!isKnown && this->CountBackends() >= this->settings.limits.backendServers) {
+    WriteLog(LogEvent::AnnouncementRejected,
+             "backend=" + aBackend.name + " service=" + aBackend.service +
+               " reason=too_many_servers");
+    this->RemoveSilentBackend();
+    aCallback(Outcome::Unavailable);
+    return;
+  }
   this->serviceCoordinator.OnRegistration(aBackend, MonotonicNow());
   if (isKnown && (IsSameRegistration(known->second, aBackend) ||
                   !IsNewerRegistration(aBackend, known->second))) {
@@ -580,7 +634,32 @@
              " draining=" + (aBackend.draining ? "yes" : "no") +
              " started_ms=" + std::to_string(aBackend.startedUnixMs) +
              " sequence=" + std::to_string(aBackend.sequence));
-  this->ProposeForRequest(UpdateBackend{ aBackend }, std::move(aCallback));
+  ++this->pendingBackends;
+  this->ProposeForRequest(
+    UpdateBackend{ aBackend }, [this, callback = std::move(aCallback)](Outcome aOutcome) {
+      --this->pendingBackends;
+      callback(aOutcome);
+    });
+}
+
+void ControlDaemon::RemoveSilentBackend()
+{
+  const BackendRow* silent = this->serviceCoordinator.FindLongSilent(MonotonicNow());
+  if (silent == nullptr || this->isRemovingBackend) {
+    return;
+  }
+  WriteLog(LogEvent::BackendRemoved,
+           "backend=" + silent->name + " service=" + silent->service + " reason=silent");
+  this->isRemovingBackend = true;
+  this->ProposeForRequest(oleanderledge::RemoveBackend{ silent->name, silent->startedUnixMs },
+                          [this](Outcome) { this->isRemovingBackend = false; });
+}
+
+std::size_t ControlDaemon::CountBackends() const
+{
+  const auto live = std::ranges::count_if(this->state.Backends().Backends(),
+                                          [](const auto& aEach) { return !aEach.second.deleted; });
+  return this->pendingBackends + static_cast<std::size_t>(live);
 }
 
 void ControlDaemon::RemoveBackend(const std::string& aBackend, Callback aCallback)
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -56,6 +56,9 @@
   /// PromotionOutcome::Unanswered. Call before Start().
   void SetPromotionService(std::unique_ptr<PromotionService> aService);
 
+  /// Limits that further HTTP servers of the process share with this one.
+  const std::shared_ptr<HttpClients>& SharedHttpClients() const { return this->httpClients; }
+
   /// Replaces the link addresses ("ip:port") at which this member looks for other control
   /// instances.
   void SetPeerAddresses(std::vector<std::string> aAddresses);
@@ -130,6 +133,10 @@
   void Execute(const LogAction& aAction);
   /// Replicates the command of a ControlRequestHandler request and reports its outcome.
   void ProposeForRequest(const ControlCommand& aCommand, Callback aCallback);
+  /// Registered servers, with those whose registration is being replicated.
+  std::size_t CountBackends() const;
+  /// Removes a registered server that has been silent for long, to make room for another one.
+  void RemoveSilentBackend();
   /// Logs a failed call and passes each result to `leader`.
   BackendAdmin::Callback MakeBackendCallback(const std::string& aDatabase,
                                              const std::string& aSlot,
@@ -153,12 +160,16 @@
   LinkServer linkServer;
   DirectoryPublisher* publisher;
   HeartbeatRelay* relay;
+  std::shared_ptr<ResourceBudget> budget;
+  std::shared_ptr<HttpClients> httpClients;
   ControlHttp http;
   QTimer tickTimer;
   Instant lastOwnHeartbeatAt{};
   std::uint64_t ownHeartbeatSequence = 0;
   std::uint32_t proxyCount = 0; ///< Proxies that were alive and not leaving when last counted.
   Instant proxiesCountedAt{};
+  bool isRemovingBackend = false;  ///< RemoveSilentBackend() has not ended.
+  std::size_t pendingBackends = 0; ///< Registrations that are being replicated.
   std::uint64_t announcementCount = 0;
   std::uint64_t heartbeatCount = 0;
   bool isStopping = false;
--- a/src/oleanderledge/control/internal/ControlHttp.hpp
+++ b/src/oleanderledge/control/internal/ControlHttp.hpp
@@ -2,9 +2,8 @@
 
 #include "oleanderledge/control/Announcement.hpp"
 #include "oleanderledge/control/ClassTable.hpp"
-#include "oleanderledge/transport/HttpReply.hpp"
+#include "oleanderledge/transport/HttpServer.hpp"
 
-#include <QHttpServer>
 #include <QJsonObject>
 #include <QObject>
 
@@ -49,7 +48,9 @@
   Q_OBJECT
 
 public:
-  ControlHttp(ControlHttpHandler& aHandler, QObject* aParent);
+  ControlHttp(ControlHttpHandler& aHandler,
+              std::shared_ptr<HttpClients> aClients,
+              QObject* aParent);
 
   /// Opens "ip:port". Fails with ListenFailed.
   Result<void> Listen(const std::string& aAddress);
@@ -60,13 +61,13 @@
   /// the leader. Answers 503 with NoQuorum if no leader is known, if the leader does not answer, or
   /// if the request was forwarded already.
   void AnswerOnLeader(
-    const QHttpServerRequest& aRequest,
+    const HttpRequest& aRequest,
     const HttpReply& aReply,
     const std::function<void(ControlHttpHandler::OperatorCallback)>& aAnswerLocally);
 
   ControlHttpHandler& handler;
   HttpForwarder* forwarder;
-  QHttpServer server;
+  HttpServer server;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/control/internal/ControlJson.cpp
+++ b/src/oleanderledge/control/internal/ControlJson.cpp
@@ -22,6 +22,8 @@
   return "steady";
 }
 
+/// Longest name in an announcement.
+constexpr std::size_t kMaxNameBytes = 255;
 constexpr int kHttpOk = 200;
 constexpr int kHttpBadRequest = 400;
 constexpr int kHttpNotFound = 404;
@@ -75,6 +77,12 @@
   announcement.isPrimary = role == "primary";
   announcement.departing = aObject.value(QLatin1String("departing")).toBool();
   std::uint64_t limit = 0;
+  const auto isTooLong = [](const std::string& aText) { return aText.size() > kMaxNameBytes; };
+  if (isTooLong(announcement.service) || isTooLong(announcement.database) ||
+      isTooLong(announcement.slot) || isTooLong(announcement.zone) ||
+      isTooLong(announcement.address)) {
+    return Fail(ResultCode::UsageError, "a name is longer than 255 bytes");
+  }
   if (announcement.database.empty() || announcement.slot.empty() ||
       !IsIpAndPort(announcement.address) || (role != "primary" && role != "replica")) {
     return Fail(ResultCode::UsageError,
--- a/src/oleanderledge/control/internal/DirectoryPublisher.cpp
+++ b/src/oleanderledge/control/internal/DirectoryPublisher.cpp
@@ -1,9 +1,18 @@
 #include "oleanderledge/control/internal/DirectoryPublisher.hpp"
 
+#include <cstdint>
+#include <numeric>
 #include <utility>
 
 namespace oleanderledge {
 
+namespace {
+
+/// No further update is sent while more bytes are queued for all proxies together.
+constexpr std::int64_t kMaxQueuedBytes = std::int64_t{ 32 } * 1024 * 1024;
+
+} // namespace
+
 DirectoryPublisher::DirectoryPublisher(const ControlState& aState, QObject* aParent)
   : QObject(aParent)
   , state(aState)
@@ -72,6 +81,18 @@
   if (!this->isStarted || aProxy.sentVersion >= this->state.DirectoryVersion()) {
     return;
   }
+  // The directory is sent to all proxies at the same time. The others get it after their next
+  // heartbeat, so that not one copy for each proxy is held.
+  const auto queued =
+    std::accumulate(this->proxies.begin(),
+                    this->proxies.end(),
+                    std::int64_t{ 0 },
+                    [](std::int64_t aSum, const auto& aEach) {
+                      return aSum + aEach.second.link->QueuedBytes();
+                    });
+  if (queued > kMaxQueuedBytes) {
+    return;
+  }
   DirectoryUpdate update = this->state.ChangesSince(aProxy.sentVersion);
   aProxy.sentVersion = update.version;
   aProxy.link->Send(std::move(update));
--- a/src/oleanderledge/control/internal/HeartbeatRelay.cpp
+++ b/src/oleanderledge/control/internal/HeartbeatRelay.cpp
@@ -7,6 +7,9 @@
 /// Up to 120 proxies send a heartbeat every 200 ms, so a batch holds about six. The delay counts
 /// against the leases of owners and is short compared with them.
 constexpr std::chrono::milliseconds kBatchInterval(10);
+/// Even if each heartbeat has the largest size that a link takes from a proxy (512 KiB by default),
+/// the batch is smaller than the largest frame.
+constexpr std::size_t kMaxBatch = 16;
 
 } // namespace
 
@@ -22,6 +25,11 @@
 void HeartbeatRelay::Add(const Heartbeat& aHeartbeat)
 {
   this->batch.push_back(aHeartbeat);
+  if (this->batch.size() >= kMaxBatch) {
+    this->flushTimer.stop();
+    this->Flush();
+    return;
+  }
   if (!this->flushTimer.isActive()) {
     this->flushTimer.start(kBatchInterval);
   }
--- a/src/oleanderledge/daemon/RunDaemon.cpp
+++ b/src/oleanderledge/daemon/RunDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/base/ExitLimit.hpp"
 #include "oleanderledge/control/internal/ControlDaemon.hpp"
+#include "oleanderledge/daemon/PortLimitSettings.hpp"
 #include "oleanderledge/daemon/internal/FailoverLog.hpp"
 #include "oleanderledge/daemon/internal/ProcessSignals.hpp"
 #include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
@@ -89,6 +90,13 @@
   control.latencyBetweenZones = Duration{ aSettings.emulatedLatency.betweenZonesUs };
   control.latencyBetweenRegions = Duration{ aSettings.emulatedLatency.betweenRegionsUs };
   control.nodeName = aSettings.instance;
+  control.linkLimits = ToLinkLimits(aSettings.portLimits);
+  control.httpLimits = ToHttpLimits(aSettings.portLimits);
+  control.budgetLimits.bytes = aSettings.portLimits.heldBytes;
+  control.limits.instances = aSettings.portLimits.instances;
+  control.limits.backendServers = aSettings.portLimits.backendServers;
+  control.limits.databases = aSettings.portLimits.databases;
+  control.limits.classes = aSettings.portLimits.classes;
   if (aSettings.fleet.enabled) {
     ApplyFleetSettings(aSettings.fleet, control);
   }
@@ -116,7 +124,7 @@
       std::make_unique<platform::PromotionClient>(aSettings.fleet.promotionAddress));
     daemon.SetPositionQuery(
       std::make_unique<StatusProbe>(std::make_unique<platform::WireProtocol>()));
-    controlPlane.emplace(daemon, nullptr);
+    controlPlane.emplace(daemon, daemon.SharedHttpClients(), nullptr);
     auto listening = controlPlane->Listen(aSettings.fleet.controlPlaneAddress);
     if (!listening) {
       return listening;
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -1,5 +1,6 @@
 #include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
 
+#include "oleanderledge/daemon/PortLimitSettings.hpp"
 #include "oleanderledge/daemon/internal/PostgresTrafficWorker.hpp"
 #include "oleanderledge/daemon/internal/ProxyHttp.hpp"
 #include "oleanderledge/daemon/internal/StatementTrafficWorker.hpp"
@@ -57,6 +58,9 @@
   , contact(MakeInstanceInfo(aSettings), aSettings.controlAddresses, {})
   , drainDeadlines(UsableDrainTime(aSettings.fleet))
   , publisher(contact.Self(), metrics, aMetricsLog)
+  , budget(std::make_shared<ResourceBudget>(BudgetLimits{}))
+  , httpClients(
+      std::make_shared<HttpClients>(ToHttpLimits(aSettings.portLimits), this->budget))
 {
   this->client = new ControlClient(
     this->contact,
@@ -69,6 +73,7 @@
     this->metrics,
     [this] { return this->IsReady(); },
     [this] { return this->client->Peer().httpAddress; },
+    this->httpClients,
     this);
   QObject::connect(this->client, &ControlClient::DirectoryChanged, this, [this] {
     const auto directory = this->contact.CurrentDirectory();
@@ -110,7 +115,8 @@
                        [aPositions](TrafficWorker& aWorker) { aWorker.AddPositions(aPositions); });
                    });
   if (aSettings.fleet.enabled) {
-    this->readiness = new platform::ReadinessServer([this] { return this->IsReady(); }, this);
+    this->readiness = new platform::ReadinessServer(
+      [this] { return this->IsReady(); }, this->httpClients, this);
   }
   QObject::connect(this->client,
                    &ControlClient::LeasesGranted,
@@ -138,8 +144,10 @@
 Result<void> ProxyDaemon::Start()
 {
   if (this->settings.fleet.enabled) {
-    this->traffic = new StatementTrafficWorker(
-      this->contact.Self(), std::make_unique<platform::WireProtocol>(), this->settings);
+    this->traffic = new StatementTrafficWorker(this->contact.Self(),
+                                               std::make_unique<platform::WireProtocol>(),
+                                               this->settings,
+                                               this->budget);
   } else {
     this->traffic = new PostgresTrafficWorker(
       this->contact.Self(), this->settings, ToEmulatedLatency(this->settings.emulatedLatency));
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
@@ -63,6 +63,8 @@
   DrainDeadlines drainDeadlines;
   MetricsRegistry metrics;
   MetricsPublisher publisher;
+  std::shared_ptr<ResourceBudget> budget; ///< Shared with the traffic thread.
+  std::shared_ptr<HttpClients> httpClients;
   ControlClient* client = nullptr;
   ProxyHttp* http = nullptr;
   platform::ReadinessServer* readiness = nullptr;
--- a/src/oleanderledge/daemon/internal/ProxyHttp.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyHttp.cpp
@@ -1,20 +1,15 @@
 #include "oleanderledge/daemon/internal/ProxyHttp.hpp"
 
 #include "oleanderledge/metrics/metrics.hpp"
-#include "oleanderledge/transport/DeferredRoute.hpp"
 #include "oleanderledge/transport/HttpForwarder.hpp"
-#include "oleanderledge/transport/transport.hpp"
-
-#include <QHostAddress>
-#include <QHttpServerResponse>
 
 namespace oleanderledge {
 
 namespace {
 
-using Method = QHttpServerRequest::Method;
-using StatusCode = QHttpServerResponse::StatusCode;
-
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnavailable = 503;
+constexpr char kPlainType[] = "text/plain";
 constexpr char kJsonType[] = "application/json";
 constexpr char kTextType[] = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -31,56 +26,61 @@
 ProxyHttp::ProxyHttp(const MetricsRegistry& aMetrics,
                      std::function<bool()> aIsReady,
                      std::function<std::string()> aControlAddress,
+                     std::shared_ptr<HttpClients> aClients,
                      QObject* aParent)
   : QObject(aParent)
   , controlAddress(std::move(aControlAddress))
   , forwarder(new HttpForwarder(this))
+  , server(std::move(aClients), nullptr)
 {
-  this->server.route("/healthz", Method::Get, [] { return QHttpServerResponse("ok\n"); });
-  this->server.route("/readyz", Method::Get, [isReady = std::move(aIsReady)] {
-    const bool ready = isReady();
-    return QHttpServerResponse(ready ? "ready\n" : "not ready\n",
-                               ready ? StatusCode::Ok : StatusCode::ServiceUnavailable);
-  });
-  this->server.route("/metrics", Method::Get, [&aMetrics] {
-    return QHttpServerResponse(kTextType, QByteArray::fromStdString(aMetrics.ToPrometheusText()));
+  this->server.AddRoute("GET", "/healthz", [](const HttpRequest&, const HttpReply& aReply) {
+    aReply.Send(kHttpOk, kPlainType, "ok\n");
   });
+  this->server.AddRoute(
+    "GET",
+    "/readyz",
+    [isReady = std::move(aIsReady)](const HttpRequest&, const HttpReply& aReply) {
+      const bool ready = isReady();
+      aReply.Send(
+        ready ? kHttpOk : kHttpUnavailable, kPlainType, ready ? "ready\n" : "not ready\n");
+    });
+  this->server.AddRoute(
+    "GET", "/metrics", [&aMetrics](const HttpRequest&, const HttpReply& aReply) {
+      aReply.Send(kHttpOk, kTextType, QByteArray::fromStdString(aMetrics.ToPrometheusText()));
+    });
   for (const char* path : { "/v1/classes", "/v1/status", "/v1/config/history" }) {
-    AddDeferredRoute(this->server,
-                     path,
-                     Method::Get | Method::Post,
-                     [this](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
-                       this->ForwardToControl(aRequest, aReply);
-                     });
+    for (const char* method : { "GET", "POST" }) {
+      this->server.AddRoute(
+        method, path, [this](const HttpRequest& aRequest, const HttpReply& aReply) {
+          this->ForwardToControl(aRequest, aReply);
+        });
+    }
   }
 }
 
 Result<void> ProxyHttp::Listen(const std::string& aAddress)
 {
-  const auto [host, port] = SplitAddress(aAddress);
-  if (this->server.listen(QHostAddress(QString::fromStdString(host)), port) == 0) {
+  if (!this->server.Listen(aAddress)) {
     return Fail(ResultCode::ListenFailed, aAddress + ": the HTTP port cannot be opened");
   }
-  RetryAcceptingAfterErrors(this->server);
   return boost::outcome_v2::success();
 }
 
-void ProxyHttp::ForwardToControl(const QHttpServerRequest& aRequest, const HttpReply& aReply)
+void ProxyHttp::ForwardToControl(const HttpRequest& aRequest, const HttpReply& aReply)
 {
-  constexpr int kUnavailable = static_cast<int>(StatusCode::ServiceUnavailable);
   const std::string address = this->controlAddress();
   if (address.empty()) {
-    aReply.Send(kUnavailable, kJsonType, NoQuorumBody());
+    aReply.Send(kHttpUnavailable, kJsonType, NoQuorumBody());
     return;
   }
   this->forwarder->Forward(
     address,
-    aRequest.url().toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority),
-    aRequest.method() == Method::Post ? aRequest.body() : QByteArray(),
+    aRequest.url.toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority),
+    aRequest.method == "POST" ? aRequest.body : QByteArray(),
     HttpForwarder::Hop::First,
     [aReply](int aStatus, const QByteArray& aBody) {
       const bool answered = aStatus != 0;
-      aReply.Send(answered ? aStatus : kUnavailable, kJsonType, answered ? aBody : NoQuorumBody());
+      aReply.Send(answered ? aStatus : kHttpUnavailable, kJsonType, answered ? aBody : NoQuorumBody());
     });
 }
 
--- a/src/oleanderledge/daemon/internal/ProxyHttp.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyHttp.hpp
@@ -1,17 +1,17 @@
 #pragma once
 
 #include "oleanderledge/base/base.hpp"
+#include "oleanderledge/transport/HttpServer.hpp"
 
-#include <QHttpServer>
 #include <QObject>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace oleanderledge {
 
 class HttpForwarder;
-class HttpReply;
 class MetricsRegistry;
 
 /// HTTP interface of a proxy: health, readiness and metrics, and operator requests, which it
@@ -26,6 +26,7 @@
   ProxyHttp(const MetricsRegistry& aMetrics,
             std::function<bool()> aIsReady,
             std::function<std::string()> aControlAddress,
+            std::shared_ptr<HttpClients> aClients,
             QObject* aParent);
 
   /// Opens "ip:port". Fails with ListenFailed.
@@ -33,11 +34,11 @@
 
 private:
   /// Answers 503 with code NoQuorum if no control instance is connected or answers.
-  void ForwardToControl(const QHttpServerRequest& aRequest, const HttpReply& aReply);
+  void ForwardToControl(const HttpRequest& aRequest, const HttpReply& aReply);
 
   std::function<std::string()> controlAddress;
   HttpForwarder* forwarder;
-  QHttpServer server;
+  HttpServer server;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -1,5 +1,7 @@
 #include "oleanderledge/daemon/internal/StatementTrafficWorker.hpp"
 
+#include "oleanderledge/daemon/PortLimitSettings.hpp"
+
 namespace oleanderledge {
 
 namespace {
@@ -19,10 +21,12 @@
 
 StatementTrafficWorker::StatementTrafficWorker(InstanceInfo aSelf,
                                                std::unique_ptr<StatementProtocol> aProtocol,
-                                               Settings aSettings)
+                                               Settings aSettings,
+                                               std::shared_ptr<ResourceBudget> aBudget)
   : self(std::move(aSelf))
   , protocol(std::move(aProtocol))
   , settings(std::move(aSettings))
+  , budget(std::move(aBudget))
 {
 }
 
@@ -35,6 +39,8 @@
   serviceSettings.keyValidity = UsableKeyValidity(this->settings.fleet);
   serviceSettings.answerUnfinishedAfter =
     std::chrono::milliseconds(this->settings.fleet.stopLimitMs) - kLastAnswerTime;
+  serviceSettings.linkLimits = ToLinkLimits(this->settings.portLimits);
+  serviceSettings.budget = this->budget;
   auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
   if (!created) {
     return Fail(created.error().code, created.error().message);
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.hpp
@@ -14,7 +14,8 @@
 public:
   StatementTrafficWorker(InstanceInfo aSelf,
                          std::unique_ptr<StatementProtocol> aProtocol,
-                         Settings aSettings);
+                         Settings aSettings,
+                         std::shared_ptr<ResourceBudget> aBudget);
 
   Result<void> Start() override;
   void ApplyDirectory(std::shared_ptr<const Directory> aDirectory) override;
@@ -37,6 +38,7 @@
   InstanceInfo self;
   std::unique_ptr<StatementProtocol> protocol;
   Settings settings;
+  std::shared_ptr<ResourceBudget> budget;
   std::unique_ptr<StatementService> service;
 };
 
--- a/src/oleanderledge/link/Codec.cpp
+++ b/src/oleanderledge/link/Codec.cpp
@@ -2,6 +2,8 @@
 
 #include "oleanderledge/link/internal/StructCodec.hpp"
 
+#include <algorithm>
+
 namespace oleanderledge {
 
 namespace {
@@ -14,15 +16,25 @@
 using codec::UnpackNumber;
 using codec::UnpackValue;
 
+/// The fields of the largest messages, such as directories of thousands of rows, have fewer.
+constexpr std::size_t kMaxElements = std::size_t{ 1024 } * 1024;
+/// Memory of the elements of all lists of a message: strings and rows of our own messages take up to
+/// eight times their encoded size.
+constexpr std::size_t kMemoryPerByte = 16;
+constexpr std::size_t kMinMemory = std::size_t{ 64 } * 1024;
+constexpr std::size_t kMaxMemory = std::size_t{ 48 } * 1024 * 1024;
+
 template<std::size_t kIndex = 0>
-Result<Message> DecodeAlternative(std::size_t aType, const msgpack::object& aObject)
+Result<Message> DecodeAlternative(std::size_t aType,
+                                  const msgpack::object& aObject,
+                                  std::size_t& aMemoryLeft)
 {
   if constexpr (kIndex < std::variant_size_v<Message>) {
     if (aType != kIndex) {
-      return DecodeAlternative<kIndex + 1>(aType, aObject);
+      return DecodeAlternative<kIndex + 1>(aType, aObject, aMemoryLeft);
     }
     std::variant_alternative_t<kIndex, Message> value;
-    if (!UnpackValue(aObject, value)) {
+    if (!UnpackValue(aObject, value, aMemoryLeft)) {
       return Fail(ResultCode::MalformedFrame,
                   "invalid field in message type " + std::to_string(aType));
     }
@@ -57,7 +69,7 @@
 
 Result<Message> DecodeFrameBody(std::string_view aBody)
 {
-  auto handle = Parse(aBody);
+  auto handle = Parse(aBody, kMaxElements);
   if (!handle) {
     return Fail(handle.error().code, handle.error().message);
   }
@@ -69,7 +81,8 @@
   if (!UnpackNumber(Elements(object)[0], type)) {
     return Fail(ResultCode::MalformedFrame, "the message type is not a number");
   }
-  return DecodeAlternative(type, Elements(object)[1]);
+  std::size_t memoryLeft = std::min(kMinMemory + aBody.size() * kMemoryPerByte, kMaxMemory);
+  return DecodeAlternative(type, Elements(object)[1], memoryLeft);
 }
 
 // Instantiations for structs that are also encoded without a frame.
--- a/src/oleanderledge/link/FrameReader.cpp
+++ b/src/oleanderledge/link/FrameReader.cpp
@@ -1,12 +1,12 @@
 #include "oleanderledge/link/FrameReader.hpp"
 
-#include "oleanderledge/link/Codec.hpp"
-
 namespace oleanderledge {
 
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
+/// Memory that is kept for the next frames.
+constexpr std::size_t kKeptBytes = std::size_t{ 8 } * 1024;
 
 std::size_t ReadLength(std::string_view aBytes)
 {
@@ -22,6 +22,10 @@
 void FrameReader::Feed(std::string_view aBytes)
 {
   if (this->consumed == this->buffer.size()) {
+    // A string keeps its memory when it is cleared.
+    if (this->buffer.capacity() > kKeptBytes) {
+      this->buffer = std::string();
+    }
     this->buffer.clear();
     this->consumed = 0;
   }
@@ -35,7 +39,7 @@
     return std::optional<std::string>{};
   }
   const std::size_t length = ReadLength(rest);
-  if (length > kMaxFrameBytes) {
+  if (length > this->maxBody) {
     return Fail(ResultCode::FrameTooLarge, "frame of " + std::to_string(length) + " bytes");
   }
   if (rest.size() < kLengthBytes + length) {
--- a/src/oleanderledge/link/internal/StructCodec.hpp
+++ b/src/oleanderledge/link/internal/StructCodec.hpp
@@ -6,6 +6,9 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <span>
 #include <type_traits>
 
@@ -71,14 +74,17 @@
   }
 }
 
+/// `aMemoryLeft` is the memory that the elements of decoded lists may still take; it is reduced by
+/// what they take.
 template<class T>
-bool UnpackValue(const msgpack::object& aObject, T& aValue);
+bool UnpackValue(const msgpack::object& aObject, T& aValue, std::size_t& aMemoryLeft);
 
 class UnpackVisitor
 {
 public:
-  explicit UnpackVisitor(std::span<const msgpack::object> aSource)
+  UnpackVisitor(std::span<const msgpack::object> aSource, std::size_t& aMemoryLeft)
     : fields(aSource)
+    , memoryLeft(aMemoryLeft)
   {
   }
 
@@ -97,11 +103,12 @@
     if (!this->valid || this->next >= this->fields.size()) {
       return;
     }
-    this->valid = UnpackValue(this->fields[this->next], aTarget);
+    this->valid = UnpackValue(this->fields[this->next], aTarget, this->memoryLeft);
     ++this->next;
   }
 
   std::span<const msgpack::object> fields;
+  std::size_t& memoryLeft;
   std::size_t next = 0;
   bool valid = true;
 };
@@ -158,7 +165,7 @@
 }
 
 template<class T>
-bool UnpackValue(const msgpack::object& aObject, T& aValue)
+bool UnpackValue(const msgpack::object& aObject, T& aValue, std::size_t& aMemoryLeft)
 {
   if constexpr (std::is_same_v<T, std::string>) {
     return UnpackString(aObject, aValue);
@@ -182,10 +189,16 @@
     if (!IsArray(aObject)) {
       return false;
     }
+    // An element may take one byte of the message and a hundred bytes of memory.
+    const std::size_t memory = aObject.via.array.size * sizeof(typename T::value_type);
+    if (memory > aMemoryLeft) {
+      return false;
+    }
+    aMemoryLeft -= memory;
     aValue.clear();
     aValue.reserve(aObject.via.array.size);
     for (const auto& element : Elements(aObject)) {
-      if (!UnpackValue(element, aValue.emplace_back())) {
+      if (!UnpackValue(element, aValue.emplace_back(), aMemoryLeft)) {
         return false;
       }
     }
@@ -194,15 +207,53 @@
     if (!IsArray(aObject)) {
       return false;
     }
-    UnpackVisitor visitor(Elements(aObject));
+    UnpackVisitor visitor(Elements(aObject), aMemoryLeft);
     aValue.Visit(visitor);
     return visitor.IsValid();
   }
 }
 
+/// Counts the elements of all arrays of a message without allocating them.
+class ElementCounter : public msgpack::null_visitor
+{
+public:
+  explicit ElementCounter(std::size_t aMaximum)
+    : maximum(aMaximum)
+  {
+  }
+
+  // Names of msgpack.
+  bool start_array(std::uint32_t aCount) // NOLINT(readability-identifier-naming)
+  {
+    this->count += aCount;
+    ++this->depth;
+    return this->count <= this->maximum && this->depth <= kMaxNestingDepth;
+  }
+  bool end_array() // NOLINT(readability-identifier-naming)
+  {
+    --this->depth;
+    return true;
+  }
+  static bool start_map(std::uint32_t /*aCount*/) // NOLINT(readability-identifier-naming)
+  {
+    return false;
+  }
+
+private:
+  std::size_t maximum;
+  std::size_t count = 0;
+  std::size_t depth = 0;
+};
+
 /// Parses msgpack bytes within limits. The handle owns the decoded objects.
-inline Result<msgpack::object_handle> Parse(std::string_view aBytes)
+inline Result<msgpack::object_handle> Parse(std::string_view aBytes, std::size_t aMaxElements)
 {
+  // msgpack allocates an array as soon as it has read its length, so nested arrays of great length
+  // would take gigabytes although their elements never follow.
+  ElementCounter counter(std::min(aMaxElements, aBytes.size()));
+  if (!msgpack::parse(aBytes.data(), aBytes.size(), counter)) {
+    return Fail(ResultCode::MalformedFrame, "not msgpack, or too many elements");
+  }
   // Every element takes at least one byte, so no count can exceed the length. Without this limit a
   // short frame with a huge array length would make msgpack allocate gigabytes.
   const std::size_t length = aBytes.size();
@@ -234,12 +285,14 @@
 template<class T>
 Result<T> DecodeStruct(std::string_view aBytes)
 {
-  auto handle = codec::Parse(aBytes);
+  // Records are written by this program, so only their own length limits them.
+  auto handle = codec::Parse(aBytes, aBytes.size());
   if (!handle) {
     return Fail(handle.error().code, handle.error().message);
   }
   T value;
-  if (!codec::UnpackValue(handle.value().get(), value)) {
+  std::size_t memoryLeft = std::numeric_limits<std::size_t>::max();
+  if (!codec::UnpackValue(handle.value().get(), value, memoryLeft)) {
     return Fail(ResultCode::MalformedFrame, "a field has the wrong type");
   }
   return value;
--- a/src/oleanderledge/platform/ControlPlaneServer.cpp
+++ b/src/oleanderledge/platform/ControlPlaneServer.cpp
@@ -2,17 +2,12 @@
 
 #include "oleanderledge/control/RouteValidation.hpp"
 #include "oleanderledge/platform/ControlMessages.hpp"
-#include "oleanderledge/transport/DeferredRoute.hpp"
 #include "oleanderledge/transport/transport.hpp"
 
-#include <QHostAddress>
-
 namespace oleanderledge::platform {
 
 namespace {
 
-using Method = QHttpServerRequest::Method;
-
 constexpr char kJsonType[] = "application/json";
 constexpr int kHttpOk = 200;
 constexpr int kHttpBadRequest = 400;
@@ -22,10 +17,9 @@
 constexpr char kInstancesPath[] = "/api/instances/";
 constexpr char kConfigurationPath[] = "/api/configuration";
 
-std::string BackendNameOf(const QHttpServerRequest& aRequest)
+std::string BackendNameOf(const HttpRequest& aRequest)
 {
-  return aRequest.url()
-    .path()
+  return aRequest.url.path()
     .mid(static_cast<qsizetype>(sizeof(kInstancesPath)) - 1)
     .toStdString();
 }
@@ -38,70 +32,74 @@
 } // namespace
 
 ControlPlaneServer::ControlPlaneServer(ControlRequestHandler& aControl, QObject* aParent)
+  : ControlPlaneServer(aControl, nullptr, aParent)
+{
+}
+
+ControlPlaneServer::ControlPlaneServer(ControlRequestHandler& aControl,
+                                       std::shared_ptr<HttpClients> aClients,
+                                       QObject* aParent)
   : QObject(aParent)
   , control(aControl)
+  , server(std::move(aClients), nullptr)
 {
-  const auto add = [this](const char* aPath,
-                          Method aMethod,
-                          void (ControlPlaneServer::*aHandler)(const QHttpServerRequest&,
+  const auto add = [this](const char* aMethod,
+                          const char* aPath,
+                          void (ControlPlaneServer::*aHandler)(const HttpRequest&,
                                                                const HttpReply&)) {
-    AddDeferredRoute(this->server,
-                     aPath,
-                     aMethod,
-                     [this, aHandler](const QHttpServerRequest& aRequest, const HttpReply& aReply) {
-                       (this->*aHandler)(aRequest, aReply);
-                     });
+    this->server.AddRoute(
+      aMethod, aPath, [this, aHandler](const HttpRequest& aRequest, const HttpReply& aReply) {
+        (this->*aHandler)(aRequest, aReply);
+      });
   };
-  add("/api/instances/[^/]+", Method::Put, &ControlPlaneServer::HandleRegistration);
-  add("/api/instances/[^/]+", Method::Delete, &ControlPlaneServer::HandleDeparture);
-  add(kConfigurationPath, Method::Put, &ControlPlaneServer::HandleConfiguration);
-  add(kConfigurationPath, Method::Get, &ControlPlaneServer::HandleConfigurationRead);
+  add("PUT", "/api/instances/*", &ControlPlaneServer::HandleRegistration);
+  add("DELETE", "/api/instances/*", &ControlPlaneServer::HandleDeparture);
+  add("PUT", kConfigurationPath, &ControlPlaneServer::HandleConfiguration);
+  add("GET", kConfigurationPath, &ControlPlaneServer::HandleConfigurationRead);
 }
 
 Result<void> ControlPlaneServer::Listen(const std::string& aAddress)
 {
   this->ownAddress = aAddress;
-  const auto [host, port] = SplitAddress(aAddress);
-  if (this->server.listen(QHostAddress(QString::fromStdString(host)), port) == 0) {
+  if (!this->server.Listen(aAddress)) {
     return Fail(ResultCode::ListenFailed, aAddress + ": the HTTP port cannot be opened");
   }
-  RetryAcceptingAfterErrors(this->server);
   return boost::outcome_v2::success();
 }
 
-void ControlPlaneServer::HandleRegistration(const QHttpServerRequest& aRequest,
+void ControlPlaneServer::HandleRegistration(const HttpRequest& aRequest,
                                             const HttpReply& aReply)
 {
-  const QByteArray body = aRequest.body();
+  const QByteArray& body = aRequest.body;
   const auto backend = DecodeRegistration(BackendNameOf(aRequest), ToStringView(body));
   if (!backend) {
     WriteLog(LogEvent::AnnouncementRejected,
-             "path=" + aRequest.url().path(QUrl::FullyEncoded).left(kMaxLoggedPath).toStdString() +
+             "path=" + aRequest.url.path(QUrl::FullyEncoded).left(kMaxLoggedPath).toStdString() +
                " reason=" + backend.error().message);
     aReply.Send(kHttpBadRequest, kJsonType, "{}");
     return;
   }
   this->control.RegisterBackend(
     backend.value(),
-    [this, aReply, path = aRequest.url().path()](ControlRequestHandler::Outcome aOutcome) {
+    [this, aReply, path = aRequest.url.path()](ControlRequestHandler::Outcome aOutcome) {
       this->SendOutcome(aReply, path, aOutcome, EncodeRegistrationAnswer(this->ownAddress));
     });
 }
 
-void ControlPlaneServer::HandleDeparture(const QHttpServerRequest& aRequest,
+void ControlPlaneServer::HandleDeparture(const HttpRequest& aRequest,
                                          const HttpReply& aReply)
 {
   this->control.RemoveBackend(
     BackendNameOf(aRequest),
-    [this, aReply, path = aRequest.url().path()](ControlRequestHandler::Outcome aOutcome) {
+    [this, aReply, path = aRequest.url.path()](ControlRequestHandler::Outcome aOutcome) {
       this->SendOutcome(aReply, path, aOutcome, "{}");
     });
 }
 
-void ControlPlaneServer::HandleConfiguration(const QHttpServerRequest& aRequest,
+void ControlPlaneServer::HandleConfiguration(const HttpRequest& aRequest,
                                              const HttpReply& aReply)
 {
-  const QByteArray body = aRequest.body();
+  const QByteArray& body = aRequest.body;
   auto configuration = DecodeConfiguration(ToStringView(body));
   const Result<void> checked =
     configuration ? ValidateRoutes(configuration.value())
@@ -115,12 +113,12 @@
   }
   this->control.StoreConfiguration(
     std::move(configuration.value()),
-    [this, aReply, path = aRequest.url().path()](ControlRequestHandler::Outcome aOutcome) {
+    [this, aReply, path = aRequest.url.path()](ControlRequestHandler::Outcome aOutcome) {
       this->SendOutcome(aReply, path, aOutcome, "{}");
     });
 }
 
-void ControlPlaneServer::HandleConfigurationRead(const QHttpServerRequest& aRequest,
+void ControlPlaneServer::HandleConfigurationRead(const HttpRequest& aRequest,
                                                  const HttpReply& aReply)
 {
   const auto document = this->control.ReadConfiguration();
@@ -129,7 +127,7 @@
     return;
   }
   if (document.error().code == ResultCode::NotLeader) {
-    this->Redirect(aReply, aRequest.url().path());
+    this->Redirect(aReply, aRequest.url.path());
     return;
   }
   aReply.Send(kHttpUnavailable, kJsonType, "{}");
@@ -166,7 +164,7 @@
   }
   // All instances that serve this interface use the same port.
   aReply.SendRedirect("http://" + QByteArray::fromStdString(leader) + ":" +
-                      QByteArray::number(port) + aPath.toUtf8());
+                      QByteArray::number(port) + QUrl::toPercentEncoding(aPath, "/"));
 }
 
 } // namespace oleanderledge::platform
--- a/src/oleanderledge/platform/ControlPlaneServer.hpp
+++ b/src/oleanderledge/platform/ControlPlaneServer.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "oleanderledge/control/ControlRequestHandler.hpp"
-#include "oleanderledge/transport/HttpReply.hpp"
+#include "oleanderledge/transport/HttpServer.hpp"
 
-#include <QHttpServer>
 #include <QObject>
 
+#include <memory>
 #include <string>
 
 namespace oleanderledge::platform {
@@ -19,15 +19,19 @@
 
 public:
   ControlPlaneServer(ControlRequestHandler& aControl, QObject* aParent);
+  /// For servers that share limits on their clients.
+  ControlPlaneServer(ControlRequestHandler& aControl,
+                     std::shared_ptr<HttpClients> aClients,
+                     QObject* aParent);
 
   /// Opens "ip:port". Fails with ListenFailed.
   Result<void> Listen(const std::string& aAddress);
 
 private:
-  void HandleRegistration(const QHttpServerRequest& aRequest, const HttpReply& aReply);
-  void HandleDeparture(const QHttpServerRequest& aRequest, const HttpReply& aReply);
-  void HandleConfiguration(const QHttpServerRequest& aRequest, const HttpReply& aReply);
-  void HandleConfigurationRead(const QHttpServerRequest& aRequest, const HttpReply& aReply);
+  void HandleRegistration(const HttpRequest& aRequest, const HttpReply& aReply);
+  void HandleDeparture(const HttpRequest& aRequest, const HttpReply& aReply);
+  void HandleConfiguration(const HttpRequest& aRequest, const HttpReply& aReply);
+  void HandleConfigurationRead(const HttpRequest& aRequest, const HttpReply& aReply);
   void SendOutcome(const HttpReply& aReply,
                    const QString& aPath,
                    ControlRequestHandler::Outcome aOutcome,
@@ -37,7 +41,7 @@
 
   ControlRequestHandler& control;
   std::string ownAddress;
-  QHttpServer server;
+  HttpServer server;
 };
 
 } // namespace oleanderledge::platform
--- a/src/oleanderledge/platform/ReadinessServer.cpp
+++ b/src/oleanderledge/platform/ReadinessServer.cpp
@@ -1,29 +1,38 @@
 #include "oleanderledge/platform/ReadinessServer.hpp"
 
-#include "oleanderledge/transport/transport.hpp"
+namespace oleanderledge::platform {
 
-#include <QHostAddress>
-#include <QHttpServerResponse>
+namespace {
 
-namespace oleanderledge::platform {
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnavailable = 503;
+
+} // namespace
 
 ReadinessServer::ReadinessServer(std::function<bool()> aIsReady, QObject* aParent)
+  : ReadinessServer(std::move(aIsReady), nullptr, aParent)
+{
+}
+
+ReadinessServer::ReadinessServer(std::function<bool()> aIsReady,
+                                 std::shared_ptr<HttpClients> aClients,
+                                 QObject* aParent)
   : QObject(aParent)
+  , server(std::move(aClients), nullptr)
 {
-  using StatusCode = QHttpServerResponse::StatusCode;
-  this->server.route(
-    "/api/readiness", QHttpServerRequest::Method::Get, [isReady = std::move(aIsReady)] {
-      return QHttpServerResponse(isReady() ? StatusCode::Ok : StatusCode::ServiceUnavailable);
+  this->server.AddRoute(
+    "GET",
+    "/api/readiness",
+    [isReady = std::move(aIsReady)](const HttpRequest&, const HttpReply& aReply) {
+      aReply.Send(isReady() ? kHttpOk : kHttpUnavailable, "application/x-empty", {});
     });
 }
 
 Result<void> ReadinessServer::Listen(const std::string& aAddress)
 {
-  const auto [host, port] = SplitAddress(aAddress);
-  if (this->server.listen(QHostAddress(QString::fromStdString(host)), port) == 0) {
+  if (!this->server.Listen(aAddress)) {
     return Fail(ResultCode::ListenFailed, aAddress + ": the readiness port cannot be opened");
   }
-  RetryAcceptingAfterErrors(this->server);
   return boost::outcome_v2::success();
 }
 
--- a/src/oleanderledge/platform/ReadinessServer.hpp
+++ b/src/oleanderledge/platform/ReadinessServer.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "oleanderledge/base/base.hpp"
+#include "oleanderledge/transport/HttpServer.hpp"
 
-#include <QHttpServer>
 #include <QObject>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace oleanderledge::platform {
@@ -18,12 +19,16 @@
 
 public:
   ReadinessServer(std::function<bool()> aIsReady, QObject* aParent);
+  /// For servers that share limits on their clients.
+  ReadinessServer(std::function<bool()> aIsReady,
+                  std::shared_ptr<HttpClients> aClients,
+                  QObject* aParent);
 
   /// Opens "ip:port". Fails with ListenFailed.
   Result<void> Listen(const std::string& aAddress);
 
 private:
-  QHttpServer server;
+  HttpServer server;
 };
 
 } // namespace oleanderledge::platform
--- a/src/oleanderledge/settings/Settings.cpp
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -24,12 +24,51 @@
   listen.ReportUnknownKeys();
 }
 
-void ReadLimits(CheckedNode& aRoot, ProxyLimits& aLimits)
+/// Largest number of connections, rows or milliseconds of a limit.
+constexpr std::uint32_t kMaxCount = 1'000'000;
+constexpr std::uint32_t kMaxLimitMs = 3'600'000;
+
+void ReadCallerLimits(CheckedNode& aLimits, ProxyLimits& aTarget)
+{
+  aLimits.ReadNumber("max_callers", aTarget.maxCallers, 1, kMaxCount);
+  aLimits.ReadNumber("message_bytes", aTarget.maxMessageBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("queued_units_per_class", aTarget.queuedUnitsPerClass, 1, kMaxCount);
+}
+
+void ReadPortLimits(CheckedNode& aLimits, PortLimits& aTarget, DaemonKind aKind)
+{
+  aLimits.ReadNumber("http_connections", aTarget.httpConnections, 1, kMaxCount);
+  aLimits.ReadNumber("http_head_bytes", aTarget.httpHeadBytes, 1024, 1U << 20U);
+  aLimits.ReadNumber("http_body_bytes", aTarget.httpBodyBytes, 1024, 8U << 20U);
+  aLimits.ReadNumber("http_request_ms", aTarget.httpRequestMs, 100, kMaxLimitMs);
+  aLimits.ReadNumber("http_idle_ms", aTarget.httpIdleMs, 100, kMaxLimitMs);
+  aLimits.ReadNumber("link_connections", aTarget.linkConnections, 1, kMaxCount);
+  aLimits.ReadNumber("link_frame_bytes", aTarget.linkFrameBytes, 4096, 16U << 20U);
+  aLimits.ReadNumber("link_frame_ms", aTarget.linkFrameMs, 100, kMaxLimitMs);
+  aLimits.ReadNumber("link_unread_bytes", aTarget.linkUnreadBytes, 1U << 20U, 1U << 30U);
+  if (aKind == DaemonKind::Control) {
+    aLimits.ReadNumber("held_bytes", aTarget.heldBytes, 1U << 20U, 1U << 30U);
+    aLimits.ReadNumber("instances", aTarget.instances, 1, kMaxCount);
+    aLimits.ReadNumber("backend_servers", aTarget.backendServers, 1, kMaxCount);
+    aLimits.ReadNumber("databases", aTarget.databases, 1, kMaxCount);
+    aLimits.ReadNumber("classes", aTarget.classes, 1, kMaxCount);
+  }
+}
+
+void ReadLimits(CheckedNode& aRoot, Settings& aSettings, DaemonKind aKind)
 {
   CheckedNode limits = aRoot.ReadMapping("limits", false);
-  limits.ReadNumber("max_callers", aLimits.maxCallers, 1, 1'000'000);
-  limits.ReadNumber("message_bytes", aLimits.maxMessageBytes, 1024, 64U << 20U);
-  limits.ReadNumber("queued_units_per_class", aLimits.queuedUnitsPerClass, 1, 1'000'000);
+  // A proxy forwards operator requests, which are small; a control instance takes configurations.
+  // Proxies take statements of callers over links, and control instances heartbeats.
+  constexpr std::uint32_t kProxyBodyBytes = 256U << 10U;
+  constexpr std::uint32_t kHeartbeatBytes = 512U << 10U;
+  if (aKind == DaemonKind::Proxy) {
+    aSettings.portLimits.httpBodyBytes = kProxyBodyBytes;
+    ReadCallerLimits(limits, aSettings.limits);
+  } else {
+    aSettings.portLimits.linkFrameBytes = kHeartbeatBytes;
+  }
+  ReadPortLimits(limits, aSettings.portLimits, aKind);
   limits.ReportUnknownKeys();
 }
 
@@ -146,9 +185,8 @@
       ReadInitialMembers(root, settings, document.Mark(), problems);
     }
     root.ReadNumber("election_timeout_ms", settings.electionTimeoutMs, 100, 10'000);
-  } else {
-    ReadLimits(root, settings.limits);
   }
+  ReadLimits(root, settings, aKind);
   root.ReportUnknownKeys();
   if (problems.lines.empty()) {
     return settings;
--- a/src/oleanderledge/settings/Settings.hpp
+++ b/src/oleanderledge/settings/Settings.hpp
@@ -32,6 +32,27 @@
   std::uint32_t queuedUnitsPerClass = 4096; ///< Longest queue of a class at an owner, per database.
 };
 
+/// Limits on the clients of the HTTP and link ports, which anyone may reach; all are optional in the
+/// file.
+struct PortLimits
+{
+  std::uint32_t httpConnections = 256; ///< At each HTTP port.
+  std::uint32_t httpHeadBytes = 32U << 10U;
+  std::uint32_t httpBodyBytes = 4U << 20U;
+  std::uint32_t httpRequestMs = 30'000; ///< To complete a request or to read a part of an answer.
+  std::uint32_t httpIdleMs = 60'000;    ///< Connections without a request.
+  std::uint32_t linkConnections = 512;
+  std::uint32_t linkFrameBytes = 4U << 20U; ///< From peers that are not control instances.
+  std::uint32_t linkFrameMs = 60'000;       ///< To complete a frame.
+  std::uint32_t linkUnreadBytes = 32U << 20U;
+  /// Bytes held for all clients of the process; control only.
+  std::uint32_t heldBytes = 96U << 20U;
+  std::uint32_t instances = 1'000;      ///< Control only.
+  std::uint32_t backendServers = 1'024; ///< Control only.
+  std::uint32_t databases = 4'096;      ///< Control only.
+  std::uint32_t classes = 64;           ///< Control only.
+};
+
 /// One-way delays that are added to emulate the network when a fleet runs on one machine.
 struct LatencySettings
 {
@@ -82,6 +103,7 @@
   std::vector<InitialMember> initialMembers; ///< Control only.
   std::uint32_t electionTimeoutMs = 300;     ///< Minimum of the random timeout; control only.
   ProxyLimits limits;
+  PortLimits portLimits;
   LatencySettings emulatedLatency;
   FleetSettings fleet;
 };
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "oleanderledge/limits/limits.hpp"
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/metrics/metrics.hpp"
 #include "oleanderledge/statements/StatementProtocol.hpp"
+#include "oleanderledge/transport/LinkLimits.hpp"
 
 #include <cstdint>
 #include <map>
@@ -23,6 +25,9 @@
   /// Time for which keys of callers are trusted after the directory was known to be current; zero:
   /// no limit. See KeyGate.
   Duration keyValidity{ 0 };
+  LinkLimits linkLimits; ///< Limits on the links of other proxies.
+  /// What the process holds for its clients; null: an object of its own.
+  std::shared_ptr<ResourceBudget> budget;
   /// Delay between the start of a graceful stop and the closing of idle sessions and of the
   /// listening socket for callers. The load balancer has to detect the stop first.
   Duration closeIdleSessionsAfter = std::chrono::milliseconds(2500);
--- a/src/oleanderledge/statements/internal/StatementServer.cpp
+++ b/src/oleanderledge/statements/internal/StatementServer.cpp
@@ -35,6 +35,10 @@
       [this](const std::string& aBackend) { return this->FindDispatcherOf(aBackend); },
       nullptr)
 {
+  if (this->settings.budget == nullptr) {
+    this->settings.budget = std::make_shared<ResourceBudget>(BudgetLimits{});
+  }
+  this->linkServer.SetLimits(this->settings.linkLimits, this->settings.budget);
   QObject::connect(&this->linkServer, &LinkServer::Accepted, this, [this](LinkConnection* aLink) {
     this->relay.AcceptLink(aLink);
   });
--- a/src/oleanderledge/transport/AcceptRetry.cpp
+++ b/src/oleanderledge/transport/AcceptRetry.cpp
@@ -1,6 +1,5 @@
 #include "oleanderledge/transport/AcceptRetry.hpp"
 
-#include <QHttpServer>
 #include <QTcpServer>
 #include <QTimer>
 
@@ -27,11 +26,4 @@
   });
 }
 
-void RetryAcceptingAfterErrors(const QHttpServer& aServer)
-{
-  for (QTcpServer* server : aServer.servers()) {
-    RetryAcceptingAfterErrors(*server);
-  }
-}
-
 } // namespace oleanderledge
--- a/src/oleanderledge/transport/AcceptRetry.hpp
+++ b/src/oleanderledge/transport/AcceptRetry.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-class QHttpServer;
 class QTcpServer;
 
 namespace oleanderledge {
@@ -9,7 +8,4 @@
 /// descriptors. Without this, QTcpServer never accepts again. Called once for each server.
 void RetryAcceptingAfterErrors(QTcpServer& aServer);
 
-/// The same for all ports that the HTTP server listens on. Called after the last of its listen().
-void RetryAcceptingAfterErrors(const QHttpServer& aServer);
-
 } // namespace oleanderledge
--- a/src/oleanderledge/transport/HttpReply.hpp
+++ b/src/oleanderledge/transport/HttpReply.hpp
@@ -1,20 +1,19 @@
 #pragma once
 
+#include "oleanderledge/transport/HttpConnection.hpp"
+
 #include <QByteArray>
 #include <QPointer>
-#include <QTcpSocket>
 
 namespace oleanderledge {
 
-/// Asynchronous answer to one HTTP request.
-///
-/// If the client disconnects before the answer, the answer is dropped. QHttpServerResponder and
-/// futures of QHttpServerResponse in Qt 6.4 crash then, because they write to the deleted socket.
+/// Answer to one HTTP request, which may be sent later. If the client disconnects before, the
+/// answer is dropped.
 class HttpReply
 {
 public:
-  explicit HttpReply(QTcpSocket* aSocket)
-    : socket(aSocket)
+  explicit HttpReply(HttpConnection* aConnection)
+    : connection(aConnection)
   {
   }
 
@@ -25,9 +24,7 @@
   void SendRedirect(const QByteArray& aLocation) const;
 
 private:
-  bool CanSend() const;
-
-  QPointer<QTcpSocket> socket;
+  QPointer<HttpConnection> connection;
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/transport/LinkConnection.cpp
+++ b/src/oleanderledge/transport/LinkConnection.cpp
@@ -10,6 +10,19 @@
 
 /// A link on which no valid Hello arrived is closed after this time.
 constexpr int kHelloTimeoutMs = 3000;
+constexpr qint64 kReadBufferBytes = qint64{ 256 } * 1024;
+/// Largest frame before the Hello of the peer. A Hello has a few names and addresses.
+constexpr std::size_t kMaxHelloBytes = std::size_t{ 4 } * 1024;
+/// Longest name of an instance or zone.
+constexpr std::size_t kMaxNameBytes = 255;
+
+/// True if the names of an instance may be stored and logged.
+bool IsAcceptable(const InstanceInfo& aInstance)
+{
+  const auto isShort = [](const std::string& aText) { return aText.size() <= kMaxNameBytes; };
+  return isShort(aInstance.id) && isShort(aInstance.zone) && isShort(aInstance.linkAddress) &&
+         isShort(aInstance.httpAddress);
+}
 
 } // namespace
 
@@ -59,8 +72,33 @@
   this->WriteFrame(EncodeFrame(Hello{ kLinkProtocolVersion, this->selfInfo }));
 }
 
+void LinkConnection::SetLimits(const LinkLimits& aLimits)
+{
+  this->maxFrameBytes = aLimits.frameBytes;
+}
+
+std::uint64_t LinkConnection::HeldBytes() const
+{
+  return this->reader.HeldBytes() + static_cast<std::uint64_t>(this->QueuedBytes()) +
+         static_cast<std::uint64_t>(this->socket->bytesAvailable());
+}
+
+std::optional<Instant> LinkConnection::IncompleteSince() const
+{
+  return this->reader.IsFrameBegun() ? std::optional(this->frameSince) : std::nullopt;
+}
+
+std::string LinkConnection::PeerAddress() const
+{
+  return this->socket->peerAddress().toString().toStdString();
+}
+
 void LinkConnection::SetUpSocket()
 {
+  this->reader.SetMaxBody(kMaxHelloBytes);
+  this->lastReceivedAt = MonotonicNow();
+  // A peer that sends faster than its messages are handled waits.
+  this->socket->setReadBufferSize(kReadBufferBytes);
   this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   QObject::connect(this->socket, &QTcpSocket::readyRead, this, &LinkConnection::ReadAvailable);
   QObject::connect(this->socket, &QTcpSocket::disconnected, this, &LinkConnection::CloseNow);
@@ -135,6 +173,9 @@
 {
   const QByteArray bytes = this->socket->readAll();
   this->lastReceivedAt = MonotonicNow();
+  if (!this->reader.IsFrameBegun()) {
+    this->frameSince = this->lastReceivedAt;
+  }
   this->reader.Feed({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
   while (!this->isClosed) {
     auto body = this->reader.Next();
@@ -143,10 +184,14 @@
       return;
     }
     if (!body.value()) {
-      return;
+      break;
     }
+    this->frameSince = this->lastReceivedAt;
     this->HandleBody(*body.value());
   }
+  if (!this->isClosed) {
+    Q_EMIT this->BytesHandled();
+  }
 }
 
 void LinkConnection::HandleBody(const std::string& aBody)
@@ -178,8 +223,15 @@
     this->Reject(ResultCode::MalformedFrame, "second Hello");
     return;
   }
+  if (!IsAcceptable(aHello.instance)) {
+    this->Reject(ResultCode::MalformedFrame, "a name or address is too long");
+    return;
+  }
   this->peerInfo = aHello.instance;
   this->helloReceived = true;
+  // The log of the control group travels in frames of any size.
+  const bool isControl = this->peerInfo.role == InstanceRole::Control;
+  this->reader.SetMaxBody(isControl ? kMaxFrameBytes : this->maxFrameBytes);
   WriteLog(LogEvent::LinkConnected, "peer=" + this->peerInfo.id);
   Q_EMIT this->Ready();
   this->FlushDelayed();
@@ -190,6 +242,7 @@
   WriteLog(LogEvent::LinkRejected,
            "code=" + std::to_string(static_cast<unsigned>(aCode)) + " peer=" + this->peerInfo.id +
              " reason=" + aReason);
+  Q_EMIT this->Rejected(aCode);
   this->CloseNow();
 }
 
--- a/src/oleanderledge/transport/LinkConnection.hpp
+++ b/src/oleanderledge/transport/LinkConnection.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/transport/EmulatedLatency.hpp"
+#include "oleanderledge/transport/LinkLimits.hpp"
 
 #include <QObject>
 #include <QTcpSocket>
@@ -9,6 +10,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace oleanderledge {
@@ -54,9 +56,23 @@
   /// Bytes queued for sending; senders use it for back-pressure.
   std::int64_t QueuedBytes() const;
 
+  /// Limits what the peer may send.
+  void SetLimits(const LinkLimits& aLimits);
+  /// Memory that is held for the peer: parts of frames, and messages that it has not read.
+  std::uint64_t HeldBytes() const;
+  /// Since when a frame that was begun has not been completed; nothing between frames.
+  std::optional<Instant> IncompleteSince() const;
+  /// IP address of the peer.
+  std::string PeerAddress() const;
+
 Q_SIGNALS:
   void Ready();
   void Received(const oleanderledge::Message& aMessage);
+  /// Bytes have arrived and complete frames among them have been handled.
+  void BytesHandled();
+  /// The peer sent what it must not send: a frame over a limit, or one that cannot be read. Closed()
+  /// follows.
+  void Rejected(oleanderledge::ResultCode aCode);
   /// Emitted exactly once, also if the link never became ready.
   void Closed();
 
@@ -82,6 +98,8 @@
   QTcpSocket* socket = nullptr;
   QTimer delayTimer;
   FrameReader reader;
+  std::size_t maxFrameBytes = kMaxFrameBytes; ///< For a peer that is not a control instance.
+  Instant frameSince{};                       ///< When the incomplete frame was begun.
   std::deque<DelayedFrame> delayedFrames;
   std::int64_t delayedBytes = 0; ///< Size of all frames in `delayedFrames`.
   Instant lastReceivedAt{};
--- a/src/oleanderledge/transport/LinkServer.hpp
+++ b/src/oleanderledge/transport/LinkServer.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "oleanderledge/limits/limits.hpp"
 #include "oleanderledge/transport/LinkConnection.hpp"
 
 #include <QTcpServer>
+#include <QTimer>
 
+#include <map>
+#include <memory>
 #include <string>
 
 namespace oleanderledge {
@@ -17,6 +21,11 @@
 public:
   LinkServer(InstanceInfo aSelf, const EmulatedLatency& aLatency, QObject* aParent);
 
+  /// Sets limits on the peers, and the budget of the process that what is held for them is charged
+  /// to. Without this call, the limits are the default ones and the budget is the server's own. Call
+  /// before Listen().
+  void SetLimits(const LinkLimits& aLimits, std::shared_ptr<ResourceBudget> aBudget);
+
   /// Starts to listen on "ip:port". Fails with ListenFailed.
   Result<void> Listen(const std::string& aAddress);
 
@@ -30,9 +39,22 @@
 
 private:
   void AcceptPending();
+  void Adopt(LinkConnection* aLink, ResourceBudget::ClientId aId);
+  /// Closes a link that has not sent a Hello, or else one that is silent, to make room for another.
+  bool CloseOneWaiting();
+  /// Reports to the budget what is held for a link, and closes links if that is too much.
+  void UpdateHeld(LinkConnection* aLink);
+  void CheckAll();
+  void CloseSelected();
+  void CloseForReason(LinkConnection* aLink, ClosingReason aReason);
 
   InstanceInfo selfInfo;
   EmulatedLatency latency;
+  LinkLimits limits;
+  std::shared_ptr<ResourceBudget> budget;
+  std::map<LinkConnection*, ResourceBudget::ClientId> links; ///< Accepted and not closed.
+  QTimer checkTimer;
+  Instant checkedAt{};
   QTcpServer server;
 };
 
--- a/src/oleanderledge/transport/transport.hpp
+++ b/src/oleanderledge/transport/transport.hpp
@@ -3,6 +3,7 @@
 
 #include "oleanderledge/transport/AcceptRetry.hpp"
 #include "oleanderledge/transport/EmulatedLatency.hpp"
+#include "oleanderledge/transport/HttpServer.hpp"
 #include "oleanderledge/transport/LinkConnection.hpp"
 #include "oleanderledge/transport/LinkServer.hpp"
 #include "oleanderledge/transport/PeerLinks.hpp"
