tests: the server of the port crowds registers while a crowd runs

The log of control shows that the primary was silent for 2.9 s (service_without_candidate primary=i-only reason=silent). Servers register every 1.2 s, so the fixture does that now in all crowds; crowds, bounds and checks are the same. OL_CROWD_PROGRAM names another program to run.

--- a/tests/crowd/PortFleet.cpp
+++ b/tests/crowd/PortFleet.cpp
@@ -1,6 +1,7 @@
 #include "tests/crowd/PortFleet.hpp"
 
 #include <QElapsedTimer>
+#include <QNetworkReply>
 #include <QTcpSocket>
 
 #include <catch2/catch.hpp>
@@ -25,6 +26,8 @@
 constexpr int kMostDescriptors = 3 * kConnectionsPerPort + 64;
 constexpr int kHttpOk = 200;
 constexpr int kStatementTimeoutMs = 3'000;
+/// The default of the setting `registration_interval_ms`.
+constexpr int kRegistrationIntervalMs = 1'200;
 
 /// A loopback address of this test program alone, so that nobody takes its ports.
 std::string OwnIp(unsigned aFirst)
@@ -64,6 +67,13 @@
   return error ? -1 : std::distance(begin(folder), end(folder));
 }
 
+/// The program to test; another one can be given, to see whether it fails.
+std::string Program()
+{
+  const char* other = std::getenv("OL_CROWD_PROGRAM");
+  return other == nullptr ? OL_PROGRAM : other;
+}
+
 std::string LimitSettings()
 {
   if (std::getenv("OL_CROWD_WITHOUT_LIMITS") != nullptr) {
@@ -96,6 +106,11 @@
   REQUIRE(WaitUntil([this] { return this->PutConfiguration(Configuration(1)) == kHttpOk; }));
   REQUIRE(WaitUntil([this] { return this->Register() == kHttpOk; }));
   REQUIRE(WaitUntil([this] { return this->IsReadServed(); }));
+  QObject::connect(&this->registrationTimer, &QTimer::timeout, [this] {
+    QNetworkReply* reply = this->SendRegistration();
+    QObject::connect(reply, &QNetworkReply::finished, reply, &QObject::deleteLater);
+  });
+  this->registrationTimer.start(kRegistrationIntervalMs);
 }
 
 void PortFleet::WriteSettings() const
@@ -122,7 +137,7 @@
   this->processes.push_back(
     { aKind,
       std::make_unique<soak::ChildProcess>(
-        OL_PROGRAM,
+        Program(),
         std::vector<std::string>{ aKind, "--settings=" + this->PathOf(aKind + ".yaml") },
         this->PathOf(aKind + ".log")),
       aMemoryBound });
@@ -155,14 +170,24 @@
            { this->readiness, "/api/readiness", "POST" } };
 }
 
-int PortFleet::Register()
+QNetworkReply* PortFleet::SendRegistration()
 {
   const std::string body = R"({"service":"ledger","address":")" + this->databaseAddress +
                            R"(","zone":"near-zone","capacity":2,"state":"ready",)"
                            R"("database_role":"primary","born":1,"sequence":)" +
                            std::to_string(++this->sequence) + "}";
-  return this->client.Put(
-    this->controlPlane, "/api/instances/i-only", QByteArray::fromStdString(body));
+  QNetworkRequest request(
+    QUrl(QString::fromStdString("http://" + this->controlPlane + "/api/instances/i-only")));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  return this->network.put(request, QByteArray::fromStdString(body));
+}
+
+int PortFleet::Register()
+{
+  QNetworkReply* reply = this->SendRegistration();
+  WaitUntil([reply] { return reply->isFinished(); });
+  reply->deleteLater();
+  return reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
 }
 
 std::string PortFleet::Read(const std::string& aId) const
--- a/tests/crowd/PortFleet.hpp
+++ b/tests/crowd/PortFleet.hpp
@@ -5,7 +5,9 @@
 #include "standin/platform/PlatformDatabase.hpp"
 #include "tests/control/HttpTestClient.hpp"
 
+#include <QNetworkAccessManager>
 #include <QTemporaryDir>
+#include <QTimer>
 
 #include <memory>
 #include <string>
@@ -67,6 +69,7 @@
   void WriteSettings() const;
   void Start(const std::string& aKind, std::int64_t aMemoryBound);
   std::string PathOf(const std::string& aName) const;
+  QNetworkReply* SendRegistration();
   int Register();
   /// Sends a read in a new session and returns the answer.
   std::string Read(const std::string& aId) const;
@@ -77,6 +80,9 @@
   standin::PlatformDatabase database;
   std::string databaseAddress;
   std::vector<Process> processes;
+  QNetworkAccessManager network;
+  /// The server repeats its registration while a crowd runs, as a server without faults does.
+  QTimer registrationTimer;
   int sequence = 0;
 };
 
