--- a/src/oleanderledge/control/ControlLeader.cpp
+++ b/src/oleanderledge/control/ControlLeader.cpp
@@ -103,9 +103,8 @@
     return reply;
   }
   if (!this->HasRoomFor(reply.instance)) {
-    aActions.emplace_back(
-      LogAction{ LogEvent::HeartbeatIrregular,
-                 "instance=" + reply.instance + " verdict=too_many_instances" });
+    aActions.emplace_back(LogAction{
+      LogEvent::HeartbeatIrregular, "instance=" + reply.instance + " verdict=too_many_instances" });
     return reply;
   }
   const IncarnationVerdict verdict = this->heartbeats.Observe(aHeartbeat, aNow);
@@ -140,8 +139,7 @@
 
 bool ControlLeader::HasRoomFor(const Announcement& aAnnouncement) const
 {
-  const AnnouncementMonitor::SlotViews* slots =
-    this->slots.FindDatabase(aAnnouncement.database);
+  const AnnouncementMonitor::SlotViews* slots = this->slots.FindDatabase(aAnnouncement.database);
   if (slots == nullptr) {
     return this->slots.Databases().size() < this->limits.databases;
   }
@@ -315,8 +313,8 @@
     const Instant lastHeartbeatAt = std::max(this->heartbeats.ObservingSince(),
                                              view == nullptr ? Instant{} : view->lastHeartbeatAt);
     const std::string key = InstanceKey(id);
-    if (aNow - lastHeartbeatAt < forgottenAfter ||
-        this->pendingKeys.contains(key) || !this->ownership.DatabasesOf(id).empty()) {
+    if (aNow - lastHeartbeatAt < forgottenAfter || this->pendingKeys.contains(key) ||
+        !this->ownership.DatabasesOf(id).empty()) {
       continue;
     }
     this->heartbeats.Forget(id);
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -91,8 +91,8 @@
 
   /// Called for each registration, also if it does not change the state.
   void OnRegistration(const BackendRow& aBackend, Instant aNow);
-  /// The server that has been silent for longest, if that is far longer than the time after which it
-  /// counts as lost and it is no primary; or null.
+  /// The server that has been silent for longest, if that is far longer than the time after which
+  /// it counts as lost and it is no primary; or null.
   const BackendRow* FindLongSilent(Instant aNow) const;
   /// A proxy reported which backend servers it reaches. Replaces the previous reports of the proxy.
   void OnBackendReports(const std::string& aProxy,
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -219,7 +219,8 @@
   }
   if (aChange.action == ClassAction::Create &&
       classes.ActiveClasses().size() >= this->settings.limits.classes) {
-    aCallback(kHttpUnprocessable, ErrorToJson(ResultCode::InvalidClass, "there are too many classes"));
+    aCallback(kHttpUnprocessable,
+              ErrorToJson(ResultCode::InvalidClass, "there are too many classes"));
     return;
   }
   this->Log().Propose(
@@ -635,11 +636,11 @@
              " started_ms=" + std::to_string(aBackend.startedUnixMs) +
              " sequence=" + std::to_string(aBackend.sequence));
   ++this->pendingBackends;
-  this->ProposeForRequest(
-    UpdateBackend{ aBackend }, [this, callback = std::move(aCallback)](Outcome aOutcome) {
-      --this->pendingBackends;
-      callback(aOutcome);
-    });
+  this->ProposeForRequest(UpdateBackend{ aBackend },
+                          [this, callback = std::move(aCallback)](Outcome aOutcome) {
+                            --this->pendingBackends;
+                            callback(aOutcome);
+                          });
 }
 
 void ControlDaemon::RemoveSilentBackend()
--- a/src/oleanderledge/control/internal/ControlHttp.cpp
+++ b/src/oleanderledge/control/internal/ControlHttp.cpp
@@ -105,9 +105,8 @@
   });
   this->server.AddRoute("GET", "/readyz", [this](const HttpRequest&, const HttpReply& aReply) {
     const bool isReady = this->handler.IsReady();
-    aReply.Send(isReady ? kHttpOk : kHttpUnavailable,
-                kTextContentType,
-                isReady ? "ready\n" : "not ready\n");
+    aReply.Send(
+      isReady ? kHttpOk : kHttpUnavailable, kTextContentType, isReady ? "ready\n" : "not ready\n");
   });
   this->server.AddRoute("GET", "/metrics", [this](const HttpRequest&, const HttpReply& aReply) {
     aReply.Send(kHttpOk, kMetricsContentType, this->handler.Metrics());
--- a/src/oleanderledge/control/internal/DirectoryPublisher.cpp
+++ b/src/oleanderledge/control/internal/DirectoryPublisher.cpp
@@ -83,13 +83,11 @@
   }
   // The directory is sent to all proxies at the same time. The others get it after their next
   // heartbeat, so that not one copy for each proxy is held.
-  const auto queued =
-    std::accumulate(this->proxies.begin(),
-                    this->proxies.end(),
-                    std::int64_t{ 0 },
-                    [](std::int64_t aSum, const auto& aEach) {
-                      return aSum + aEach.second.link->QueuedBytes();
-                    });
+  const auto queued = std::accumulate(
+    this->proxies.begin(),
+    this->proxies.end(),
+    std::int64_t{ 0 },
+    [](std::int64_t aSum, const auto& aEach) { return aSum + aEach.second.link->QueuedBytes(); });
   if (queued > kMaxQueuedBytes) {
     return;
   }
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -59,8 +59,7 @@
   , drainDeadlines(UsableDrainTime(aSettings.fleet))
   , publisher(contact.Self(), metrics, aMetricsLog)
   , budget(std::make_shared<ResourceBudget>(BudgetLimits{}))
-  , httpClients(
-      std::make_shared<HttpClients>(ToHttpLimits(aSettings.portLimits), this->budget))
+  , httpClients(std::make_shared<HttpClients>(ToHttpLimits(aSettings.portLimits), this->budget))
 {
   this->client = new ControlClient(
     this->contact,
@@ -115,8 +114,8 @@
                        [aPositions](TrafficWorker& aWorker) { aWorker.AddPositions(aPositions); });
                    });
   if (aSettings.fleet.enabled) {
-    this->readiness = new platform::ReadinessServer(
-      [this] { return this->IsReady(); }, this->httpClients, this);
+    this->readiness =
+      new platform::ReadinessServer([this] { return this->IsReady(); }, this->httpClients, this);
   }
   QObject::connect(this->client,
                    &ControlClient::LeasesGranted,
--- a/src/oleanderledge/daemon/internal/ProxyHttp.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyHttp.cpp
@@ -37,9 +37,7 @@
     aReply.Send(kHttpOk, kPlainType, "ok\n");
   });
   this->server.AddRoute(
-    "GET",
-    "/readyz",
-    [isReady = std::move(aIsReady)](const HttpRequest&, const HttpReply& aReply) {
+    "GET", "/readyz", [isReady = std::move(aIsReady)](const HttpRequest&, const HttpReply& aReply) {
       const bool ready = isReady();
       aReply.Send(
         ready ? kHttpOk : kHttpUnavailable, kPlainType, ready ? "ready\n" : "not ready\n");
@@ -73,15 +71,16 @@
     aReply.Send(kHttpUnavailable, kJsonType, NoQuorumBody());
     return;
   }
-  this->forwarder->Forward(
-    address,
-    aRequest.url.toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority),
-    aRequest.method == "POST" ? aRequest.body : QByteArray(),
-    HttpForwarder::Hop::First,
-    [aReply](int aStatus, const QByteArray& aBody) {
-      const bool answered = aStatus != 0;
-      aReply.Send(answered ? aStatus : kHttpUnavailable, kJsonType, answered ? aBody : NoQuorumBody());
-    });
+  this->forwarder->Forward(address,
+                           aRequest.url.toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority),
+                           aRequest.method == "POST" ? aRequest.body : QByteArray(),
+                           HttpForwarder::Hop::First,
+                           [aReply](int aStatus, const QByteArray& aBody) {
+                             const bool answered = aStatus != 0;
+                             aReply.Send(answered ? aStatus : kHttpUnavailable,
+                                         kJsonType,
+                                         answered ? aBody : NoQuorumBody());
+                           });
 }
 
 } // namespace oleanderledge
--- a/src/oleanderledge/link/Codec.cpp
+++ b/src/oleanderledge/link/Codec.cpp
@@ -18,8 +18,8 @@
 
 /// The fields of the largest messages, such as directories of thousands of rows, have fewer.
 constexpr std::size_t kMaxElements = std::size_t{ 1024 } * 1024;
-/// Memory of the elements of all lists of a message: strings and rows of our own messages take up to
-/// eight times their encoded size.
+/// Memory of the elements of all lists of a message: strings and rows of our own messages take up
+/// to eight times their encoded size.
 constexpr std::size_t kMemoryPerByte = 16;
 constexpr std::size_t kMinMemory = std::size_t{ 64 } * 1024;
 constexpr std::size_t kMaxMemory = std::size_t{ 48 } * 1024 * 1024;
--- a/src/oleanderledge/platform/ControlPlaneServer.cpp
+++ b/src/oleanderledge/platform/ControlPlaneServer.cpp
@@ -19,9 +19,7 @@
 
 std::string BackendNameOf(const HttpRequest& aRequest)
 {
-  return aRequest.url.path()
-    .mid(static_cast<qsizetype>(sizeof(kInstancesPath)) - 1)
-    .toStdString();
+  return aRequest.url.path().mid(static_cast<qsizetype>(sizeof(kInstancesPath)) - 1).toStdString();
 }
 
 std::string_view ToStringView(const QByteArray& aBody)
@@ -43,15 +41,15 @@
   , control(aControl)
   , server(std::move(aClients), nullptr)
 {
-  const auto add = [this](const char* aMethod,
-                          const char* aPath,
-                          void (ControlPlaneServer::*aHandler)(const HttpRequest&,
-                                                               const HttpReply&)) {
-    this->server.AddRoute(
-      aMethod, aPath, [this, aHandler](const HttpRequest& aRequest, const HttpReply& aReply) {
-        (this->*aHandler)(aRequest, aReply);
-      });
-  };
+  const auto add =
+    [this](const char* aMethod,
+           const char* aPath,
+           void (ControlPlaneServer::*aHandler)(const HttpRequest&, const HttpReply&)) {
+      this->server.AddRoute(
+        aMethod, aPath, [this, aHandler](const HttpRequest& aRequest, const HttpReply& aReply) {
+          (this->*aHandler)(aRequest, aReply);
+        });
+    };
   add("PUT", "/api/instances/*", &ControlPlaneServer::HandleRegistration);
   add("DELETE", "/api/instances/*", &ControlPlaneServer::HandleDeparture);
   add("PUT", kConfigurationPath, &ControlPlaneServer::HandleConfiguration);
@@ -67,8 +65,7 @@
   return boost::outcome_v2::success();
 }
 
-void ControlPlaneServer::HandleRegistration(const HttpRequest& aRequest,
-                                            const HttpReply& aReply)
+void ControlPlaneServer::HandleRegistration(const HttpRequest& aRequest, const HttpReply& aReply)
 {
   const QByteArray& body = aRequest.body;
   const auto backend = DecodeRegistration(BackendNameOf(aRequest), ToStringView(body));
@@ -86,8 +83,7 @@
     });
 }
 
-void ControlPlaneServer::HandleDeparture(const HttpRequest& aRequest,
-                                         const HttpReply& aReply)
+void ControlPlaneServer::HandleDeparture(const HttpRequest& aRequest, const HttpReply& aReply)
 {
   this->control.RemoveBackend(
     BackendNameOf(aRequest),
@@ -96,8 +92,7 @@
     });
 }
 
-void ControlPlaneServer::HandleConfiguration(const HttpRequest& aRequest,
-                                             const HttpReply& aReply)
+void ControlPlaneServer::HandleConfiguration(const HttpRequest& aRequest, const HttpReply& aReply)
 {
   const QByteArray& body = aRequest.body;
   auto configuration = DecodeConfiguration(ToStringView(body));
--- a/src/oleanderledge/settings/Settings.hpp
+++ b/src/oleanderledge/settings/Settings.hpp
@@ -32,8 +32,8 @@
   std::uint32_t queuedUnitsPerClass = 4096; ///< Longest queue of a class at an owner, per database.
 };
 
-/// Limits on the clients of the HTTP and link ports, which anyone may reach; all are optional in the
-/// file.
+/// Limits on the clients of the HTTP and link ports, which anyone may reach; all are optional in
+/// the file.
 struct PortLimits
 {
   std::uint32_t httpConnections = 256; ///< At each HTTP port.
--- a/src/oleanderledge/transport/HttpConnection.cpp
+++ b/src/oleanderledge/transport/HttpConnection.cpp
@@ -147,8 +147,7 @@
 
 std::optional<Instant> HttpConnection::WaitingSince() const
 {
-  const bool isWaiting =
-    !this->isHandling && !this->isClosing && this->socket->bytesToWrite() == 0;
+  const bool isWaiting = !this->isHandling && !this->isClosing && this->socket->bytesToWrite() == 0;
   return isWaiting ? std::optional(this->since) : std::nullopt;
 }
 
@@ -181,11 +180,11 @@
   if (this->isClosed) {
     return;
   }
-  this->clients->Budget().RecordClosing(
-    ClientPort::Http,
-    aReason,
-    this->address,
-    this->reader.HeldBytes() + static_cast<std::uint64_t>(this->socket->bytesToWrite()));
+  this->clients->Budget().RecordClosing(ClientPort::Http,
+                                        aReason,
+                                        this->address,
+                                        this->reader.HeldBytes() +
+                                          static_cast<std::uint64_t>(this->socket->bytesToWrite()));
   this->Finish();
 }
 
--- a/src/oleanderledge/transport/HttpRequestReader.cpp
+++ b/src/oleanderledge/transport/HttpRequestReader.cpp
@@ -254,7 +254,8 @@
 bool HttpRequestReader::TakeContinueRequest()
 {
   const bool hasHead = this->state != State::RequestLine && this->state != State::Headers;
-  return hasHead && this->error == HttpReadError::None && std::exchange(this->awaitsContinue, false);
+  return hasHead && this->error == HttpReadError::None &&
+         std::exchange(this->awaitsContinue, false);
 }
 
 std::size_t HttpRequestReader::HeldBytes() const
--- a/src/oleanderledge/transport/LinkConnection.hpp
+++ b/src/oleanderledge/transport/LinkConnection.hpp
@@ -70,8 +70,8 @@
   void Received(const oleanderledge::Message& aMessage);
   /// Bytes have arrived and complete frames among them have been handled.
   void BytesHandled();
-  /// The peer sent what it must not send: a frame over a limit, or one that cannot be read. Closed()
-  /// follows.
+  /// The peer sent what it must not send: a frame over a limit, or one that cannot be read.
+  /// Closed() follows.
   void Rejected(oleanderledge::ResultCode aCode);
   /// Emitted exactly once, also if the link never became ready.
   void Closed();
--- a/src/oleanderledge/transport/LinkServer.cpp
+++ b/src/oleanderledge/transport/LinkServer.cpp
@@ -180,8 +180,7 @@
 
 void LinkServer::CloseForReason(LinkConnection* aLink, ClosingReason aReason)
 {
-  this->budget->RecordClosing(
-    ClientPort::Links, aReason, aLink->PeerAddress(), aLink->HeldBytes());
+  this->budget->RecordClosing(ClientPort::Links, aReason, aLink->PeerAddress(), aLink->HeldBytes());
   // The link is not counted any more; it closes from the event loop.
   this->budget->Remove(this->links.at(aLink));
   this->links.erase(aLink);
--- a/src/oleanderledge/transport/LinkServer.hpp
+++ b/src/oleanderledge/transport/LinkServer.hpp
@@ -22,8 +22,8 @@
   LinkServer(InstanceInfo aSelf, const EmulatedLatency& aLatency, QObject* aParent);
 
   /// Sets limits on the peers, and the budget of the process that what is held for them is charged
-  /// to. Without this call, the limits are the default ones and the budget is the server's own. Call
-  /// before Listen().
+  /// to. Without this call, the limits are the default ones and the budget is the server's own.
+  /// Call before Listen().
   void SetLimits(const LinkLimits& aLimits, std::shared_ptr<ResourceBudget> aBudget);
 
   /// Starts to listen on "ip:port". Fails with ListenFailed.
--- a/tests/transport/HttpRequestReaderTests.cpp
+++ b/tests/transport/HttpRequestReaderTests.cpp
@@ -101,21 +101,22 @@
 TEST_CASE("An ambiguous request cannot be read", "[http]")
 {
   const std::string start = "PUT / HTTP/1.1\r\n";
-  for (const std::string& headers : { "Content-Length: -1",
-                                      "Content-Length: +1",
-                                      "Content-Length: 1x",
-                                      "Content-Length:",
-                                      "Content-Length: 99999999999999999999",
-                                      "Content-Length: 1\r\nContent-Length: 1",
-                                      "Content-Length: 1\r\nTransfer-Encoding: chunked",
-                                      "Transfer-Encoding: gzip, chunked",
-                                      "Content-Length : 1",
-                                      " Content-Length: 1",
-                                      "no colon" }) {
+  for (const std::string headers : { "Content-Length: -1",
+                                     "Content-Length: +1",
+                                     "Content-Length: 1x",
+                                     "Content-Length:",
+                                     "Content-Length: 99999999999999999999",
+                                     "Content-Length: 1\r\nContent-Length: 1",
+                                     "Content-Length: 1\r\nTransfer-Encoding: chunked",
+                                     "Transfer-Encoding: gzip, chunked",
+                                     "Content-Length : 1",
+                                     " Content-Length: 1",
+                                     "no colon" }) {
     CAPTURE(headers);
     CHECK(ErrorOf(start + headers + "\r\n\r\n") == HttpReadError::Malformed);
   }
-  for (const std::string line : { "GARBAGE", "GET /", "GET / HTTP/2", "GET / x HTTP/1.1", "G(T / HTTP/1.1" }) {
+  for (const std::string line :
+       { "GARBAGE", "GET /", "GET / HTTP/2", "GET / x HTTP/1.1", "G(T / HTTP/1.1" }) {
     CAPTURE(line);
     CHECK(ErrorOf(line + "\r\n\r\n") == HttpReadError::Malformed);
   }
--- a/tests/transport/HttpServerTests.cpp
+++ b/tests/transport/HttpServerTests.cpp
@@ -33,9 +33,10 @@
     this->server.AddRoute("GET", "/later", [this](const HttpRequest&, const HttpReply& aReply) {
       this->pending.push_back(aReply);
     });
-    this->server.AddRoute("PUT", "/items/*", [](const HttpRequest& aRequest, const HttpReply& aReply) {
-      aReply.Send(200, "text/plain", aRequest.body);
-    });
+    this->server.AddRoute(
+      "PUT", "/items/*", [](const HttpRequest& aRequest, const HttpReply& aReply) {
+        aReply.Send(200, "text/plain", aRequest.body);
+      });
     REQUIRE(this->server.Listen(this->address));
   }
 
