--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kOwnHeartbeatInterval = std::chrono::milliseconds(200);
 constexpr int kHttpUnavailable = 503;
 constexpr int kHttpUnprocessable = 422;
+/// Configurations that are replicated at the same time; the largest has 4 MiB by default.
+constexpr std::size_t kMaxPendingConfigurationBytes = std::size_t{ 4 } * 1024 * 1024;
 /// Control instances whose HTTP address is remembered; a group has few.
 constexpr std::size_t kMaxMemberAddresses = 64;
 /// The number of proxies need not be recent, as proxies use it only to divide connection limits.
@@ -691,8 +693,20 @@
     return;
   }
   const std::uint64_t number = aConfiguration.number;
+  const std::size_t bytes = aConfiguration.document.size();
+  // Each configuration is held several times until it is replicated: as rows, as command, for the
+  // disk and for each member.
+  if (this->pendingConfigurationBytes > 0 &&
+      this->pendingConfigurationBytes + bytes > kMaxPendingConfigurationBytes) {
+    WriteLog(LogEvent::RoutesRejected,
+             "number=" + std::to_string(number) + " reason=others_are_being_stored");
+    aCallback(Outcome::Unavailable);
+    return;
+  }
+  this->pendingConfigurationBytes += bytes;
   this->ProposeForRequest(StoreRouteConfiguration{ std::move(aConfiguration) },
-                          [this, number, callback = std::move(aCallback)](Outcome aOutcome) {
+                          [this, number, bytes, callback = std::move(aCallback)](Outcome aOutcome) {
+                            this->pendingConfigurationBytes -= bytes;
                             WriteLog(LogEvent::RoutesStored,
                                      "number=" + std::to_string(number) + " held=" +
                                        std::to_string(this->state.Routes().Number()) + " outcome=" +
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -168,8 +168,9 @@
   std::uint64_t ownHeartbeatSequence = 0;
   std::uint32_t proxyCount = 0; ///< Proxies that were alive and not leaving when last counted.
   Instant proxiesCountedAt{};
-  bool isRemovingBackend = false;  ///< RemoveSilentBackend() has not ended.
-  std::size_t pendingBackends = 0; ///< Registrations that are being replicated.
+  bool isRemovingBackend = false;            ///< RemoveSilentBackend() has not ended.
+  std::size_t pendingConfigurationBytes = 0; ///< Of configurations that are being replicated.
+  std::size_t pendingBackends = 0;           ///< Registrations that are being replicated.
   std::uint64_t announcementCount = 0;
   std::uint64_t heartbeatCount = 0;
   bool isStopping = false;
--- a/src/oleanderledge/transport/LinkServer.cpp
+++ b/src/oleanderledge/transport/LinkServer.cpp
@@ -158,9 +158,9 @@
       continue;
     }
     const auto incompleteSince = link->IncompleteSince();
-    if (incompleteSince && now - *incompleteSince > this->limits.frameTime) {
-      this->CloseForReason(link, ClosingReason::MessageTime);
-    } else if (link->IsReady() && now - link->LastReceivedAt() > this->limits.silence) {
+    const bool isSlow = incompleteSince && now - *incompleteSince > this->limits.frameTime;
+    const bool isSilent = link->IsReady() && now - link->LastReceivedAt() > this->limits.silence;
+    if (isSlow || isSilent) {
       this->CloseForReason(link, ClosingReason::MessageTime);
     }
   }
