--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -58,7 +58,7 @@
   , contact(MakeInstanceInfo(aSettings), aSettings.controlAddresses, {})
   , drainDeadlines(UsableDrainTime(aSettings.fleet))
   , publisher(contact.Self(), metrics, aMetricsLog)
-  , budget(std::make_shared<ResourceBudget>(BudgetLimits{}))
+  , budget(std::make_shared<ResourceBudget>(BudgetLimitsOf(aSettings.limits)))
   , httpClients(std::make_shared<HttpClients>(ToHttpLimits(aSettings.portLimits), this->budget))
 {
   this->client = new ControlClient(
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderledge/daemon/ClientBudget.hpp"
 #include "oleanderledge/daemon/ControlContact.hpp"
 #include "oleanderledge/daemon/DrainDeadlines.hpp"
 #include "oleanderledge/daemon/internal/ControlClient.hpp"
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -1,5 +1,6 @@
 #include "oleanderledge/daemon/internal/StatementTrafficWorker.hpp"
 
+#include "oleanderledge/daemon/ClientBudget.hpp"
 #include "oleanderledge/daemon/PortLimitSettings.hpp"
 
 namespace oleanderledge {
@@ -39,6 +40,7 @@
   serviceSettings.keyValidity = UsableKeyValidity(this->settings.fleet);
   serviceSettings.answerUnfinishedAfter =
     std::chrono::milliseconds(this->settings.fleet.stopLimitMs) - kLastAnswerTime;
+  serviceSettings.clientLimits = ClientLimitsOf(this->settings.limits);
   serviceSettings.linkLimits = ToLinkLimits(this->settings.portLimits);
   serviceSettings.budget = this->budget;
   auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
@@ -97,6 +99,9 @@
   collected.relayedUses = counters.relayedUses;
   collected.drainingUses = counters.drainingUses;
   collected.statements = counters.byPriority;
+  collected.clientsClosed = counters.clientsClosed;
+  collected.clientBytes = counters.clientBytes;
+  collected.clientConnections = counters.clientConnections;
   return collected;
 }
 
--- a/src/oleanderledge/settings/Settings.cpp
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -33,6 +33,19 @@
   aLimits.ReadNumber("max_callers", aTarget.maxCallers, 1, kMaxCount);
   aLimits.ReadNumber("message_bytes", aTarget.maxMessageBytes, 1024, 64U << 20U);
   aLimits.ReadNumber("queued_units_per_class", aTarget.queuedUnitsPerClass, 1, kMaxCount);
+  aLimits.ReadNumber("memory_mb", aTarget.memoryMb, 1, 1'000'000);
+  aLimits.ReadNumber("file_descriptors", aTarget.fileDescriptors, 64, 10'000'000);
+  aLimits.ReadNumber("connections_per_address", aTarget.connectionsPerAddress, 1, 1'000'000);
+  aLimits.ReadNumber("statements", aTarget.statements, 1, 1'000'000);
+  aLimits.ReadNumber("total_bytes", aTarget.totalBytes, 4U << 20U, 4U << 29U);
+  aLimits.ReadNumber("spared_bytes", aTarget.sparedBytes, 0, 1U << 20U);
+  aLimits.ReadNumber("read_ahead_bytes", aTarget.readAheadBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("unread_response_bytes", aTarget.unreadResponseBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("session_bytes", aTarget.sessionBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("prepared_bytes", aTarget.preparedBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("start_up_ms", aTarget.startUpMs, 100, 3'600'000);
+  aLimits.ReadNumber("message_ms", aTarget.messageMs, 100, 3'600'000);
+  aLimits.ReadNumber("response_ms", aTarget.responseMs, 100, 3'600'000);
 }
 
 void ReadPortLimits(CheckedNode& aLimits, PortLimits& aTarget, DaemonKind aKind)
--- a/src/oleanderledge/transport/HttpServer.cpp
+++ b/src/oleanderledge/transport/HttpServer.cpp
@@ -35,6 +35,7 @@
               : std::make_shared<HttpClients>(HttpLimits{},
                                               std::make_shared<ResourceBudget>(BudgetLimits{})))
 {
+  this->server.setListenBacklogSize(kListenBacklog);
   this->server.setMaxPendingConnections(kListenBacklog);
   QObject::connect(&this->server, &QTcpServer::newConnection, this, &HttpServer::AcceptPending);
   RetryAcceptingAfterErrors(this->server);
--- a/src/oleanderledge/transport/LinkServer.cpp
+++ b/src/oleanderledge/transport/LinkServer.cpp
@@ -30,6 +30,7 @@
   , latency(aLatency)
   , budget(std::make_shared<ResourceBudget>(BudgetLimits{ .bytes = kOwnBudgetBytes }))
 {
+  this->server.setListenBacklogSize(kListenBacklog);
   this->server.setMaxPendingConnections(kListenBacklog);
   QObject::connect(&this->server, &QTcpServer::newConnection, this, &LinkServer::AcceptPending);
   QObject::connect(&this->checkTimer, &QTimer::timeout, this, &LinkServer::CheckAll);
