--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -284,7 +284,16 @@
     unsteady += record.row.phase != FailoverPhase::Steady ? 1 : 0;
   }
   const VoterHealth voters = this->group->Voters(MonotonicNow());
-  return line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
+  QByteArray clients = line("client_bytes", "gauge", this->budget->HeldBytes()) +
+                       line("client_connections", "gauge", this->budget->ConnectionCount()) +
+                       "# TYPE oleanderledge_control_clients_closed_total counter\n";
+  for (const auto& [reason, count] : this->budget->ClosingCounts()) {
+    const std::string_view name = ToString(reason);
+    clients += "oleanderledge_control_clients_closed_total{reason=\"" +
+               QByteArray(name.data(), static_cast<qsizetype>(name.size())) + "\"} " +
+               QByteArray::number(qulonglong(count)) + "\n";
+  }
+  return clients + line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
          line("current_leader", "gauge", this->Log().HasCurrentLeader(MonotonicNow()) ? 1 : 0) +
          line("configuration_number", "gauge", this->state.Routes().Number()) +
          line("term", "gauge", this->Log().Term()) +
