--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -9,6 +9,8 @@
 
 #include <QJsonArray>
 
+#include <algorithm>
+
 namespace oleanderledge {
 
 namespace {
@@ -22,6 +24,11 @@
 /// addresses of the control instances. They change rarely, and replies cross regions.
 constexpr std::uint64_t kHeartbeatsPerAddressList = 10;
 constexpr int kHttpUnavailable = 503;
+constexpr int kHttpUnprocessable = 422;
+/// Configurations that are replicated at the same time; the largest has 4 MiB by default.
+constexpr std::size_t kMaxPendingConfigurationBytes = std::size_t{ 4 } * 1024 * 1024;
+/// Control instances whose HTTP address is remembered; a group has few.
+constexpr std::size_t kMaxMemberAddresses = 64;
 /// The number of proxies need not be recent, as proxies use it only to divide connection limits.
 constexpr Duration kProxyCountInterval = std::chrono::seconds(1);
 
@@ -57,7 +64,7 @@
   , settings(aSettings)
   , latency{ aSettings.latencyBetweenZones, aSettings.latencyBetweenRegions, Duration{ 0 } }
   , notifyingState(this->state, [this] { this->publisher->SchedulePublish(); })
-  , leader(this->state, aSettings.timings)
+  , leader(this->state, aSettings.timings, aSettings.limits)
   , connectionAllocator(this->state, {})
   , serviceCoordinator(this->state, aSettings.nodeName, aSettings.serviceTimings)
   , group(aGroupFactory(this->notifyingState, *this))
@@ -74,8 +81,11 @@
         this->group->SendToInstance(this->Log().Leader().instance, aMessage);
       },
       this))
-  , http(*this, nullptr)
+  , budget(std::make_shared<ResourceBudget>(aSettings.budgetLimits))
+  , httpClients(std::make_shared<HttpClients>(aSettings.httpLimits, this->budget))
+  , http(*this, this->httpClients, nullptr)
 {
+  this->linkServer.SetLimits(aSettings.linkLimits, this->budget);
   QObject::connect(&this->linkServer, &LinkServer::Accepted, this, &ControlDaemon::AcceptLink);
   this->tickTimer.setTimerType(Qt::PreciseTimer);
   QObject::connect(&this->tickTimer, &QTimer::timeout, this, &ControlDaemon::Tick);
@@ -209,6 +219,22 @@
   if (answerIfApplied()) {
     return;
   }
+  // The answers to changes that cannot apply are not stored: each that builds on another version
+  // has all classes.
+  const ClassTable& classes = this->state.Classes();
+  if (aChange.baseVersion != classes.Version()) {
+    const OperatorAnswer conflict{ ResultCode::VersionConflict,
+                                   classes.Version(),
+                                   classes.ActiveClasses() };
+    aCallback(HttpStatusOf(conflict.code), AnswerToJson(conflict));
+    return;
+  }
+  if (aChange.action == ClassAction::Create &&
+      classes.ActiveClasses().size() >= this->settings.limits.classes) {
+    aCallback(kHttpUnprocessable,
+              ErrorToJson(ResultCode::InvalidClass, "there are too many classes"));
+    return;
+  }
   this->Log().Propose(
     EncodeCommand(aChange), [answerIfApplied, aCallback](const Result<std::uint64_t>& aIndex) {
       if (!aIndex) {
@@ -276,7 +302,16 @@
                QByteArray(each.distance.data(), static_cast<qsizetype>(each.distance.size())) +
                "\"} " + QByteArray::number(qulonglong(each.bytes)) + "\n";
   }
-  return traffic + line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
+  QByteArray clients = line("client_bytes", "gauge", this->budget->HeldBytes()) +
+                       line("client_connections", "gauge", this->budget->ConnectionCount()) +
+                       "# TYPE oleanderledge_control_clients_closed_total counter\n";
+  for (const auto& [reason, count] : this->budget->ClosingCounts()) {
+    const std::string_view name = ToString(reason);
+    clients += "oleanderledge_control_clients_closed_total{reason=\"" +
+               QByteArray(name.data(), static_cast<qsizetype>(name.size())) + "\"} " +
+               QByteArray::number(qulonglong(count)) + "\n";
+  }
+  return traffic + clients + line("leading", "gauge", this->IsCurrentLeader() ? 1 : 0) +
          line("current_leader", "gauge", this->Log().HasCurrentLeader(MonotonicNow()) ? 1 : 0) +
          line("configuration_number", "gauge", this->state.Routes().Number()) +
          line("term", "gauge", this->Log().Term()) +
@@ -301,12 +336,22 @@
     return;
   }
   QObject::connect(aLink, &LinkConnection::Received, this, [this, aLink](const Message& aMessage) {
-    if (this->isStopping) {
+    const auto* heartbeat = std::get_if<Heartbeat>(&aMessage);
+    const auto* request = std::get_if<TokenRequest>(&aMessage);
+    if (this->isStopping || (heartbeat == nullptr && request == nullptr)) {
       return;
     }
-    if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage)) {
+    // A link speaks for one process, so that it cannot invent others.
+    const std::string& sender = heartbeat != nullptr ? heartbeat->instance.id : request->instance;
+    if (sender != aLink->Peer().id) {
+      WriteLog(LogEvent::HeartbeatIrregular,
+               "instance=" + aLink->Peer().id + " verdict=other_instance");
+      aLink->Close();
+      return;
+    }
+    if (heartbeat != nullptr) {
       this->HandleHeartbeat(aLink, *heartbeat);
-    } else if (const auto* request = std::get_if<TokenRequest>(&aMessage)) {
+    } else {
       this->HandleTokenRequest(aLink, *request);
     }
   });
@@ -355,6 +400,11 @@
   if (this->isStopping) {
     return;
   }
+  if (this->memberHttpAddresses.size() >= kMaxMemberAddresses &&
+      !this->memberHttpAddresses.contains(aPeer.id)) {
+    // Members send messages all the time, so their addresses are soon known again.
+    this->memberHttpAddresses.clear();
+  }
   this->memberHttpAddresses[aPeer.id] = aPeer.httpAddress;
   if (const auto* relayed = std::get_if<RelayedHeartbeats>(&aMessage)) {
     this->HandleRelayedHeartbeats(aPeer.id, *relayed);
@@ -384,8 +434,15 @@
   ControlActions actions;
   for (const Heartbeat& heartbeat : aRelayed.heartbeats) {
     ++this->heartbeatCount;
-    this->relayByInstance[heartbeat.instance.id] = aPeer;
     replies.replies.push_back(this->AnswerHeartbeat(heartbeat, hasLeaderLease, now, actions));
+    if (this->relayByInstance.size() >= this->settings.limits.instances * 2) {
+      std::erase_if(this->relayByInstance, [this](const auto& aEach) {
+        return this->leader.Heartbeats().Find(aEach.first) == nullptr;
+      });
+    }
+    if (this->leader.Heartbeats().Find(heartbeat.instance.id) != nullptr) {
+      this->relayByInstance[heartbeat.instance.id] = aPeer;
+    }
   }
   this->group->SendToInstance(aPeer, replies);
   this->Execute(actions);
@@ -397,7 +454,10 @@
                                               ControlActions& aActions)
 {
   HeartbeatReply reply = this->leader.OnHeartbeat(aHeartbeat, aHasLeaderLease, aNow, aActions);
-  if (aHeartbeat.instance.role != InstanceRole::Proxy) {
+  // Reports of processes that are not known, because there are too many, are not kept.
+  if (aHeartbeat.instance.role != InstanceRole::Proxy ||
+      (aHasLeaderLease && this->leader.IsLeading() &&
+       this->leader.Heartbeats().Find(aHeartbeat.instance.id) == nullptr)) {
     return reply;
   }
   this->serviceCoordinator.OnBackendReports(aHeartbeat.instance.id, aHeartbeat.backends, aNow);
@@ -630,6 +690,14 @@
     aCallback(Outcome::Done);
     return;
   }
+  if (!isKnown && this->CountBackends() >= this->settings.limits.backendServers) {
+    WriteLog(LogEvent::AnnouncementRejected,
+             "backend=" + aBackend.name + " service=" + aBackend.service +
+               " reason=too_many_servers");
+    this->RemoveSilentBackend();
+    aCallback(Outcome::Unavailable);
+    return;
+  }
   this->serviceCoordinator.OnRegistration(aBackend, MonotonicNow());
   if (isKnown && (IsSameRegistration(known->second, aBackend) ||
                   !IsNewerRegistration(aBackend, known->second))) {
@@ -643,7 +711,32 @@
              " draining=" + (aBackend.draining ? "yes" : "no") +
              " started_ms=" + std::to_string(aBackend.startedUnixMs) +
              " sequence=" + std::to_string(aBackend.sequence));
-  this->ProposeForRequest(UpdateBackend{ aBackend }, std::move(aCallback));
+  ++this->pendingBackends;
+  this->ProposeForRequest(UpdateBackend{ aBackend },
+                          [this, callback = std::move(aCallback)](Outcome aOutcome) {
+                            --this->pendingBackends;
+                            callback(aOutcome);
+                          });
+}
+
+void ControlDaemon::RemoveSilentBackend()
+{
+  const BackendRow* silent = this->serviceCoordinator.FindLongSilent(MonotonicNow());
+  if (silent == nullptr || this->isRemovingBackend) {
+    return;
+  }
+  WriteLog(LogEvent::BackendRemoved,
+           "backend=" + silent->name + " service=" + silent->service + " reason=silent");
+  this->isRemovingBackend = true;
+  this->ProposeForRequest(oleanderledge::RemoveBackend{ silent->name, silent->startedUnixMs },
+                          [this](Outcome) { this->isRemovingBackend = false; });
+}
+
+std::size_t ControlDaemon::CountBackends() const
+{
+  const auto live = std::ranges::count_if(this->state.Backends().Backends(),
+                                          [](const auto& aEach) { return !aEach.second.deleted; });
+  return this->pendingBackends + static_cast<std::size_t>(live);
 }
 
 void ControlDaemon::RemoveBackend(const std::string& aBackend, Callback aCallback)
@@ -674,8 +767,20 @@
     return;
   }
   const std::uint64_t number = aConfiguration.number;
+  const std::size_t bytes = aConfiguration.document.size();
+  // Each configuration is held several times until it is replicated: as rows, as command, for the
+  // disk and for each member.
+  if (this->pendingConfigurationBytes > 0 &&
+      this->pendingConfigurationBytes + bytes > kMaxPendingConfigurationBytes) {
+    WriteLog(LogEvent::RoutesRejected,
+             "number=" + std::to_string(number) + " reason=others_are_being_stored");
+    aCallback(Outcome::Unavailable);
+    return;
+  }
+  this->pendingConfigurationBytes += bytes;
   this->ProposeForRequest(StoreRouteConfiguration{ std::move(aConfiguration) },
-                          [this, number, callback = std::move(aCallback)](Outcome aOutcome) {
+                          [this, number, bytes, callback = std::move(aCallback)](Outcome aOutcome) {
+                            this->pendingConfigurationBytes -= bytes;
                             WriteLog(LogEvent::RoutesStored,
                                      "number=" + std::to_string(number) + " held=" +
                                        std::to_string(this->state.Routes().Number()) + " outcome=" +
--- a/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
+++ b/src/oleanderledge/daemon/internal/ProxyDaemon.cpp
@@ -1,5 +1,6 @@
 #include "oleanderledge/daemon/internal/ProxyDaemon.hpp"
 
+#include "oleanderledge/daemon/PortLimitSettings.hpp"
 #include "oleanderledge/daemon/internal/PostgresTrafficWorker.hpp"
 #include "oleanderledge/daemon/internal/ProxyHttp.hpp"
 #include "oleanderledge/daemon/internal/StatementTrafficWorker.hpp"
@@ -58,6 +59,7 @@
   , drainDeadlines(UsableDrainTime(aSettings.fleet))
   , publisher(contact.Self(), metrics, aMetricsLog)
   , budget(std::make_shared<ResourceBudget>(BudgetLimitsOf(aSettings.limits)))
+  , httpClients(std::make_shared<HttpClients>(ToHttpLimits(aSettings.portLimits), this->budget))
 {
   this->client = new ControlClient(
     this->contact,
@@ -70,6 +72,7 @@
     this->metrics,
     [this] { return this->IsReady(); },
     [this] { return this->client->Peer().httpAddress; },
+    this->httpClients,
     this);
   QObject::connect(this->client, &ControlClient::DirectoryChanged, this, [this] {
     const auto directory = this->contact.CurrentDirectory();
@@ -125,7 +128,8 @@
       });
     });
   if (aSettings.fleet.enabled) {
-    this->readiness = new platform::ReadinessServer([this] { return this->IsReady(); }, this);
+    this->readiness =
+      new platform::ReadinessServer([this] { return this->IsReady(); }, this->httpClients, this);
   }
   QObject::connect(this->client,
                    &ControlClient::LeasesGranted,
--- a/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
+++ b/src/oleanderledge/daemon/internal/StatementTrafficWorker.cpp
@@ -1,6 +1,7 @@
 #include "oleanderledge/daemon/internal/StatementTrafficWorker.hpp"
 
 #include "oleanderledge/daemon/ClientBudget.hpp"
+#include "oleanderledge/daemon/PortLimitSettings.hpp"
 
 namespace oleanderledge {
 
@@ -47,6 +48,7 @@
   serviceSettings.answerUnfinishedAfter =
     std::chrono::milliseconds(this->settings.fleet.stopLimitMs) - kLastAnswerTime;
   serviceSettings.clientLimits = ClientLimitsOf(this->settings.limits);
+  serviceSettings.linkLimits = ToLinkLimits(this->settings.portLimits);
   serviceSettings.budget = this->budget;
   auto created = CreateStatementService(std::move(this->protocol), serviceSettings);
   if (!created) {
--- a/src/oleanderledge/settings/Settings.cpp
+++ b/src/oleanderledge/settings/Settings.cpp
@@ -24,25 +24,64 @@
   listen.ReportUnknownKeys();
 }
 
-void ReadLimits(CheckedNode& aRoot, ProxyLimits& aLimits)
+/// Largest number of connections, rows or milliseconds of a limit.
+constexpr std::uint32_t kMaxCount = 1'000'000;
+constexpr std::uint32_t kMaxLimitMs = 3'600'000;
+
+void ReadCallerLimits(CheckedNode& aLimits, ProxyLimits& aTarget)
+{
+  aLimits.ReadNumber("max_callers", aTarget.maxCallers, 1, kMaxCount);
+  aLimits.ReadNumber("message_bytes", aTarget.maxMessageBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("queued_units_per_class", aTarget.queuedUnitsPerClass, 1, kMaxCount);
+  aLimits.ReadNumber("memory_mb", aTarget.memoryMb, 1, 1'000'000);
+  aLimits.ReadNumber("file_descriptors", aTarget.fileDescriptors, 64, 10'000'000);
+  aLimits.ReadNumber("connections_per_address", aTarget.connectionsPerAddress, 1, 1'000'000);
+  aLimits.ReadNumber("statements", aTarget.statements, 1, 1'000'000);
+  aLimits.ReadNumber("total_bytes", aTarget.totalBytes, 4U << 20U, 4U << 29U);
+  aLimits.ReadNumber("spared_bytes", aTarget.sparedBytes, 0, 1U << 20U);
+  aLimits.ReadNumber("read_ahead_bytes", aTarget.readAheadBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("unread_response_bytes", aTarget.unreadResponseBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("session_bytes", aTarget.sessionBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("prepared_bytes", aTarget.preparedBytes, 1024, 64U << 20U);
+  aLimits.ReadNumber("start_up_ms", aTarget.startUpMs, 100, 3'600'000);
+  aLimits.ReadNumber("message_ms", aTarget.messageMs, 100, 3'600'000);
+  aLimits.ReadNumber("response_ms", aTarget.responseMs, 100, 3'600'000);
+}
+
+void ReadPortLimits(CheckedNode& aLimits, PortLimits& aTarget, DaemonKind aKind)
+{
+  aLimits.ReadNumber("http_connections", aTarget.httpConnections, 1, kMaxCount);
+  aLimits.ReadNumber("http_head_bytes", aTarget.httpHeadBytes, 1024, 1U << 20U);
+  aLimits.ReadNumber("http_body_bytes", aTarget.httpBodyBytes, 1024, 8U << 20U);
+  aLimits.ReadNumber("http_request_ms", aTarget.httpRequestMs, 100, kMaxLimitMs);
+  aLimits.ReadNumber("http_idle_ms", aTarget.httpIdleMs, 100, kMaxLimitMs);
+  aLimits.ReadNumber("link_connections", aTarget.linkConnections, 1, kMaxCount);
+  aLimits.ReadNumber("link_frame_bytes", aTarget.linkFrameBytes, 4096, 16U << 20U);
+  aLimits.ReadNumber("link_frame_ms", aTarget.linkFrameMs, 100, kMaxLimitMs);
+  aLimits.ReadNumber("link_unread_bytes", aTarget.linkUnreadBytes, 1U << 20U, 1U << 30U);
+  if (aKind == DaemonKind::Control) {
+    aLimits.ReadNumber("held_bytes", aTarget.heldBytes, 1U << 20U, 1U << 30U);
+    aLimits.ReadNumber("instances", aTarget.instances, 1, kMaxCount);
+    aLimits.ReadNumber("backend_servers", aTarget.backendServers, 1, kMaxCount);
+    aLimits.ReadNumber("databases", aTarget.databases, 1, kMaxCount);
+    aLimits.ReadNumber("classes", aTarget.classes, 1, kMaxCount);
+  }
+}
+
+void ReadLimits(CheckedNode& aRoot, Settings& aSettings, DaemonKind aKind)
 {
   CheckedNode limits = aRoot.ReadMapping("limits", false);
-  limits.ReadNumber("max_callers", aLimits.maxCallers, 1, 1'000'000);
-  limits.ReadNumber("message_bytes", aLimits.maxMessageBytes, 1024, 64U << 20U);
-  limits.ReadNumber("queued_units_per_class", aLimits.queuedUnitsPerClass, 1, 1'000'000);
-  limits.ReadNumber("memory_mb", aLimits.memoryMb, 1, 1'000'000);
-  limits.ReadNumber("file_descriptors", aLimits.fileDescriptors, 64, 10'000'000);
-  limits.ReadNumber("connections_per_address", aLimits.connectionsPerAddress, 1, 1'000'000);
-  limits.ReadNumber("statements", aLimits.statements, 1, 1'000'000);
-  limits.ReadNumber("total_bytes", aLimits.totalBytes, 4U << 20U, 4U << 29U);
-  limits.ReadNumber("spared_bytes", aLimits.sparedBytes, 0, 1U << 20U);
-  limits.ReadNumber("read_ahead_bytes", aLimits.readAheadBytes, 1024, 64U << 20U);
-  limits.ReadNumber("unread_response_bytes", aLimits.unreadResponseBytes, 1024, 64U << 20U);
-  limits.ReadNumber("session_bytes", aLimits.sessionBytes, 1024, 64U << 20U);
-  limits.ReadNumber("prepared_bytes", aLimits.preparedBytes, 1024, 64U << 20U);
-  limits.ReadNumber("start_up_ms", aLimits.startUpMs, 100, 3'600'000);
-  limits.ReadNumber("message_ms", aLimits.messageMs, 100, 3'600'000);
-  limits.ReadNumber("response_ms", aLimits.responseMs, 100, 3'600'000);
+  // A proxy forwards operator requests, which are small; a control instance takes configurations.
+  // Proxies take statements of callers over links, and control instances heartbeats.
+  constexpr std::uint32_t kProxyBodyBytes = 256U << 10U;
+  constexpr std::uint32_t kHeartbeatBytes = 512U << 10U;
+  if (aKind == DaemonKind::Proxy) {
+    aSettings.portLimits.httpBodyBytes = kProxyBodyBytes;
+    ReadCallerLimits(limits, aSettings.limits);
+  } else {
+    aSettings.portLimits.linkFrameBytes = kHeartbeatBytes;
+  }
+  ReadPortLimits(limits, aSettings.portLimits, aKind);
   limits.ReportUnknownKeys();
 }
 
@@ -160,9 +199,8 @@
       ReadInitialMembers(root, settings, document.Mark(), problems);
     }
     root.ReadNumber("election_timeout_ms", settings.electionTimeoutMs, 100, 10'000);
-  } else {
-    ReadLimits(root, settings.limits);
   }
+  ReadLimits(root, settings, aKind);
   root.ReportUnknownKeys();
   if (problems.lines.empty()) {
     return settings;
--- a/src/oleanderledge/statements/StatementService.hpp
+++ b/src/oleanderledge/statements/StatementService.hpp
@@ -5,6 +5,7 @@
 #include "oleanderledge/metrics/metrics.hpp"
 #include "oleanderledge/statements/OperationAdmission.hpp"
 #include "oleanderledge/statements/StatementProtocol.hpp"
+#include "oleanderledge/transport/LinkLimits.hpp"
 
 #include <cstdint>
 #include <map>
@@ -31,6 +32,7 @@
   /// Whether the statements at a backend server that has started or recovered are limited; see
   /// BackendPace.
   bool pacesStarts = false;
+  LinkLimits linkLimits; ///< Limits on the links of other proxies.
   /// Delay between the start of a graceful stop and the closing of idle sessions and of the
   /// listening socket for callers. The load balancer has to detect the stop first.
   Duration closeIdleSessionsAfter = std::chrono::milliseconds(2500);
