--- a/src/oleanderledge/transport/LinkConnection.hpp
+++ b/src/oleanderledge/transport/LinkConnection.hpp
@@ -44,6 +44,9 @@
   /// Closes the link; Closed() is emitted later from the event loop. Repeated calls have no effect.
   void Close();
 
+  /// Closes the link and its socket at once. Not for use in a handler of Received().
+  void Abort() { this->CloseNow(); }
+
   bool IsReady() const { return this->helloReceived && !this->isClosed; }
   bool IsClosed() const { return this->isClosed; }
 
--- a/src/oleanderledge/transport/LinkServer.cpp
+++ b/src/oleanderledge/transport/LinkServer.cpp
@@ -182,10 +182,9 @@
 void LinkServer::CloseForReason(LinkConnection* aLink, ClosingReason aReason)
 {
   this->budget->RecordClosing(ClientPort::Links, aReason, aLink->PeerAddress(), aLink->HeldBytes());
-  // The link is not counted any more; it closes from the event loop.
-  this->budget->Remove(this->links.at(aLink));
-  this->links.erase(aLink);
-  aLink->Close();
+  // At once, so that a burst of connections does not take more descriptors than the limit. No
+  // handler of a message is running: callers are timers, new connections and BytesHandled().
+  aLink->Abort();
 }
 
 } // namespace oleanderledge
