--- a/src/oleanderledge/control/ControlState.cpp
+++ b/src/oleanderledge/control/ControlState.cpp
@@ -29,6 +29,16 @@
   }
 };
 
+template<class Row>
+bool IsDeleted(const Row& aRow)
+{
+  if constexpr (requires { aRow.deleted; }) {
+    return aRow.deleted;
+  } else {
+    return false;
+  }
+}
+
 /// Copies the rows that an update has: those that changed after `aUpdate.fromVersion`, or all that
 /// are not deleted if it is complete.
 template<class Row>
@@ -37,13 +47,7 @@
                  std::vector<Row>& aRows)
 {
   for (const auto& [name, row] : aTable) {
-    const bool isDeleted = [&row] {
-      if constexpr (requires { row.deleted; }) {
-        return row.deleted;
-      }
-      return false;
-    }();
-    if (aUpdate.isComplete ? !isDeleted : row.version > aUpdate.fromVersion) {
+    if (aUpdate.isComplete ? !IsDeleted(row) : row.version > aUpdate.fromVersion) {
       aRows.push_back(row);
     }
   }
