--- a/tests/control/ConnectionAllocatorTests.cpp
+++ b/tests/control/ConnectionAllocatorTests.cpp
@@ -186,7 +186,8 @@
 TEST_CASE("The demand for a server that is no longer reported decays", "[connections]")
 {
   AllocatorFixture fixture;
-  const auto report = [&fixture](const std::string& aProxy, std::vector<BackendReport> aReports) {
+  const auto report = [&fixture](const std::string& aProxy,
+                                 const std::vector<BackendReport>& aReports) {
     const auto found = std::ranges::find(
       fixture.proxies, aProxy, [](const InstanceInfo& aEach) { return aEach.id; });
     fixture.allocator.OnBackendReports(*found, aReports, fixture.now);
--- a/tests/crowd/HttpCrowdTests.cpp
+++ b/tests/crowd/HttpCrowdTests.cpp
@@ -48,7 +48,7 @@
 TEST_CASE_METHOD(PortFleet, "HTTP bodies without end", "[http_bodies]")
 {
   const Crowds crowds = CrowdAtEachPort(*this, 24, [](const HttpPort& aPort) {
-    const std::string opening = Head(aPort) + "Content-Length: 1000000000000\r\n\r\n";
+    std::string opening = Head(aPort) + "Content-Length: 1000000000000\r\n\r\n";
     return RawCrowd::Stream{ [opening](std::size_t) { return opening; },
                              std::string(65536, ' '),
                              6 * kMebibyte };
@@ -61,7 +61,7 @@
 TEST_CASE_METHOD(PortFleet, "HTTP bodies of chunks without end", "[http_chunks]")
 {
   const Crowds crowds = CrowdAtEachPort(*this, 24, [](const HttpPort& aPort) {
-    const std::string opening = Head(aPort) + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string opening = Head(aPort) + "Transfer-Encoding: chunked\r\n\r\n";
     return RawCrowd::Stream{ [opening](std::size_t) { return opening; },
                              "1000\r\n" + std::string(4096, ' ') + "\r\n",
                              6 * kMebibyte };
@@ -74,7 +74,7 @@
 TEST_CASE_METHOD(PortFleet, "HTTP bodies of tiny chunks", "[http_tiny_chunks]")
 {
   const Crowds crowds = CrowdAtEachPort(*this, 24, [](const HttpPort& aPort) {
-    const std::string opening = Head(aPort) + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string opening = Head(aPort) + "Transfer-Encoding: chunked\r\n\r\n";
     return RawCrowd::Stream{ [opening](std::size_t) { return opening; },
                              Repeat("1\r\n \r\n", 6000),
                              2 * kMebibyte };
@@ -87,7 +87,7 @@
 TEST_CASE_METHOD(PortFleet, "An HTTP header without end", "[http_header]")
 {
   const Crowds crowds = CrowdAtEachPort(*this, 24, [](const HttpPort& aPort) {
-    const std::string opening = Head(aPort) + "X-Long: ";
+    std::string opening = Head(aPort) + "X-Long: ";
     return RawCrowd::Stream{ [opening](std::size_t) { return opening; },
                              std::string(65536, 'x'),
                              4 * kMebibyte };
@@ -100,7 +100,7 @@
 TEST_CASE_METHOD(PortFleet, "HTTP headers without end", "[http_headers]")
 {
   const Crowds crowds = CrowdAtEachPort(*this, 24, [](const HttpPort& aPort) {
-    const std::string opening = Head(aPort);
+    std::string opening = Head(aPort);
     return RawCrowd::Stream{ [opening](std::size_t) { return opening; },
                              Repeat("a: b\r\n", 6000),
                              2 * kMebibyte };
@@ -113,7 +113,7 @@
 TEST_CASE_METHOD(PortFleet, "HTTP connections without a whole request", "[http_connections]")
 {
   const Crowds crowds = CrowdAtEachPort(*this, 200, [](const HttpPort& aPort) {
-    const std::string opening = Head(aPort);
+    std::string opening = Head(aPort);
     return RawCrowd::Stream{ [opening](std::size_t aConnection) {
                               return aConnection % 2 == 0 ? opening : std::string("G");
                             },
@@ -128,7 +128,7 @@
 TEST_CASE_METHOD(PortFleet, "HTTP connections that are kept open", "[http_kept_connections]")
 {
   const Crowds crowds = CrowdAtEachPort(*this, 200, [](const HttpPort& aPort) {
-    const std::string opening = "GET " + aPort.path + " HTTP/1.1\r\nHost: crowd\r\n\r\n";
+    std::string opening = "GET " + aPort.path + " HTTP/1.1\r\nHost: crowd\r\n\r\n";
     return RawCrowd::Stream{ [opening](std::size_t) { return opening; }, "", opening.size() };
   });
   this->CheckBounds();
--- a/tests/crowd/LinkCrowdTests.cpp
+++ b/tests/crowd/LinkCrowdTests.cpp
@@ -112,7 +112,7 @@
   std::vector<std::unique_ptr<RawCrowd>> crowds;
   for (const std::string& address : this->LinkAddresses()) {
     crowds.push_back(std::make_unique<RawCrowd>(address, 1));
-    const std::string text = HelloOf("crowd") + HeartbeatOfEmptyReports(kElements);
+    std::string text = HelloOf("crowd") + HeartbeatOfEmptyReports(kElements);
     crowds.back()->Send({ [&text](std::size_t) { return text; }, "", text.size() });
     crowds.push_back(std::make_unique<RawCrowd>(address, 1));
     crowds.back()->Send(
--- a/tests/crowd/RawCrowd.cpp
+++ b/tests/crowd/RawCrowd.cpp
@@ -34,7 +34,9 @@
   ::inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &target.sin_addr);
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor >= 0) {
-    ::connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    // Does not wait; poll() tells when the connection is there.
+    static_cast<void>(
+      ::connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target)));
   }
   return descriptor;
 }
--- a/tests/platform/ControlMessagesTests.cpp
+++ b/tests/platform/ControlMessagesTests.cpp
@@ -129,6 +129,8 @@
     return body;
   };
   CHECK(IsAccepted(with("[]")));
+  const char* sharedKey = R"([{"name":"a","api_keys":["secret"]},)"
+                          R"({"name":"b","api_keys":["other","secret"]}])";
   for (const char* tenants : { R"({})",
                                R"([7])",
                                R"([{"name":"a"}])",
@@ -139,8 +141,7 @@
                                R"([{"name":"a","api_keys":["secret"],"rate_per_s":"7"}])",
                                R"([{"name":"a","api_keys":["secret"],"rate_per_s":-1}])",
                                R"([{"name":"a","api_keys":[]},{"name":"a","api_keys":[]}])",
-                               R"([{"name":"a","api_keys":["secret"]},)"
-                               R"({"name":"b","api_keys":["other","secret"]}])" }) {
+                               sharedKey }) {
     INFO(tenants);
     CHECK_FALSE(IsAccepted(with(tenants)));
     const auto decoded = DecodeConfiguration(with(tenants));
