--- a/review/common-2/fleet.hpp
+++ b/review/common-2/fleet.hpp
@@ -255,6 +255,7 @@
   std::map<std::string, std::string> headers; // Names in lower case.
   std::string body;
   int status = 0; // 0: no answer.
+  std::string from; // The address that answered.
 };
 
 inline std::optional<HttpMessage> ReadHttp(Socket& aSocket, long aDeadlineMs)
@@ -320,6 +321,7 @@
   }
   const std::size_t blank = answer->first.find(' ');
   answer->status = blank == std::string::npos ? 0 : std::atoi(answer->first.c_str() + blank);
+  answer->from = aAddress;
   return *answer;
 }
 
