--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,7 +4,7 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-runner=target/review-2/first-ack
+runner=target/review-2/cut-heals
 program=target/src/oleanderledge/cli/oleanderledge
 [ -x "$runner" ] && [ -x "$program" ] || exit 2
 timeout -k 2 115 "$runner" "$program" "$folder/record.txt" "${TROUBLE:-1}"
--- a/review/common-2/databases.hpp
+++ b/review/common-2/databases.hpp
@@ -31,6 +31,7 @@
 {
   std::string id;
   std::map<std::string, std::string> writes;
+  long atMs = 0; // When the primary appended it.
 };
 
 /// What the databases of one service share: the log of the primary, of which each database has
@@ -45,6 +46,8 @@
   std::vector<Commit> log;
   std::string primary; // Empty: no database leads.
   std::vector<Database*> databases;
+  /// Called when the platform accepts the call that names a database.
+  std::function<void()> onNamed;
   /// Called with the database that leads from now on, before the rest of the log is rolled back.
   std::function<void(Database&)> onPromoted;
   /// Ids of statements that ran, with the database; for the record and the checks.
@@ -172,8 +175,32 @@
   }
 
   LosesAnswer losesAnswer;
+  /// Links between regions have a delay.
+  int region = 0;
+  /// While true, nothing passes between this database and the machines of the system; bytes are held
+  /// up and pass later.
+  std::atomic<bool> isCutOff = false;
 
 private:
+  /// One-way delay from the primary. The mutex of the group is held.
+  long DelayFromPrimary() const
+  {
+    constexpr long kBetweenRegionsMs = 12;
+    for (const Database* database : this->group.databases) {
+      if (database->id == this->group.primary && database->region != this->region) {
+        return kBetweenRegionsMs;
+      }
+    }
+    return 0;
+  }
+
+  void WaitWhileCutOff() const
+  {
+    while (this->isCutOff && !this->isStopping) {
+      SleepMs(2);
+    }
+  }
+
   struct Session
   {
     bool inTransaction = false;
@@ -210,6 +237,7 @@
   void Serve(Socket& aSocket)
   {
     auto first = aSocket.ReadLine(NowMs() + 5000);
+    this->WaitWhileCutOff();
     if (!first || TakeWord(*first) != "STARTUP") {
       return;
     }
@@ -230,6 +258,7 @@
       if (!line || TakeWord(*line) != "QUERY") {
         return;
       }
+      this->WaitWhileCutOff();
       const std::string statement = TakeWord(*line);
       const std::string answer = this->Run(session, statement, *line);
       if (answer.empty()) {
@@ -239,6 +268,7 @@
         this->record.Line(this->id + " loses the answer to " + statement + " " + *line);
         continue;
       }
+      this->WaitWhileCutOff();
       if (!aSocket.Send(answer)) {
         return;
       }
@@ -328,7 +358,7 @@
     if (aWrites.empty()) {
       return true;
     }
-    this->group.log.push_back({ aId, aWrites });
+    this->group.log.push_back({ aId, aWrites, NowMs() });
     this->received = this->group.log.size();
     const std::size_t number = this->received;
     const int term = this->group.term;
@@ -360,7 +390,10 @@
         const std::size_t size = this->group.log.size();
         const bool isReceiving = !this->group.primary.empty() && this->group.primary != this->id;
         if (isReceiving && elapsed >= this->copyMs) {
-          this->received = size;
+          while (this->received < size &&
+                 this->group.log[this->received].atMs + this->DelayFromPrimary() <= NowMs()) {
+            ++this->received;
+          }
         } else if (isReceiving) {
           this->received = std::max(
             this->received, size * static_cast<std::size_t>(elapsed) / static_cast<std::size_t>(this->copyMs));
@@ -428,7 +461,7 @@
           due = 0;
         }
       }
-      if (NowMs() < due) {
+      if (NowMs() < due || this->isCutOff) {
         SleepMs(20);
         continue;
       }
@@ -483,6 +516,35 @@
   std::vector<std::thread> threads;
 };
 
+/// Databases of further services, which get no requests.
+class OtherServices
+{
+public:
+  OtherServices(Fleet& aFleet, Record& aRecord, int aServices, int aLimit)
+  {
+    for (int service = 2; service <= aServices; ++service) {
+      this->groups.push_back(std::make_unique<Group>());
+      this->groups.back()->service = "ledger-" + std::to_string(service);
+      for (int index = 0; index < 3; ++index) {
+        this->databases.push_back(std::make_unique<Database>(
+          aFleet, *this->groups.back(), aRecord, service * 10 + index, aLimit, 6));
+      }
+    }
+  }
+  bool Start()
+  {
+    bool isStarted = true;
+    for (const auto& database : this->databases) {
+      isStarted = database->Start() && isStarted;
+    }
+    return isStarted;
+  }
+
+private:
+  std::vector<std::unique_ptr<Group>> groups;
+  std::vector<std::unique_ptr<Database>> databases;
+};
+
 /// The platform's service that promotes databases. Checks fences.
 class PromotionServer
 {
@@ -545,6 +607,9 @@
       if (this->group.primary != database->Id() && this->named != database->Id()) {
         this->named = database->Id();
         this->leadsAt = NowMs() + kPromoteMs;
+        if (this->group.onNamed) {
+          this->group.onNamed();
+        }
       }
       return 200;
     }
--- a/review/common-2/fleet.hpp
+++ b/review/common-2/fleet.hpp
@@ -608,20 +608,28 @@
 
 // --- Operator -----------------------------------------------------------------------------------
 
-/// A configuration with one route to one service.
+/// A configuration with a route to each of the services "ledger", "ledger-2" and so on; the names of
+/// the databases are "orders", "orders-2" and so on.
 inline std::string Configuration(int aVersion, const std::string& aKind, int aTimeoutMs, int aLimit,
-                                 int aSyncReplicas = 0)
+                                 int aSyncReplicas = 0, int aServices = 1)
 {
-  return "{\"version\":" + std::to_string(aVersion) +
-         ",\"routes\":[{\"name\":\"r-1\",\"host\":\"orders\",\"path_prefix\":\"/\",\"route_kind\":\"" +
-         aKind + "\",\"timeout_ms\":" + std::to_string(aTimeoutMs) +
-         ",\"target_latency_ms\":400,\"priority\":0,\"service\":\"ledger\",\"max_attempts\":2,"
-         "\"max_staleness_ms\":1500}],\"services\":[{\"name\":\"ledger\",\"health_path\":\"/health\","
-         "\"connection_limit\":" +
-         std::to_string(aLimit) +
-         ",\"protocol\":\"h1\",\"tls_enabled\":false,\"sync_replicas\":" +
-         std::to_string(aSyncReplicas) +
-         "}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
+  std::string routes;
+  std::string services;
+  for (int index = 1; index <= aServices; ++index) {
+    const std::string suffix = index == 1 ? "" : "-" + std::to_string(index);
+    const std::string comma = index == 1 ? "" : ",";
+    routes += comma + "{\"name\":\"r-" + std::to_string(index) + "\",\"host\":\"orders" + suffix +
+              "\",\"path_prefix\":\"/\",\"route_kind\":\"" + aKind + "\",\"timeout_ms\":" +
+              std::to_string(aTimeoutMs) + ",\"target_latency_ms\":400,\"priority\":0,\"service\":\"ledger" +
+              suffix + "\",\"max_attempts\":2,\"max_staleness_ms\":1500}";
+    services += comma + "{\"name\":\"ledger" + suffix +
+                "\",\"health_path\":\"/health\",\"connection_limit\":" + std::to_string(aLimit) +
+                ",\"protocol\":\"h1\",\"tls_enabled\":false,\"sync_replicas\":" +
+                std::to_string(aSyncReplicas) + "}";
+  }
+  return "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[" + routes + "],\"services\":[" +
+         services +
+         "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
          "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"transaction_idle_ms\":3000}}";
 }
 
--- a/review/common-2/reborn-replicas.cpp
+++ b/review/common-2/reborn-replicas.cpp
@@ -39,13 +39,17 @@
   for (int index = 0; index < 3; ++index) {
     databases.push_back(std::make_unique<Database>(fleet, group, record, index, 23, 6));
   }
+  OtherServices others(fleet, record, 3, 23);
   fleet.StartAll();
+  if (!others.Start()) {
+    return kCouldNotRun;
+  }
   for (const auto& database : databases) {
     if (!database->Start()) {
       return kCouldNotRun;
     }
   }
-  if (!SendConfiguration(fleet, record, Configuration(1, "primary", 2000, 23, 1), 15000)) {
+  if (!SendConfiguration(fleet, record, Configuration(1, "primary", 2000, 23, 1, 3), 15000)) {
     return kCouldNotRun;
   }
   SleepMs(4000);
