--- a/review/common-2/databases.hpp
+++ b/review/common-2/databases.hpp
@@ -50,8 +50,6 @@
   std::function<void()> onNamed;
   /// Called with the database that leads from now on, before the rest of the log is rolled back.
   std::function<void(Database&)> onPromoted;
-  /// Ids of statements that ran, with the database; for the record and the checks.
-  std::map<std::string, int> runs;
 };
 
 /// A database: serves the wire protocol, registers and repeats its heartbeat.
@@ -313,7 +311,7 @@
       const bool writes = TakeWord(aText) == "WRITE";
       aSession.prepared[name] = { writes, aText };
     } else if (verb == "COMMIT") {
-      ++this->group.runs[aId];
+      this->record.Line(this->id + " runs " + aId + " COMMIT");
       aSession.inTransaction = false;
       if (!this->Append(aId, aSession.writes, lock)) {
         return {};
@@ -335,7 +333,7 @@
       if (writes && !isPrimary) {
         return this->Error(aSession, "READONLY");
       }
-      ++this->group.runs[aId];
+      this->record.Line(this->id + " runs " + aId + " " + verb + " " + aText);
       const std::string item = TakeWord(aText);
       if (!writes) {
         return "DATAROW " + this->ValueOf(item) + "\r\n" + this->Complete(aSession);
