--- a/review/common-2/cut-heals.cpp
+++ b/review/common-2/cut-heals.cpp
@@ -1,5 +1,5 @@
-// The primary of a service whose commits wait for a replica is cut off from the machines of the system,
-// again and again; each cut ends as another database is promoted.
+// The primary of a service whose commits wait for a replica is cut off from the machines of the
+// system, again and again; each cut ends as another database is promoted.
 #include "databases.hpp"
 
 #include <random>
@@ -66,7 +66,8 @@
       Client client;
       std::mt19937 random(index);
       for (int round = 0; !isOver; ++round) {
-        if (!client.IsOpen() && !client.Connect(fleet.ProxyIp(index % 2), fleet.FrontendPort(), "orders")) {
+        if (!client.IsOpen() &&
+            !client.Connect(fleet.ProxyIp(index % 2), fleet.FrontendPort(), "orders")) {
           SleepMs(100);
           continue;
         }
@@ -77,7 +78,8 @@
           const std::lock_guard lock(mutex);
           acknowledged[id] = NowMs();
         }
-        record.Line("client " + std::to_string(index) + ": " + id + " " + text + ": " + answer.Text());
+        record.Line("client " + std::to_string(index) + ": " + id + " " + text + ": " +
+                    answer.Text());
         if (answer.state != "I") {
           client.Close();
         }
@@ -111,8 +113,9 @@
     for (const std::string& id : ids) {
       const auto found = acknowledged.find(id);
       record.Line("not in the log of the promoted database: " + id +
-                  (found == acknowledged.end() ? ", not acknowledged"
-                                               : ", acknowledged at " + std::to_string(found->second)));
+                  (found == acknowledged.end()
+                     ? ", not acknowledged"
+                     : ", acknowledged at " + std::to_string(found->second)));
       lost += found != acknowledged.end() ? 1 : 0;
     }
   }
--- a/review/common-2/databases.hpp
+++ b/review/common-2/databases.hpp
@@ -175,8 +175,8 @@
   LosesAnswer losesAnswer;
   /// Links between regions have a delay.
   int region = 0;
-  /// While true, nothing passes between this database and the machines of the system; bytes are held
-  /// up and pass later.
+  /// While true, nothing passes between this database and the machines of the system; bytes are
+  /// held up and pass later.
   std::atomic<bool> isCutOff = false;
 
 private:
@@ -286,9 +286,8 @@
     }
     std::unique_lock lock(this->group.mutex);
     const bool isPrimary = this->group.primary == this->id;
-    if (!awaited.empty() &&
-        (std::stoi(awaited) > this->group.term ||
-         std::stoul(awaited.substr(awaited.find('.') + 1)) > this->received)) {
+    if (!awaited.empty() && (std::stoi(awaited) > this->group.term ||
+                             std::stoul(awaited.substr(awaited.find('.') + 1)) > this->received)) {
       return this->Error(aSession, "LAGGING");
     }
     const bool lostLead = aSession.inTransaction && !aSession.isReadOnly && !isPrimary;
@@ -364,7 +363,8 @@
     const auto isConfirmed = [&] {
       int holders = 0;
       for (const Database* database : this->group.databases) {
-        holders += database != this && !database->isStopping && database->received >= number ? 1 : 0;
+        holders +=
+          database != this && !database->isStopping && database->received >= number ? 1 : 0;
       }
       return holders >= this->group.syncReplicas;
     };
@@ -393,8 +393,9 @@
             ++this->received;
           }
         } else if (isReceiving) {
-          this->received = std::max(
-            this->received, size * static_cast<std::size_t>(elapsed) / static_cast<std::size_t>(this->copyMs));
+          this->received = std::max(this->received,
+                                    size * static_cast<std::size_t>(elapsed) /
+                                      static_cast<std::size_t>(this->copyMs));
         }
         if (isReceiving) {
           this->group.changed.notify_all();
@@ -474,11 +475,11 @@
         std::to_string(this->port) +
         "\",\"zone\":\"mora-a\",\"version\":\"v1\",\"capacity\":3,\"state\":\"" +
         std::string(saysDraining ? "draining" : "ready") +
-        "\",\"warmup_remaining_ms\":0,\"database_role\":\"" +
-        (isPrimary ? "primary" : "replica") + "\",\"born\":" + std::to_string(this->bornMs) +
+        "\",\"warmup_remaining_ms\":0,\"database_role\":\"" + (isPrimary ? "primary" : "replica") +
+        "\",\"born\":" + std::to_string(this->bornMs) +
         ",\"sequence\":" + std::to_string(++this->sequence) + "}";
-      const HttpMessage answer = CallControlPlane(
-        addresses[next], "PUT", "/api/instances/" + this->id, body);
+      const HttpMessage answer =
+        CallControlPlane(addresses[next], "PUT", "/api/instances/" + this->id, body);
       if (answer.status >= 200 && answer.status < 300) {
         due = NowMs() + 1200;
         if (saysDraining && this->drainAcknowledgedAt < 0) {
--- a/review/common-2/first-ack.cpp
+++ b/review/common-2/first-ack.cpp
@@ -53,7 +53,8 @@
   const std::string read = ReadConfiguration(fleet, 10000);
   record.Line("operator reads: " + (read.empty() ? "no configuration" : read.substr(0, 40)));
   for (int index = 0; index < 5; ++index) {
-    record.Line("status of core-" + std::to_string(index + 1) + ": " + fleet.StatusOf(index).substr(0, 900));
+    record.Line("status of core-" + std::to_string(index + 1) + ": " +
+                fleet.StatusOf(index).substr(0, 900));
   }
   return read == body ? kHeld : kBroken;
 }
--- a/review/common-2/fleet.hpp
+++ b/review/common-2/fleet.hpp
@@ -46,8 +46,8 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(aMs));
 }
 
-constexpr int kHeld = 0;       // The rule held.
-constexpr int kBroken = 1;     // The rule was broken.
+constexpr int kHeld = 0;        // The rule held.
+constexpr int kBroken = 1;      // The rule was broken.
 constexpr int kCouldNotRun = 2; // The case could not run.
 
 /// Writes the record of the run.
@@ -251,10 +251,10 @@
 
 struct HttpMessage
 {
-  std::string first; // Request or status line.
+  std::string first;                          // Request or status line.
   std::map<std::string, std::string> headers; // Names in lower case.
   std::string body;
-  int status = 0; // 0: no answer.
+  int status = 0;   // 0: no answer.
   std::string from; // The address that answered.
 };
 
@@ -349,7 +349,10 @@
 class Process
 {
 public:
-  Process(std::string aName, std::vector<std::string> aArguments, std::string aSettings, std::string aLog)
+  Process(std::string aName,
+          std::vector<std::string> aArguments,
+          std::string aSettings,
+          std::string aLog)
     : name(std::move(aName))
     , arguments(std::move(aArguments))
     , settings(std::move(aSettings))
@@ -453,7 +456,8 @@
     std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
     const int id = getpid();
-    this->network = "127." + std::to_string(20 + id % 200) + "." + std::to_string(id / 200 % 250) + ".";
+    this->network =
+      "127." + std::to_string(20 + id % 200) + "." + std::to_string(id / 200 % 250) + ".";
     this->linkPort = FreePort();
     this->httpPort = FreePort();
     this->controlPlanePort = FreePort();
@@ -524,7 +528,10 @@
   std::string StatusOf(int aControl) const
   {
     return CallHttp(this->ControlIp(aControl) + ":" + std::to_string(this->httpPort),
-                    "GET", "/v1/status", "", 500)
+                    "GET",
+                    "/v1/status",
+                    "",
+                    500)
       .body;
   }
 
@@ -540,7 +547,8 @@
     text += "data_folder: \"" + this->DataFolder(aControl) + "\"\nfleet:\n";
     text += "  node_name: \"core-" + std::to_string(aControl + 1) + "\"\n";
     text += "  control_plane: \"" + this->ControlPlane(aControl) + "\"\n";
-    text += "  promotion: \"" + this->PromotionIp() + ":" + std::to_string(this->promotionPort) + "\"\n";
+    text +=
+      "  promotion: \"" + this->PromotionIp() + ":" + std::to_string(this->promotionPort) + "\"\n";
     text += this->SeedsAndZones();
     text += "  registration_interval_ms: " + std::to_string(this->shape.heartbeatMs) + "\n";
     text += "  tolerated_losses: " + std::to_string(this->shape.toleratedLosses) + "\n";
@@ -571,25 +579,32 @@
     const std::string name = "control-" + std::to_string(aIndex + 1);
     std::filesystem::create_directories(this->DataFolder(aIndex));
     this->WriteControlSettings(aIndex, aBootstrap);
-    this->controls.push_back(std::make_unique<Process>(
-      name, std::vector<std::string>{ this->program, "control" },
-      this->folder + "/" + name + ".yaml", this->folder + "/" + name + ".log"));
+    this->controls.push_back(
+      std::make_unique<Process>(name,
+                                std::vector<std::string>{ this->program, "control" },
+                                this->folder + "/" + name + ".yaml",
+                                this->folder + "/" + name + ".log"));
   }
 
   void AddProxy(int aIndex)
   {
     const std::string name = "proxy-" + std::to_string(aIndex + 1);
     std::string text = this->Common(name, this->ProxyIp(aIndex));
-    text += "  callers: \"" + this->ProxyIp(aIndex) + ":" + std::to_string(this->frontendPort) + "\"\n";
+    text +=
+      "  callers: \"" + this->ProxyIp(aIndex) + ":" + std::to_string(this->frontendPort) + "\"\n";
     text += "fleet:\n  node_name: \"" + name + "\"\n";
-    text += "  readiness: \"" + this->ProxyIp(aIndex) + ":" + std::to_string(this->readinessPort) + "\"\n";
+    text += "  readiness: \"" + this->ProxyIp(aIndex) + ":" + std::to_string(this->readinessPort) +
+            "\"\n";
     text += this->SeedsAndZones();
-    text += "  stop_limit_ms: 5500\n  backend_drain_ms: " + std::to_string(this->shape.drainMs) + "\n";
+    text +=
+      "  stop_limit_ms: 5500\n  backend_drain_ms: " + std::to_string(this->shape.drainMs) + "\n";
     text += "limits:\n  memory_mb: 260\n  file_descriptors: 4200\n";
     std::ofstream(this->folder + "/" + name + ".yaml") << text;
-    this->proxies.push_back(std::make_unique<Process>(
-      name, std::vector<std::string>{ this->program, "proxy" },
-      this->folder + "/" + name + ".yaml", this->folder + "/" + name + ".log"));
+    this->proxies.push_back(
+      std::make_unique<Process>(name,
+                                std::vector<std::string>{ this->program, "proxy" },
+                                this->folder + "/" + name + ".yaml",
+                                this->folder + "/" + name + ".log"));
   }
 
   FleetShape shape;
@@ -608,10 +623,14 @@
 
 // --- Operator -----------------------------------------------------------------------------------
 
-/// A configuration with a route to each of the services "ledger", "ledger-2" and so on; the names of
-/// the databases are "orders", "orders-2" and so on.
-inline std::string Configuration(int aVersion, const std::string& aKind, int aTimeoutMs, int aLimit,
-                                 int aSyncReplicas = 0, int aServices = 1)
+/// A configuration with a route to each of the services "ledger", "ledger-2" and so on; the names
+/// of the databases are "orders", "orders-2" and so on.
+inline std::string Configuration(int aVersion,
+                                 const std::string& aKind,
+                                 int aTimeoutMs,
+                                 int aLimit,
+                                 int aSyncReplicas = 0,
+                                 int aServices = 1)
 {
   std::string routes;
   std::string services;
@@ -619,16 +638,17 @@
     const std::string suffix = index == 1 ? "" : "-" + std::to_string(index);
     const std::string comma = index == 1 ? "" : ",";
     routes += comma + "{\"name\":\"r-" + std::to_string(index) + "\",\"host\":\"orders" + suffix +
-              "\",\"path_prefix\":\"/\",\"route_kind\":\"" + aKind + "\",\"timeout_ms\":" +
-              std::to_string(aTimeoutMs) + ",\"target_latency_ms\":400,\"priority\":0,\"service\":\"ledger" +
-              suffix + "\",\"max_attempts\":2,\"max_staleness_ms\":1500}";
+              "\",\"path_prefix\":\"/\",\"route_kind\":\"" + aKind +
+              "\",\"timeout_ms\":" + std::to_string(aTimeoutMs) +
+              ",\"target_latency_ms\":400,\"priority\":0,\"service\":\"ledger" + suffix +
+              "\",\"max_attempts\":2,\"max_staleness_ms\":1500}";
     services += comma + "{\"name\":\"ledger" + suffix +
                 "\",\"health_path\":\"/health\",\"connection_limit\":" + std::to_string(aLimit) +
                 ",\"protocol\":\"h1\",\"tls_enabled\":false,\"sync_replicas\":" +
                 std::to_string(aSyncReplicas) + "}";
   }
-  return "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[" + routes + "],\"services\":[" +
-         services +
+  return "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[" + routes +
+         "],\"services\":[" + services +
          "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
          "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"transaction_idle_ms\":3000}}";
 }
--- a/review/common-2/load.hpp
+++ b/review/common-2/load.hpp
@@ -74,8 +74,10 @@
           client.Close();
           SleepMs(300);
         }
-        if (!client.IsOpen() && !client.Connect(this->fleet.ProxyIp((aIndex + attempt) % this->proxies),
-                                                this->fleet.FrontendPort(), "orders")) {
+        if (!client.IsOpen() &&
+            !client.Connect(this->fleet.ProxyIp((aIndex + attempt) % this->proxies),
+                            this->fleet.FrontendPort(),
+                            "orders")) {
           results += " no_connection";
           continue;
         }
@@ -110,7 +112,12 @@
 
 /// Plays the final fault (all processes are killed right after a configuration was acknowledged and
 /// are back a second later) and checks the rule RECOVER.
-inline int FinalFault(Fleet& aFleet, Record& aRecord, Load& aLoad, int aVersion, int aLimit, int aProxies)
+inline int FinalFault(Fleet& aFleet,
+                      Record& aRecord,
+                      Load& aLoad,
+                      int aVersion,
+                      int aLimit,
+                      int aProxies)
 {
   if (!SendConfiguration(aFleet, aRecord, Configuration(aVersion, "primary", 900, aLimit), 15000)) {
     return kCouldNotRun;
--- a/review/common-2/odd-entry.cpp
+++ b/review/common-2/odd-entry.cpp
@@ -41,7 +41,8 @@
         std::to_string(UnixMs()) + ",\"sequence\":1}";
       const std::string path = "/api/instances/x-" + database->Id();
       const HttpMessage answer = CallControlPlane(fleet.ControlPlane(0), "PUT", path, body);
-      record.Line("another writer: PUT " + path + " " + body + " -> " + std::to_string(answer.status));
+      record.Line("another writer: PUT " + path + " " + body + " -> " +
+                  std::to_string(answer.status));
     }
   }
   SleepMs(3000);
--- a/review/common-2/reborn-replicas.cpp
+++ b/review/common-2/reborn-replicas.cpp
@@ -59,7 +59,8 @@
     clients.emplace_back([&, index] {
       Client client;
       for (int round = 0; !isOver; ++round) {
-        if (!client.IsOpen() && !client.Connect(fleet.ProxyIp(index % 2), fleet.FrontendPort(), "orders")) {
+        if (!client.IsOpen() &&
+            !client.Connect(fleet.ProxyIp(index % 2), fleet.FrontendPort(), "orders")) {
           SleepMs(100);
           continue;
         }
@@ -70,7 +71,8 @@
           const std::lock_guard lock(mutex);
           acknowledged.insert(id);
         }
-        record.Line("client " + std::to_string(index) + ": " + id + " " + text + ": " + answer.Text());
+        record.Line("client " + std::to_string(index) + ": " + id + " " + text + ": " +
+                    answer.Text());
         if (answer.state != "I") {
           client.Close();
         }
