--- a/review/common-2/cut-heals.cpp
+++ b/review/common-2/cut-heals.cpp
@@ -99,10 +99,12 @@
         break;
       }
     }
-    SleepMs(7000);
+    // A cut that no promotion has ended lasts 5 s, within the 5.5 s of the site.
+    SleepMs(5000);
     for (const auto& database : databases) {
       database->isCutOff = false;
     }
+    SleepMs(2000);
   }
   isOver = true;
   for (std::thread& client : clients) {
