platform: a registration is refused unless all fields of the call can be read

Cause: the decoder did not read `version` and `warmup_remaining_ms`, so such an entry passed and took the place of the server at its address.

Tests: "Registrations that lack a field, or have one of another type, are refused" (platform) and eleven more bodies in "Odd registrations are refused and the other servers stay in use" (fleet). Fixtures and the soak now send the whole call.

--- a/src/oleanderledge/platform/ControlMessages.cpp
+++ b/src/oleanderledge/platform/ControlMessages.cpp
@@ -279,6 +279,9 @@
     fields.MarkInvalid("address");
   }
   row.zone = fields.Text("zone");
+  // Not used. Each server sends them, so an entry without them names no server.
+  fields.Text("version");
+  fields.Number("warmup_remaining_ms", kMaxNumber);
   row.slots = static_cast<std::uint32_t>(fields.Number("capacity", kMaxUint32));
   const std::string state = fields.Text("state");
   row.draining = state == "draining";
--- a/tests/crowd/CrowdFleet.cpp
+++ b/tests/crowd/CrowdFleet.cpp
@@ -229,7 +229,8 @@
 {
   const QByteArray body =
     R"({"service":"ledger","address":")" + QByteArray::fromStdString(this->databaseAddress) +
-    R"(","zone":"near","capacity":2,"state":"ready","database_role":"primary","born":1,)"
+    R"(","zone":"near","version":"v1","capacity":2,"state":"ready","warmup_remaining_ms":0,)"
+    R"("database_role":"primary","born":1,)"
     R"("sequence":)" +
     QByteArray::number(++this->sequence) + "}";
   QNetworkRequest request(QUrl(
--- a/tests/crowd/PortFleet.cpp
+++ b/tests/crowd/PortFleet.cpp
@@ -173,8 +173,9 @@
 QNetworkReply* PortFleet::SendRegistration()
 {
   const std::string body = R"({"service":"ledger","address":")" + this->databaseAddress +
-                           R"(","zone":"near-zone","capacity":2,"state":"ready",)"
-                           R"("database_role":"primary","born":1,"sequence":)" +
+                           R"(","zone":"near-zone","version":"v1","capacity":2,"state":"ready",)"
+                           R"("warmup_remaining_ms":0,"database_role":"primary","born":1,)"
+                           R"("sequence":)" +
                            std::to_string(++this->sequence) + "}";
   QNetworkRequest request(
     QUrl(QString::fromStdString("http://" + this->controlPlane + "/api/instances/i-only")));
--- a/tests/crowd/StateCrowdTests.cpp
+++ b/tests/crowd/StateCrowdTests.cpp
@@ -104,7 +104,8 @@
       "/api/instances/" + LongName(aRequest, kNameBytes),
       R"({"service":"ledger","address":")" + address + R"(","zone":")" +
         LongName(aRequest, kNameBytes) +
-        R"(","capacity":2,"state":"ready","database_role":"replica","born":1,"sequence":1})");
+        R"(","version":"v1","capacity":2,"state":"ready","warmup_remaining_ms":0,)"
+        R"("database_role":"replica","born":1,"sequence":1})");
   });
   this->CheckService();
   this->CheckBounds();
--- a/tests/platform/ControlMessagesTests.cpp
+++ b/tests/platform/ControlMessagesTests.cpp
@@ -2,6 +2,10 @@
 #include "oleanderledge/organisations/organisations.hpp"
 #include "oleanderledge/platform/platform.hpp"
 
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
 #include <catch2/catch.hpp>
 
 using namespace oleanderledge;
@@ -64,6 +68,36 @@
   CHECK_FALSE(DecodeRegistration("i-1", Replaced(kRegistration, "1700", "\"soon\"")));
 }
 
+// Guards against an entry of another writer that is taken for a server, because a field that the
+// program does not use was not read.
+TEST_CASE("Registrations that lack a field, or have one of another type, are refused", "[messages]")
+{
+  REQUIRE(DecodeRegistration("i-1", kRegistration));
+  const QJsonObject valid =
+    QJsonDocument::fromJson(QByteArray::fromStdString(kRegistration)).object();
+  const std::vector<QJsonValue> invalidValues{ QJsonValue(),       true,         1.5, -1,
+                                               QJsonArray{ "v1" }, QJsonObject() };
+  const auto isAccepted = [](const QJsonObject& aObject) {
+    const std::string body = QJsonDocument(aObject).toJson().toStdString();
+    return DecodeRegistration("i-1", body).has_value();
+  };
+  for (const QString& name : valid.keys()) {
+    INFO(name.toStdString());
+    QJsonObject changed = valid;
+    changed.remove(name);
+    // Only "born" may be absent.
+    CHECK(isAccepted(changed) == (name == "born"));
+    for (const QJsonValue& value : invalidValues) {
+      changed[name] = value;
+      INFO(QJsonDocument(changed).toJson().toStdString());
+      CHECK_FALSE(isAccepted(changed));
+    }
+    const bool isNumber = valid[name].isDouble();
+    changed[name] = isNumber ? QJsonValue("7") : QJsonValue(7);
+    CHECK_FALSE(isAccepted(changed));
+  }
+}
+
 TEST_CASE("A configuration is decoded in full and kept as sent", "[messages]")
 {
   const std::string body = ConfigurationWith(kRoute);
--- a/tests/platform/FleetWithOneBackend.hpp
+++ b/tests/platform/FleetWithOneBackend.hpp
@@ -52,8 +52,8 @@
   QByteArray Registration(const char* aState)
   {
     return R"({"service":"ledger","address":")" + QByteArray::fromStdString(this->databaseAddress) +
-           R"(","zone":"near-zone","capacity":2,"state":")" + aState +
-           R"(","database_role":"primary","born":1,"sequence":)" +
+           R"(","zone":"near-zone","version":"v1","capacity":2,"state":")" + aState +
+           R"(","warmup_remaining_ms":0,"database_role":"primary","born":1,"sequence":)" +
            QByteArray::number(++this->sequence) + "}";
   }
 
--- a/tests/platform/OddRegistrationTests.cpp
+++ b/tests/platform/OddRegistrationTests.cpp
@@ -29,6 +29,15 @@
                                Replaced(aValid, R"("capacity":2)", R"("capacity":4294967296)"),
                                Replaced(
                                  aValid, R"("sequence":)", R"("sequence":18446744073709551616)") };
+  for (const char* version : { "1", "null", "true", R"(["v1"])" }) {
+    odd.push_back(Replaced(aValid, R"("version":"v1")", R"("version":)" + QByteArray(version)));
+  }
+  for (const char* remaining : { R"("0")", "null", "-1", "0.5", "{}" }) {
+    odd.push_back(Replaced(
+      aValid, R"("warmup_remaining_ms":0)", R"("warmup_remaining_ms":)" + QByteArray(remaining)));
+  }
+  odd.push_back(Replaced(aValid, R"("version":"v1",)", ""));
+  odd.push_back(Replaced(aValid, R"("warmup_remaining_ms":0,)", ""));
   for (const char* address : { "127.0.0.1:70000",
                                "127.0.0.1:0",
                                "127.0.0.1:-1",
