control: a server whose registrations go on is used again, however it came to be recorded as ended

No request of the service was served.

Cause: BackendTable marks the earlier server at an address as ended, and rejects all later registrations of the same start as delayed ones, though the server is answered with 200.

Ruled out: that proxies fail to go back to servers that the directory has.

Fix: a server whose registrations are ignored, and go on with increasing sequence numbers for longer than two intervals and 0.5 s, runs (IgnoredRegistrationWatch). The leader has it recorded again (ReinstateBackend, E1530), unless a server that started later at its address still registers. The rule looks at the present only, so it also undoes what an earlier version has recorded, a late departure, a removal as silent and an entry under the id of the server.

--- a/src/oleanderledge/base/LogEvent.cpp
+++ b/src/oleanderledge/base/LogEvent.cpp
@@ -69,6 +69,7 @@
   LogEventInfo{ LogEvent::ServiceDeparturesSettled, "service_departures_settled", Info },
   LogEventInfo{ LogEvent::ServicePositionsMissing, "service_positions_missing", Warning },
   LogEventInfo{ LogEvent::RequestWithoutLeader, "request_without_leader", Warning },
+  LogEventInfo{ LogEvent::BackendReinstated, "backend_reinstated", Warning },
   LogEventInfo{ LogEvent::OwnershipChanged, "ownership_changed", Info },
   LogEventInfo{ LogEvent::OwnershipReleased, "ownership_released", Info },
   LogEventInfo{ LogEvent::OwnerLeaseExpired, "owner_lease_expired", Warning },
--- a/src/oleanderledge/base/LogEvent.hpp
+++ b/src/oleanderledge/base/LogEvent.hpp
@@ -75,6 +75,7 @@
   ServiceDeparturesSettled = 1527,
   ServicePositionsMissing = 1528,
   RequestWithoutLeader = 1529,
+  BackendReinstated = 1530,
   // 1600: owner.
   OwnershipChanged = 1601,
   OwnershipReleased = 1602,
--- a/src/oleanderledge/control/BackendTable.cpp
+++ b/src/oleanderledge/control/BackendTable.cpp
@@ -36,6 +36,13 @@
          std::tie(aKnown.startedUnixMs, aKnown.sequence);
 }
 
+bool IsOutdatedRegistration(const BackendRow& aNew, const BackendRow& aKnown)
+{
+  // A server that has ended does not return in the same start, so the registration was delayed.
+  return !IsNewerRegistration(aNew, aKnown) ||
+         (aKnown.deleted && aKnown.startedUnixMs == aNew.startedUnixMs);
+}
+
 bool IsSameRegistration(const BackendRow& aLeft, const BackendRow& aRight)
 {
   const auto content = [](const BackendRow& aRow) {
@@ -53,33 +60,48 @@
 
 bool BackendTable::Apply(std::uint64_t aIndex, const UpdateBackend& aCommand)
 {
-  auto [position, inserted] = this->backends.try_emplace(aCommand.backend.name, aCommand.backend);
-  BackendRow& row = position->second;
-  if (!inserted && !IsNewerRegistration(aCommand.backend, row)) {
+  const auto known = this->backends.find(aCommand.backend.name);
+  if (known != this->backends.end() && IsOutdatedRegistration(aCommand.backend, known->second)) {
     return false;
   }
-  // A server that deregistered does not return in the same start, so this registration was delayed.
-  if (!inserted && row.deleted && row.startedUnixMs == aCommand.backend.startedUnixMs) {
+  // If another server has started at the same address, the earlier one there has ended.
+  this->Record(aIndex, aCommand.backend, EndedServers::EarlierStarts);
+  return true;
+}
+
+bool BackendTable::Apply(std::uint64_t aIndex, const ReinstateBackend& aCommand)
+{
+  const auto known = this->backends.find(aCommand.backend.name);
+  if (known == this->backends.end() || known->second.version != aCommand.expectedVersion) {
     return false;
   }
+  // The server runs, so an entry that names the same address names no other one.
+  this->Record(aIndex, aCommand.backend, EndedServers::All);
+  return true;
+}
+
+void BackendTable::Record(std::uint64_t aIndex,
+                          const BackendRow& aRegistration,
+                          EndedServers aEnded)
+{
+  const auto [position, inserted] = this->backends.try_emplace(aRegistration.name, aRegistration);
+  BackendRow& row = position->second;
   const bool keepsDraining =
-    !inserted && row.draining && row.startedUnixMs == aCommand.backend.startedUnixMs;
+    !inserted && row.draining && row.startedUnixMs == aRegistration.startedUnixMs;
   const std::uint64_t drainingVersion = keepsDraining ? row.drainingVersion : aIndex;
-  row = aCommand.backend;
+  row = aRegistration;
   row.deleted = false;
   row.version = aIndex;
   row.drainingVersion = row.draining ? drainingVersion : 0;
-  // If another server has started at the same address, the earlier one there has ended.
   for (auto& [name, other] : this->backends) {
-    if (&other == &row || other.deleted || other.address != row.address ||
-        other.startedUnixMs > row.startedUnixMs) {
+    const bool hasEnded = aEnded == EndedServers::All || other.startedUnixMs <= row.startedUnixMs;
+    if (&other == &row || other.deleted || other.address != row.address || !hasEnded) {
       continue;
     }
     other.deleted = true;
     other.version = aIndex;
   }
   this->PurgeDeleted();
-  return true;
 }
 
 bool BackendTable::Apply(std::uint64_t aIndex, const RemoveBackend& aCommand)
--- a/src/oleanderledge/control/BackendTable.hpp
+++ b/src/oleanderledge/control/BackendTable.hpp
@@ -18,6 +18,7 @@
 public:
   // Apply a command at log index `aIndex`. Each returns true if a row changed.
   bool Apply(std::uint64_t aIndex, const UpdateBackend& aCommand);
+  bool Apply(std::uint64_t aIndex, const ReinstateBackend& aCommand);
   bool Apply(std::uint64_t aIndex, const RemoveBackend& aCommand);
   bool Apply(std::uint64_t aIndex, const AdoptServicePrimary& aCommand);
   bool Apply(std::uint64_t aIndex, const DecideServicePrimary& aCommand);
@@ -47,6 +48,14 @@
   Result<void> Restore(std::string_view aBytes);
 
 private:
+  enum class EndedServers : std::uint8_t
+  {
+    EarlierStarts,
+    All,
+  };
+  /// Replaces a row by a registration and marks the servers at the same address as deleted that
+  /// have ended.
+  void Record(std::uint64_t aIndex, const BackendRow& aRegistration, EndedServers aEnded);
   void PurgeDeleted();
 
   std::map<std::string, BackendRow, std::less<>> backends;
@@ -58,6 +67,10 @@
 /// in the same start.
 bool IsNewerRegistration(const BackendRow& aNew, const BackendRow& aKnown);
 
+/// True if the registration must not replace the row of the same server: it is not newer, or the
+/// server has ended in this start.
+bool IsOutdatedRegistration(const BackendRow& aNew, const BackendRow& aKnown);
+
 /// True if two registrations of one server differ at most in sequence number and row version.
 bool IsSameRegistration(const BackendRow& aLeft, const BackendRow& aRight);
 
--- a/src/oleanderledge/control/ControlCommand.hpp
+++ b/src/oleanderledge/control/ControlCommand.hpp
@@ -270,6 +270,20 @@
   }
 };
 
+/// Records the registration of a backend server that runs although its registrations are ignored
+/// because of the present row; see IgnoredRegistrationWatch.
+struct ReinstateBackend
+{
+  BackendRow backend;
+  std::uint64_t expectedVersion = 0;
+
+  template<class Visitor>
+  void Visit(Visitor& aVisitor)
+  {
+    aVisitor(this->backend, this->expectedVersion);
+  }
+};
+
 /// Removes a backend server, unless it has been started again.
 struct RemoveBackend
 {
@@ -375,7 +389,8 @@
                                     DecideServicePrimary,
                                     ConfirmServicePrimary,
                                     CloseServicePrimary,
-                                    SettleDepartures>;
+                                    SettleDepartures,
+                                    ReinstateBackend>;
 
 /// Encodes a command for the log.
 std::string EncodeCommand(const ControlCommand& aCommand);
--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -68,6 +68,23 @@
   known = { aBackend.startedUnixMs, aBackend.sequence, aNow };
 }
 
+void ServiceCoordinator::OnReinstated(const BackendRow& aBackend, Instant aNow)
+{
+  this->lastRegistrations[aBackend.name] = { aBackend.startedUnixMs, aBackend.sequence, aNow };
+  this->reinstatedAt[aBackend.service] = aNow;
+}
+
+bool ServiceCoordinator::IsSucceeded(const BackendRow& aBackend, Instant aNow) const
+{
+  return std::ranges::any_of(
+    this->state.Backends().Backends(), [this, &aBackend, aNow](const auto& aEach) {
+      const BackendRow& other = aEach.second;
+      return !other.deleted && other.name != aBackend.name && other.address == aBackend.address &&
+             other.startedUnixMs >= aBackend.startedUnixMs &&
+             this->SilenceOf(other.name, aNow) <= this->timings.RegistrationTimeout();
+    });
+}
+
 const BackendRow* ServiceCoordinator::FindLongSilent(Instant aNow) const
 {
   const BackendRow* longest = nullptr;
@@ -383,6 +400,11 @@
                                         Instant aNow,
                                         ControlActions& aActions)
 {
+  const auto reinstated = this->reinstatedAt.find(aService);
+  if (reinstated != this->reinstatedAt.end() &&
+      aNow - reinstated->second < this->timings.ReinstatementDelay()) {
+    return;
+  }
   const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
   const std::string replaced = row == nullptr ? "" : row->backend;
   const BackendRow* candidate = this->MostAdvancedCandidate(aService, replaced, aNow, aActions);
@@ -700,11 +722,16 @@
   if (!isComplete && !isOver) {
     return nullptr;
   }
+  // Of two that have received the same, one that leads already needs no promotion.
+  const auto isBehind = [&queryRound](const BackendRow* aLeft, const BackendRow* aRight) {
+    const LogPosition& left = queryRound->received[aLeft->name];
+    const LogPosition& right = queryRound->received[aRight->name];
+    return left < right || (left == right && !aLeft->claimsPrimary && aRight->claimsPrimary);
+  };
   const BackendRow* best = nullptr;
   for (const BackendRow* candidate : candidates) {
-    const auto position = queryRound->received.find(candidate->name);
-    if (position != queryRound->received.end() &&
-        (best == nullptr || position->second > queryRound->received[best->name])) {
+    if (queryRound->received.contains(candidate->name) &&
+        (best == nullptr || isBehind(best, candidate))) {
       best = candidate;
     }
   }
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -56,6 +56,13 @@
   /// previous one.
   Duration postPromotionDelay = std::chrono::milliseconds(1500);
 
+  /// No successor is chosen for this time after a server of the service was reinstated. Servers
+  /// that were displaced together are reinstated within one interval, and one of them may lead.
+  Duration ReinstatementDelay() const
+  {
+    return this->registrationInterval + std::chrono::milliseconds(500);
+  }
+
   /// A server that did not register for this time counts as lost: two intervals plus an allowance
   /// for the delay of a registration.
   Duration RegistrationTimeout() const
@@ -91,6 +98,10 @@
 
   /// Called for each registration, also if it does not change the state.
   void OnRegistration(const BackendRow& aBackend, Instant aNow);
+  /// Called if the registration of a server is recorded although a newer one was received.
+  void OnReinstated(const BackendRow& aBackend, Instant aNow);
+  /// True if another server that started at the same address, and not earlier, still registers.
+  bool IsSucceeded(const BackendRow& aBackend, Instant aNow) const;
   /// The server that has been silent for longest, if that is far longer than the time after which
   /// it counts as lost and it is no primary; or null.
   const BackendRow* FindLongSilent(Instant aNow) const;
@@ -281,6 +292,7 @@
   std::map<std::string, Progress, std::less<>> progressByService;
   std::uint64_t lastRound = 0; ///< Number of the newest round of position queries.
   std::map<std::string, Instant, std::less<>> refusedAt;
+  std::map<std::string, Instant, std::less<>> reinstatedAt; ///< Last time, by service.
   std::set<std::string, std::less<>> pendingKeys;
 };
 
--- a/src/oleanderledge/control/internal/ControlDaemon.cpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.cpp
@@ -67,6 +67,7 @@
   , leader(this->state, aSettings.timings, aSettings.limits)
   , connectionAllocator(this->state, {})
   , serviceCoordinator(this->state, aSettings.nodeName, aSettings.serviceTimings)
+  , ignoredRegistrations(aSettings.serviceTimings.RegistrationTimeout())
   , group(aGroupFactory(this->notifyingState, *this))
   , backendAdmin(std::move(aBackendAdmin))
   , linkServer(aSettings.instance, this->latency, nullptr)
@@ -150,6 +151,7 @@
   ControlActions actions;
   const Instant now = MonotonicNow();
   this->serviceCoordinator.OnLeadershipGained(now);
+  this->ignoredRegistrations.Clear();
   this->connectionAllocator.OnLeadershipGained(now);
   this->positionDistributor.Clear();
   this->tokenAllocator.OnLeadershipGained(aTerm, now);
@@ -699,8 +701,12 @@
     return;
   }
   this->serviceCoordinator.OnRegistration(aBackend, MonotonicNow());
-  if (isKnown && (IsSameRegistration(known->second, aBackend) ||
-                  !IsNewerRegistration(aBackend, known->second))) {
+  if (isKnown && IsOutdatedRegistration(aBackend, known->second)) {
+    this->HandleOutdatedRegistration(aBackend, known->second, std::move(aCallback));
+    return;
+  }
+  this->ignoredRegistrations.OnAccepted(aBackend.name);
+  if (isKnown && IsSameRegistration(known->second, aBackend)) {
     aCallback(Outcome::Done);
     return;
   }
@@ -711,12 +717,42 @@
              " draining=" + (aBackend.draining ? "yes" : "no") +
              " started_ms=" + std::to_string(aBackend.startedUnixMs) +
              " sequence=" + std::to_string(aBackend.sequence));
+  this->RecordRegistration(UpdateBackend{ aBackend }, std::move(aCallback));
+}
+
+void ControlDaemon::HandleOutdatedRegistration(const BackendRow& aBackend,
+                                               const BackendRow& aKnown,
+                                               Callback aCallback)
+{
+  const Instant now = MonotonicNow();
+  // A server that drains ends soon. If it were recorded now, its drain time would seem to begin now
+  // and not when its first registration as draining was answered.
+  const bool isRunning =
+    !aBackend.draining && this->ignoredRegistrations.OnIgnored(aBackend, aKnown.version, now);
+  if (!isRunning || this->serviceCoordinator.IsSucceeded(aBackend, now) ||
+      this->CountBackends() >= this->settings.limits.backendServers) {
+    aCallback(Outcome::Done);
+    return;
+  }
+  WriteLog(LogEvent::BackendReinstated,
+           "backend=" + aBackend.name + " service=" + aBackend.service +
+             " address=" + aBackend.address + " deleted=" + (aKnown.deleted ? "yes" : "no") +
+             " started_ms=" + std::to_string(aBackend.startedUnixMs) +
+             " sequence=" + std::to_string(aBackend.sequence) +
+             " recorded_started_ms=" + std::to_string(aKnown.startedUnixMs) +
+             " recorded_sequence=" + std::to_string(aKnown.sequence) +
+             " version=" + std::to_string(aKnown.version));
+  this->serviceCoordinator.OnReinstated(aBackend, now);
+  this->RecordRegistration(ReinstateBackend{ aBackend, aKnown.version }, std::move(aCallback));
+}
+
+void ControlDaemon::RecordRegistration(const ControlCommand& aCommand, Callback aCallback)
+{
   ++this->pendingBackends;
-  this->ProposeForRequest(UpdateBackend{ aBackend },
-                          [this, callback = std::move(aCallback)](Outcome aOutcome) {
-                            --this->pendingBackends;
-                            callback(aOutcome);
-                          });
+  this->ProposeForRequest(aCommand, [this, callback = std::move(aCallback)](Outcome aOutcome) {
+    --this->pendingBackends;
+    callback(aOutcome);
+  });
 }
 
 void ControlDaemon::RemoveSilentBackend()
--- a/src/oleanderledge/control/internal/ControlDaemon.hpp
+++ b/src/oleanderledge/control/internal/ControlDaemon.hpp
@@ -6,6 +6,7 @@
 #include "oleanderledge/control/ControlRequestHandler.hpp"
 #include "oleanderledge/control/ControlSettings.hpp"
 #include "oleanderledge/control/ControlState.hpp"
+#include "oleanderledge/control/IgnoredRegistrationWatch.hpp"
 #include "oleanderledge/control/PositionDistributor.hpp"
 #include "oleanderledge/control/PositionQuery.hpp"
 #include "oleanderledge/control/PromotionService.hpp"
@@ -138,6 +139,13 @@
   void Execute(const LogAction& aAction);
   /// Replicates the command of a ControlRequestHandler request and reports its outcome.
   void ProposeForRequest(const ControlCommand& aCommand, Callback aCallback);
+  /// Replicates a registration and reports its outcome.
+  void RecordRegistration(const ControlCommand& aCommand, Callback aCallback);
+  /// Answers a registration that must not replace the recorded one. Records it nevertheless if the
+  /// server runs.
+  void HandleOutdatedRegistration(const BackendRow& aBackend,
+                                  const BackendRow& aKnown,
+                                  Callback aCallback);
   /// Registered servers, with those whose registration is being replicated.
   std::size_t CountBackends() const;
   /// Removes a registered server that has been silent for long, to make room for another one.
@@ -157,6 +165,7 @@
   ControlLeader leader;
   ConnectionAllocator connectionAllocator;
   ServiceCoordinator serviceCoordinator;
+  IgnoredRegistrationWatch ignoredRegistrations;
   PositionDistributor positionDistributor;
   TokenAllocator tokenAllocator;
   std::unique_ptr<PromotionService> promotionService;
--- a/tests/control/ControlStateTests.cpp
+++ b/tests/control/ControlStateTests.cpp
@@ -180,6 +180,41 @@
 }
 
 // Guards against members that fail or diverge on commands of another program version.
+// Guards against a running server whose place stays taken by an entry that names its address.
+TEST_CASE("A reinstated server takes its address back, unless its row has changed meanwhile")
+{
+  ControlState state;
+  BackendRow server;
+  server.name = "i-1";
+  server.service = "ledger";
+  server.address = "10.0.0.1:8080";
+  server.startedUnixMs = 5;
+  server.sequence = 1;
+  BackendRow entry = server;
+  entry.name = "x-1";
+  entry.startedUnixMs = 9;
+  Apply(state, 1, UpdateBackend{ server });
+  Apply(state, 2, UpdateBackend{ entry });
+  REQUIRE(state.Backends().Find("i-1") == nullptr);
+  server.sequence = 4;
+  Apply(state, 3, UpdateBackend{ server });
+  REQUIRE(state.Backends().Find("i-1") == nullptr);
+  SECTION("unchanged")
+  {
+    Apply(state, 4, ReinstateBackend{ server, 2 });
+    REQUIRE(state.Backends().Find("i-1") != nullptr);
+    CHECK(state.Backends().Find("i-1")->version == 4);
+    CHECK(state.Backends().Find("x-1") == nullptr);
+    CHECK(state.DirectoryVersion() == 4);
+  }
+  SECTION("changed")
+  {
+    Apply(state, 4, ReinstateBackend{ server, 1 });
+    CHECK(state.Backends().Find("i-1") == nullptr);
+    CHECK(state.Backends().Find("x-1") != nullptr);
+  }
+}
+
 TEST_CASE("Commands that cannot be decoded are skipped")
 {
   ControlState state = SteadyDatabase();
--- a/tests/control/HttpTestClient.cpp
+++ b/tests/control/HttpTestClient.cpp
@@ -57,10 +57,19 @@
                         const std::string& aPath,
                         const QByteArray& aBody)
 {
-  QNetworkReply* reply = this->network.put(RequestTo(aAddress, aPath), aBody);
-  WaitUntil([reply] { return reply->isFinished(); });
-  reply->deleteLater();
-  return reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  return StatusOf(this->network.put(RequestTo(aAddress, aPath), aBody));
+}
+
+int HttpTestClient::Delete(const std::string& aAddress, const std::string& aPath)
+{
+  return StatusOf(this->network.deleteResource(RequestTo(aAddress, aPath)));
+}
+
+int HttpTestClient::StatusOf(QNetworkReply* aReply)
+{
+  WaitUntil([aReply] { return aReply->isFinished(); });
+  aReply->deleteLater();
+  return aReply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
 }
 
 QNetworkRequest HttpTestClient::RequestTo(const std::string& aAddress, const std::string& aPath)
--- a/tests/control/HttpTestClient.hpp
+++ b/tests/control/HttpTestClient.hpp
@@ -41,8 +41,12 @@
                      const QByteArray& aBody = {});
   /// Sends a PUT to "ip:port" and returns the status; 0 if it was not answered.
   int Put(const std::string& aAddress, const std::string& aPath, const QByteArray& aBody);
+  /// Sends a DELETE to "ip:port" and returns the status; 0 if it was not answered.
+  int Delete(const std::string& aAddress, const std::string& aPath);
 
 private:
+  /// Waits for the answer and returns its status.
+  static int StatusOf(QNetworkReply* aReply);
   static QNetworkRequest RequestTo(const std::string& aAddress, const std::string& aPath);
 
   QNetworkAccessManager network;
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -507,6 +507,38 @@
   CHECK(fixture.PrimaryName() != "a");
 }
 
+// Guards against the promotion of the first server that is reinstated, while the one that leads is
+// reinstated later and has more.
+TEST_CASE("Servers that are reinstated one after the other are compared before one is promoted",
+          "[services]")
+{
+  ServiceFixture fixture;
+  fixture.RunFor(2s);
+  fixture.received = { { "a", { 1, 20 } }, { "b", { 1, 10 } }, { "c", { 1, 10 } } };
+  const auto reinstate = [&fixture](const char* aName) {
+    BackendRow row = fixture.state.Backends().Backends().at(aName);
+    row.sequence = ++fixture.sequence;
+    fixture.coordinator.OnReinstated(row, fixture.now);
+    fixture.Commit(ReinstateBackend{ row, row.version });
+  };
+  fixture.live.clear();
+  for (const char* name : { "a", "b", "c" }) {
+    fixture.Commit(RemoveBackend{ name, 1 });
+  }
+  fixture.RunFor(4s);
+  REQUIRE(fixture.calls.empty());
+  fixture.Commit(
+    DecideServicePrimary{ "ledger", fixture.RecordedPrimary().version, "x", "control-1" });
+  reinstate("b");
+  fixture.RunFor(1s);
+  reinstate("a");
+  reinstate("c");
+  fixture.RunFor(2s);
+  REQUIRE_FALSE(fixture.calls.empty());
+  CHECK(fixture.calls.front().backend == "a");
+  CHECK(fixture.PrimaryName() == "a");
+}
+
 TEST_CASE("A primary that drains is replaced at once", "[services]")
 {
   ServiceFixture fixture;
--- a/tests/platform/FleetWithOneBackend.hpp
+++ b/tests/platform/FleetWithOneBackend.hpp
@@ -19,6 +19,20 @@
 
 namespace oleanderledge::test {
 
+/// Accepts every call.
+class AcceptingPromotionService : public PromotionService
+{
+public:
+  void Promote(const std::string& /*aService*/,
+               const std::string& /*aBackend*/,
+               const std::string& /*aHolder*/,
+               std::uint64_t /*aFence*/,
+               Callback aCallback) override
+  {
+    aCallback(PromotionOutcome::Confirmed);
+  }
+};
+
 /// A control instance and a proxy with the platform's interfaces, and the only backend server of a
 /// service.
 class FleetWithOneBackend : private WithApplication
@@ -48,6 +62,11 @@
     return this->client.Put(
       this->controlPlaneAddress, std::string("/api/instances/") + aBackend, aBody);
   }
+  /// The server deregisters. Returns the status of the answer.
+  int Deregister()
+  {
+    return this->client.Delete(this->controlPlaneAddress, "/api/instances/i-only");
+  }
   /// Body of the next registration of the server.
   QByteArray Registration(const char* aState)
   {
@@ -80,6 +99,30 @@
     return caller.Send("QUERY " + aId + " READ a");
   }
 
+  /// Repeats the registration of the server until a read is served. Returns false if none is after
+  /// this time.
+  bool RegisterUntilServed(Duration aTime)
+  {
+    const Instant end = MonotonicNow() + aTime;
+    while (MonotonicNow() < end) {
+      this->Register("ready");
+      if (this->Read("repeated").starts_with("DATAROW ")) {
+        return true;
+      }
+      RunFor(std::chrono::milliseconds(300));
+    }
+    return false;
+  }
+
+  /// Ends the control instance and starts it again with its data folder.
+  void RestartControl()
+  {
+    this->controlPlane.reset();
+    this->control.reset();
+    this->StartControl();
+    REQUIRE(WaitUntil([this] { return this->Register("ready") == 200; }));
+  }
+
   /// Processes events for this time.
   static void RunFor(Duration aTime)
   {
@@ -113,6 +156,7 @@
     settings.dataFolder = this->folder.path().toStdString();
     settings.nodeName = "control-1";
     this->control = std::make_unique<ControlDaemon>(settings, nullptr);
+    this->control->SetPromotionService(std::make_unique<AcceptingPromotionService>());
     this->controlPlane = std::make_unique<platform::ControlPlaneServer>(*this->control, nullptr);
     REQUIRE(this->controlPlane->Listen(this->controlPlaneAddress));
     REQUIRE(this->control->Start());
--- a/tests/platform/OddRegistrationTests.cpp
+++ b/tests/platform/OddRegistrationTests.cpp
@@ -107,3 +107,54 @@
   CHECK(fleet.Services() == before);
   CHECK(fleet.Read("after").starts_with("DATAROW "));
 }
+
+// Guards against a running server that is ignored for good, because an entry of another writer
+// under an id of its own took its place: its registrations seemed to be delayed ones.
+TEST_CASE("A server that goes on to register is used again after an entry took its address",
+          "[registrations]")
+{
+  FleetWithOneBackend fleet;
+  const auto role = GENERATE(R"("primary")", R"("replica")");
+  const QByteArray body = Replaced(fleet.Registration("ready"), R"("primary")", role);
+  REQUIRE(fleet.Register("i-odd", Replaced(body, R"("born":1)", R"("born":2)")) == 200);
+  REQUIRE(WaitUntil([&fleet] { return !fleet.Read("lost").starts_with("DATAROW "); }));
+  SECTION("while the control instance runs")
+  {
+    CHECK(fleet.RegisterUntilServed(std::chrono::seconds(12)));
+  }
+  SECTION("after the control instance has restarted with the recorded entry")
+  {
+    fleet.RestartControl();
+    CHECK(fleet.RegisterUntilServed(std::chrono::seconds(12)));
+  }
+}
+
+// Guards against the same after an entry under the id of the server, or a departure that arrives
+// late, when the server has started again.
+TEST_CASE("A server that goes on to register is used again after its row was replaced or removed",
+          "[registrations]")
+{
+  FleetWithOneBackend fleet;
+  SECTION("by an entry with a later start")
+  {
+    QByteArray odd = Replaced(fleet.Registration("ready"), R"("born":1)", R"("born":2)");
+    REQUIRE(fleet.Register("i-only", Replaced(odd, "near-zone", "elsewhere")) == 200);
+  }
+  SECTION("by an entry with a higher sequence number")
+  {
+    QByteArray odd =
+      Replaced(fleet.Registration("ready"), R"("state":"ready")", R"("state":"draining")");
+    REQUIRE(fleet.Register("i-only", Replaced(odd, R"("sequence":)", R"("sequence":1000)")) == 200);
+  }
+  SECTION("by a departure")
+  {
+    REQUIRE(fleet.Deregister() == 200);
+  }
+  const QJsonArray replaced = fleet.Services();
+  REQUIRE(WaitUntil([&] {
+    fleet.Register("ready");
+    FleetWithOneBackend::RunFor(std::chrono::milliseconds(300));
+    return fleet.Services() != replaced;
+  }));
+  CHECK(fleet.RegisterUntilServed(std::chrono::seconds(4)));
+}
