control: a change of primary ends when the new primary leads, not when the platform accepts the call

Cause: OnPromotionAnswer() recorded the phase `steady` at the platform's 200, although the named server leads only some hundred ms later. With the new fence, CommitGate allows commits again; the named server refuses them as a replica and the proxies go on to the old primary, which is reachable again.

Between the call and the lead 94 statements ran on the old primary, with ids that were sent after the call, so these are not commits sent before the phase `closing`. At the call the new primary had all that had been acknowledged, so its position was not outdated either; the lost ones are of the last 12 ms.

Fix: the answer is recorded as accepted. The phase stays `promoting`, in which proxies neither send nor confirm commits, until the server registers as primary. A server that led before is confirmed by a registration of 1 s or more after the answer. If it does not lead within 2.5 s, another one is chosen (`not_leading`).

Tests: three new cases of ServiceCoordinatorTests, and "No acknowledged commit is lost whatever the order of faults" with a model in which the platform answers before the lead and proxies go on to any server that accepts a write.

--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -20,8 +20,8 @@
 std::string_view ToString(PromotionOutcome aOutcome)
 {
   switch (aOutcome) {
-    case PromotionOutcome::Confirmed:
-      return "confirmed";
+    case PromotionOutcome::Accepted:
+      return "accepted";
     case PromotionOutcome::Refused:
       return "refused";
     case PromotionOutcome::Unanswered:
@@ -65,12 +65,14 @@
       std::tie(known.startedUnixMs, known.sequence)) {
     return;
   }
-  known = { aBackend.startedUnixMs, aBackend.sequence, aNow };
+  known = { aBackend.startedUnixMs, aBackend.sequence, aNow, aBackend.claimsPrimary };
 }
 
 void ServiceCoordinator::OnReinstated(const BackendRow& aBackend, Instant aNow)
 {
-  this->lastRegistrations[aBackend.name] = { aBackend.startedUnixMs, aBackend.sequence, aNow };
+  this->lastRegistrations[aBackend.name] = {
+    aBackend.startedUnixMs, aBackend.sequence, aNow, aBackend.claimsPrimary
+  };
   this->reinstatedAt[aBackend.service] = aNow;
 }
 
@@ -316,8 +318,7 @@
     aProgress.replaced = std::move(replaced);
   }
   const BackendRow* decided = this->state.Backends().Find(aRow.backend);
-  // The answer to the call may be lost, or may have gone to an earlier leader.
-  if (decided != nullptr && decided->claimsPrimary && decided->version > aRow.version) {
+  if (decided != nullptr && this->HasPromotionEnded(aRow, *decided, aProgress)) {
     aProgress.confirmedAt = aNow;
     this->Propose(aRow.name, ConfirmServicePrimary{ aRow.name, aRow.fence }, aActions);
     return;
@@ -333,12 +334,14 @@
   const auto refused = this->refusedAt.find(aRow.backend);
   const bool wasRefused =
     refused != this->refusedAt.end() && refused->second >= aProgress.decidedAt;
-  if (wasRefused || aNow - aProgress.decidedAt > this->timings.promotionTimeout) {
-    this->ProposePrimary(
-      aRow.name, aRow.version, wasRefused ? "refused" : "promotion_timeout", aNow, aActions);
+  const Instant waitingSince = aProgress.acceptedAt.value_or(aProgress.decidedAt);
+  if (wasRefused || aNow - waitingSince > this->timings.promotionTimeout) {
+    const std::string_view timeout = aProgress.acceptedAt ? "not_leading" : "promotion_timeout";
+    this->ProposePrimary(aRow.name, aRow.version, wasRefused ? "refused" : timeout, aNow, aActions);
     return;
   }
-  if (aProgress.callPending || aNow - aProgress.calledAt < this->timings.callRetryInterval) {
+  if (aProgress.callPending || aProgress.acceptedAt ||
+      aNow - aProgress.calledAt < this->timings.callRetryInterval) {
     return;
   }
   // The primary may have answered again while the decision was being committed.
@@ -352,6 +355,20 @@
   aActions.push_back(PromoteBackendAction{ aRow.name, aRow.backend, aRow.fence });
 }
 
+bool ServiceCoordinator::HasPromotionEnded(const PrimaryRow& aRow,
+                                           const BackendRow& aDecided,
+                                           const Progress& aProgress) const
+{
+  // The answer to the call may be lost, or may have gone to an earlier leader.
+  if (aDecided.claimsPrimary && aDecided.version > aRow.version) {
+    return true;
+  }
+  const auto last = this->lastRegistrations.find(aDecided.name);
+  return aProgress.acceptedAt && last != this->lastRegistrations.end() &&
+         last->second.claimsPrimary &&
+         last->second.at >= *aProgress.acceptedAt + this->timings.promotionSettling;
+}
+
 /// Makes the decision of another control instance again, because a fence is used by one holder
 /// only. The server stays the same if it can: it was chosen by positions, and may lead by now.
 void ServiceCoordinator::TakeOverPromotion(const PrimaryRow& aRow,
@@ -387,10 +404,9 @@
   if (aOutcome == PromotionOutcome::Refused) {
     this->refusedAt[row->backend] = aNow;
   }
-  if (aOutcome == PromotionOutcome::Confirmed && row->phase == PrimaryPhase::Promoting &&
-      !this->IsPending(aService)) {
-    progress.confirmedAt = aNow;
-    this->Propose(aService, ConfirmServicePrimary{ aService, aFence }, aActions);
+  // Until the server leads, the old primary may still take commits, which are lost then.
+  if (aOutcome == PromotionOutcome::Accepted) {
+    progress.acceptedAt = aNow;
   }
 }
 
@@ -408,8 +424,12 @@
   const PrimaryRow* row = this->state.Backends().FindPrimary(aService);
   const std::string replaced = row == nullptr ? "" : row->backend;
   const BackendRow* candidate = this->MostAdvancedCandidate(aService, replaced, aNow, aActions);
-  // Without another candidate, the same server is decided again under a new fence.
-  if (candidate == nullptr && aReason == "promotion_timeout") {
+  // The same server is decided again under a new fence if the platform did not answer, or if it
+  // does not lead and there is no other candidate.
+  const bool staysDecided =
+    aReason == "promotion_timeout" ||
+    (aReason == "not_leading" && this->Candidates(aService, replaced, aNow).empty());
+  if (candidate == nullptr && staysDecided) {
     candidate = this->state.Backends().Find(replaced);
   }
   if (candidate == nullptr) {
--- a/src/oleanderledge/control/ServiceCoordinator.hpp
+++ b/src/oleanderledge/control/ServiceCoordinator.hpp
@@ -44,7 +44,12 @@
   Duration reopenAfter = std::chrono::milliseconds(3000);
   /// Interval between two promotion calls for one decision.
   Duration callRetryInterval = std::chrono::milliseconds(150);
-  /// Another server is chosen if a promotion is not confirmed within this time.
+  /// A server that was primary already when the platform accepted the call for its promotion is
+  /// confirmed only after this time. A call of an earlier decision, which the platform may have
+  /// carried out shortly before, would have ended its lead by then.
+  Duration promotionSettling = std::chrono::milliseconds(1000);
+  /// Another server is chosen if the platform does not accept a promotion within this time, or if
+  /// the server does not lead within it after that.
   Duration promotionTimeout = std::chrono::milliseconds(2500);
   /// A server whose promotion was refused is not chosen again for this time.
   Duration refusalBackoff = std::chrono::milliseconds(2000);
@@ -74,7 +79,7 @@
 /// How a promotion call ended.
 enum class PromotionOutcome : std::uint8_t
 {
-  Confirmed,
+  Accepted,   ///< The server leads some hundred ms later, unless it ends before.
   Refused,    ///< A higher fence was used before, or the server does not run.
   Unanswered, ///< The promotion may still be carried out; the fence is checked then.
 };
@@ -134,6 +139,7 @@
     std::int64_t startedUnixMs = 0;
     std::uint64_t sequence = 0;
     Instant at{};
+    bool claimsPrimary = false;
   };
   struct ProxyReports
   {
@@ -164,6 +170,8 @@
     std::optional<Settling> settling;
     bool callPending = false;
     Instant calledAt{};
+    /// When the platform accepted the call.
+    std::optional<Instant> acceptedAt;
     Instant decidedAt{};
     std::uint64_t fence = 0;
     Instant noPrimarySince{};
@@ -213,16 +221,21 @@
   /// Servers that have left, may be the only ones besides the primary that hold some confirmed
   /// commit, and have no successor, which holds their log, at their address.
   std::vector<std::string> UnsettledDepartures(std::string_view aService) const;
-  /// Calls for the decided promotion, or decides again if this member did not decide it, if it was
-  /// refused or took longer than `promotionTimeout`, or if the server was removed.
+  /// Calls for the decided promotion and confirms it once the server leads. Decides again if this
+  /// member did not decide it, if it was refused or took longer than `promotionTimeout`, or if the
+  /// server was removed.
   void StepPromotion(const PrimaryRow& aRow,
                      Progress& aProgress,
                      Instant aNow,
                      ControlActions& aActions);
+  /// True if the registrations of the decided server show that it leads.
+  bool HasPromotionEnded(const PrimaryRow& aRow,
+                         const BackendRow& aDecided,
+                         const Progress& aProgress) const;
   /// Proposes the next primary, or, where replicas confirm commits, the end of commits on the
   /// present one. Proposes nothing yet if position queries are pending or there is no candidate.
   /// `aVersion` is the row version on which the decision is based. `aReason` is logged;
-  /// `promotion_timeout` also changes which servers may be chosen.
+  /// `promotion_timeout` and `not_leading` also change which servers may be chosen.
   void ProposePrimary(const std::string& aService,
                       std::uint64_t aVersion,
                       std::string_view aReason,
--- a/src/oleanderledge/platform/PromotionClient.cpp
+++ b/src/oleanderledge/platform/PromotionClient.cpp
@@ -36,7 +36,7 @@
   QObject::connect(reply, &QNetworkReply::finished, this, [reply, callback = std::move(aCallback)] {
     reply->deleteLater();
     const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    callback(status == kHttpOk         ? PromotionOutcome::Confirmed
+    callback(status == kHttpOk         ? PromotionOutcome::Accepted
              : status == kHttpConflict ? PromotionOutcome::Refused
                                        : PromotionOutcome::Unanswered);
   });
--- a/src/oleanderledge/platform/PromotionClient.hpp
+++ b/src/oleanderledge/platform/PromotionClient.hpp
@@ -7,7 +7,7 @@
 
 namespace oleanderledge::platform {
 
-/// Promotes backend servers by HTTP calls to the platform. Status 200 is reported as Confirmed, 409
+/// Promotes backend servers by HTTP calls to the platform. Status 200 is reported as Accepted, 409
 /// as Refused; any other status, a timeout and a failed connection as Unanswered.
 class PromotionClient
   : public QObject
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr Duration kPromotionTime = 300ms;
+
 /// A coordinator with one service of three registered servers, proxies that report, and a log that
 /// commits every proposal at once.
 class ServiceFixture
@@ -72,6 +74,15 @@
     }
   }
 
+  /// The server that the platform named leads, and the servers report their roles.
+  void Lead()
+  {
+    this->leader = std::exchange(this->named, {});
+    for (const std::string& name : this->live) {
+      this->Register(name, name == this->leader, this->IsDraining(name));
+    }
+  }
+
   /// Advances the time in ticks. Each live server registers once per registration interval.
   void RunFor(Duration aTime)
   {
@@ -81,12 +92,12 @@
       if (this->now - this->registeredAt >= 1200ms) {
         this->registeredAt = this->now;
         for (const std::string& name : this->live) {
-          this->Register(name,
-                         this->PrimaryName() == name &&
-                           this->RecordedPrimary().phase != PrimaryPhase::Promoting,
-                         this->IsDraining(name));
+          this->Register(name, this->leader == name, this->IsDraining(name));
         }
       }
+      if (!this->named.empty() && this->now >= this->leadsAt) {
+        this->Lead();
+      }
       for (const auto& [proxy, byBackend] : this->reports) {
         std::vector<BackendReport> list;
         for (const auto& [name, report] : byBackend) {
@@ -115,6 +126,10 @@
         }
       } else if (const auto* promote = std::get_if<PromoteBackendAction>(&action)) {
         this->calls.push_back(*promote);
+        if (this->answer == PromotionOutcome::Accepted && promote->backend != this->leader) {
+          this->named = promote->backend;
+          this->leadsAt = this->now + kPromotionTime;
+        }
         ControlActions more;
         this->coordinator.OnPromotionAnswer(
           promote->service, promote->fence, this->answer, this->now, more);
@@ -174,7 +189,10 @@
   std::vector<PromoteBackendAction> calls;
   std::vector<LogAction> logged;
   std::vector<QueryPositionAction> openQueries; ///< Without an answer so far.
-  PromotionOutcome answer = PromotionOutcome::Confirmed;
+  PromotionOutcome answer = PromotionOutcome::Accepted;
+  std::string leader = "a"; ///< The primary, as the platform knows it.
+  std::string named;        ///< Leads next; empty: none.
+  Instant leadsAt{};
   /// Positions that servers return when queried; other servers do not answer.
   std::map<std::string, LogPosition> received{ { "b", { 1, 10 } }, { "c", { 1, 10 } } };
 };
@@ -702,6 +720,69 @@
   CHECK(fixture.TakeOver().empty());
 }
 
+// Guards against commits on the old primary that are acknowledged between the platform's answer and
+// the lead of the new primary, which lacks them.
+TEST_CASE("A change of primary ends when the new primary leads, not when the platform answers",
+          "[services]")
+{
+  ServiceFixture fixture;
+  fixture.SetSyncReplicas(1);
+  fixture.Report("p1", "a", 0);
+  fixture.RunFor(2s);
+  fixture.LosePrimary();
+  while (fixture.calls.empty()) {
+    fixture.RunFor(20ms);
+  }
+  const std::string successor = fixture.PrimaryName();
+  fixture.leadsAt = fixture.now + 900ms;
+  fixture.RunFor(880ms);
+  CHECK(fixture.leader == "a");
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Promoting);
+  fixture.RunFor(60ms);
+  CHECK(fixture.leader == successor);
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+  CHECK(fixture.calls.size() == 1);
+}
+
+// Guards against a service that stays without commits because the chosen server ends before it
+// leads.
+TEST_CASE("Another server is chosen if an accepted promotion does not take place", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.RunFor(2s);
+  fixture.Register("a", true, true);
+  while (fixture.calls.empty()) {
+    fixture.RunFor(20ms);
+  }
+  fixture.leadsAt = fixture.now + 100s;
+  fixture.RunFor(2400ms);
+  CHECK(fixture.calls.size() == 1);
+  fixture.RunFor(1s);
+  REQUIRE(fixture.calls.size() == 2);
+  CHECK(fixture.calls[0].backend != fixture.calls[1].backend);
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+  CHECK(fixture.leader == fixture.PrimaryName());
+}
+
+// Guards against a service that stays without commits because the chosen server leads already and
+// its registrations change nothing, and against commits on it while another one is still to lead
+// after an earlier call.
+TEST_CASE("The promotion of the present primary ends after a time in which others would lead",
+          "[services]")
+{
+  ServiceFixture fixture;
+  fixture.RunFor(2s);
+  fixture.Commit(
+    DecideServicePrimary{ "ledger", fixture.RecordedPrimary().version, "a", "control-1" });
+  fixture.RunFor(960ms);
+  REQUIRE(fixture.calls.size() == 1);
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Promoting);
+  fixture.RunFor(1300ms);
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+  CHECK(fixture.PrimaryName() == "a");
+  CHECK(fixture.calls.size() == 1);
+}
+
 TEST_CASE("An unanswered promotion is repeated under the same fence", "[services]")
 {
   ServiceFixture fixture;
--- a/tests/control/ServiceHistory.cpp
+++ b/tests/control/ServiceHistory.cpp
@@ -144,6 +144,9 @@
     this->scheduled.erase(this->scheduled.begin());
     action();
   }
+  if (!this->named.empty() && this->leadsAt <= this->now) {
+    this->Lead();
+  }
   this->Replicate();
   this->StepRequests();
   for (auto& [name, server] : this->servers) {
@@ -232,11 +235,20 @@
     const bool mayCommit = !proxy.primary.empty() && !proxy.gate.RefusesCommits(this->now);
     if (mayCommit && proxy.open.size() < 3 && this->Draw(0, 9) < 2ms) {
       proxy.open[++this->commits] = this->now;
-      this->requests.push_back({ this->commits, number, proxy.primary, proxy.gate.Fence() });
+      this->requests.push_back(
+        { this->commits, number, this->CommitTarget(proxy), proxy.gate.Fence() });
     }
   }
 }
 
+std::string ServiceHistory::CommitTarget(const Proxy& aProxy) const
+{
+  // If the recorded primary refuses a write, the proxy goes on to any server that accepts it.
+  const Server& recorded = this->servers.at(aProxy.primary);
+  const bool refuses = aProxy.primary != this->primary && recorded.Answers();
+  return refuses ? this->primary : aProxy.primary;
+}
+
 void ServiceHistory::SendHeartbeat(std::size_t aProxy)
 {
   Proxy& proxy = this->proxies[aProxy];
@@ -366,32 +378,40 @@
       this->Execute(actions);
     });
   };
+  const Duration late = std::exchange(this->promotionDelay, Duration{ 0 });
+  this->Schedule(late, [this, aCall, answer] { answer(this->Name(aCall)); });
+}
+
+PromotionOutcome ServiceHistory::Name(const PromoteBackendAction& aCall)
+{
   if (aCall.fence < this->highestFence || !this->servers[aCall.backend].isRunning) {
-    answer(PromotionOutcome::Refused);
-    return;
+    return PromotionOutcome::Refused;
   }
   this->highestFence = aCall.fence;
-  const Duration late = std::exchange(this->promotionDelay, Duration{ 0 });
-  this->Schedule(kPromotionTime + late, [this, aCall, answer] {
-    Server& chosen = this->servers[aCall.backend];
-    if (aCall.fence < this->highestFence || !chosen.isRunning) {
-      answer(PromotionOutcome::Refused);
-      return;
-    }
-    if (this->primary != aCall.backend) {
-      ++this->term;
-      ++this->promotions;
-      this->primary = aCall.backend;
-      for (auto& [name, server] : this->servers) {
-        const auto common = std::ranges::mismatch(server.log, chosen.log);
-        server.log.erase(common.in1, server.log.end());
-        server.registersAt = this->now;
-      }
-      this->CheckAcknowledged("the promotion of " + aCall.backend + " with fence " +
-                              std::to_string(aCall.fence));
-    }
-    answer(PromotionOutcome::Confirmed);
-  });
+  // For the present primary nothing changes, also not that another server is to lead.
+  if (aCall.backend != this->primary && aCall.backend != this->named) {
+    this->named = aCall.backend;
+    this->leadsAt = this->now + kPromotionTime;
+  }
+  return PromotionOutcome::Accepted;
+}
+
+void ServiceHistory::Lead()
+{
+  const std::string name = std::exchange(this->named, {});
+  const Server& chosen = this->servers[name];
+  if (!chosen.isRunning) {
+    return;
+  }
+  ++this->term;
+  ++this->promotions;
+  this->primary = name;
+  for (auto& [other, server] : this->servers) {
+    const auto common = std::ranges::mismatch(server.log, chosen.log);
+    server.log.erase(common.in1, server.log.end());
+    server.registersAt = this->now;
+  }
+  this->CheckAcknowledged("the promotion of " + name);
 }
 
 void ServiceHistory::Commit(const ControlCommand& aCommand)
--- a/tests/control/ServiceHistory.hpp
+++ b/tests/control/ServiceHistory.hpp
@@ -100,6 +100,12 @@
   void Register(const std::string& aName);
   void Leave(const std::string& aName);
   void Promote(const PromoteBackendAction& aCall);
+  /// Carries out a call: the named server leads some time later.
+  PromotionOutcome Name(const PromoteBackendAction& aCall);
+  /// The named server leads with the log that it has.
+  void Lead();
+  /// The server to which a proxy sends its next commit.
+  std::string CommitTarget(const Proxy& aProxy) const;
   void ElectLeader();
   void Execute(const ControlActions& aActions);
   void Commit(const ControlCommand& aCommand);
@@ -123,7 +129,9 @@
   std::string primary; ///< As the platform knows it.
   std::uint64_t term = 1;
   std::uint64_t highestFence = 0;
-  Duration promotionDelay{ 0 }; ///< Added to the next promotion.
+  std::string named; ///< Leads next; empty: none.
+  Instant leadsAt{};
+  Duration promotionDelay{ 0 }; ///< Of the next promotion call.
   int commits = 0;
   int serverCount = 0;
   std::set<int> acknowledged;
--- a/tests/platform/FleetWithOneBackend.hpp
+++ b/tests/platform/FleetWithOneBackend.hpp
@@ -29,7 +29,7 @@
                std::uint64_t /*aFence*/,
                Callback aCallback) override
   {
-    aCallback(PromotionOutcome::Confirmed);
+    aCallback(PromotionOutcome::Accepted);
   }
 };
 
