control: a recorded primary that registers as a replica is replaced, also after a promotion

Callers: every write of a service was refused for good once a primary that the system had promoted was a replica, also after a restart of all processes.

Cause: the reason `demoted` needed fence 0, since under a fence a primary that had not registered as such yet was usual. It no longer is: a change of primary ends with that registration.

--- a/src/oleanderledge/control/ServiceCoordinator.cpp
+++ b/src/oleanderledge/control/ServiceCoordinator.cpp
@@ -203,13 +203,14 @@
   if (primary->draining) {
     return "draining";
   }
-  if (!primary->claimsPrimary && aRow.fence == 0) {
-    return "demoted";
-  }
   // A new leader has neither registrations nor reports yet.
   if (aNow - this->leaderSince < this->timings.registrationInterval) {
     return {};
   }
+  // A change of primary ends once the new one registers as primary, so it did so before.
+  if (!primary->claimsPrimary) {
+    return "demoted";
+  }
   const BackendReachability reachability = this->ReachabilityOf(aRow.backend, aNow);
   if (reachability.answeringProxies > 0) {
     return {};
--- a/tests/control/ServiceCoordinatorTests.cpp
+++ b/tests/control/ServiceCoordinatorTests.cpp
@@ -567,6 +567,43 @@
   CHECK(fixture.PrimaryName() != "a");
 }
 
+// Guards against a service that is never served again: after a promotion, a primary that started
+// again as a replica was not replaced.
+TEST_CASE("A primary that was promoted and reports itself as a replica is replaced", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.RunFor(2s);
+  fixture.Register("a", true, true);
+  fixture.RunFor(1s);
+  const std::string promoted = fixture.PrimaryName();
+  REQUIRE(promoted != "a");
+  REQUIRE(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+  fixture.RunFor(4s);
+  REQUIRE(fixture.calls.size() == 1);
+  fixture.leader.clear();
+  fixture.Register(promoted, false);
+  fixture.RunFor(1s);
+  CHECK(fixture.calls.size() == 2);
+  CHECK(fixture.PrimaryName() != promoted);
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+}
+
+// Guards against a primary that an earlier version recorded when the platform accepted its
+// promotion, and that never led: it stayed the recorded one.
+TEST_CASE("A recorded primary that never led is replaced by the server that leads", "[services]")
+{
+  ServiceFixture fixture;
+  fixture.received = { { "a", { 1, 20 } }, { "b", { 1, 10 } }, { "c", { 1, 10 } } };
+  fixture.RunFor(2s);
+  const std::uint64_t version = fixture.RecordedPrimary().version;
+  fixture.Commit(DecideServicePrimary{ "ledger", version, "b", "control-0" });
+  fixture.Commit(ConfirmServicePrimary{ "ledger", fixture.RecordedPrimary().fence });
+  fixture.RunFor(5s);
+  CHECK(fixture.leader == "a");
+  CHECK(fixture.PrimaryName() == "a");
+  CHECK(fixture.RecordedPrimary().phase == PrimaryPhase::Steady);
+}
+
 // Guards against a drained service whose log does not tell why nothing was promoted.
 TEST_CASE("The lack of a candidate is logged once, with the reason for each server", "[services]")
 {
