soak: the platform answers a promotion call before the named server leads

It now promotes 0.3 s after its answer, unless the server has ended or another one was named since, and the servers report their roles at once.

--- a/soak/RegisteredServers.cpp
+++ b/soak/RegisteredServers.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRegistrationInterval(300);
+/// The server that a promotion call names leads this long after the call was answered.
+constexpr std::chrono::milliseconds kPromotionTime(300);
 constexpr int kCallTimeoutMs = 1000;
 constexpr int kHttpOk = 200;
 constexpr int kHttpRedirect = 307;
@@ -182,6 +184,21 @@
   });
 }
 
+void RegisteredServers::Lead(const Server& aServer)
+{
+  // Another server was named meanwhile.
+  if (this->namedPrimary != aServer.name) {
+    return;
+  }
+  this->namedPrimary.clear();
+  if (aServer.hasEnded) {
+    return;
+  }
+  this->group.primary = aServer.name;
+  ++this->group.term;
+  this->RegisterAll();
+}
+
 int RegisteredServers::Promote(const QHttpServerRequest& aRequest)
 {
   const QJsonObject body = QJsonDocument::fromJson(aRequest.body()).object();
@@ -202,9 +219,10 @@
   if (found == this->servers.end()) {
     return kHttpConflict;
   }
-  if (this->group.primary != backend) {
-    this->group.primary = backend;
-    ++this->group.term;
+  if (this->group.primary != backend && this->namedPrimary != backend) {
+    this->namedPrimary = backend;
+    QTimer::singleShot(
+      kPromotionTime, this, [this, server = found->get()] { this->Lead(*server); });
   }
   return kHttpOk;
 }
--- a/soak/RegisteredServers.hpp
+++ b/soak/RegisteredServers.hpp
@@ -68,6 +68,8 @@
   void Put(const std::string& aUrl, const QByteArray& aBody, Answered aDone);
   /// Handles a promotion call and returns the status of the answer.
   int Promote(const QHttpServerRequest& aRequest);
+  /// The server leads, unless it has ended or another one was named after it.
+  void Lead(const Server& aServer);
 
   ViolationLog& violations;
   QNetworkAccessManager network;
@@ -78,6 +80,7 @@
   QTimer registrationTimer;
   std::uint64_t lastFence = 0;
   std::string lastHolder;
+  std::string namedPrimary; ///< Named by a promotion call and not leading yet; empty: none.
   std::size_t configurationTries = 0;
 };
 
