--- a/tests/control/ControlStateTests.cpp
+++ b/tests/control/ControlStateTests.cpp
@@ -179,7 +179,6 @@
   CHECK(apply(5) == 0);
 }
 
-// Guards against members that fail or diverge on commands of another program version.
 // Guards against a running server whose place stays taken by an entry that names its address.
 TEST_CASE("A reinstated server takes its address back, unless its row has changed meanwhile")
 {
@@ -215,6 +214,7 @@
   }
 }
 
+// Guards against members that fail or diverge on commands of another program version.
 TEST_CASE("Commands that cannot be decoded are skipped")
 {
   ControlState state = SteadyDatabase();
