--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -151,6 +151,8 @@
         self.record = record
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.state = "ready"
+        self.is_drain_acknowledged = False
         self.log = []
         self.term = 1
         self.runs = False
@@ -249,7 +251,7 @@
                     "zone": self.zone,
                     "version": "v1",
                     "capacity": 4,
-                    "state": "ready",
+                    "state": self.state,
                     "warmup_remaining_ms": 0,
                     "database_role": "primary" if self.is_leader else "replica",
                     "sequence": self.sequence,
@@ -262,6 +264,7 @@
             for node in nodes:
                 answer = await follow(node, "PUT", f"/api/instances/{self.id}", body)
                 if answer is not None and 200 <= answer[0] < 300:
+                    self.is_drain_acknowledged = b'"draining"' in body
                     try:
                         self.beat_address = json.loads(answer[2])["heartbeat_address"]
                     except (ValueError, KeyError, TypeError):
