--- a/review/13/case.py
+++ b/review/13/case.py
@@ -12,7 +12,7 @@
 import fleet as f  # noqa: E402
 
 CLIENTS = 8
-DOWN_S = 3.0
+DOWN_S = 0.9
 RECOVERY_S = 12.0
 MEASURE_S = 8.0
 
