--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The scripts review/11 to review/14 start the program of the deploy file and stand-ins in Python
+# The scripts review/11 to review/15 start the program of the deploy file and stand-ins in Python
 # (review/common-3), which need no build. This only checks that both can run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -1,6 +1,6 @@
 """Stand-ins for the platform, databases, operator and clients, and the processes under test.
 
-Used by the scripts review/11 to review/14. Everything runs on loopback addresses of one network
+Used by the scripts review/11 to review/15. Everything runs on loopback addresses of one network
 127.A.B.x that is drawn for each run. Only the Python standard library is used.
 """
 
@@ -162,6 +162,7 @@
         self.connections = set()
         self.lose_share = 0.0
         self.lost = 0
+        self.refused = 0
         self.signatures = 0
         self.server = None
         self.task = None
@@ -299,6 +300,8 @@
             error = "MISROUTED"
         elif len(self.connections) > self.service.connection_limit:
             error = "OVERLOAD"
+            self.refused += 1
+            self.record.add(self.id, f"refuses a connection of {line[2]}: the limit is reached")
         if error is not None:
             writer.write(f"ERROR {error} {self.id}\r\n".encode())
             return
