statements: commits of a session are kept for each service

Cause: a session kept the position of its last commit as one value for all services. A commit on another service replaced it, and the read then awaited a position of the other log. Reads on the other service were kept from its replicas alike.

Fix: SessionCommits keeps the newest commit for each service. Positions of sessions live as long as their connection, so nothing that was recorded before stays.

--- a/src/oleanderledge/statements/internal/StatementSession.cpp
+++ b/src/oleanderledge/statements/internal/StatementSession.cpp
@@ -633,7 +633,7 @@
   if (isCommit) {
     if (hadWritten && aResult.ready.position) {
       this->Dispatcher()->RecordPrimaryPosition(aResult.sentAt, *aResult.ready.position);
-      this->lastCommit = *aResult.ready.position;
+      this->commits.Record(this->route->service, *aResult.ready.position);
     }
     this->ReleaseConnection(aResult.ready.state != TransactionState::Idle);
     this->transaction = Transaction{};
@@ -778,7 +778,7 @@
   }
   if (isWrite && aResult.ready.position) {
     this->Dispatcher()->RecordPrimaryPosition(aResult.sentAt, *aResult.ready.position);
-    this->lastCommit = *aResult.ready.position;
+    this->commits.Record(this->route->service, *aResult.ready.position);
   }
   this->ReleaseConnection(inTransaction);
   if (this->IsCommitDoubtful()) {
@@ -1120,7 +1120,7 @@
   request.needsPrimary = aNeedsPrimary;
   request.acceptedAge = std::chrono::milliseconds(this->route->acceptedAgeMs);
   if (this->route->consistency == ReadConsistency::ReadYourWrites) {
-    request.ownCommit = this->lastCommit;
+    request.ownCommit = this->commits.NewestOn(this->route->service);
   }
   request.arrivedAt = aArrivedAt;
   const Duration wait =
--- a/src/oleanderledge/statements/internal/StatementSession.hpp
+++ b/src/oleanderledge/statements/internal/StatementSession.hpp
@@ -2,6 +2,7 @@
 
 #include "oleanderledge/link/link.hpp"
 #include "oleanderledge/organisations/organisations.hpp"
+#include "oleanderledge/statements/SessionCommits.hpp"
 #include "oleanderledge/statements/internal/CallerChannel.hpp"
 #include "oleanderledge/statements/internal/ServiceDispatcher.hpp"
 #include "oleanderledge/statements/internal/SessionQuota.hpp"
@@ -235,7 +236,7 @@
   SessionQuota quota;
   std::optional<Placement> placement;
   std::optional<ServiceDispatcher::Ticket> ticket;
-  std::optional<LogPosition> lastCommit; ///< Of this session, for routes with read-your-writes.
+  SessionCommits commits; ///< Of this session, for routes with read-your-writes.
 };
 
 } // namespace oleanderledge
--- a/src/oleanderledge/statements/statements.hpp
+++ b/src/oleanderledge/statements/statements.hpp
@@ -9,6 +9,7 @@
 #include "oleanderledge/statements/ExponentialBackoff.hpp"
 #include "oleanderledge/statements/PositionHistory.hpp"
 #include "oleanderledge/statements/ReadPlacement.hpp"
+#include "oleanderledge/statements/SessionCommits.hpp"
 #include "oleanderledge/statements/StatementProtocol.hpp"
 #include "oleanderledge/statements/StatementService.hpp"
 #include "oleanderledge/statements/StatementTypes.hpp"
